Lay out the workspace of packages and its checks

Cause: nothing existed. The packages follow the starting design: one job each, all plain libraries, thin binaries on top.

--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,17 @@
+//! Identifiers, refusals and digests that all ibisdale packages share.
+//!
+//! Nothing here performs I/O or reads a clock: times are passed in.
+
+mod digest;
+mod ids;
+mod names;
+mod refusal;
+mod time;
+
+pub use digest::HistoryDigest;
+pub use ids::{IdError, ProgramId, RequestId, SLOT_COUNT, SlotId, StepNumber};
+pub use names::{
+    AttemptKey, DaemonName, ModelName, NAME_MAX_BYTES, NameError, ServiceName, WorkspaceName,
+};
+pub use refusal::{RefusalCode, RequestRefusal, RunState};
+pub use time::{MILLIS_PER_SECOND, TimeStamp};
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The callers' and operators' HTTP interface: parsing, authentication, routing and answers.
--- /dev/null
+++ b/crates/ibisdale/src/main.rs
@@ -0,0 +1,3 @@
+//! The ibisdale command.
+
+fn main() {}
--- /dev/null
+++ b/crates/ibisdaled/src/main.rs
@@ -0,0 +1,3 @@
+//! The ibisdale daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/programs/src/lib.rs
@@ -0,0 +1,1 @@
+//! Program state held by its owner: order, budget, attempts, history and clean-up.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Numbered log events, metrics and trace spans.
--- /dev/null
+++ b/crates/upstreams/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP clients for model engines and plain services.
