--- /dev/null
+++ b/crates/net/src/body.rs
@@ -0,0 +1,168 @@
+//! Message bodies.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::{Bytes, BytesMut};
+use futures_lite::Stream;
+use http_body::{Body, Frame};
+use http_body_util::{BodyExt, Empty, Full};
+use smol::channel::{Receiver, Sender, bounded};
+
+use crate::error::NetError;
+
+/// Chunks that may wait between the producer and the connection.
+const CHANNEL_CHUNKS: usize = 16;
+
+/// A body of any kind.
+pub type BoxBody = http_body_util::combinators::BoxBody<Bytes, NetError>;
+
+/// Creates a body that holds `data`.
+#[must_use]
+pub fn full_body(data: impl Into<Bytes>) -> BoxBody {
+    Full::new(data.into())
+        .map_err(|never| match never {})
+        .boxed()
+}
+
+/// Creates a body without data.
+#[must_use]
+pub fn empty_body() -> BoxBody {
+    Empty::new().map_err(|never| match never {}).boxed()
+}
+
+enum ChannelItem {
+    Data(Bytes),
+    End,
+}
+
+/// Feeds a body that is sent while it is produced.
+///
+/// Dropping the sender without [`BodySender::close`] aborts the message, so
+/// that a truncated body never passes as whole.
+#[derive(Clone, Debug)]
+pub struct BodySender {
+    sender: Sender<ChannelItem>,
+}
+
+impl std::fmt::Debug for ChannelItem {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Data(data) => write!(formatter, "Data({} bytes)", data.len()),
+            Self::End => formatter.write_str("End"),
+        }
+    }
+}
+
+impl BodySender {
+    /// Sends a chunk; waits while the connection is slower than the producer.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`NetError::Abandoned`] when the receiving side is gone.
+    pub async fn send(&self, data: Bytes) -> Result<(), NetError> {
+        self.sender
+            .send(ChannelItem::Data(data))
+            .await
+            .map_err(|_| NetError::Abandoned)
+    }
+
+    /// Ends the body as whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`NetError::Abandoned`] when the receiving side is gone.
+    pub async fn close(self) -> Result<(), NetError> {
+        self.sender
+            .send(ChannelItem::End)
+            .await
+            .map_err(|_| NetError::Abandoned)
+    }
+
+    /// Waits until the receiving side is gone.
+    pub async fn closed(&self) {
+        self.sender.closed().await;
+    }
+}
+
+struct ChannelBody {
+    receiver: Pin<Box<Receiver<ChannelItem>>>,
+    is_done: bool,
+}
+
+impl Body for ChannelBody {
+    type Data = Bytes;
+    type Error = NetError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, NetError>>> {
+        if self.is_done {
+            return Poll::Ready(None);
+        }
+        match self.receiver.as_mut().poll_next(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(ChannelItem::Data(data))) => Poll::Ready(Some(Ok(Frame::data(data)))),
+            Poll::Ready(Some(ChannelItem::End)) => {
+                self.is_done = true;
+                Poll::Ready(None)
+            }
+            Poll::Ready(None) => {
+                self.is_done = true;
+                Poll::Ready(Some(Err(NetError::Abandoned)))
+            }
+        }
+    }
+}
+
+/// Creates a body together with the sender that feeds it.
+#[must_use]
+pub fn body_channel() -> (BodySender, BoxBody) {
+    let (sender, receiver) = bounded(CHANNEL_CHUNKS);
+    let body = ChannelBody {
+        receiver: Box::pin(receiver),
+        is_done: false,
+    };
+    (BodySender { sender }, body.boxed())
+}
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Fails with [`NetError::TooLarge`] beyond the limit and with the body's own
+/// error when it is truncated.
+pub async fn read_limited<B>(body: B, limit: usize) -> Result<Bytes, NetError>
+where
+    B: Body<Data = Bytes>,
+    NetError: From<B::Error>,
+{
+    if body.size_hint().lower() > limit as u64 {
+        return Err(NetError::TooLarge { limit });
+    }
+    let mut body = std::pin::pin!(body);
+    let mut data = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(chunk) = frame?.into_data() else {
+            continue;
+        };
+        if data.len() + chunk.len() > limit {
+            return Err(NetError::TooLarge { limit });
+        }
+        data.extend_from_slice(&chunk);
+    }
+    Ok(data.freeze())
+}
+
+impl From<hyper::Error> for NetError {
+    fn from(source: hyper::Error) -> Self {
+        Self::Truncated { source }
+    }
+}
+
+impl From<std::convert::Infallible> for NetError {
+    fn from(never: std::convert::Infallible) -> Self {
+        match never {}
+    }
+}
--- /dev/null
+++ b/crates/net/src/client.rs
@@ -0,0 +1,202 @@
+//! The calling side of HTTP/1.1: one connection, one exchange at a time.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{Method, Request, Response, StatusCode};
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use smol_hyper::rt::FuturesIo;
+
+use crate::TrafficExecutor;
+use crate::body::BoxBody;
+use crate::error::NetError;
+use crate::socket::connect_stream;
+
+/// Time by default in which a connection must open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How a connection is opened.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectOptions {
+    timeout: Duration,
+}
+
+impl Default for ConnectOptions {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl ConnectOptions {
+    /// Creates the default options.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            timeout: CONNECT_TIMEOUT,
+        }
+    }
+
+    /// Sets the time in which the connection must open.
+    #[must_use]
+    pub fn timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
+    /// Returns the time in which the connection must open.
+    #[must_use]
+    pub fn get_timeout(&self) -> Duration {
+        self.timeout
+    }
+}
+
+/// Runs `future`, or fails with `error` when it takes longer than `limit`.
+pub(crate) async fn with_timeout<T>(
+    future: impl Future<Output = Result<T, NetError>>,
+    limit: Duration,
+    error: impl FnOnce() -> NetError,
+) -> Result<T, NetError> {
+    let expire = async {
+        smol::Timer::after(limit).await;
+        Err(error())
+    };
+    future.or(expire).await
+}
+
+/// An open HTTP/1.1 connection.
+///
+/// Dropping it, or dropping a response's body before its end, closes the
+/// connection, which is how a running request is cancelled.
+#[derive(Debug)]
+pub struct ClientConnection {
+    address: SocketAddr,
+    sender: http1::SendRequest<BoxBody>,
+}
+
+impl ClientConnection {
+    /// Opens a connection to `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`NetError::Connect`] or [`NetError::ConnectTimeout`].
+    pub async fn open(
+        address: SocketAddr,
+        executor: &TrafficExecutor,
+        options: ConnectOptions,
+    ) -> Result<Self, NetError> {
+        let limit = options.timeout;
+        let connect = connect_stream(address);
+        let stream = with_timeout(connect, limit, || NetError::ConnectTimeout {
+            address,
+            limit,
+        })
+        .await?;
+        let (sender, connection) = http1::handshake(FuturesIo::new(stream))
+            .await
+            .map_err(|source| NetError::Exchange { source })?;
+        let task = async move {
+            if let Err(error) = connection.await {
+                log::debug!("connection to {address} ended: {error}");
+            }
+        };
+        executor.spawn(task).detach();
+        Ok(Self { address, sender })
+    }
+
+    /// Returns the peer's address.
+    #[must_use]
+    pub fn get_address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Tells whether the connection can take a request now.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Tells whether the peer has closed the connection.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Waits until the previous exchange is over.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`NetError::NotSent`] when the connection is closed.
+    pub async fn ready(&mut self) -> Result<(), NetError> {
+        self.sender.ready().await.map_err(|_| NetError::NotSent)
+    }
+
+    /// Sends a request and waits for the head of its response.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`NetError::NotSent`] where it is proven that nothing left,
+    /// with [`NetError::Unframed`] when the response's end can't be told, and
+    /// with [`NetError::Exchange`] otherwise.
+    pub async fn send(
+        &mut self,
+        request: Request<BoxBody>,
+    ) -> Result<Response<CheckedBody>, NetError> {
+        let is_head = request.method() == Method::HEAD;
+        let response = match self.sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(error) if error.message().is_some() => return Err(NetError::NotSent),
+            Err(error) => {
+                return Err(NetError::Exchange {
+                    source: error.into_error(),
+                });
+            }
+        };
+        check_framing(&response, is_head)?;
+        Ok(response.map(CheckedBody))
+    }
+}
+
+fn check_framing(response: &Response<Incoming>, is_head: bool) -> Result<(), NetError> {
+    let status = response.status();
+    if is_head || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED {
+        return Ok(());
+    }
+    let headers = response.headers();
+    if headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING) {
+        return Ok(());
+    }
+    Err(NetError::Unframed)
+}
+
+/// A response's body, whose end is told by its framing.
+#[derive(Debug)]
+pub struct CheckedBody(Incoming);
+
+impl Body for CheckedBody {
+    type Data = Bytes;
+    type Error = NetError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, NetError>>> {
+        Pin::new(&mut self.0)
+            .poll_frame(context)
+            .map_err(|source| NetError::Truncated { source })
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.0.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.0.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/net/src/grpc.rs
@@ -0,0 +1,191 @@
+//! gRPC over HTTP/2: a channel for tonic's clients and a server for its services.
+
+use std::convert::Infallible;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use http::uri::{Authority, Scheme};
+use http::{Request, Response, Uri};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::client::conn::http2 as client;
+use hyper::server::conn::http2 as server;
+use smol::Async;
+use smol_hyper::rt::{FuturesIo, SmolExecutor, SmolTimer};
+use tonic::body::Body as GrpcBody;
+use tower_service::Service;
+
+use crate::TrafficExecutor;
+use crate::client::{ConnectOptions, with_timeout};
+use crate::error::NetError;
+use crate::server::accept_until_shutdown;
+use crate::shutdown::ShutdownSignal;
+use crate::socket::connect_stream;
+
+/// Time between pings on a link that is otherwise silent.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(5);
+/// Time in which a ping must be answered before the link is closed.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// A link to another daemon, for tonic's generated clients.
+#[derive(Clone, Debug)]
+pub struct GrpcChannel {
+    address: SocketAddr,
+    sender: client::SendRequest<GrpcBody>,
+}
+
+impl GrpcChannel {
+    /// Opens a link to `address`.
+    ///
+    /// A link that goes silent is noticed by HTTP/2 pings and closed.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`NetError::Connect`] or [`NetError::ConnectTimeout`].
+    pub async fn open(
+        address: SocketAddr,
+        executor: &TrafficExecutor,
+        options: ConnectOptions,
+    ) -> Result<Self, NetError> {
+        let limit = options.get_timeout();
+        let connect = open_sender(address, executor);
+        let sender = with_timeout(connect, limit, || NetError::ConnectTimeout {
+            address,
+            limit,
+        })
+        .await?;
+        Ok(Self { address, sender })
+    }
+
+    /// Tells whether the link is closed and must be replaced.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
+async fn open_sender(
+    address: SocketAddr,
+    executor: &TrafficExecutor,
+) -> Result<client::SendRequest<GrpcBody>, NetError> {
+    let stream = connect_stream(address).await?;
+    let builder_executor = SmolExecutor::new(TrafficExecutor::clone(executor));
+    let (sender, connection) = client::Builder::new(builder_executor)
+        .timer(SmolTimer::new())
+        .keep_alive_interval(KEEP_ALIVE_INTERVAL)
+        .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+        .handshake(FuturesIo::new(stream))
+        .await
+        .map_err(|source| NetError::Exchange { source })?;
+    let task = async move {
+        if let Err(error) = connection.await {
+            log::debug!("link to {address} ended: {error}");
+        }
+    };
+    executor.spawn(task).detach();
+    Ok(sender)
+}
+
+impl Service<Request<GrpcBody>> for GrpcChannel {
+    type Response = Response<Incoming>;
+    type Error = hyper::Error;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>> + Send>>;
+
+    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), hyper::Error>> {
+        self.sender.poll_ready(context)
+    }
+
+    fn call(&mut self, mut request: Request<GrpcBody>) -> Self::Future {
+        *request.uri_mut() = absolute_uri(request.uri(), self.address);
+        Box::pin(self.sender.send_request(request))
+    }
+}
+
+fn absolute_uri(uri: &Uri, address: SocketAddr) -> Uri {
+    let mut parts = uri.clone().into_parts();
+    parts.scheme = Some(Scheme::HTTP);
+    parts.authority = Authority::try_from(address.to_string()).ok();
+    Uri::from_parts(parts).unwrap_or_else(|_| uri.clone())
+}
+
+/// Accepts links and serves `service` on each until shutdown.
+///
+/// Returns when shutdown has started; links in service go on until their calls
+/// are answered and hold the signal until then.
+pub async fn serve_grpc<S>(
+    listener: Async<TcpListener>,
+    executor: TrafficExecutor,
+    shutdown: ShutdownSignal,
+    service: S,
+) where
+    S: Service<Request<GrpcBody>, Response = Response<GrpcBody>, Error = Infallible>
+        + Clone
+        + Send
+        + Sync
+        + 'static,
+    S::Future: Send,
+{
+    accept_until_shutdown(&listener, &shutdown, |stream, peer| {
+        let link_executor = TrafficExecutor::clone(&executor);
+        let task = serve_link(
+            stream,
+            peer,
+            link_executor,
+            shutdown.clone(),
+            service.clone(),
+        );
+        executor.spawn(task).detach();
+    })
+    .await;
+}
+
+async fn serve_link<S>(
+    stream: Async<TcpStream>,
+    peer: SocketAddr,
+    executor: TrafficExecutor,
+    shutdown: ShutdownSignal,
+    service: S,
+) where
+    S: Service<Request<GrpcBody>, Response = Response<GrpcBody>, Error = Infallible>
+        + Clone
+        + Send
+        + Sync
+        + 'static,
+    S::Future: Send,
+{
+    let call_service = hyper::service::service_fn(move |request: Request<Incoming>| {
+        let mut service = service.clone();
+        let request = request.map(|body| GrpcBody::new(body.map_err(tonic_status)));
+        async move { service.call(request).await }
+    });
+    let connection = server::Builder::new(SmolExecutor::new(executor))
+        .timer(SmolTimer::new())
+        .keep_alive_interval(KEEP_ALIVE_INTERVAL)
+        .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+        .serve_connection(FuturesIo::new(stream), call_service);
+    let mut connection = std::pin::pin!(connection);
+    let finished = {
+        let stop = async {
+            shutdown.wait().await;
+            None
+        };
+        let run = async { Some(connection.as_mut().await) };
+        run.or(stop).await
+    };
+    let result = if let Some(result) = finished {
+        result
+    } else {
+        connection.as_mut().graceful_shutdown();
+        connection.await
+    };
+    if let Err(error) = result {
+        log::debug!("link from {peer} ended: {error}");
+    }
+}
+
+fn tonic_status(error: hyper::Error) -> tonic::Status {
+    tonic::Status::from_error(Box::new(error))
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,1 +1,25 @@
-//! HTTP/1.1 and HTTP/2 over smol: servers, client connections, body limits and framing checks.
+//! HTTP/1.1 and HTTP/2 over smol: servers, client connections, body limits and
+//! framing checks.
+//!
+//! The packages above this one neither open sockets for HTTP nor look at
+//! framing. Both sides refuse what would let a truncated message pass as whole.
+
+mod body;
+mod client;
+mod error;
+mod grpc;
+mod server;
+mod shutdown;
+mod socket;
+
+pub use body::{BodySender, BoxBody, body_channel, empty_body, full_body, read_limited};
+pub use client::{CheckedBody, ClientConnection, ConnectOptions};
+pub use error::NetError;
+pub use grpc::{GrpcChannel, serve_grpc};
+pub use server::{ServeOptions, serve_http};
+pub use shutdown::{ShutdownGuard, ShutdownSignal, shutdown_pair};
+pub use smol_hyper::rt::SmolTimer;
+pub use socket::bind_listener;
+
+/// The executor that connections run on.
+pub type TrafficExecutor = std::sync::Arc<async_executor::Executor<'static>>;
--- /dev/null
+++ b/crates/net/src/server.rs
@@ -0,0 +1,169 @@
+//! The serving side of HTTP/1.1.
+
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol::Async;
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+use crate::TrafficExecutor;
+use crate::body::BoxBody;
+use crate::error::NetError;
+use crate::shutdown::ShutdownSignal;
+
+/// Largest request head by default, in bytes.
+const HEAD_MAX_BYTES: usize = 16 * 1_024;
+/// Time by default in which a request's head must arrive.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause after a failed accept, for example when file descriptors run out.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Limits of a server's connections.
+///
+/// ```
+/// let options = ibisdale_net::ServeOptions::new().head_max_bytes(8 * 1024);
+/// assert_eq!(options.get_head_max_bytes(), 8 * 1024);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct ServeOptions {
+    head_max_bytes: usize,
+    head_timeout: Duration,
+}
+
+impl Default for ServeOptions {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl ServeOptions {
+    /// Creates the default limits.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            head_max_bytes: HEAD_MAX_BYTES,
+            head_timeout: HEAD_TIMEOUT,
+        }
+    }
+
+    /// Sets the largest request head, in bytes; at least 8192.
+    #[must_use]
+    pub fn head_max_bytes(mut self, bytes: usize) -> Self {
+        self.head_max_bytes = bytes.max(8_192);
+        self
+    }
+
+    /// Sets the time in which a request's head must arrive.
+    #[must_use]
+    pub fn head_timeout(mut self, timeout: Duration) -> Self {
+        self.head_timeout = timeout;
+        self
+    }
+
+    /// Returns the largest request head, in bytes.
+    #[must_use]
+    pub fn get_head_max_bytes(&self) -> usize {
+        self.head_max_bytes
+    }
+}
+
+/// Accepts connections and answers each request by `handler` until shutdown.
+///
+/// Returns when shutdown has started; connections in service go on until their
+/// requests are answered and hold the signal until then.
+pub async fn serve_http<H, F>(
+    listener: Async<TcpListener>,
+    executor: TrafficExecutor,
+    options: ServeOptions,
+    shutdown: ShutdownSignal,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<BoxBody>> + Send + 'static,
+{
+    let handler = Arc::new(handler);
+    accept_until_shutdown(&listener, &shutdown, |stream, peer| {
+        let task = serve_connection(
+            stream,
+            peer,
+            options,
+            shutdown.clone(),
+            Arc::clone(&handler),
+        );
+        executor.spawn(task).detach();
+    })
+    .await;
+}
+
+/// Accepts connections until shutdown and hands each to `serve`.
+pub(crate) async fn accept_until_shutdown(
+    listener: &Async<TcpListener>,
+    shutdown: &ShutdownSignal,
+    serve: impl Fn(Async<TcpStream>, SocketAddr),
+) {
+    loop {
+        let stop = async {
+            shutdown.wait().await;
+            None
+        };
+        let accept = async { Some(listener.accept().await) };
+        match stop.or(accept).await {
+            None => return,
+            Some(Ok((stream, peer))) => {
+                if stream.get_ref().set_nodelay(true).is_ok() {
+                    serve(stream, peer);
+                }
+            }
+            Some(Err(error)) => {
+                log::debug!("accept failed: {error}");
+                smol::Timer::after(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<H, F>(
+    stream: Async<TcpStream>,
+    peer: SocketAddr,
+    options: ServeOptions,
+    shutdown: ShutdownSignal,
+    handler: Arc<H>,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<BoxBody>> + Send + 'static,
+{
+    let service = service_fn(move |request| {
+        let answer = handler(request, peer);
+        async move { Ok::<_, NetError>(answer.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(options.head_timeout)
+        .max_buf_size(options.head_max_bytes)
+        .serve_connection(FuturesIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let finished = {
+        let stop = async {
+            shutdown.wait().await;
+            None
+        };
+        let run = async { Some(connection.as_mut().await) };
+        run.or(stop).await
+    };
+    let result = if let Some(result) = finished {
+        result
+    } else {
+        connection.as_mut().graceful_shutdown();
+        connection.await
+    };
+    if let Err(error) = result {
+        log::debug!("connection from {peer} ended: {error}");
+    }
+}
