--- /dev/null
+++ b/crates/entry/src/head.rs
@@ -0,0 +1,105 @@
+//! Checks on a request's head, before its body is read.
+
+use bytes::Bytes;
+use http::header::{AUTHORIZATION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use http::request::Parts;
+use http::{HeaderMap, Version};
+use ibisdale_core::{AttemptKey, HistoryDigest, RefusalCode, RequestRefusal};
+
+use crate::answer::DIGEST_HEADER;
+
+/// Header that names an attempt at a step.
+pub const ATTEMPT_HEADER: &str = "attempt-key";
+
+const BEARER_PREFIX: &[u8] = b"bearer ";
+
+fn bad_request(message: &str) -> RequestRefusal {
+    RequestRefusal::new(RefusalCode::BadRequest, message)
+}
+
+/// Refuses heads whose meaning two parties could read differently.
+///
+/// # Errors
+///
+/// Refuses other versions than HTTP/1.1, a missing or doubled `Host`, a body
+/// framed by length and chunks together, and doubled framing or key headers.
+pub fn check_head(parts: &Parts) -> Result<(), RequestRefusal> {
+    if parts.version != Version::HTTP_11 {
+        let message = "only HTTP/1.1 is supported";
+        return Err(RequestRefusal::new(
+            RefusalCode::UnsupportedVersion,
+            message,
+        ));
+    }
+    let headers = &parts.headers;
+    if headers.get_all(HOST).iter().count() != 1 {
+        return Err(bad_request("exactly one Host header is required"));
+    }
+    if headers.contains_key(CONTENT_LENGTH) && headers.contains_key(TRANSFER_ENCODING) {
+        return Err(bad_request(
+            "the body is framed both by length and by chunks",
+        ));
+    }
+    for name in [CONTENT_LENGTH, TRANSFER_ENCODING, AUTHORIZATION] {
+        if headers.get_all(&name).iter().count() > 1 {
+            return Err(bad_request(&format!(
+                "header {name} is given more than once"
+            )));
+        }
+    }
+    Ok(())
+}
+
+/// Returns the key of `Authorization: Bearer KEY`, if there is one.
+///
+/// # Errors
+///
+/// Refuses other schemes and more than one header.
+pub fn bearer_key(headers: &HeaderMap) -> Result<Option<Bytes>, RequestRefusal> {
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(bad_request("header authorization is given more than once"));
+    }
+    let bytes = value.as_bytes();
+    let has_scheme = bytes.len() > BEARER_PREFIX.len()
+        && bytes[..BEARER_PREFIX.len()].eq_ignore_ascii_case(BEARER_PREFIX);
+    if !has_scheme {
+        let message = "the key comes as 'Authorization: Bearer KEY'";
+        return Err(RequestRefusal::new(RefusalCode::UnknownKey, message));
+    }
+    Ok(Some(Bytes::copy_from_slice(
+        bytes[BEARER_PREFIX.len()..].trim_ascii(),
+    )))
+}
+
+/// What a step's headers say.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StepHeaders {
+    /// The attempt's key; without one the caller can't repeat the attempt.
+    pub attempt: Option<AttemptKey>,
+    /// The history that the caller continues.
+    pub digest: Option<HistoryDigest>,
+}
+
+/// Reads the headers that belong to a step.
+///
+/// # Errors
+///
+/// Refuses malformed values.
+pub fn step_headers(headers: &HeaderMap) -> Result<StepHeaders, RequestRefusal> {
+    let mut step = StepHeaders::default();
+    if let Some(value) = headers.get(ATTEMPT_HEADER) {
+        let key = AttemptKey::new(Bytes::copy_from_slice(value.as_bytes()));
+        step.attempt = Some(key.map_err(|error| bad_request(&format!("Attempt-Key: {error}")))?);
+    }
+    if let Some(value) = headers.get(DIGEST_HEADER) {
+        let text = value.to_str().unwrap_or_default();
+        let digest = text.parse();
+        step.digest =
+            Some(digest.map_err(|_| bad_request("History-Digest: not a history digest"))?);
+    }
+    Ok(step)
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,23 @@
-//! The callers' and operators' HTTP interface: parsing, authentication, routing and answers.
+//! The callers' and operators' HTTP interface: routes, heads, bodies and answers.
+//!
+//! This package turns HTTP into typed requests and typed answers into HTTP. It
+//! decides nothing: what a request may do is the daemon's business.
+
+mod answer;
+mod body;
+mod head;
+mod route;
+
+pub use answer::{
+    AnswerHead, DIGEST_HEADER, REQUEST_ID_HEADER, event_bytes, json_answer, refusal_answer,
+    refusal_event, stream_answer, text_answer,
+};
+pub use body::{
+    AddressesReply, BudgetBody, CallBody, ChatBody, ChildBody, LimitsBody, ProgramReply, StartBody,
+    StepReply, parse_json,
+};
+pub use head::{ATTEMPT_HEADER, StepHeaders, bearer_key, check_head, step_headers};
+pub use route::{
+    AddressQuery, CallerRoute, KeyPath, OpenPath, OperatorRoute, StepPath, parse_caller_route,
+    parse_operator_route,
+};
