--- /dev/null
+++ b/crates/programs/src/request.rs
@@ -0,0 +1,175 @@
+//! What callers ask of a program.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use ibisdale_core::{AttemptKey, HistoryDigest, ProgramId, StepNumber, TimeStamp, WorkspaceName};
+use serde::{Deserialize, Serialize};
+
+use crate::account::{BudgetAmount, ProgramBudget, ProgramLimits};
+use crate::record::KeyLabel;
+
+/// Start of a program or a sub-agent.
+#[derive(Clone, Debug)]
+pub struct ProgramStart {
+    pub(crate) id: ProgramId,
+    pub(crate) workspace: WorkspaceName,
+    pub(crate) name: Bytes,
+    pub(crate) key: Option<KeyLabel>,
+    pub(crate) parent: Option<ProgramId>,
+    pub(crate) deadline: Option<TimeStamp>,
+    pub(crate) budget: ProgramBudget,
+    pub(crate) limits: ProgramLimits,
+}
+
+impl ProgramStart {
+    /// Creates the start of a root program without deadline, budget or limits.
+    pub fn new(id: ProgramId, workspace: WorkspaceName, name: impl Into<Bytes>) -> Self {
+        Self {
+            id,
+            workspace,
+            name: name.into(),
+            key: None,
+            parent: None,
+            deadline: None,
+            budget: ProgramBudget::default(),
+            limits: ProgramLimits::default(),
+        }
+    }
+
+    /// Sets the key that the program is started under.
+    #[must_use]
+    pub fn key(mut self, key: KeyLabel) -> Self {
+        self.key = Some(key);
+        self
+    }
+
+    /// Makes it a sub-agent, which draws on its root's budget.
+    #[must_use]
+    pub fn parent(mut self, parent: ProgramId) -> Self {
+        self.parent = Some(parent);
+        self
+    }
+
+    /// Sets when the program must be done.
+    #[must_use]
+    pub fn deadline(mut self, deadline: TimeStamp) -> Self {
+        self.deadline = Some(deadline);
+        self
+    }
+
+    /// Sets the budget of a root program.
+    #[must_use]
+    pub fn budget(mut self, budget: ProgramBudget) -> Self {
+        self.budget = budget;
+        self
+    }
+
+    /// Sets the limits.
+    #[must_use]
+    pub fn limits(mut self, limits: ProgramLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+}
+
+/// Kind of a step's call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StepKind {
+    /// A call to a model engine, which may be repeated.
+    Model {
+        /// Upper bound of the prompt's tokens, with the history before it.
+        prompt_tokens: u64,
+        /// Upper bound of the answer's tokens.
+        max_tokens: u64,
+    },
+    /// A call to a plain service.
+    Call {
+        /// Whether it may be repeated.
+        idempotent: bool,
+    },
+}
+
+impl StepKind {
+    /// Tells whether the call may be repeated.
+    #[must_use]
+    pub const fn is_idempotent(self) -> bool {
+        match self {
+            Self::Model { .. } => true,
+            Self::Call { idempotent } => idempotent,
+        }
+    }
+
+    /// Returns the most that the call can cost.
+    pub(crate) const fn worst_case(self) -> BudgetAmount {
+        match self {
+            Self::Model {
+                prompt_tokens,
+                max_tokens,
+            } => BudgetAmount {
+                tokens: prompt_tokens.saturating_add(max_tokens),
+                paid_actions: 0,
+            },
+            Self::Call { idempotent } => BudgetAmount {
+                tokens: 0,
+                paid_actions: !idempotent as u64,
+            },
+        }
+    }
+}
+
+/// A caller's request to run a step.
+#[derive(Clone, Debug)]
+pub struct StepRequest {
+    pub(crate) program: ProgramId,
+    pub(crate) workspace: WorkspaceName,
+    pub(crate) step: StepNumber,
+    pub(crate) attempt: AttemptKey,
+    pub(crate) kind: StepKind,
+    pub(crate) payload: Bytes,
+    pub(crate) digest: Option<HistoryDigest>,
+    pub(crate) deadline: Option<TimeStamp>,
+}
+
+impl StepRequest {
+    /// Creates a request without an expected digest or a deadline.
+    pub fn new(
+        program: ProgramId,
+        workspace: WorkspaceName,
+        step: StepNumber,
+        attempt: AttemptKey,
+        kind: StepKind,
+        payload: impl Into<Bytes>,
+    ) -> Self {
+        Self {
+            program,
+            workspace,
+            step,
+            attempt,
+            kind,
+            payload: payload.into(),
+            digest: None,
+            deadline: None,
+        }
+    }
+
+    /// Sets the digest that the program's history must have.
+    #[must_use]
+    pub fn expect_digest(mut self, digest: HistoryDigest) -> Self {
+        self.digest = Some(digest);
+        self
+    }
+
+    /// Sets when the caller gives up.
+    #[must_use]
+    pub fn deadline(mut self, deadline: TimeStamp) -> Self {
+        self.deadline = Some(deadline);
+        self
+    }
+
+    pub(crate) fn wait_until(&self, now: TimeStamp, limit: Duration) -> TimeStamp {
+        let bound = now.plus(limit);
+        self.deadline.map_or(bound, |deadline| deadline.min(bound))
+    }
+}
--- /dev/null
+++ b/crates/programs/src/state.rs
@@ -0,0 +1,341 @@
+//! State of programs as the fold of their history's events.
+
+use std::collections::BTreeSet;
+
+use bytes::Bytes;
+use ibisdale_core::{AttemptKey, HistoryDigest, ProgramId, StepNumber, TimeStamp, WorkspaceName};
+use snafu::Snafu;
+
+use crate::account::{BudgetAmount, BudgetUsage, ProgramLimits};
+use crate::record::{
+    EndReason, EngineAddress, KeyLabel, ProgramEnded, ProgramRecord, ProgramStarted, RecordError,
+    StepFinished, StepStarted,
+};
+use crate::request::StepKind;
+use crate::result::{ProgramStatus, StepRecord, StepResult};
+use crate::table::{ProgramKey, RunKey, TreeKey, WaiterKey};
+
+/// Tells what is wrong with a history, and where.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("history record {sequence}: {fault}"))]
+pub struct HistoryError {
+    /// Position of the record in the history.
+    pub sequence: u64,
+    /// What is wrong with it.
+    pub fault: HistoryFault,
+}
+
+/// Tells what is wrong with a history record.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum HistoryFault {
+    /// The history has no records.
+    #[snafu(display("the history is empty"))]
+    Empty,
+    /// The record can't be read.
+    #[snafu(display("{error}"))]
+    Unreadable {
+        /// The decoder's error.
+        error: RecordError,
+    },
+    /// The record's sequence is not the next one.
+    #[snafu(display("sequence {found} in place of the next one"))]
+    Gap {
+        /// The sequence found.
+        found: u64,
+    },
+    /// The record belongs to another program's history.
+    #[snafu(display("the record belongs to the history of {root}"))]
+    Foreign {
+        /// The root program of the record.
+        root: ProgramId,
+    },
+    /// The record's epoch is below that of the record before.
+    #[snafu(display("epoch {epoch} is below that of the record before"))]
+    OldEpoch {
+        /// The record's epoch.
+        epoch: u64,
+    },
+    /// The event does not follow from the events before.
+    #[snafu(display("the event does not follow: {reason}"))]
+    Disorder {
+        /// Why not.
+        reason: &'static str,
+    },
+    /// The slot is not being loaded, or holds the program already.
+    #[snafu(display("the program can't be taken in: {reason}"))]
+    NotLoadable {
+        /// Why not.
+        reason: &'static str,
+    },
+}
+
+pub(crate) type EventResult = Result<(), HistoryFault>;
+
+pub(crate) const fn disorder(reason: &'static str) -> HistoryFault {
+    HistoryFault::Disorder { reason }
+}
+
+/// An attempt that a history leaves without an outcome.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OpenAttempt {
+    /// The program.
+    pub program: ProgramId,
+    /// The step.
+    pub step: StepNumber,
+    /// The attempt.
+    pub attempt: AttemptKey,
+    /// What kind of call it is.
+    pub kind: StepKind,
+    /// Epoch of the owner that admitted it.
+    pub epoch: u64,
+}
+
+/// A root program with its sub-agents.
+#[derive(Debug)]
+pub(crate) struct TreeState {
+    pub(crate) root: ProgramId,
+    pub(crate) budget: BudgetUsage,
+    pub(crate) steps: u32,
+    pub(crate) steps_limit: Option<u32>,
+    pub(crate) records: Vec<ProgramRecord>,
+    pub(crate) members: Vec<ProgramKey>,
+}
+
+impl TreeState {
+    pub(crate) fn new(root: ProgramId, started: &ProgramStarted) -> Self {
+        Self {
+            root,
+            budget: BudgetUsage::new(started.budget),
+            steps: 0,
+            steps_limit: started.limits.steps,
+            records: Vec::new(),
+            members: Vec::new(),
+        }
+    }
+
+    pub(crate) fn is_step_allowed(&self) -> bool {
+        self.steps_limit.is_none_or(|limit| self.steps < limit)
+    }
+}
+
+/// One attempt at a step.
+#[derive(Debug)]
+pub(crate) struct AttemptState {
+    pub(crate) key: AttemptKey,
+    pub(crate) kind: StepKind,
+    pub(crate) request: Bytes,
+    pub(crate) epoch: u64,
+    pub(crate) record: Option<StepRecord>,
+    pub(crate) run: Option<RunKey>,
+    pub(crate) joined: Vec<WaiterKey>,
+}
+
+impl AttemptState {
+    pub(crate) fn is_settled(&self) -> bool {
+        self.record
+            .as_ref()
+            .is_some_and(|record| record.result.is_settled(self.kind))
+    }
+}
+
+/// One step with its attempts, oldest first.
+#[derive(Debug, Default)]
+pub(crate) struct StepState {
+    pub(crate) attempts: Vec<AttemptState>,
+}
+
+impl StepState {
+    pub(crate) fn is_settled(&self) -> bool {
+        self.attempts.last().is_some_and(AttemptState::is_settled)
+    }
+
+    pub(crate) fn attempt(&self, key: &AttemptKey) -> Option<&AttemptState> {
+        self.attempts.iter().find(|attempt| attempt.key == *key)
+    }
+
+    pub(crate) fn running(&self) -> Option<&AttemptState> {
+        self.attempts
+            .last()
+            .filter(|attempt| attempt.record.is_none())
+    }
+}
+
+/// One program: a root or a sub-agent.
+#[derive(Debug)]
+pub(crate) struct ProgramState {
+    pub(crate) id: ProgramId,
+    pub(crate) tree: TreeKey,
+    pub(crate) parent: Option<ProgramKey>,
+    pub(crate) children: Vec<ProgramKey>,
+    pub(crate) workspace: WorkspaceName,
+    pub(crate) name: Bytes,
+    pub(crate) key: Option<KeyLabel>,
+    pub(crate) deadline: Option<TimeStamp>,
+    pub(crate) wall_clock_end: Option<TimeStamp>,
+    pub(crate) limits: ProgramLimits,
+    pub(crate) steps: Vec<StepState>,
+    pub(crate) steps_run: u32,
+    pub(crate) digest: HistoryDigest,
+    pub(crate) status: ProgramStatus,
+    pub(crate) sessions: BTreeSet<EngineAddress>,
+    pub(crate) early: Vec<WaiterKey>,
+    pub(crate) last_activity: TimeStamp,
+    pub(crate) end_wanted: Option<EndReason>,
+}
+
+impl ProgramState {
+    pub(crate) fn new(
+        id: ProgramId,
+        tree: TreeKey,
+        parent: Option<ProgramKey>,
+        started: &ProgramStarted,
+    ) -> Self {
+        let wall_clock = started.limits.wall_clock_ms;
+        Self {
+            id,
+            tree,
+            parent,
+            children: Vec::new(),
+            workspace: started.workspace.clone(),
+            name: started.name.clone(),
+            key: started.key.clone(),
+            deadline: started.deadline,
+            wall_clock_end: wall_clock
+                .map(|limit| TimeStamp::from_millis(started.at.as_millis().saturating_add(limit))),
+            limits: started.limits,
+            steps: Vec::new(),
+            steps_run: 0,
+            digest: HistoryDigest::EMPTY,
+            status: ProgramStatus::Running,
+            sessions: BTreeSet::new(),
+            early: Vec::new(),
+            last_activity: started.at,
+            end_wanted: None,
+        }
+    }
+
+    pub(crate) fn is_running(&self) -> bool {
+        self.status == ProgramStatus::Running
+    }
+
+    pub(crate) fn is_step_allowed(&self) -> bool {
+        self.limits.steps.is_none_or(|limit| self.steps_run < limit)
+    }
+
+    /// Returns the step that may run next or is running.
+    pub(crate) fn next_step(&self) -> StepNumber {
+        let count = u32::try_from(self.steps.len()).unwrap_or(u32::MAX);
+        let is_over = self.steps.last().is_none_or(StepState::is_settled);
+        StepNumber::new(count.saturating_add(u32::from(is_over)))
+    }
+
+    pub(crate) fn step(&self, number: StepNumber) -> Option<&StepState> {
+        self.steps.get(step_index(number)?)
+    }
+
+    pub(crate) fn step_mut(&mut self, number: StepNumber) -> Option<&mut StepState> {
+        self.steps.get_mut(step_index(number)?)
+    }
+
+    pub(crate) fn running(&self) -> Option<&AttemptState> {
+        self.steps.last().and_then(StepState::running)
+    }
+
+    /// Applies the admission of an attempt.
+    pub(crate) fn apply_started(
+        &mut self,
+        tree: &mut TreeState,
+        started: &StepStarted,
+        epoch: u64,
+    ) -> EventResult {
+        if !self.is_running() {
+            return Err(disorder("a step started after the program's end"));
+        }
+        if started.step != self.next_step() || self.running().is_some() {
+            return Err(disorder("a step started out of order"));
+        }
+        if self.step(started.step).is_none() {
+            self.steps.push(StepState::default());
+        }
+        let step = self.steps.last_mut().ok_or(disorder("no step"))?;
+        if step.attempt(&started.attempt).is_some() {
+            return Err(disorder("an attempt started twice"));
+        }
+        step.attempts.push(AttemptState {
+            key: started.attempt.clone(),
+            kind: started.kind,
+            request: started.request.clone(),
+            epoch,
+            record: None,
+            run: None,
+            joined: Vec::new(),
+        });
+        self.steps_run = self.steps_run.saturating_add(1);
+        self.last_activity = self.last_activity.max(started.at);
+        tree.steps = tree.steps.saturating_add(1);
+        tree.budget.reserve(started.kind.worst_case());
+        Ok(())
+    }
+
+    /// Applies the outcome of the running attempt.
+    pub(crate) fn apply_finished(
+        &mut self,
+        tree: &mut TreeState,
+        finished: &StepFinished,
+    ) -> EventResult {
+        let mut digest = self.digest;
+        let attempt = self
+            .step_mut(finished.step)
+            .and_then(|step| step.attempts.last_mut())
+            .filter(|attempt| attempt.key == finished.attempt && attempt.record.is_none())
+            .ok_or(disorder("an outcome without a running attempt"))?;
+        if let StepResult::Completed { answer, .. } = &finished.result {
+            digest = digest.append(&attempt.request).append(answer);
+        }
+        attempt.record = Some(StepRecord {
+            step: finished.step,
+            attempt: finished.attempt.clone(),
+            result: finished.result.clone(),
+            digest,
+        });
+        let kind = attempt.kind;
+        self.digest = digest;
+        if finished.result.is_not_run() {
+            self.steps_run = self.steps_run.saturating_sub(1);
+            tree.steps = tree.steps.saturating_sub(1);
+        }
+        tree.budget
+            .settle(kind.worst_case(), amount_used(kind, &finished.result));
+        Ok(())
+    }
+
+    /// Applies the end of the program.
+    pub(crate) fn apply_ended(&mut self, ended: ProgramEnded) -> EventResult {
+        if !self.is_running() {
+            return Err(disorder("the program ended twice"));
+        }
+        self.status = ProgramStatus::Ended {
+            reason: ended.reason,
+            at: ended.at,
+        };
+        Ok(())
+    }
+}
+
+fn step_index(number: StepNumber) -> Option<usize> {
+    usize::try_from(number.get().checked_sub(1)?).ok()
+}
+
+fn amount_used(kind: StepKind, result: &StepResult) -> BudgetAmount {
+    if result.is_not_run() {
+        return BudgetAmount::default();
+    }
+    let worst = kind.worst_case();
+    match (kind, result) {
+        (StepKind::Model { .. }, StepResult::Completed { tokens_used, .. }) => BudgetAmount {
+            tokens: *tokens_used,
+            paid_actions: 0,
+        },
+        _ => worst,
+    }
+}
--- /dev/null
+++ b/crates/programs/src/table/admit.rs
@@ -0,0 +1,235 @@
+//! Admission of steps: order, repeats, budget and limits.
+
+use ibisdale_core::{RequestRefusal, RunState as CallState, TimeStamp};
+
+use crate::record::{EndReason, ProgramEvent, StepStarted};
+use crate::refusals;
+use crate::request::StepRequest;
+use crate::result::{StepAdmission, StepTicket};
+use crate::state::AttemptState;
+use crate::table::expiry::Timer;
+use crate::table::waiters::{WaitReason, WaiterState};
+use crate::table::{
+    ATTEMPTS_PER_STEP, EARLY_STEPS, ProgramKey, ProgramTable, RunState, WAITERS_PER_PROGRAM,
+    WaiterKey,
+};
+
+impl ProgramTable {
+    /// Admits a request to run a step.
+    ///
+    /// # Errors
+    ///
+    /// Refuses, as not run, what the order of steps, the digest, a limit, the
+    /// budget or the program's end does not allow; the history proves that the
+    /// attempt has not run. Without the program's history, the refusal says
+    /// that this is unknown.
+    pub fn admit_step(
+        &mut self,
+        request: StepRequest,
+        now: TimeStamp,
+    ) -> Result<StepAdmission, RequestRefusal> {
+        let key = self
+            .find(request.program, &request.workspace)
+            .map_err(|refusal| refusal.run_state(CallState::Unknown))?;
+        self.admit(key, request, now, None)
+    }
+
+    /// Admits a request, which may have waited under `waiter`.
+    pub(super) fn admit(
+        &mut self,
+        key: ProgramKey,
+        request: StepRequest,
+        now: TimeStamp,
+        waiter: Option<WaiterKey>,
+    ) -> Result<StepAdmission, RequestRefusal> {
+        let step = self.programs[key].step(request.step);
+        if let Some(attempt) = step.and_then(|step| step.attempt(&request.attempt)) {
+            check_same(attempt, &request)?;
+            return match &attempt.record {
+                Some(record) => Ok(StepAdmission::Recorded(record.clone())),
+                None => self.join(key, &request, now, waiter),
+            };
+        }
+        self.check_open(key, &request, now)?;
+        if request.step > self.programs[key].next_step() {
+            return self.wait(key, request, now, waiter);
+        }
+        self.check_turn(key, &request)?;
+        self.check_limits(key, &request, now)?;
+        self.run(key, request, now)
+    }
+
+    fn join(
+        &mut self,
+        key: ProgramKey,
+        request: &StepRequest,
+        now: TimeStamp,
+        waiter: Option<WaiterKey>,
+    ) -> Result<StepAdmission, RequestRefusal> {
+        let joined = self.programs[key]
+            .running()
+            .map_or(0, |attempt| attempt.joined.len());
+        if joined >= WAITERS_PER_PROGRAM {
+            return Err(refusals::still_running());
+        }
+        let state = WaiterState {
+            program: key,
+            until: request.wait_until(now, self.options.join_wait),
+            reason: WaitReason::Joined(request.step, request.attempt.clone()),
+        };
+        let waiter = self.add_waiter(state, waiter);
+        let step = self.programs[key].step_mut(request.step);
+        if let Some(attempt) = step.and_then(|step| step.attempts.last_mut()) {
+            attempt.joined.push(waiter);
+        }
+        Ok(StepAdmission::Join(waiter))
+    }
+
+    fn wait(
+        &mut self,
+        key: ProgramKey,
+        request: StepRequest,
+        now: TimeStamp,
+        waiter: Option<WaiterKey>,
+    ) -> Result<StepAdmission, RequestRefusal> {
+        let program = &self.programs[key];
+        let ahead = request.step.get() - program.next_step().get();
+        if ahead > EARLY_STEPS {
+            return Err(refusals::wrong_step());
+        }
+        if program.early.len() >= WAITERS_PER_PROGRAM {
+            return Err(refusals::overloaded(
+                "too many requests wait for this program",
+            ));
+        }
+        let state = WaiterState {
+            program: key,
+            until: request.wait_until(now, self.options.early_wait),
+            reason: WaitReason::Early(Box::new(request)),
+        };
+        let waiter = self.add_waiter(state, waiter);
+        self.programs[key].early.push(waiter);
+        Ok(StepAdmission::Wait(waiter))
+    }
+
+    fn check_open(
+        &self,
+        key: ProgramKey,
+        request: &StepRequest,
+        now: TimeStamp,
+    ) -> Result<(), RequestRefusal> {
+        if !self.programs[key].is_running() {
+            return Err(refusals::program_ended());
+        }
+        if Self::is_past(request.deadline, now) {
+            return Err(refusals::deadline_exceeded());
+        }
+        self.refuse_expired(key, now).map_or(Ok(()), Err)
+    }
+
+    fn check_turn(&self, key: ProgramKey, request: &StepRequest) -> Result<(), RequestRefusal> {
+        let program = &self.programs[key];
+        if request.step.get() == 0 {
+            return Err(refusals::bad_request("steps are numbered from 1"));
+        }
+        if request.step < program.next_step() {
+            return Err(refusals::attempt_mismatch(
+                "the step was settled by another attempt",
+            ));
+        }
+        if program.running().is_some() {
+            return Err(refusals::step_busy());
+        }
+        if request
+            .digest
+            .is_some_and(|digest| digest != program.digest)
+        {
+            return Err(refusals::history_mismatch());
+        }
+        Ok(())
+    }
+
+    fn check_limits(
+        &mut self,
+        key: ProgramKey,
+        request: &StepRequest,
+        now: TimeStamp,
+    ) -> Result<(), RequestRefusal> {
+        let program = &self.programs[key];
+        let tree = &self.trees[program.tree];
+        if !program.is_step_allowed() {
+            self.want_end(key, EndReason::StepLimit, now);
+            return Err(refusals::limit_reached("step"));
+        }
+        if !tree.is_step_allowed() {
+            let root = tree.members[0];
+            self.want_end(root, EndReason::StepLimit, now);
+            return Err(refusals::limit_reached("step"));
+        }
+        let attempts = program
+            .step(request.step)
+            .map_or(0, |step| step.attempts.len());
+        if attempts >= ATTEMPTS_PER_STEP {
+            return Err(refusals::limit_reached("attempt"));
+        }
+        if tree.budget.is_enough(request.kind.worst_case()) {
+            return Ok(());
+        }
+        let tokens = &tree.budget.tokens;
+        if tokens.reserved == 0 && tokens.remaining() == Some(0) {
+            let root = tree.members[0];
+            self.want_end(root, EndReason::OutOfBudget, now);
+        }
+        Err(refusals::budget_exceeded())
+    }
+
+    fn run(
+        &mut self,
+        key: ProgramKey,
+        request: StepRequest,
+        now: TimeStamp,
+    ) -> Result<StepAdmission, RequestRefusal> {
+        let started = StepStarted {
+            step: request.step,
+            attempt: request.attempt.clone(),
+            kind: request.kind,
+            request: request.payload,
+            at: now,
+        };
+        let record = self.commit(key, ProgramEvent::StepStarted(started))?;
+        let run = self.runs.insert(RunState { program: key });
+        let program = &mut self.programs[key];
+        if let Some(attempt) = program
+            .step_mut(request.step)
+            .and_then(|step| step.attempts.last_mut())
+        {
+            attempt.run = Some(run);
+        }
+        let limits = [request.deadline, program.deadline, program.wall_clock_end];
+        Ok(StepAdmission::Run(StepTicket {
+            run,
+            program: request.program,
+            step: request.step,
+            attempt: request.attempt,
+            kind: request.kind,
+            epoch: record.epoch,
+            deadline: limits.into_iter().flatten().min(),
+            records: vec![record],
+        }))
+    }
+
+    /// Has [`ProgramTable::expire`] end the program at its next call.
+    fn want_end(&mut self, key: ProgramKey, reason: EndReason, now: TimeStamp) {
+        self.programs[key].end_wanted.get_or_insert(reason);
+        self.arm(now, Timer::Program(key));
+    }
+}
+
+fn check_same(attempt: &AttemptState, request: &StepRequest) -> Result<(), RequestRefusal> {
+    if attempt.kind == request.kind && attempt.request == request.payload {
+        return Ok(());
+    }
+    Err(refusals::attempt_mismatch(
+        "the attempt key was used for another request",
+    ))
+}
--- /dev/null
+++ b/crates/programs/src/table/end.rs
@@ -0,0 +1,186 @@
+//! Ends of programs.
+
+use ibisdale_core::{ProgramId, RequestRefusal, TimeStamp, WorkspaceName};
+
+use crate::record::{EndReason, KeyLabel, ProgramEnded, ProgramEvent};
+use crate::refusals;
+use crate::result::{EndedProgram, ProgramStatus, WokenWaiter};
+use crate::state::ProgramState;
+use crate::table::expiry::Timer;
+use crate::table::{ProgramKey, ProgramTable, WaiterKey};
+
+impl ProgramTable {
+    /// Ends a program and its sub-agents at the caller's wish.
+    ///
+    /// A repeat answers as the first call did, without records.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when there is no such program in the workspace, or a step of it
+    /// or of a sub-agent is running.
+    pub fn end(
+        &mut self,
+        program: ProgramId,
+        workspace: &WorkspaceName,
+        now: TimeStamp,
+    ) -> Result<EndedProgram, RequestRefusal> {
+        let key = self.find(program, workspace)?;
+        if self.programs[key].is_running() && self.is_busy(key) {
+            return Err(refusals::step_busy());
+        }
+        self.end_tree(key, EndReason::Finished, now)
+    }
+
+    /// Cancels a program and its sub-agents, with what runs in them.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when there is no such program in the workspace.
+    pub fn cancel(
+        &mut self,
+        program: ProgramId,
+        workspace: &WorkspaceName,
+        now: TimeStamp,
+    ) -> Result<EndedProgram, RequestRefusal> {
+        let key = self.find(program, workspace)?;
+        self.end_tree(key, EndReason::Cancelled, now)
+    }
+
+    /// Cancels a program at an operator's wish, whatever its workspace.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when there is no such program here.
+    pub fn cancel_any(
+        &mut self,
+        program: ProgramId,
+        now: TimeStamp,
+    ) -> Result<EndedProgram, RequestRefusal> {
+        self.check_slot(program.slot())?;
+        let key = self.find_any(program)?;
+        self.end_tree(key, EndReason::Cancelled, now)
+    }
+
+    /// Ends the programs that were started under a key that is withdrawn.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an end can't be recorded.
+    pub fn end_withdrawn(
+        &mut self,
+        workspace: &WorkspaceName,
+        label: &KeyLabel,
+        now: TimeStamp,
+    ) -> Result<Vec<EndedProgram>, RequestRefusal> {
+        let is_concerned = |program: &ProgramState| {
+            program.is_running()
+                && program.workspace == *workspace
+                && program.key.as_ref() == Some(label)
+        };
+        let concerned: Vec<_> = self
+            .programs
+            .iter()
+            .filter(|(_, program)| is_concerned(program))
+            .map(|(key, _)| key)
+            .collect();
+        let mut ended = Vec::with_capacity(concerned.len());
+        for key in concerned {
+            if self.programs[key].is_running() {
+                ended.push(self.end_tree(key, EndReason::KeyWithdrawn, now)?);
+            }
+        }
+        Ok(ended)
+    }
+
+    /// Ends a program and all that descend from it.
+    pub(super) fn end_tree(
+        &mut self,
+        key: ProgramKey,
+        reason: EndReason,
+        now: TimeStamp,
+    ) -> Result<EndedProgram, RequestRefusal> {
+        let program = &self.programs[key];
+        let mut ended = EndedProgram {
+            id: program.id,
+            reason,
+            records: Vec::new(),
+            running: Vec::new(),
+            woken: Vec::new(),
+        };
+        if let ProgramStatus::Ended { reason, .. } = program.status {
+            ended.reason = reason;
+            return Ok(ended);
+        }
+        self.end_one(key, reason, now, &mut ended)?;
+        for child in self.descendants(key) {
+            if self.programs[child].is_running() {
+                self.end_one(child, EndReason::ParentEnded, now, &mut ended)?;
+            }
+        }
+        Ok(ended)
+    }
+
+    fn end_one(
+        &mut self,
+        key: ProgramKey,
+        reason: EndReason,
+        now: TimeStamp,
+        ended: &mut EndedProgram,
+    ) -> Result<(), RequestRefusal> {
+        let event = ProgramEvent::ProgramEnded(ProgramEnded { reason, at: now });
+        ended.records.push(self.commit(key, event)?);
+        let program = &mut self.programs[key];
+        let early = std::mem::take(&mut program.early);
+        let attempt = program
+            .steps
+            .last_mut()
+            .and_then(|step| step.attempts.last_mut())
+            .filter(|attempt| attempt.record.is_none());
+        let mut joined = Vec::new();
+        if let Some(attempt) = attempt {
+            joined = std::mem::take(&mut attempt.joined);
+            ended.running.extend(attempt.run);
+        }
+        let tree = program.tree;
+        self.refuse_all(early, &refusals::program_ended(), &mut ended.woken);
+        self.refuse_all(joined, &refusals::outcome_unknown(), &mut ended.woken);
+        self.queue_cleanup(key);
+        self.arm(now.plus(self.options.keep_ended), Timer::Forget(tree));
+        Ok(())
+    }
+
+    fn refuse_all(
+        &mut self,
+        waiters: Vec<WaiterKey>,
+        refusal: &RequestRefusal,
+        woken: &mut Vec<WokenWaiter>,
+    ) {
+        for key in waiters {
+            self.waiters.remove(key);
+            woken.push(WokenWaiter {
+                key,
+                result: Err(refusal.clone()),
+            });
+        }
+    }
+
+    /// Returns the sub-agents of a program, theirs, and so on.
+    pub(super) fn descendants(&self, key: ProgramKey) -> Vec<ProgramKey> {
+        let mut found = self.programs[key].children.clone();
+        let mut index = 0;
+        while let Some(child) = found.get(index).copied() {
+            found.extend_from_slice(&self.programs[child].children);
+            index += 1;
+        }
+        found
+    }
+
+    /// Tells whether a step of a program or of a descendant is running.
+    pub(super) fn is_busy(&self, key: ProgramKey) -> bool {
+        let mut members = self.descendants(key);
+        members.push(key);
+        members
+            .into_iter()
+            .any(|member| self.programs[member].running().is_some())
+    }
+}
--- /dev/null
+++ b/crates/programs/src/table/expiry.rs
@@ -0,0 +1,178 @@
+//! What the passing of time brings.
+
+use ibisdale_core::{RequestRefusal, TimeStamp};
+
+use crate::record::EndReason;
+use crate::refusals;
+use crate::result::{ExpiryReport, LostSlot, WokenWaiter};
+use crate::state::ProgramState;
+use crate::table::waiters::WaitReason;
+use crate::table::{ProgramKey, ProgramTable, TreeKey, WaiterKey};
+
+/// What is looked at when a timer fires; it may have become void since.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Timer {
+    Program(ProgramKey),
+    Waiter(WaiterKey),
+    Forget(TreeKey),
+}
+
+/// One timer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct TimerEntry {
+    at: TimeStamp,
+    timer: Timer,
+}
+
+impl ProgramTable {
+    /// Returns when [`ProgramTable::expire`] is to be called next.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<TimeStamp> {
+        self.timers.first().map(|entry| entry.at)
+    }
+
+    /// Ends programs and waits whose time is up, and forgets programs that
+    /// ended long ago.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an end can't be recorded.
+    pub fn expire(&mut self, now: TimeStamp) -> Result<ExpiryReport, RequestRefusal> {
+        let mut report = ExpiryReport::default();
+        while let Some(entry) = self.timers.first().copied() {
+            if entry.at > now {
+                break;
+            }
+            self.timers.pop_first();
+            match entry.timer {
+                Timer::Program(key) => self.expire_program(key, now, &mut report)?,
+                Timer::Waiter(key) => self.expire_waiter(key, now, &mut report),
+                Timer::Forget(key) => self.forget_tree(key, now, &mut report),
+            }
+        }
+        Ok(report)
+    }
+
+    pub(super) fn arm(&mut self, at: TimeStamp, timer: Timer) {
+        self.timers.insert(TimerEntry { at, timer });
+    }
+
+    /// Sets the timer for a program's next limit in time.
+    pub(super) fn arm_program(&mut self, key: ProgramKey) {
+        let program = &self.programs[key];
+        let idle = self.last_activity(key).plus(self.options.idle_limit);
+        let limits = [program.deadline, program.wall_clock_end, Some(idle)];
+        if let Some(at) = limits.into_iter().flatten().min() {
+            self.arm(at, Timer::Program(key));
+        }
+    }
+
+    /// Refuses requests of a program whose time is up but not yet acted upon.
+    pub(super) fn refuse_expired(&self, key: ProgramKey, now: TimeStamp) -> Option<RequestRefusal> {
+        let mut next = Some(key);
+        while let Some(key) = next {
+            let program = &self.programs[key];
+            if Self::is_past(program.deadline, now) {
+                return Some(refusals::deadline_exceeded());
+            }
+            if Self::is_past(program.wall_clock_end, now) {
+                return Some(refusals::limit_reached("wall-clock"));
+            }
+            next = program.parent;
+        }
+        None
+    }
+
+    fn expire_program(
+        &mut self,
+        key: ProgramKey,
+        now: TimeStamp,
+        report: &mut ExpiryReport,
+    ) -> Result<(), RequestRefusal> {
+        if !self.programs.get(key).is_some_and(ProgramState::is_running) {
+            return Ok(());
+        }
+        let Some(reason) = self.end_reason(key, now) else {
+            self.arm_later(key, now);
+            return Ok(());
+        };
+        report.ended.push(self.end_tree(key, reason, now)?);
+        Ok(())
+    }
+
+    /// Sets the program's timer again, after `now`.
+    fn arm_later(&mut self, key: ProgramKey, now: TimeStamp) {
+        let program = &mut self.programs[key];
+        program.end_wanted = None;
+        if self.is_busy(key) {
+            let program = &mut self.programs[key];
+            program.last_activity = program.last_activity.max(now);
+        }
+        self.arm_program(key);
+    }
+
+    fn end_reason(&self, key: ProgramKey, now: TimeStamp) -> Option<EndReason> {
+        let program = &self.programs[key];
+        if Self::is_past(program.deadline, now) {
+            return Some(EndReason::Deadline);
+        }
+        if Self::is_past(program.wall_clock_end, now) {
+            return Some(EndReason::WallClock);
+        }
+        if self.is_busy(key) {
+            return None;
+        }
+        if program.end_wanted.is_some() {
+            return program.end_wanted;
+        }
+        let idle = self.last_activity(key).plus(self.options.idle_limit);
+        (idle <= now).then_some(EndReason::Idle)
+    }
+
+    fn last_activity(&self, key: ProgramKey) -> TimeStamp {
+        let own = self.programs[key].last_activity;
+        self.descendants(key)
+            .into_iter()
+            .map(|child| self.programs[child].last_activity)
+            .fold(own, TimeStamp::max)
+    }
+
+    fn expire_waiter(&mut self, key: WaiterKey, now: TimeStamp, report: &mut ExpiryReport) {
+        let Some(state) = self.waiters.get(key).filter(|state| state.until <= now) else {
+            return;
+        };
+        let refusal = match state.reason {
+            WaitReason::Early(_) => refusals::wrong_step(),
+            WaitReason::Joined(..) => refusals::still_running(),
+        };
+        self.drop_waiter(key);
+        report.woken.push(WokenWaiter {
+            key,
+            result: Err(refusal),
+        });
+    }
+
+    fn forget_tree(&mut self, key: TreeKey, now: TimeStamp, report: &mut ExpiryReport) {
+        let Some(tree) = self.trees.get(key) else {
+            return;
+        };
+        let is_held = tree.members.iter().any(|member| {
+            let program = &self.programs[*member];
+            program.is_running() || program.running().is_some() || !program.sessions.is_empty()
+        });
+        if is_held {
+            let is_ended = !self.programs[tree.members[0]].is_running();
+            if is_ended {
+                self.arm(now.plus(self.options.keep_ended), Timer::Forget(key));
+            }
+            return;
+        }
+        report.dropped.push(tree.root);
+        let members = tree.members.clone();
+        let mut lost = LostSlot::default();
+        for member in members {
+            self.remove_program(member, &mut lost);
+        }
+        self.trees.remove(key);
+    }
+}
--- /dev/null
+++ b/crates/programs/src/table/finish.rs
@@ -0,0 +1,112 @@
+//! Outcomes of attempts.
+
+use ibisdale_core::{AttemptKey, RequestRefusal, StepNumber, TimeStamp};
+
+use crate::record::{ProgramEvent, StepFinished};
+use crate::refusals;
+use crate::request::StepKind;
+use crate::result::{
+    FinishedStep, StepAdmission, StepOutcome, StepRecord, StepTicket, WokenWaiter,
+};
+use crate::table::{ProgramKey, ProgramTable, WaiterKey};
+
+impl ProgramTable {
+    /// Records the outcome of an attempt, also after the program's end.
+    ///
+    /// # Errors
+    ///
+    /// Refuses, as `owner_unavailable` with an unknown outcome, when the slot
+    /// is no longer owned under the ticket's epoch: the answer must not be
+    /// given to the caller.
+    pub fn finish_step(
+        &mut self,
+        ticket: StepTicket,
+        outcome: StepOutcome,
+        now: TimeStamp,
+    ) -> Result<FinishedStep, RequestRefusal> {
+        let StepTicket {
+            run,
+            program,
+            step,
+            attempt,
+            kind,
+            epoch,
+            ..
+        } = ticket;
+        let run = self
+            .runs
+            .remove(run)
+            .filter(|_| self.epoch(program.slot()) == Some(epoch))
+            .ok_or_else(refusals::owner_unavailable)?;
+        let key = run.program;
+        let overrun_tokens = overrun(kind, &outcome);
+        let joined = self.take_joined(key);
+        let finished = StepFinished {
+            step,
+            attempt: attempt.clone(),
+            result: outcome.into_result(),
+        };
+        let record = self.commit(key, ProgramEvent::StepFinished(finished))?;
+        let records = vec![record];
+        let program = &mut self.programs[key];
+        program.last_activity = program.last_activity.max(now);
+        let record = self.recorded(key, step, &attempt)?;
+        let mut woken = self.wake_joined(joined, &record);
+        if self.programs[key].is_running() {
+            woken.extend(self.wake_early(key, now));
+        } else {
+            self.queue_cleanup(key);
+        }
+        Ok(FinishedStep {
+            digest: record.digest,
+            record,
+            records,
+            woken,
+            overrun_tokens,
+        })
+    }
+
+    fn take_joined(&mut self, key: ProgramKey) -> Vec<WaiterKey> {
+        let steps = &mut self.programs[key].steps;
+        let attempt = steps.last_mut().and_then(|step| step.attempts.last_mut());
+        attempt
+            .map(|attempt| std::mem::take(&mut attempt.joined))
+            .unwrap_or_default()
+    }
+
+    fn recorded(
+        &self,
+        key: ProgramKey,
+        step: StepNumber,
+        attempt: &AttemptKey,
+    ) -> Result<StepRecord, RequestRefusal> {
+        self.programs[key]
+            .step(step)
+            .and_then(|step| step.attempt(attempt))
+            .and_then(|attempt| attempt.record.clone())
+            .ok_or_else(|| refusals::internal("the outcome was not recorded"))
+    }
+
+    fn wake_joined(&mut self, joined: Vec<WaiterKey>, record: &StepRecord) -> Vec<WokenWaiter> {
+        let mut woken = Vec::with_capacity(joined.len());
+        for key in joined {
+            if self.waiters.remove(key).is_none() {
+                continue;
+            }
+            woken.push(WokenWaiter {
+                key,
+                result: Ok(StepAdmission::Recorded(record.clone())),
+            });
+        }
+        woken
+    }
+}
+
+fn overrun(kind: StepKind, outcome: &StepOutcome) -> u64 {
+    match (kind, outcome) {
+        (StepKind::Model { .. }, StepOutcome::Completed { tokens_used, .. }) => {
+            tokens_used.saturating_sub(kind.worst_case().tokens)
+        }
+        _ => 0,
+    }
+}
--- /dev/null
+++ b/crates/programs/src/table/import.rs
@@ -0,0 +1,258 @@
+//! Rebuilding of programs from their histories.
+
+use ibisdale_core::{ProgramId, TimeStamp, WorkspaceName};
+
+use crate::record::{ProgramEvent, ProgramRecord, StepFinished};
+use crate::result::{LostSlot, ProgramStatus, StepOutcome};
+use crate::state::{HistoryError, HistoryFault, OpenAttempt, ProgramState, disorder};
+use crate::table::expiry::Timer;
+use crate::table::{ProgramKey, ProgramTable, TreeKey, next_sequence};
+
+/// A program, with its sub-agents, that was rebuilt from its history.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ImportedProgram {
+    /// The root program.
+    pub root: ProgramId,
+    /// Records to store: outcomes of attempts that the history left open.
+    pub records: Vec<ProgramRecord>,
+}
+
+impl ProgramTable {
+    /// Rebuilds a root program and its sub-agents from their history.
+    ///
+    /// The slot is held, open or not. `resolve` tells what became of each
+    /// attempt that has no outcome: [`StepOutcome::Unknown`], unless it is
+    /// proven that it did not run or the outcome is known from elsewhere.
+    ///
+    /// # Errors
+    ///
+    /// Fails, with the place, when the history is not whole and in order, or
+    /// the program can't be taken in. Nothing is kept of it then.
+    pub fn import(
+        &mut self,
+        records: &[ProgramRecord],
+        resolve: impl FnMut(&OpenAttempt) -> StepOutcome,
+        now: TimeStamp,
+    ) -> Result<ImportedProgram, HistoryError> {
+        let root = self.check_import(records)?;
+        let mut created = None;
+        for record in records {
+            if let Err(fault) = self.replay(root, record, &mut created) {
+                self.undo_import(created);
+                return Err(HistoryError {
+                    sequence: record.sequence,
+                    fault,
+                });
+            }
+        }
+        let tree = created.ok_or(empty_history())?;
+        let records = self.resolve_open(tree, resolve).map_err(|fault| {
+            self.undo_import(Some(tree));
+            HistoryError {
+                sequence: u64::try_from(records.len()).unwrap_or(u64::MAX),
+                fault,
+            }
+        })?;
+        self.lost.remove(&root);
+        self.revive(tree, now);
+        Ok(ImportedProgram { root, records })
+    }
+
+    /// Rebuilds a program from the history that its caller brings back.
+    ///
+    /// Attempts without an outcome count as unknown.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`ProgramTable::import`] does, and when the history belongs to
+    /// another workspace.
+    pub fn import_brought(
+        &mut self,
+        workspace: &WorkspaceName,
+        records: &[ProgramRecord],
+        now: TimeStamp,
+    ) -> Result<ImportedProgram, HistoryError> {
+        let first = records.first().ok_or(empty_history())?;
+        let is_own = matches!(
+            &first.event,
+            ProgramEvent::ProgramStarted(started) if started.workspace == *workspace
+        );
+        if !is_own {
+            return Err(HistoryError {
+                sequence: 0,
+                fault: disorder("the history belongs to another workspace"),
+            });
+        }
+        self.import(records, |_| StepOutcome::Unknown, now)
+    }
+
+    /// Returns the history of a root program and its sub-agents.
+    #[must_use]
+    pub fn export(&self, root: ProgramId) -> Option<Vec<ProgramRecord>> {
+        self.records_from(root, 0).map(<[ProgramRecord]>::to_vec)
+    }
+
+    /// Returns the records of a root program's history from a sequence on, for
+    /// an append that has to be repeated.
+    #[must_use]
+    pub fn records_from(&self, root: ProgramId, sequence: u64) -> Option<&[ProgramRecord]> {
+        let key = self.by_id.get(&root)?;
+        let tree = &self.trees[self.programs[*key].tree];
+        let index = usize::try_from(sequence).ok()?;
+        tree.records.get(index..)
+    }
+
+    fn check_import(&self, records: &[ProgramRecord]) -> Result<ProgramId, HistoryError> {
+        let first = records.first().ok_or(empty_history())?;
+        let root = first.root;
+        let reason = if self.epoch(root.slot()).is_none() {
+            "the slot is not held"
+        } else if self.by_id.contains_key(&root) {
+            "the program is held already"
+        } else {
+            return Ok(root);
+        };
+        Err(HistoryError {
+            sequence: first.sequence,
+            fault: HistoryFault::NotLoadable { reason },
+        })
+    }
+
+    fn replay(
+        &mut self,
+        root: ProgramId,
+        record: &ProgramRecord,
+        created: &mut Option<TreeKey>,
+    ) -> Result<(), HistoryFault> {
+        if record.root != root || record.program.slot() != root.slot() {
+            return Err(HistoryFault::Foreign { root: record.root });
+        }
+        let last = created.and_then(|tree| self.trees[tree].records.last());
+        let last_epoch = last.map_or(0, |last| last.epoch);
+        let expected = created.map_or(0, |tree| next_sequence(&self.trees[tree]));
+        if record.sequence != expected {
+            return Err(HistoryFault::Gap {
+                found: record.sequence,
+            });
+        }
+        let own_epoch = self.epoch(root.slot()).unwrap_or_default();
+        if record.epoch < last_epoch || record.epoch > own_epoch {
+            return Err(HistoryFault::OldEpoch {
+                epoch: record.epoch,
+            });
+        }
+        let tree = match (&record.event, *created) {
+            (ProgramEvent::ProgramStarted(_), tree) => self.replay_start(root, record, tree)?,
+            (event, Some(tree)) => {
+                let key = self.member(tree, record.program)?;
+                self.apply(key, event, record.epoch)?;
+                tree
+            }
+            (_, None) => return Err(disorder("the history does not begin with a start")),
+        };
+        *created = Some(tree);
+        self.trees[tree].records.push(record.clone());
+        Ok(())
+    }
+
+    fn replay_start(
+        &mut self,
+        root: ProgramId,
+        record: &ProgramRecord,
+        tree: Option<TreeKey>,
+    ) -> Result<TreeKey, HistoryFault> {
+        let ProgramEvent::ProgramStarted(started) = &record.event else {
+            return Err(disorder("not a start"));
+        };
+        match (tree, started.parent) {
+            (None, None) if record.program == root => {}
+            (Some(tree), Some(parent)) => {
+                let key = self.member(tree, parent)?;
+                if self.programs[key].workspace != started.workspace {
+                    return Err(disorder("a sub-agent of another workspace"));
+                }
+            }
+            _ => return Err(disorder("a start without its parent")),
+        }
+        let key = self.apply_program(record.program, started)?;
+        Ok(self.programs[key].tree)
+    }
+
+    fn member(&self, tree: TreeKey, id: ProgramId) -> Result<ProgramKey, HistoryFault> {
+        self.by_id
+            .get(&id)
+            .copied()
+            .filter(|key| self.programs[*key].tree == tree)
+            .ok_or(disorder("the program has not started"))
+    }
+
+    fn undo_import(&mut self, tree: Option<TreeKey>) {
+        let Some(tree) = tree.and_then(|key| self.trees.remove(key)) else {
+            return;
+        };
+        let mut lost = LostSlot::default();
+        for member in tree.members {
+            self.remove_program(member, &mut lost);
+        }
+    }
+
+    /// Gives an outcome to every attempt that has none.
+    fn resolve_open(
+        &mut self,
+        tree: TreeKey,
+        mut resolve: impl FnMut(&OpenAttempt) -> StepOutcome,
+    ) -> Result<Vec<ProgramRecord>, HistoryFault> {
+        let mut records = Vec::new();
+        for key in self.trees[tree].members.clone() {
+            let Some(open) = open_attempt(&self.programs[key]) else {
+                continue;
+            };
+            let finished = StepFinished {
+                step: open.step,
+                attempt: open.attempt.clone(),
+                result: resolve(&open).into_result(),
+            };
+            let event = ProgramEvent::StepFinished(finished);
+            let record = self
+                .commit(key, event)
+                .map_err(|_| disorder("the outcome can't be recorded"))?;
+            records.push(record);
+        }
+        Ok(records)
+    }
+
+    /// Sets the timers and clean-up orders of a rebuilt tree.
+    fn revive(&mut self, tree: TreeKey, now: TimeStamp) {
+        for key in self.trees[tree].members.clone() {
+            let program = &mut self.programs[key];
+            match program.status {
+                ProgramStatus::Running => {
+                    program.last_activity = program.last_activity.max(now);
+                    self.arm_program(key);
+                }
+                ProgramStatus::Ended { at, .. } => {
+                    self.queue_cleanup(key);
+                    self.arm(at.plus(self.options.keep_ended), Timer::Forget(tree));
+                }
+            }
+        }
+    }
+}
+
+fn open_attempt(program: &ProgramState) -> Option<OpenAttempt> {
+    let attempt = program.running()?;
+    Some(OpenAttempt {
+        program: program.id,
+        step: program.next_step(),
+        attempt: attempt.key.clone(),
+        kind: attempt.kind,
+        epoch: attempt.epoch,
+    })
+}
+
+const fn empty_history() -> HistoryError {
+    HistoryError {
+        sequence: 0,
+        fault: HistoryFault::Empty,
+    }
+}
--- /dev/null
+++ b/crates/programs/src/table/slots.rs
@@ -0,0 +1,136 @@
+//! Slots that the daemon owns.
+
+use ibisdale_core::{ProgramId, RequestRefusal, SlotId};
+
+use crate::refusals;
+use crate::result::{LostSlot, WokenWaiter};
+use crate::table::{ProgramKey, ProgramTable};
+
+/// Tells what could be read of a slot's histories.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlotHistory {
+    /// Every history of the slot has been read.
+    Whole,
+    /// Some histories may be missing: a program that is not found may be lost.
+    Incomplete,
+}
+
+/// One owned slot.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SlotState {
+    epoch: u64,
+    history: Option<SlotHistory>,
+}
+
+impl SlotState {
+    pub(super) const fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    pub(super) fn is_incomplete(&self) -> bool {
+        self.history == Some(SlotHistory::Incomplete)
+    }
+
+    pub(super) const fn is_open(&self) -> bool {
+        self.history.is_some()
+    }
+}
+
+impl ProgramTable {
+    /// Takes a slot under an epoch; its programs answer after
+    /// [`ProgramTable::open_slot`].
+    ///
+    /// Returns what was held of the slot under an earlier epoch.
+    pub fn begin_slot(&mut self, slot: SlotId, epoch: u64) -> LostSlot {
+        let lost = self.release_slot(slot);
+        let state = SlotState {
+            epoch,
+            history: None,
+        };
+        self.slots.insert(slot, state);
+        lost
+    }
+
+    /// Opens a slot to requests, after its histories were imported.
+    pub fn open_slot(&mut self, slot: SlotId, history: SlotHistory) {
+        if let Some(state) = self.slots.get_mut(&slot) {
+            state.history = Some(history);
+        }
+    }
+
+    /// Returns the epoch under which a slot is held.
+    #[must_use]
+    pub fn slot_epoch(&self, slot: SlotId) -> Option<u64> {
+        self.epoch(slot)
+    }
+
+    /// Marks a program whose history could not be read whole.
+    ///
+    /// Requests for it are refused as `history_lost` until it is imported.
+    pub fn mark_lost(&mut self, program: ProgramId) {
+        self.lost.insert(program);
+    }
+
+    /// Forgets a slot that is no longer owned, with all its programs.
+    pub fn release_slot(&mut self, slot: SlotId) -> LostSlot {
+        let mut lost = LostSlot::default();
+        if self.slots.remove(&slot).is_none() {
+            return lost;
+        }
+        self.lost.retain(|program| program.slot() != slot);
+        let trees: Vec<_> = self
+            .trees
+            .iter()
+            .filter(|(_, tree)| tree.root.slot() == slot)
+            .map(|(key, _)| key)
+            .collect();
+        for key in trees {
+            let Some(tree) = self.trees.remove(key) else {
+                continue;
+            };
+            lost.programs.push(tree.root);
+            for member in tree.members {
+                self.remove_program(member, &mut lost);
+            }
+        }
+        lost
+    }
+
+    /// Forgets one program, its runs, waiting requests and clean-up orders.
+    pub(super) fn remove_program(&mut self, key: ProgramKey, lost: &mut LostSlot) {
+        let Some(program) = self.programs.remove(key) else {
+            return;
+        };
+        self.by_id.remove(&program.id);
+        self.cleanups.retain(|_, order| order.program != program.id);
+        for waiter in &program.early {
+            self.waiters.remove(*waiter);
+            lost.woken.push(WokenWaiter {
+                key: *waiter,
+                result: Err(refusals::owner_unavailable()),
+            });
+        }
+        let Some(attempt) = program.running() else {
+            return;
+        };
+        for waiter in &attempt.joined {
+            self.waiters.remove(*waiter);
+            lost.woken.push(WokenWaiter {
+                key: *waiter,
+                result: Err(refusals::outcome_unknown()),
+            });
+        }
+        if let Some(run) = attempt.run {
+            self.runs.remove(run);
+            lost.running.push(run);
+        }
+    }
+
+    /// Refuses requests for a slot that is not open here.
+    pub(super) fn check_slot(&self, slot: SlotId) -> Result<(), RequestRefusal> {
+        if self.slots.get(&slot).is_some_and(SlotState::is_open) {
+            return Ok(());
+        }
+        Err(refusals::owner_unavailable())
+    }
+}
--- /dev/null
+++ b/crates/programs/src/table/start.rs
@@ -0,0 +1,164 @@
+//! Starts of programs and sub-agents.
+
+use ibisdale_core::{HistoryDigest, ProgramId, RequestRefusal, RunState, TimeStamp};
+
+use crate::account::ProgramBudget;
+use crate::record::{ProgramEvent, ProgramRecord, ProgramStarted, RECORD_VERSION};
+use crate::refusals;
+use crate::request::ProgramStart;
+use crate::result::StartedProgram;
+use crate::state::{EventResult, HistoryFault, ProgramState, TreeState, disorder};
+use crate::table::{CHILDREN_PER_TREE, ProgramKey, ProgramTable, next_sequence};
+
+impl ProgramTable {
+    /// Starts a program or a sub-agent.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the slot is not owned, the identifier is taken, the
+    /// deadline has passed, or, for a sub-agent, when the parent is not a
+    /// running program of the workspace, the slots differ, a budget of its own
+    /// is asked for, or the root's step limit is reached.
+    pub fn start(
+        &mut self,
+        start: ProgramStart,
+        now: TimeStamp,
+    ) -> Result<StartedProgram, RequestRefusal> {
+        self.check_slot(start.id.slot())
+            .map_err(|refusal| refusal.run_state(RunState::NotRun))?;
+        if self.by_id.contains_key(&start.id) {
+            return Err(refusals::internal("the program identifier is taken"));
+        }
+        if Self::is_past(start.deadline, now) {
+            return Err(refusals::deadline_exceeded());
+        }
+        let parent = self
+            .check_parent(&start, now)
+            .map_err(|refusal| refusal.run_state(RunState::NotRun))?;
+        let id = start.id;
+        let started = self.started_event(start, parent, now);
+        let epoch = self
+            .epoch(id.slot())
+            .ok_or_else(refusals::owner_unavailable)?;
+        let key = self
+            .apply_program(id, &started)
+            .map_err(|fault| refusals::internal(&fault.to_string()))?;
+        let tree = &mut self.trees[self.programs[key].tree];
+        let record = ProgramRecord {
+            version: RECORD_VERSION,
+            root: tree.root,
+            sequence: next_sequence(tree),
+            epoch,
+            program: id,
+            event: ProgramEvent::ProgramStarted(started),
+        };
+        tree.records.push(record.clone());
+        self.arm_program(key);
+        Ok(StartedProgram {
+            id,
+            digest: HistoryDigest::EMPTY,
+            records: vec![record],
+        })
+    }
+
+    fn check_parent(
+        &self,
+        start: &ProgramStart,
+        now: TimeStamp,
+    ) -> Result<Option<ProgramKey>, RequestRefusal> {
+        let Some(parent) = start.parent else {
+            return Ok(None);
+        };
+        let key = self.find(parent, &start.workspace)?;
+        let program = &self.programs[key];
+        if !program.is_running() {
+            return Err(refusals::program_ended());
+        }
+        if let Some(refusal) = self.refuse_expired(key, now) {
+            return Err(refusal);
+        }
+        if start.id.slot() != parent.slot() {
+            return Err(refusals::bad_request(
+                "a sub-agent shares the slot of its root program",
+            ));
+        }
+        if start.budget != ProgramBudget::default() {
+            return Err(refusals::bad_request(
+                "a sub-agent draws on the budget of its root program",
+            ));
+        }
+        let tree = &self.trees[program.tree];
+        if !tree.is_step_allowed() {
+            return Err(refusals::limit_reached("step"));
+        }
+        if tree.members.len() >= CHILDREN_PER_TREE {
+            return Err(refusals::limit_reached("sub-agent"));
+        }
+        Ok(Some(key))
+    }
+
+    fn started_event(
+        &self,
+        start: ProgramStart,
+        parent: Option<ProgramKey>,
+        now: TimeStamp,
+    ) -> ProgramStarted {
+        let bound = parent.and_then(|key| self.programs[key].deadline);
+        let deadline = [start.deadline, bound].into_iter().flatten().min();
+        ProgramStarted {
+            workspace: start.workspace,
+            name: start.name,
+            key: start.key,
+            parent: start.parent,
+            deadline,
+            budget: start.budget,
+            limits: start.limits,
+            at: now,
+        }
+    }
+
+    /// Creates the state of a program from its first event.
+    pub(super) fn apply_program(
+        &mut self,
+        id: ProgramId,
+        started: &ProgramStarted,
+    ) -> Result<ProgramKey, HistoryFault> {
+        if self.by_id.contains_key(&id) {
+            return Err(disorder("the program started twice"));
+        }
+        let parent = match started.parent {
+            Some(parent) => Some(*self.by_id.get(&parent).ok_or(disorder("no parent"))?),
+            None => None,
+        };
+        let tree = match parent {
+            Some(parent) => self.programs[parent].tree,
+            None => self.trees.insert(TreeState::new(id, started)),
+        };
+        let key = self
+            .programs
+            .insert(ProgramState::new(id, tree, parent, started));
+        self.by_id.insert(id, key);
+        self.trees[tree].members.push(key);
+        if let Some(parent) = parent {
+            self.apply_child(parent, key, started)?;
+        }
+        Ok(key)
+    }
+
+    fn apply_child(
+        &mut self,
+        parent: ProgramKey,
+        child: ProgramKey,
+        started: &ProgramStarted,
+    ) -> EventResult {
+        let program = &mut self.programs[parent];
+        if !program.is_running() {
+            return Err(disorder("a sub-agent started after its parent's end"));
+        }
+        program.children.push(child);
+        program.last_activity = program.last_activity.max(started.at);
+        let tree = &mut self.trees[program.tree];
+        tree.steps = tree.steps.saturating_add(1);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/programs/src/table/views.rs
@@ -0,0 +1,151 @@
+//! What callers and operators see of programs.
+
+use bytes::Bytes;
+use ibisdale_core::{ProgramId, RequestRefusal, SlotId, StepNumber, WorkspaceName};
+
+use crate::refusals;
+use crate::result::{ProgramSummary, StepExchange, StepResult, StepView};
+use crate::state::{AttemptState, ProgramState};
+use crate::table::waiters::WaitReason;
+use crate::table::{ProgramKey, ProgramTable};
+
+impl ProgramTable {
+    /// Returns the state of a program.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when there is no such program in the workspace.
+    pub fn summary(
+        &self,
+        program: ProgramId,
+        workspace: &WorkspaceName,
+    ) -> Result<ProgramSummary, RequestRefusal> {
+        let key = self.find(program, workspace)?;
+        Ok(self.summarize(key))
+    }
+
+    /// Returns the state of a program, whatever its workspace.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when there is no such program here.
+    pub fn summary_any(&self, program: ProgramId) -> Result<ProgramSummary, RequestRefusal> {
+        let key = self.find_any(program)?;
+        Ok(self.summarize(key))
+    }
+
+    /// Returns the states of all programs of a slot.
+    #[must_use]
+    pub fn programs_of_slot(&self, slot: SlotId) -> Vec<ProgramSummary> {
+        self.summaries(|program| program.slot() == slot)
+    }
+
+    /// Returns the states of all programs.
+    #[must_use]
+    pub fn all_programs(&self) -> Vec<ProgramSummary> {
+        self.summaries(|_| true)
+    }
+
+    /// Returns what became of a step.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when there is no such program in the workspace, or nobody has
+    /// asked for the step.
+    pub fn step_state(
+        &self,
+        program: ProgramId,
+        workspace: &WorkspaceName,
+        step: StepNumber,
+    ) -> Result<StepView, RequestRefusal> {
+        let key = self.find(program, workspace)?;
+        let program = &self.programs[key];
+        let attempt = program.step(step).and_then(|step| step.attempts.last());
+        match attempt {
+            Some(attempt) => Ok(view(attempt)),
+            None if self.is_awaited(program, step) => Ok(StepView::Waiting),
+            None => Err(refusals::unknown_step()),
+        }
+    }
+
+    /// Returns the exchanges of a program in order, to go before the next
+    /// prompt.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when there is no such program in the workspace.
+    pub fn history(
+        &self,
+        program: ProgramId,
+        workspace: &WorkspaceName,
+    ) -> Result<Vec<StepExchange>, RequestRefusal> {
+        let key = self.find(program, workspace)?;
+        let program = &self.programs[key];
+        let attempts = program.steps.iter().filter_map(|step| step.attempts.last());
+        Ok(attempts.filter_map(exchange).collect())
+    }
+
+    fn is_awaited(&self, program: &ProgramState, step: StepNumber) -> bool {
+        program.early.iter().any(|waiter| {
+            let state = self.waiters.get(*waiter);
+            state.is_some_and(
+                |state| matches!(&state.reason, WaitReason::Early(request) if request.step == step),
+            )
+        })
+    }
+
+    fn summaries(&self, is_wanted: impl Fn(ProgramId) -> bool) -> Vec<ProgramSummary> {
+        let mut summaries: Vec<_> = self
+            .programs
+            .iter()
+            .filter(|(_, program)| is_wanted(program.id))
+            .map(|(key, _)| self.summarize(key))
+            .collect();
+        summaries.sort_by_key(|summary| summary.id);
+        summaries
+    }
+
+    fn summarize(&self, key: ProgramKey) -> ProgramSummary {
+        let program = &self.programs[key];
+        let tree = &self.trees[program.tree];
+        let id = |key: &ProgramKey| self.programs[*key].id;
+        ProgramSummary {
+            id: program.id,
+            workspace: program.workspace.clone(),
+            name: text(&program.name),
+            parent: program.parent.as_ref().map(id),
+            children: program.children.iter().map(id).collect(),
+            status: program.status,
+            next_step: program.next_step(),
+            is_busy: program.running().is_some(),
+            digest: program.digest,
+            deadline: program.deadline,
+            budget: tree.budget,
+            tree_steps: tree.steps,
+        }
+    }
+}
+
+fn text(name: &Bytes) -> String {
+    String::from_utf8_lossy(name).into_owned()
+}
+
+fn view(attempt: &AttemptState) -> StepView {
+    match &attempt.record {
+        Some(record) => StepView::Recorded(record.clone()),
+        None => StepView::Running(attempt.key.clone()),
+    }
+}
+
+fn exchange(attempt: &AttemptState) -> Option<StepExchange> {
+    let record = attempt.record.as_ref()?;
+    let StepResult::Completed { answer, .. } = &record.result else {
+        return None;
+    };
+    Some(StepExchange {
+        step: record.step,
+        kind: attempt.kind,
+        request: attempt.request.clone(),
+        answer: answer.clone(),
+    })
+}
--- /dev/null
+++ b/crates/programs/src/table/waiters.rs
@@ -0,0 +1,94 @@
+//! Requests that wait: early arrivals and repeats of a running attempt.
+
+use ibisdale_core::{AttemptKey, StepNumber, TimeStamp};
+
+use crate::request::StepRequest;
+use crate::result::{StepAdmission, WokenWaiter};
+use crate::table::expiry::Timer;
+use crate::table::{ProgramKey, ProgramTable, WaiterKey};
+
+/// What a waiting request waits for.
+#[derive(Debug)]
+pub(super) enum WaitReason {
+    /// The steps before it.
+    Early(Box<StepRequest>),
+    /// The outcome of its attempt.
+    Joined(StepNumber, AttemptKey),
+}
+
+/// One waiting request.
+#[derive(Debug)]
+pub(super) struct WaiterState {
+    pub(super) program: ProgramKey,
+    pub(super) until: TimeStamp,
+    pub(super) reason: WaitReason,
+}
+
+impl ProgramTable {
+    /// Lets a request wait, under its earlier key if it has one.
+    pub(super) fn add_waiter(
+        &mut self,
+        state: WaiterState,
+        earlier: Option<WaiterKey>,
+    ) -> WaiterKey {
+        let until = state.until;
+        let key = match earlier {
+            Some(key) => {
+                self.waiters[key] = state;
+                key
+            }
+            None => self.waiters.insert(state),
+        };
+        self.arm(until, Timer::Waiter(key));
+        key
+    }
+
+    /// Forgets a waiting request whose caller has gone; nothing of it has run.
+    pub fn drop_waiter(&mut self, key: WaiterKey) {
+        let Some(state) = self.waiters.remove(key) else {
+            return;
+        };
+        let program = &mut self.programs[state.program];
+        program.early.retain(|waiter| *waiter != key);
+        if let WaitReason::Joined(step, attempt) = state.reason {
+            let attempts = program.step_mut(step).map(|step| &mut step.attempts);
+            let attempt = attempts
+                .into_iter()
+                .flatten()
+                .find(|state| state.key == attempt);
+            if let Some(attempt) = attempt {
+                attempt.joined.retain(|waiter| *waiter != key);
+            }
+        }
+    }
+
+    /// Admits early arrivals whose step has become the next one.
+    pub(super) fn wake_early(&mut self, key: ProgramKey, now: TimeStamp) -> Vec<WokenWaiter> {
+        let next = self.programs[key].next_step();
+        let mut woken = Vec::new();
+        for waiter in std::mem::take(&mut self.programs[key].early) {
+            let Some(WaiterState {
+                reason: WaitReason::Early(request),
+                ..
+            }) = self.waiters.get(waiter)
+            else {
+                continue;
+            };
+            if request.step > next {
+                self.programs[key].early.push(waiter);
+                continue;
+            }
+            let request = (**request).clone();
+            let result = self.admit(key, request, now, Some(waiter));
+            if let Ok(StepAdmission::Wait(_) | StepAdmission::Join(_)) = result {
+                continue;
+            }
+            self.waiters.remove(waiter);
+            woken.push(WokenWaiter {
+                key: waiter,
+                result,
+            });
+        }
+        woken
+    }
+}
