Add clients for engines and services, and thin stand-ins for both

Cause: the daemon needs calls to upstreams whose failures say what is proven.

Ruled out: reusing pooled connections for calls that may not be repeated (a stale one leaves it open whether the call ran); taking the end of a body as the end of a stream (a cut between chunks looks the same).

Stand-ins of an engine and an order service with fault switches, and a peer that answers with given bytes.

Seen to fail: with the end of the body taken as Done, and with close() forgetting the stream, the tests whole_without_done and closed fail.

Conclusion: thin but whole; the engine stand-in has no batching yet.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,7 +1,17 @@
 //! Small stand-ins for the platform, model engines and plain services, for tests and demonstrations.
 
+mod engine;
+mod host;
+mod keys;
 mod kv;
+mod scripted;
+mod service;
 mod vms;
 
+pub use engine::{
+    EngineCounters, EngineFault, EngineOptions, EngineServer, PromptMessage, compose_answer,
+};
 pub use kv::{KvServer, OutageKind};
+pub use scripted::{ScriptEnd, ScriptedServer};
+pub use service::{ServiceCounters, ServiceFault, ServiceOptions, ServiceServer};
 pub use vms::VmListServer;
--- /dev/null
+++ b/crates/upstreams/src/credential.rs
@@ -0,0 +1,73 @@
+//! The system's own credential at an upstream.
+
+use std::fmt;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+
+use http::HeaderValue;
+use snafu::{ResultExt, Snafu};
+
+/// Largest credential file, in bytes.
+const CREDENTIAL_MAX_BYTES: usize = 8 * 1_024;
+
+/// Tells why a credential can't be used.
+#[derive(Debug, Snafu)]
+pub enum CredentialError {
+    /// The file can't be read.
+    #[snafu(display("cannot read the credential file {}: {source}", path.display()))]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// The system's error.
+        source: io::Error,
+    },
+    /// The file is empty, too large, or holds other than visible ASCII.
+    #[snafu(display(
+        "the credential file {} must hold one line of visible ASCII",
+        path.display()
+    ))]
+    Content {
+        /// The file.
+        path: PathBuf,
+    },
+}
+
+/// A credential, which never appears in logs or in debug output.
+#[derive(Clone, PartialEq, Eq)]
+pub struct UpstreamCredential {
+    value: HeaderValue,
+}
+
+impl UpstreamCredential {
+    /// Reads the credential from the first and only line of a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file can't be read or holds no credential.
+    pub fn read(path: &Path) -> Result<Self, CredentialError> {
+        let text = fs::read(path).context(ReadSnafu { path })?;
+        let text = text.trim_ascii();
+        let is_visible = text.iter().all(u8::is_ascii_graphic);
+        if text.is_empty() || text.len() > CREDENTIAL_MAX_BYTES || !is_visible {
+            return ContentSnafu { path }.fail();
+        }
+        let value = [b"Bearer ", text].concat();
+        let Ok(mut value) = HeaderValue::from_bytes(&value) else {
+            return ContentSnafu { path }.fail();
+        };
+        value.set_sensitive(true);
+        Ok(Self { value })
+    }
+
+    /// Returns the value of the `Authorization` header.
+    pub(crate) fn to_header(&self) -> HeaderValue {
+        self.value.clone()
+    }
+}
+
+impl fmt::Debug for UpstreamCredential {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("UpstreamCredential(…)")
+    }
+}
--- /dev/null
+++ b/crates/upstreams/src/engine.rs
@@ -0,0 +1,157 @@
+//! Chat calls to a model engine.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::Method;
+use http::header::{self, HeaderMap, HeaderValue};
+use ibisdale_core::ProgramId;
+
+use crate::chat::ChatStream;
+use crate::credential::UpstreamCredential;
+use crate::error::{UpstreamError, UpstreamErrorKind};
+use crate::exchange::{UpstreamRequest, send_request, status_error};
+use crate::headers::{FENCING_NUMBER, PRIORITY, SESSION_ID, TRACEPARENT, number_value};
+use crate::pool::{ConnectionReuse, UpstreamPool};
+
+const CHAT_PATH: &str = "/v1/chat/completions";
+const JSON_TYPE: &str = "application/json";
+const EVENT_STREAM_TYPE: &str = "text/event-stream";
+
+/// A chat call.
+///
+/// The body has the shape of `OpenAI` chat completions with `"stream": true`.
+#[derive(Clone, Debug)]
+pub struct ChatCall {
+    body: Bytes,
+    session: ProgramId,
+    priority: i32,
+    fencing_number: u64,
+    deadline: Option<Instant>,
+    traceparent: Option<HeaderValue>,
+    credential: Option<UpstreamCredential>,
+}
+
+impl ChatCall {
+    /// Creates a call that belongs to a program's session.
+    pub fn new(body: impl Into<Bytes>, session: ProgramId) -> Self {
+        Self {
+            body: body.into(),
+            session,
+            priority: 0,
+            fencing_number: 0,
+            deadline: None,
+            traceparent: None,
+            credential: None,
+        }
+    }
+
+    /// Sets the priority; higher goes first.
+    #[must_use]
+    pub fn priority(mut self, priority: i32) -> Self {
+        self.priority = priority;
+        self
+    }
+
+    /// Sets the fencing number, which is the epoch of the program's owner.
+    #[must_use]
+    pub fn fencing_number(mut self, number: u64) -> Self {
+        self.fencing_number = number;
+        self
+    }
+
+    /// Sets the time by which the answer must be whole.
+    #[must_use]
+    pub fn deadline(mut self, deadline: Instant) -> Self {
+        self.deadline = Some(deadline);
+        self
+    }
+
+    /// Sets the trace context; a malformed one is left out.
+    #[must_use]
+    pub fn traceparent(mut self, traceparent: &str) -> Self {
+        self.traceparent = HeaderValue::from_str(traceparent).ok();
+        self
+    }
+
+    /// Sets the system's own credential at the engine.
+    #[must_use]
+    pub fn credential(mut self, credential: UpstreamCredential) -> Self {
+        self.credential = Some(credential);
+        self
+    }
+
+    /// Returns the session.
+    #[must_use]
+    pub fn get_session(&self) -> ProgramId {
+        self.session
+    }
+
+    fn into_request(self) -> UpstreamRequest {
+        let mut headers = HeaderMap::new();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(JSON_TYPE));
+        headers.insert(header::ACCEPT, HeaderValue::from_static(EVENT_STREAM_TYPE));
+        if let Ok(session) = HeaderValue::from_str(&self.session.to_string()) {
+            headers.insert(SESSION_ID, session);
+        }
+        headers.insert(PRIORITY, number_value(self.priority));
+        headers.insert(FENCING_NUMBER, number_value(self.fencing_number));
+        if let Some(traceparent) = self.traceparent {
+            headers.insert(TRACEPARENT, traceparent);
+        }
+        UpstreamRequest {
+            headers,
+            body: self.body,
+            credential: self.credential,
+            deadline: self.deadline,
+            reuse: ConnectionReuse::Alive,
+            ..UpstreamRequest::new(Method::POST, CHAT_PATH)
+        }
+    }
+}
+
+/// Sends chat calls to one engine.
+#[derive(Clone, Debug)]
+pub struct EngineClient {
+    pool: UpstreamPool,
+}
+
+impl EngineClient {
+    /// Creates a client on the engine's pool.
+    #[must_use]
+    pub fn new(pool: UpstreamPool) -> Self {
+        Self { pool }
+    }
+
+    /// Sends a call and waits until the engine starts to answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the engine can't be reached, refuses, or answers with other
+    /// than an event stream; [`UpstreamError::get_run_state`] tells what is
+    /// proven.
+    pub async fn chat(&self, call: ChatCall) -> Result<ChatStream, UpstreamError> {
+        let request = call.into_request();
+        let answer = send_request(&self.pool, &request).await?;
+        if !answer.status.is_success() {
+            let answer = answer.read_whole(&self.pool).await?;
+            return Err(status_error(self.pool.get_address(), &answer));
+        }
+        let content_type = answer.headers.get(header::CONTENT_TYPE);
+        if !content_type.is_some_and(is_event_stream) {
+            let message = "the answer is not an event stream";
+            let kind = UpstreamErrorKind::Garbage;
+            let error = UpstreamError::new(kind, self.pool.get_address(), message);
+            return Err(error.status(answer.status));
+        }
+        Ok(ChatStream::new(self.pool.clone(), answer))
+    }
+}
+
+fn is_event_stream(value: &HeaderValue) -> bool {
+    let kind = value.as_bytes().split(|byte| *byte == b';').next();
+    kind.is_some_and(|kind| {
+        kind.trim_ascii()
+            .eq_ignore_ascii_case(EVENT_STREAM_TYPE.as_bytes())
+    })
+}
--- /dev/null
+++ b/crates/upstreams/src/exchange.rs
@@ -0,0 +1,291 @@
+//! One request and the head of its answer.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use bytes::{Bytes, BytesMut};
+use futures_lite::{FutureExt, StreamExt};
+use http::header::{self, HeaderMap, HeaderValue};
+use http::{Method, Request, StatusCode, Uri};
+use ibisdale_core::RunState;
+use ibisdale_net::{BoxBody, ClientConnection, NetError, full_body};
+use smol::Timer;
+
+use crate::credential::UpstreamCredential;
+use crate::error::{UpstreamError, UpstreamErrorKind};
+use crate::headers::{is_marked_not_run, read_retry_after};
+use crate::pool::{ConnectionReuse, PooledConnection, UpstreamPool};
+use crate::progress::{AnswerLimits, ProgressBody, ProgressError};
+
+/// Part of an error answer's body that goes into the error's message, in bytes.
+const ERROR_TEXT_BYTES: usize = 512;
+
+/// A request as the clients make it.
+#[derive(Clone, Debug)]
+pub(crate) struct UpstreamRequest {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) credential: Option<UpstreamCredential>,
+    pub(crate) deadline: Option<Instant>,
+    pub(crate) reuse: ConnectionReuse,
+}
+
+impl UpstreamRequest {
+    pub(crate) fn new(method: Method, path: impl Into<String>) -> Self {
+        Self {
+            method,
+            path: path.into(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            credential: None,
+            deadline: None,
+            reuse: ConnectionReuse::Any,
+        }
+    }
+}
+
+/// The head of an answer, and the connection that its body comes on.
+pub(crate) struct UpstreamAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: ProgressBody,
+    pub(crate) connection: ClientConnection,
+}
+
+/// Sends a request and waits for the head of its answer.
+///
+/// A request that may run twice is sent again, once, when a reused connection
+/// turns out to be closed; any other only when nothing was sent.
+pub(crate) async fn send_request(
+    pool: &UpstreamPool,
+    request: &UpstreamRequest,
+) -> Result<UpstreamAnswer, UpstreamError> {
+    let address = pool.get_address();
+    if is_past(request.deadline) {
+        return Err(deadline_error(address).run_state(RunState::NotRun));
+    }
+    let pooled = take_connection(pool, request, request.reuse).await?;
+    let is_reused = pooled.is_reused;
+    match send_once(pool, request, pooled).await {
+        Err(SendFailure::Net(error)) if is_reused && may_resend(request, &error) => {
+            let pooled = take_connection(pool, request, ConnectionReuse::New).await?;
+            let result = send_once(pool, request, pooled).await;
+            result.map_err(|failure| failure.into_error(address))
+        }
+        result => result.map_err(|failure| failure.into_error(address)),
+    }
+}
+
+fn may_resend(request: &UpstreamRequest, error: &NetError) -> bool {
+    let is_broken = matches!(error, NetError::Exchange { .. } | NetError::Stalled { .. });
+    error.is_not_sent() || (request.reuse == ConnectionReuse::Any && is_broken)
+}
+
+enum SendFailure {
+    Net(NetError),
+    Call(UpstreamError),
+}
+
+impl SendFailure {
+    fn into_error(self, address: SocketAddr) -> UpstreamError {
+        match self {
+            Self::Net(error) => UpstreamError::from_net(address, &error),
+            Self::Call(error) => error,
+        }
+    }
+}
+
+async fn take_connection(
+    pool: &UpstreamPool,
+    request: &UpstreamRequest,
+    reuse: ConnectionReuse,
+) -> Result<PooledConnection, UpstreamError> {
+    let address = pool.get_address();
+    let take = async {
+        let result = pool.take(reuse).await;
+        result.map_err(|error| UpstreamError::from_net(address, &error))
+    };
+    let expire = async {
+        wait_deadline(request.deadline).await;
+        Err(deadline_error(address).run_state(RunState::NotRun))
+    };
+    take.or(expire).await
+}
+
+async fn send_once(
+    pool: &UpstreamPool,
+    request: &UpstreamRequest,
+    pooled: PooledConnection,
+) -> Result<UpstreamAnswer, SendFailure> {
+    let address = pool.get_address();
+    let message = build_message(address, request).map_err(SendFailure::Call)?;
+    let options = pool.get_options();
+    let mut connection = pooled.connection;
+    let response = {
+        let send = async {
+            connection.ready().await.map_err(SendFailure::Net)?;
+            connection.send(message).await.map_err(SendFailure::Net)
+        };
+        let limit = options.get_progress_timeout();
+        let stall = async {
+            Timer::after(limit).await;
+            Err(SendFailure::Net(NetError::Stalled { limit }))
+        };
+        let expire = async {
+            wait_deadline(request.deadline).await;
+            Err(SendFailure::Call(deadline_error(address)))
+        };
+        send.or(stall).or(expire).await?
+    };
+    let (head, body) = response.into_parts();
+    let limits = AnswerLimits {
+        progress_timeout: options.get_progress_timeout(),
+        deadline: request.deadline,
+        max_bytes: options.get_answer_max_bytes(),
+    };
+    Ok(UpstreamAnswer {
+        status: head.status,
+        headers: head.headers,
+        body: ProgressBody::new(body, limits),
+        connection,
+    })
+}
+
+fn build_message(
+    address: SocketAddr,
+    request: &UpstreamRequest,
+) -> Result<Request<BoxBody>, UpstreamError> {
+    let invalid = |message: String| {
+        UpstreamError::new(UpstreamErrorKind::InvalidCall, address, message)
+            .run_state(RunState::NotRun)
+    };
+    let path: Uri = request
+        .path
+        .parse()
+        .map_err(|error| invalid(format!("the path is malformed: {error}")))?;
+    if path.authority().is_some() || !path.path().starts_with('/') {
+        return Err(invalid("the path does not start with '/'".to_owned()));
+    }
+    let mut message = Request::new(full_body(request.body.clone()));
+    *message.method_mut() = request.method.clone();
+    *message.uri_mut() = path;
+    *message.headers_mut() = request.headers.clone();
+    let host =
+        HeaderValue::from_str(&address.to_string()).map_err(|error| invalid(error.to_string()))?;
+    message.headers_mut().insert(header::HOST, host);
+    if let Some(credential) = &request.credential {
+        message
+            .headers_mut()
+            .insert(header::AUTHORIZATION, credential.to_header());
+    }
+    Ok(message)
+}
+
+impl UpstreamAnswer {
+    /// Reads the whole body and gives the connection back to the pool.
+    pub(crate) async fn read_whole(
+        self,
+        pool: &UpstreamPool,
+    ) -> Result<WholeAnswer, UpstreamError> {
+        let mut body = self.body;
+        let mut data = BytesMut::new();
+        while let Some(chunk) = body.next().await {
+            let chunk = chunk.map_err(|error| progress_error(pool.get_address(), &error))?;
+            data.extend_from_slice(&chunk);
+        }
+        pool.put_back(self.connection);
+        Ok(WholeAnswer {
+            status: self.status,
+            headers: self.headers,
+            body: data.freeze(),
+        })
+    }
+}
+
+/// An answer with its whole body.
+#[derive(Debug)]
+pub(crate) struct WholeAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl WholeAnswer {
+    /// Parses the body of a successful answer to an order or report.
+    pub(crate) fn parse<T: serde::de::DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+    ) -> Result<T, UpstreamError> {
+        if !self.status.is_success() {
+            return Err(status_error(address, self));
+        }
+        serde_json::from_slice(&self.body).map_err(|error| {
+            UpstreamError::new(UpstreamErrorKind::Garbage, address, error.to_string())
+                .status(self.status)
+        })
+    }
+}
+
+/// Makes an error of an engine's answer that is not a success.
+///
+/// Engines refuse before any work with the statuses that mean so; see the
+/// upstream protocol's page.
+pub(crate) fn status_error(address: SocketAddr, answer: &WholeAnswer) -> UpstreamError {
+    let text = &answer.body[..answer.body.len().min(ERROR_TEXT_BYTES)];
+    let text = String::from_utf8_lossy(text);
+    let message = format!("status {}: {text}", answer.status.as_u16());
+    let is_refusal = is_refusal_status(answer.status) || is_marked_not_run(&answer.headers);
+    let (kind, state) = if is_refusal {
+        (UpstreamErrorKind::Refused, RunState::NotRun)
+    } else {
+        (UpstreamErrorKind::Failed, RunState::Unknown)
+    };
+    UpstreamError::new(kind, address, message)
+        .run_state(state)
+        .status(answer.status)
+        .retry_after(read_retry_after(&answer.headers))
+}
+
+fn is_refusal_status(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::BAD_REQUEST
+            | StatusCode::UNAUTHORIZED
+            | StatusCode::FORBIDDEN
+            | StatusCode::NOT_FOUND
+            | StatusCode::METHOD_NOT_ALLOWED
+            | StatusCode::CONFLICT
+            | StatusCode::PAYLOAD_TOO_LARGE
+            | StatusCode::UNPROCESSABLE_ENTITY
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// Makes an error of a body that could not be read on.
+pub(crate) fn progress_error(address: SocketAddr, error: &ProgressError) -> UpstreamError {
+    match error {
+        ProgressError::Net { source } => UpstreamError::from_net(address, source),
+        ProgressError::Deadline => deadline_error(address),
+    }
+}
+
+fn deadline_error(address: SocketAddr) -> UpstreamError {
+    let kind = UpstreamErrorKind::DeadlineExceeded;
+    UpstreamError::new(kind, address, "the deadline passed")
+}
+
+fn is_past(deadline: Option<Instant>) -> bool {
+    deadline.is_some_and(|deadline| deadline <= Instant::now())
+}
+
+async fn wait_deadline(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => {
+            Timer::at(deadline).await;
+        }
+        None => std::future::pending().await,
+    }
+}
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -1,1 +1,47 @@
 //! HTTP clients for model engines and plain services.
+//!
+//! Each replica has one [`UpstreamPool`]; the clients share it. Only headers on
+//! an allow list go upstream, so that no caller's key can; an answer that is
+//! truncated or can't be understood is an error that tells whether the request
+//! ran, as far as that is proven.
+//!
+//! ```no_run
+//! # async fn example() -> Result<(), ibisdale_upstreams::UpstreamError> {
+//! use ibisdale_upstreams::{ChatCall, ChatEvent, EngineClient, PoolOptions, UpstreamPool};
+//! # let session = "00000000000000000000000000000000".parse().unwrap();
+//! # let executor = ibisdale_net::TrafficExecutor::default();
+//!
+//! let address = "127.0.0.1:8000".parse().unwrap();
+//! let pool = UpstreamPool::new(address, executor, PoolOptions::new());
+//! let client = EngineClient::new(pool);
+//! let body = r#"{"model": "small", "messages": [], "stream": true}"#;
+//! let mut stream = client.chat(ChatCall::new(body, session)).await?;
+//! while let Some(event) = stream.next().await {
+//!     if let ChatEvent::Delta(chunk) = event? {
+//!         println!("{}", String::from_utf8_lossy(&chunk));
+//!     }
+//! }
+//! # Ok(())
+//! # }
+//! ```
+
+mod chat;
+mod credential;
+mod engine;
+mod error;
+mod exchange;
+mod headers;
+mod load;
+mod pool;
+mod progress;
+mod service;
+mod session;
+
+pub use chat::{ChatEvent, ChatStream};
+pub use credential::{CredentialError, UpstreamCredential};
+pub use engine::{ChatCall, EngineClient};
+pub use error::{UpstreamError, UpstreamErrorKind};
+pub use load::{CacheEvent, CacheEventBatch, CacheEventKind, EventGap, LoadClient, LoadReport};
+pub use pool::{PoolOptions, UpstreamPool};
+pub use service::{ServiceCall, ServiceClient, ServiceReply};
+pub use session::{ReleaseReply, SessionClient, SessionReport};
--- /dev/null
+++ b/crates/upstreams/src/progress.rs
@@ -0,0 +1,117 @@
+//! A response's body with limits on silence, total time and size.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_lite::{FutureExt, Stream};
+use http_body::Body;
+use ibisdale_net::{CheckedBody, NetError};
+use smol::Timer;
+use snafu::Snafu;
+
+/// Tells why a body could not be read on.
+#[derive(Debug, Snafu)]
+pub(crate) enum ProgressError {
+    #[snafu(display("{source}"))]
+    Net { source: NetError },
+    #[snafu(display("the deadline passed"))]
+    Deadline,
+}
+
+/// Limits of one answer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AnswerLimits {
+    pub(crate) progress_timeout: Duration,
+    pub(crate) deadline: Option<Instant>,
+    pub(crate) max_bytes: usize,
+}
+
+/// Counts the bytes read since its last reset.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ByteCount(Arc<AtomicUsize>);
+
+impl ByteCount {
+    /// Starts to count anew.
+    pub(crate) fn reset(&self) {
+        self.0.store(0, Ordering::Relaxed);
+    }
+
+    fn add(&self, bytes: usize) -> usize {
+        self.0.fetch_add(bytes, Ordering::Relaxed) + bytes
+    }
+}
+
+/// Chunks of a body; fails when a limit is reached.
+pub(crate) struct ProgressBody {
+    body: CheckedBody,
+    limits: AnswerLimits,
+    silence: Timer,
+    deadline: Timer,
+    count: ByteCount,
+}
+
+impl ProgressBody {
+    pub(crate) fn new(body: CheckedBody, limits: AnswerLimits) -> Self {
+        Self {
+            body,
+            limits,
+            silence: Timer::after(limits.progress_timeout),
+            deadline: limits.deadline.map_or_else(Timer::never, Timer::at),
+            count: ByteCount::default(),
+        }
+    }
+
+    /// Returns the count that the size limit is checked against.
+    pub(crate) fn get_count(&self) -> ByteCount {
+        self.count.clone()
+    }
+
+    fn take_chunk(&mut self, chunk: Bytes) -> Result<Bytes, ProgressError> {
+        self.silence.set_after(self.limits.progress_timeout);
+        let limit = self.limits.max_bytes;
+        if self.count.add(chunk.len()) > limit {
+            return Err(NetError::TooLarge { limit }.into());
+        }
+        Ok(chunk)
+    }
+
+    fn poll_limits(&mut self, context: &mut Context<'_>) -> Poll<ProgressError> {
+        if self.deadline.poll(context).is_ready() {
+            return Poll::Ready(ProgressError::Deadline);
+        }
+        if self.silence.poll(context).is_ready() {
+            let limit = self.limits.progress_timeout;
+            return Poll::Ready(NetError::Stalled { limit }.into());
+        }
+        Poll::Pending
+    }
+}
+
+impl From<NetError> for ProgressError {
+    fn from(source: NetError) -> Self {
+        Self::Net { source }
+    }
+}
+
+impl Stream for ProgressBody {
+    type Item = Result<Bytes, ProgressError>;
+
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        loop {
+            match Pin::new(&mut self.body).poll_frame(context) {
+                Poll::Ready(None) => return Poll::Ready(None),
+                Poll::Ready(Some(Err(source))) => return Poll::Ready(Some(Err(source.into()))),
+                Poll::Ready(Some(Ok(frame))) => {
+                    if let Ok(chunk) = frame.into_data() {
+                        return Poll::Ready(Some(self.take_chunk(chunk)));
+                    }
+                }
+                Poll::Pending => return self.poll_limits(context).map(|error| Some(Err(error))),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/upstreams/src/service.rs
@@ -0,0 +1,206 @@
+//! Calls to plain services.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::header::{HeaderMap, HeaderValue};
+use http::{Method, StatusCode};
+use ibisdale_core::RunState;
+
+use crate::credential::UpstreamCredential;
+use crate::error::UpstreamError;
+use crate::exchange::{UpstreamRequest, WholeAnswer, send_request};
+use crate::headers::{
+    IDEMPOTENCY_KEY, TRACEPARENT, filter_forwarded, filter_returned, is_marked_not_run,
+    read_retry_after,
+};
+use crate::pool::{ConnectionReuse, UpstreamPool};
+
+/// A call to a plain service.
+///
+/// A call that is not idempotent goes on a new connection and is never sent
+/// again by the client.
+#[derive(Clone, Debug)]
+pub struct ServiceCall {
+    method: Method,
+    path: String,
+    headers: HeaderMap,
+    body: Bytes,
+    is_idempotent: bool,
+    deadline: Option<Instant>,
+    credential: Option<UpstreamCredential>,
+}
+
+impl ServiceCall {
+    /// Creates a call that is not idempotent; `path` starts with `/`.
+    pub fn new(method: Method, path: impl Into<String>) -> Self {
+        Self {
+            method,
+            path: path.into(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            is_idempotent: false,
+            deadline: None,
+            credential: None,
+        }
+    }
+
+    /// Sets the body.
+    #[must_use]
+    pub fn body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Takes over those of the caller's headers that may go on to a service;
+    /// replaces headers set before.
+    #[must_use]
+    pub fn headers(mut self, headers: &HeaderMap) -> Self {
+        self.headers = filter_forwarded(headers);
+        self
+    }
+
+    /// Sets the key by which the service recognises a repetition; a malformed
+    /// one is left out.
+    #[must_use]
+    pub fn idempotency_key(mut self, key: &str) -> Self {
+        if let Ok(key) = HeaderValue::from_str(key) {
+            self.headers.insert(IDEMPOTENCY_KEY, key);
+        }
+        self
+    }
+
+    /// Sets the trace context; a malformed one is left out.
+    #[must_use]
+    pub fn traceparent(mut self, traceparent: &str) -> Self {
+        if let Ok(traceparent) = HeaderValue::from_str(traceparent) {
+            self.headers.insert(TRACEPARENT, traceparent);
+        }
+        self
+    }
+
+    /// Sets whether the call may run more than once.
+    #[must_use]
+    pub fn idempotent(mut self, is_idempotent: bool) -> Self {
+        self.is_idempotent = is_idempotent;
+        self
+    }
+
+    /// Sets the time by which the answer must be whole.
+    #[must_use]
+    pub fn deadline(mut self, deadline: Instant) -> Self {
+        self.deadline = Some(deadline);
+        self
+    }
+
+    /// Sets the system's own credential at the service.
+    #[must_use]
+    pub fn credential(mut self, credential: UpstreamCredential) -> Self {
+        self.credential = Some(credential);
+        self
+    }
+
+    fn into_request(self) -> UpstreamRequest {
+        let reuse = if self.is_idempotent {
+            ConnectionReuse::Any
+        } else {
+            ConnectionReuse::New
+        };
+        UpstreamRequest {
+            method: self.method,
+            path: self.path,
+            headers: self.headers,
+            body: self.body,
+            credential: self.credential,
+            deadline: self.deadline,
+            reuse,
+        }
+    }
+}
+
+/// A service's whole answer, whatever its status.
+#[derive(Clone, Debug)]
+pub struct ServiceReply {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+    run_state: RunState,
+    retry_after: Option<Duration>,
+}
+
+impl ServiceReply {
+    fn new(answer: WholeAnswer) -> Self {
+        let run_state = if is_marked_not_run(&answer.headers) {
+            RunState::NotRun
+        } else if answer.status.is_server_error() {
+            RunState::Unknown
+        } else {
+            RunState::Ran
+        };
+        Self {
+            status: answer.status,
+            headers: filter_returned(&answer.headers),
+            retry_after: read_retry_after(&answer.headers),
+            body: answer.body,
+            run_state,
+        }
+    }
+
+    /// Returns the status.
+    #[must_use]
+    pub fn get_status(&self) -> StatusCode {
+        self.status
+    }
+
+    /// Returns those headers that may go back to the caller.
+    #[must_use]
+    pub fn get_headers(&self) -> &HeaderMap {
+        &self.headers
+    }
+
+    /// Returns the body.
+    #[must_use]
+    pub fn get_body(&self) -> &Bytes {
+        &self.body
+    }
+
+    /// Returns whether the call ran: not when the service says so, unknown for
+    /// a server error, and ran otherwise.
+    #[must_use]
+    pub fn get_run_state(&self) -> RunState {
+        self.run_state
+    }
+
+    /// Returns when the service wants to be asked again, if it said so.
+    #[must_use]
+    pub fn get_retry_after(&self) -> Option<Duration> {
+        self.retry_after
+    }
+}
+
+/// Sends calls to one replica of a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceClient {
+    pool: UpstreamPool,
+}
+
+impl ServiceClient {
+    /// Creates a client on the replica's pool.
+    #[must_use]
+    pub fn new(pool: UpstreamPool) -> Self {
+        Self { pool }
+    }
+
+    /// Sends a call and reads its whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no whole answer; [`UpstreamError::get_run_state`]
+    /// tells what is proven.
+    pub async fn call(&self, call: ServiceCall) -> Result<ServiceReply, UpstreamError> {
+        let request = call.into_request();
+        let answer = send_request(&self.pool, &request).await?;
+        let answer = answer.read_whole(&self.pool).await?;
+        Ok(ServiceReply::new(answer))
+    }
+}
--- /dev/null
+++ b/crates/upstreams/tests/support/mod.rs
@@ -0,0 +1,111 @@
+//! What the tests of this package share.
+
+#![allow(dead_code)] // each test file uses a part
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use ibisdale_core::ProgramId;
+use ibisdale_net::TrafficExecutor;
+use ibisdale_standins::{ScriptEnd, ScriptedServer};
+use ibisdale_upstreams::{
+    ChatCall, ChatEvent, ChatStream, EngineClient, PoolOptions, UpstreamError, UpstreamPool,
+};
+
+/// Time after which a test counts as hung.
+const HANG_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Runs a test on an executor of its own.
+pub(crate) fn run_test<F: Future<Output = ()>>(test: impl FnOnce(TrafficExecutor) -> F) {
+    let executor = TrafficExecutor::default();
+    let hang = async {
+        smol::Timer::after(HANG_TIMEOUT).await;
+        panic!("the test hangs");
+    };
+    smol::block_on(executor.run(test(executor.clone()).or(hang)));
+}
+
+/// Returns a loopback address with a free port.
+pub(crate) fn any_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Returns limits that are short enough for tests of silence.
+pub(crate) fn short_options() -> PoolOptions {
+    PoolOptions::new().progress_timeout(Duration::from_millis(200))
+}
+
+/// Returns a session that differs by its number.
+pub(crate) fn session(number: u64) -> ProgramId {
+    let mut bytes = [0; 16];
+    bytes[8..].copy_from_slice(&number.to_be_bytes());
+    ProgramId::from_bytes(&bytes).unwrap()
+}
+
+/// Returns the body of a streamed chat call.
+pub(crate) fn chat_body(prompt: &str) -> String {
+    serde_json::json!({
+        "model": "small",
+        "messages": [{"role": "user", "content": prompt}],
+        "stream": true,
+    })
+    .to_string()
+}
+
+/// Opens a pool with the tests' limits.
+pub(crate) fn open_pool(address: SocketAddr, executor: &TrafficExecutor) -> UpstreamPool {
+    UpstreamPool::new(address, executor.clone(), short_options())
+}
+
+/// Sends a chat call and reads its answer to the end.
+pub(crate) async fn chat_whole(
+    client: &EngineClient,
+    prompt: &str,
+) -> Result<String, UpstreamError> {
+    let call = ChatCall::new(chat_body(prompt), session(1));
+    read_text(client.chat(call).await?).await
+}
+
+/// Reads a stream to its end and returns its text.
+pub(crate) async fn read_text(mut stream: ChatStream) -> Result<String, UpstreamError> {
+    let mut text = String::new();
+    let mut is_done = false;
+    while let Some(event) = stream.next().await {
+        match event? {
+            ChatEvent::Delta(chunk) => {
+                let chunk: serde_json::Value = serde_json::from_slice(&chunk).unwrap();
+                let content = &chunk["choices"][0]["delta"]["content"];
+                text.push_str(content.as_str().unwrap_or_default());
+            }
+            ChatEvent::Usage { .. } => {}
+            ChatEvent::Done { .. } => is_done = true,
+        }
+    }
+    assert!(is_done, "a stream without an error ends with Done");
+    Ok(text)
+}
+
+/// Starts a peer that answers with the bytes given, and a client of it.
+pub(crate) fn scripted_engine(
+    executor: &TrafficExecutor,
+    script: &str,
+    end: ScriptEnd,
+) -> (ScriptedServer, EngineClient) {
+    let script = script.to_owned();
+    let server = ScriptedServer::start(any_address(), executor, script, end).unwrap();
+    let client = EngineClient::new(open_pool(server.get_address(), executor));
+    (server, client)
+}
+
+/// Describes an error by what callers act on.
+pub(crate) fn describe(error: &UpstreamError) -> String {
+    format!("{} {:?}", error.get_kind().as_str(), error.get_run_state())
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn wait_until(condition: impl Fn() -> bool) {
+    while !condition() {
+        smol::Timer::after(Duration::from_millis(2)).await;
+    }
+}
