--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -11,9 +11,8 @@
 ///
 /// The origin is the caller's choice: the Unix epoch for times that leave the
 /// process, the start of the process for monotonic ones. The two are not mixed.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct TimeStamp(u64);
 
