--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,7 +11,8 @@
 pub use digest::HistoryDigest;
 pub use ids::{IdError, ProgramId, RequestId, SLOT_COUNT, SlotId, StepNumber};
 pub use names::{
-    AttemptKey, DaemonName, ModelName, NAME_MAX_BYTES, NameError, ServiceName, WorkspaceName,
+    AttemptKey, DaemonName, KeyName, ModelName, NAME_MAX_BYTES, NameError, ProgramName, RouteName,
+    ServiceName, WorkspaceName,
 };
 pub use refusal::{RefusalCode, RequestRefusal, RunState};
 pub use time::{MILLIS_PER_SECOND, TimeStamp};
--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -117,6 +117,18 @@
     /// Names a plain service that programs call.
     ServiceName
 );
+name_type!(
+    /// Names a route of a plain service.
+    RouteName
+);
+name_type!(
+    /// Names a program that a workspace may run.
+    ProgramName
+);
+name_type!(
+    /// Names a key of a workspace; not the key itself.
+    KeyName
+);
 name_type!(
     /// Names a daemon; unique in its fleet and kept over restarts.
     DaemonName
