--- /dev/null
+++ b/crates/settings/src/check.rs
@@ -0,0 +1,232 @@
+//! Checks a file whole and reports every finding.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::finding::{FindingKind, FindingList, SettingsFindings};
+use crate::reader::find_entry;
+use crate::table::{
+    KeySpec, SettingValue, ValueError, ValueKind, find_key, known_keys, list_items,
+};
+use crate::tree::{
+    SectionKind, SettingsGrammar, SettingsSource, SourceEntry, SourceSection, parent_of,
+    parse_source,
+};
+
+/// Pairs of a default and the largest value that a program may ask for.
+pub(crate) const LIMIT_KEYS: [(&str, &str); 5] = [
+    ("deadline_ms", "max_deadline_ms"),
+    ("tokens", "max_tokens"),
+    ("paid_actions", "max_paid_actions"),
+    ("steps", "max_steps"),
+    ("wall_clock_ms", "max_wall_clock_ms"),
+];
+
+/// Sections that a daemon's own file must have.
+const DAEMON_SECTIONS: [&str; 2] = ["/daemon", "/platform"];
+
+const FIRST_LINE: u32 = 1;
+
+/// Parses and checks a file.
+pub(crate) fn check_source(
+    file: &str,
+    text: &str,
+    grammar: SettingsGrammar,
+) -> Result<SettingsSource, SettingsFindings> {
+    let file: Arc<str> = file.into();
+    let mut findings = FindingList::new(Arc::clone(&file));
+    let source = parse_source(text, grammar, &mut findings, file);
+    let mut check = SourceCheck {
+        source: &source,
+        grammar,
+        findings,
+        hashes: HashMap::new(),
+    };
+    check.check_sections();
+    check.findings.finish()?;
+    Ok(source)
+}
+
+struct SourceCheck<'a> {
+    source: &'a SettingsSource,
+    grammar: SettingsGrammar,
+    findings: FindingList,
+    /// Key hashes by their text, with the path and line where they stand.
+    hashes: HashMap<String, (&'a str, u32)>,
+}
+
+impl<'a> SourceCheck<'a> {
+    fn check_sections(&mut self) {
+        for section in self.source.sections() {
+            for entry in &section.entries {
+                self.check_entry(section, entry);
+            }
+            self.check_required(section);
+            self.check_owner(section);
+            if matches!(section.kind, SectionKind::Workspace | SectionKind::Program) {
+                self.check_limits(section);
+            }
+        }
+        if self.grammar == SettingsGrammar::Daemon {
+            self.check_daemon_sections();
+        }
+    }
+
+    fn check_daemon_sections(&mut self) {
+        for path in DAEMON_SECTIONS {
+            if self.source.section(path).is_none() {
+                let message = format!("section '[{path}]' is missing");
+                self.findings.add(FIRST_LINE, FindingKind::Missing, message);
+            }
+        }
+    }
+
+    fn check_entry(&mut self, section: &'a SourceSection, entry: &'a SourceEntry) {
+        let Some(spec) = find_key(self.grammar, &entry.key) else {
+            let message = self.describe_unknown(&entry.key);
+            self.findings
+                .add(entry.line, FindingKind::UnknownKey, message);
+            return;
+        };
+        if !spec.is_allowed_in(section.kind) {
+            let message = format!(
+                "key '{}' does not belong in {}, it is for {}",
+                entry.key,
+                section.kind.pattern(),
+                describe_sections(spec),
+            );
+            self.findings
+                .add(entry.line, FindingKind::UnknownKey, message);
+            return;
+        }
+        if let ValueKind::References(kind) = spec.kind {
+            self.check_references(kind, entry);
+        }
+        match spec.kind.parse(&entry.value) {
+            Ok(SettingValue::KeyHash(hash)) => self.check_hash(hash.to_string(), section, entry),
+            Ok(_) => {}
+            Err(error) => {
+                let message = format!("{} = '{}': {error}", entry.key, entry.value);
+                self.findings
+                    .add(entry.line, value_finding(&error), message);
+            }
+        }
+    }
+
+    fn describe_unknown(&self, key: &str) -> String {
+        let nearest = known_keys(self.grammar)
+            .iter()
+            .find(|spec| is_near(spec.name, key));
+        match nearest {
+            Some(spec) => format!("key '{key}' is not known; is '{}' meant?", spec.name),
+            None => format!("key '{key}' is not known"),
+        }
+    }
+
+    fn check_references(&mut self, kind: SectionKind, entry: &SourceEntry) {
+        // Names that are not accepted are reported with the value.
+        let is_accepted = |name: &&str| ValueKind::Name.check(name).is_ok();
+        for name in list_items(&entry.value).filter(is_accepted) {
+            let path = kind.pattern().replacen("NAME", name, 1);
+            if self.source.section(&path).is_none() {
+                let message = format!("'{}' names '{name}', but there is no [{path}]", entry.key);
+                self.findings
+                    .add(entry.line, FindingKind::MissingReference, message);
+            }
+        }
+    }
+
+    fn check_hash(&mut self, hash: String, section: &'a SourceSection, entry: &SourceEntry) {
+        let place = (section.path.as_str(), entry.line);
+        if let Some((path, line)) = self.hashes.insert(hash, place) {
+            let message = format!("the key hash stands twice, first in {path}, line {line}");
+            self.findings
+                .add(entry.line, FindingKind::Duplicate, message);
+        }
+    }
+
+    fn check_required(&mut self, section: &SourceSection) {
+        for spec in known_keys(self.grammar) {
+            if !spec.is_required || !spec.is_for(section.kind) {
+                continue;
+            }
+            if find_entry(self.source, spec, section.path.as_str()).is_none() {
+                let message = format!("'{}' is missing in [{}]", spec.name, section.path);
+                self.findings
+                    .add(section.line, FindingKind::Missing, message);
+            }
+        }
+    }
+
+    /// Reports a key, program or route whose workspace or service is missing.
+    fn check_owner(&mut self, section: &SourceSection) {
+        if !matches!(
+            section.kind,
+            SectionKind::Key | SectionKind::Program | SectionKind::Route
+        ) {
+            return;
+        }
+        let owner = owner_path(section.path.as_str());
+        if self.source.section(owner).is_none() {
+            let message = format!("[{owner}] is missing, above [{}]", section.path);
+            self.findings
+                .add(section.line, FindingKind::MissingReference, message);
+        }
+    }
+
+    fn check_limits(&mut self, section: &SourceSection) {
+        for (default_key, max_key) in LIMIT_KEYS {
+            let path = section.path.as_str();
+            let default = self.source.find_inherited(path, default_key);
+            let max = self.source.find_inherited(path, max_key);
+            if let (Some((_, default)), Some((_, max))) = (default, max) {
+                self.check_limit(default, max);
+            }
+        }
+    }
+
+    fn check_limit(&mut self, default: &SourceEntry, max: &SourceEntry) {
+        let numbers = (default.value.parse::<u64>(), max.value.parse::<u64>());
+        let (Ok(default_number), Ok(max_number)) = numbers else {
+            // Reported where the value stands.
+            return;
+        };
+        if default_number <= max_number {
+            return;
+        }
+        let message = format!(
+            "{} = {default_number} in line {} is above {} = {max_number} in line {}",
+            default.key, default.line, max.key, max.line,
+        );
+        let line = default.line.max(max.line);
+        self.findings.add(line, FindingKind::Range, message);
+    }
+}
+
+/// Returns the path two segments above.
+fn owner_path(path: &str) -> &str {
+    let parent = parent_of(path).unwrap_or(path);
+    parent_of(parent).unwrap_or(parent)
+}
+
+fn value_finding(error: &ValueError) -> FindingKind {
+    match error {
+        ValueError::Name { .. } => FindingKind::BadName,
+        ValueError::Range { .. } => FindingKind::Range,
+        ValueError::Repeated { .. } => FindingKind::Duplicate,
+        _ => FindingKind::BadValue,
+    }
+}
+
+fn describe_sections(spec: &KeySpec) -> String {
+    let patterns: Vec<&str> = spec.sections.iter().map(|kind| kind.pattern()).collect();
+    patterns.join(", ")
+}
+
+/// Tells whether two keys differ in case, in dashes or in one more or less
+/// character at the end.
+fn is_near(known: &str, key: &str) -> bool {
+    let key = key.to_ascii_lowercase().replace(['-', ' '], "_");
+    let is_prefix = known.starts_with(&key) || key.starts_with(known);
+    key == known || (is_prefix && key.len().abs_diff(known.len()) == 1)
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,52 @@
-//! The operators' settings tree: parsing, inheritance, checks with findings, typed snapshots and differences.
+//! The operators' settings: one tree in INI, checked whole, read as typed
+//! snapshots.
+//!
+//! Sections are paths, and a value set on a parent holds beneath it unless a
+//! child overrides it:
+//!
+//! ```
+//! use ibisdale_settings::CheckedSettings;
+//!
+//! let text = "
+//! [/workspaces]
+//! rate = 5
+//! [/workspaces/kermesse]
+//! [/workspaces/norrfrost]
+//! rate = 7.5
+//! ";
+//! let snapshot = CheckedSettings::parse("settings.ini", text)?.snapshot(1);
+//! let rate = |name: &'static str| {
+//!     let name = ibisdale_core::WorkspaceName::new(name).ok()?;
+//!     Some(snapshot.workspace(&name)?.rate_limit.rate.to_string())
+//! };
+//! assert_eq!(rate("kermesse").as_deref(), Some("5"));
+//! assert_eq!(rate("norrfrost").as_deref(), Some("7.5"));
+//! # Ok::<(), ibisdale_settings::SettingsFindings>(())
+//! ```
+//!
+//! Nothing here performs I/O: text, random numbers and revisions are passed in.
+
+mod check;
+mod daemon_file;
+mod finding;
+mod key_hash;
+mod reader;
+mod snapshot;
+mod table;
+mod tree;
+
+pub use daemon_file::DaemonSettings;
+pub use finding::{FindingKind, SettingsFinding, SettingsFindings, SourcePlace};
+pub use key_hash::{KeyHash, SecretKey};
+pub use snapshot::{
+    AccessList, CheckedSettings, KeyMatch, LimitRange, ModelSettings, ProgramLimits,
+    ProgramSettings, RateLimit, RouteSettings, SchedulingProfile, SchedulingSettings,
+    ServiceSettings, SettingsSnapshot, WorkspaceSettings,
+};
+pub use table::{
+    FixedDecimal, KeySpec, ValueError, ValueKind, ValueUnit, find_key, known_keys, render_reference,
+};
+pub use tree::{
+    PathError, SectionKind, SectionPath, SettingsGrammar, SettingsSource, SourceEntry,
+    SourceSection,
+};
--- /dev/null
+++ b/crates/settings/src/reader.rs
@@ -0,0 +1,113 @@
+//! Reads typed values that hold at a section.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use crate::key_hash::KeyHash;
+use crate::table::{FixedDecimal, KeySpec, SettingValue, find_key};
+use crate::tree::{SettingsGrammar, SettingsSource, SourceEntry, SourceSection};
+
+/// Finds the pair that holds for `spec` at `path`.
+pub(crate) fn find_entry<'a>(
+    source: &'a SettingsSource,
+    spec: &KeySpec,
+    path: &str,
+) -> Option<(&'a SourceSection, &'a SourceEntry)> {
+    if spec.is_inherited {
+        source.find_inherited(path, spec.name)
+    } else {
+        source.find_own(path, spec.name)
+    }
+}
+
+/// Reads the values of one section of a checked source.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SectionReader<'a> {
+    source: &'a SettingsSource,
+    grammar: SettingsGrammar,
+    path: &'a str,
+}
+
+impl<'a> SectionReader<'a> {
+    pub(crate) fn new(source: &'a SettingsSource, grammar: SettingsGrammar, path: &'a str) -> Self {
+        Self {
+            source,
+            grammar,
+            path,
+        }
+    }
+
+    /// Returns the value that is written, without its default.
+    pub(crate) fn written(&self, name: &str) -> Option<SettingValue> {
+        let spec = find_key(self.grammar, name)?;
+        let (_, entry) = find_entry(self.source, spec, self.path)?;
+        spec.kind.parse(&entry.value).ok()
+    }
+
+    fn value(&self, name: &str) -> Option<SettingValue> {
+        let default = || {
+            let spec = find_key(self.grammar, name)?;
+            spec.kind.parse(spec.default?).ok()
+        };
+        self.written(name).or_else(default)
+    }
+
+    pub(crate) fn count(&self, name: &str) -> u64 {
+        match self.value(name) {
+            Some(SettingValue::Count(count)) => count,
+            _ => 0,
+        }
+    }
+
+    pub(crate) fn millis(&self, name: &str) -> Duration {
+        Duration::from_millis(self.count(name))
+    }
+
+    pub(crate) fn decimal(&self, name: &str) -> Option<FixedDecimal> {
+        match self.value(name) {
+            Some(SettingValue::Decimal(number)) => Some(number),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn flag(&self, name: &str) -> bool {
+        matches!(self.value(name), Some(SettingValue::Flag(true)))
+    }
+
+    pub(crate) fn text(&self, name: &str) -> Option<String> {
+        match self.value(name) {
+            Some(SettingValue::Text(text)) => Some(text),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn file_path(&self, name: &str) -> Option<PathBuf> {
+        self.text(name).map(PathBuf::from)
+    }
+
+    pub(crate) fn names(&self, name: &str) -> Vec<String> {
+        match self.value(name) {
+            Some(SettingValue::Names(names)) => names,
+            _ => Vec::new(),
+        }
+    }
+
+    pub(crate) fn key_hash(&self, name: &str) -> Option<KeyHash> {
+        match self.value(name) {
+            Some(SettingValue::KeyHash(hash)) => Some(hash),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn addresses(&self, name: &str) -> Vec<SocketAddr> {
+        match self.value(name) {
+            Some(SettingValue::Addresses(addresses)) => addresses,
+            _ => Vec::new(),
+        }
+    }
+
+    pub(crate) fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.addresses(name).into_iter().next()
+    }
+}
--- /dev/null
+++ b/crates/settings/src/snapshot/build.rs
@@ -0,0 +1,250 @@
+//! Builds a snapshot from a checked file.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use http::Method;
+use ibisdale_core::{KeyName, ModelName, ProgramName, RouteName, ServiceName, WorkspaceName};
+
+use crate::check::check_source;
+use crate::finding::SettingsFindings;
+use crate::reader::SectionReader;
+use crate::snapshot::key_index::KeyRecord;
+use crate::snapshot::limits::{LimitRange, ProgramLimits, RateLimit};
+use crate::snapshot::types::{
+    AccessList, ModelSettings, ProgramSettings, RouteSettings, SchedulingProfile,
+    SchedulingSettings, ServiceSettings, SettingsSnapshot, SnapshotData, WorkspaceSettings,
+};
+use crate::table::{FixedDecimal, SettingValue};
+use crate::tree::{SectionKind, SettingsGrammar, SettingsSource, SourceSection};
+
+const SCHEDULING_PATH: &str = "/scheduling";
+
+/// The operators' tree, checked whole.
+#[derive(Clone, Debug)]
+pub struct CheckedSettings {
+    source: SettingsSource,
+}
+
+impl CheckedSettings {
+    /// Checks a file of the operators' tree.
+    ///
+    /// # Errors
+    ///
+    /// Fails with everything that is wrong in the file.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsFindings> {
+        let source = check_source(file, text, SettingsGrammar::Operators)?;
+        Ok(Self { source })
+    }
+
+    /// Returns the tree as written.
+    #[must_use]
+    pub fn source(&self) -> &SettingsSource {
+        &self.source
+    }
+
+    /// Returns the typed settings as those of `revision`.
+    #[must_use]
+    pub fn snapshot(&self, revision: u64) -> SettingsSnapshot {
+        let mut data = SnapshotData {
+            revision,
+            scheduling: read_scheduling(self.reader(SCHEDULING_PATH)),
+            ..SnapshotData::default()
+        };
+        // Parents are built before what stands in them, whatever the file's order.
+        for section in self.source.sections() {
+            self.add_section(&mut data, section);
+        }
+        for section in self.source.sections() {
+            self.add_part(&mut data, section);
+        }
+        SettingsSnapshot(Arc::new(data))
+    }
+
+    fn reader<'a>(&'a self, path: &'a str) -> SectionReader<'a> {
+        SectionReader::new(&self.source, SettingsGrammar::Operators, path)
+    }
+
+    fn add_section(&self, data: &mut SnapshotData, section: &SourceSection) {
+        let reader = self.reader(section.path.as_str());
+        let name = section.path.last().to_owned();
+        match section.kind {
+            SectionKind::Model => add_model(data, name, reader),
+            SectionKind::Service => add_service(data, name, reader),
+            SectionKind::Workspace => add_workspace(data, name, reader),
+            _ => {}
+        }
+    }
+
+    fn add_part(&self, data: &mut SnapshotData, section: &SourceSection) {
+        let reader = self.reader(section.path.as_str());
+        let name = section.path.last().to_owned();
+        let owner = section.path.as_str().split('/').nth(2).unwrap_or_default();
+        match section.kind {
+            SectionKind::Route => add_route(data, owner, name, reader),
+            SectionKind::Key => add_key(data, owner, name, reader),
+            SectionKind::Program => add_program(data, owner, name, reader),
+            _ => {}
+        }
+    }
+}
+
+fn add_model(data: &mut SnapshotData, name: String, reader: SectionReader<'_>) {
+    let Ok(name) = ModelName::new(name) else {
+        return;
+    };
+    let model = ModelSettings {
+        name: name.clone(),
+        vm_group: reader.text("vm_group").unwrap_or_default(),
+        credential_file: reader.file_path("credential_file"),
+        checks_fencing: reader.flag("checks_fencing"),
+        context_tokens: reader.count("context_tokens"),
+        resumes_streams: reader.flag("resumes_streams"),
+    };
+    data.models.insert(name, Arc::new(model));
+}
+
+fn add_service(data: &mut SnapshotData, name: String, reader: SectionReader<'_>) {
+    let Ok(name) = ServiceName::new(name) else {
+        return;
+    };
+    let service = ServiceSettings {
+        name: name.clone(),
+        vm_group: reader.text("vm_group").unwrap_or_default(),
+        credential_file: reader.file_path("credential_file"),
+        routes: BTreeMap::new(),
+    };
+    data.services.insert(name, Arc::new(service));
+}
+
+fn add_route(data: &mut SnapshotData, service: &str, name: String, reader: SectionReader<'_>) {
+    let names = (ServiceName::new(service.to_owned()), RouteName::new(name));
+    let (Ok(service), Ok(name)) = names else {
+        return;
+    };
+    let method = reader.text("method").unwrap_or_default();
+    let route = RouteSettings {
+        name: name.clone(),
+        method: Method::from_bytes(method.as_bytes()).unwrap_or(Method::POST),
+        path: reader.text("path").unwrap_or_default(),
+        is_idempotent: reader.flag("idempotent"),
+        is_open: reader.flag("open"),
+        timeout: reader.millis("timeout_ms"),
+    };
+    if let Some(service) = data.services.get_mut(&service) {
+        Arc::make_mut(service).routes.insert(name, route);
+    }
+}
+
+fn add_workspace(data: &mut SnapshotData, name: String, reader: SectionReader<'_>) {
+    let Ok(name) = WorkspaceName::new(name) else {
+        return;
+    };
+    let workspace = WorkspaceSettings {
+        name: name.clone(),
+        rate_limit: read_rate_limit(reader),
+        weight: reader.decimal("weight").unwrap_or_default(),
+        history_copies: reader.count("history_copies"),
+        limits: read_limits(reader),
+        access: read_access(reader),
+        programs: BTreeMap::new(),
+    };
+    data.workspaces.insert(name, Arc::new(workspace));
+}
+
+fn add_program(data: &mut SnapshotData, workspace: &str, name: String, reader: SectionReader<'_>) {
+    let names = (
+        WorkspaceName::new(workspace.to_owned()),
+        ProgramName::new(name),
+    );
+    let (Ok(workspace), Ok(name)) = names else {
+        return;
+    };
+    let program = ProgramSettings {
+        name: name.clone(),
+        rate_limit: read_rate_limit(reader),
+        limits: read_limits(reader),
+        access: read_access(reader),
+    };
+    if let Some(workspace) = data.workspaces.get_mut(&workspace) {
+        Arc::make_mut(workspace).programs.insert(name, program);
+    }
+}
+
+fn add_key(data: &mut SnapshotData, workspace: &str, name: String, reader: SectionReader<'_>) {
+    let names = (WorkspaceName::new(workspace.to_owned()), KeyName::new(name));
+    let (Ok(workspace), Ok(key)) = names else {
+        return;
+    };
+    let Some(hash) = reader.key_hash("hash") else {
+        return;
+    };
+    data.keys.insert(KeyRecord {
+        hash,
+        workspace,
+        key,
+        is_withdrawn: reader.flag("withdrawn"),
+    });
+}
+
+fn read_scheduling(reader: SectionReader<'_>) -> SchedulingSettings {
+    let profile = match reader.text("profile").as_deref() {
+        Some("latency") => SchedulingProfile::Latency,
+        _ => SchedulingProfile::Fairness,
+    };
+    SchedulingSettings {
+        profile,
+        fairness_weight: reader.decimal("fairness_weight"),
+        progress_weight: reader.decimal("progress_weight"),
+        deadline_weight: reader.decimal("deadline_weight"),
+        cache_weight: reader.decimal("cache_weight"),
+    }
+}
+
+fn read_rate_limit(reader: SectionReader<'_>) -> RateLimit {
+    let rate: Option<FixedDecimal> = reader.decimal("rate");
+    RateLimit {
+        rate: rate.unwrap_or_default(),
+        burst: reader.count("burst"),
+    }
+}
+
+fn read_limits(reader: SectionReader<'_>) -> ProgramLimits {
+    ProgramLimits {
+        deadline_ms: read_range(reader, "deadline_ms", "max_deadline_ms"),
+        tokens: read_range(reader, "tokens", "max_tokens"),
+        paid_actions: read_range(reader, "paid_actions", "max_paid_actions"),
+        steps: read_range(reader, "steps", "max_steps"),
+        wall_clock_ms: read_range(reader, "wall_clock_ms", "max_wall_clock_ms"),
+    }
+}
+
+/// Reads a limit; of a written and an unwritten value, the unwritten one gives
+/// way.
+fn read_range(reader: SectionReader<'_>, default_key: &str, max_key: &str) -> LimitRange {
+    let default = reader.count(default_key);
+    let max = reader.count(max_key);
+    if default <= max {
+        return LimitRange { default, max };
+    }
+    match reader.written(max_key) {
+        Some(SettingValue::Count(_)) => LimitRange { default: max, max },
+        _ => LimitRange {
+            default,
+            max: default,
+        },
+    }
+}
+
+fn read_access(reader: SectionReader<'_>) -> AccessList {
+    let models = reader.names("models").into_iter();
+    let services = reader.names("services").into_iter();
+    AccessList {
+        models: models
+            .filter_map(|name| ModelName::new(name).ok())
+            .collect(),
+        services: services
+            .filter_map(|name| ServiceName::new(name).ok())
+            .collect(),
+    }
+}
--- /dev/null
+++ b/crates/settings/src/snapshot/mod.rs
@@ -0,0 +1,14 @@
+//! Checked settings as typed values.
+
+mod build;
+mod key_index;
+mod limits;
+mod types;
+
+pub use build::CheckedSettings;
+pub use key_index::KeyMatch;
+pub use limits::{LimitRange, ProgramLimits, RateLimit};
+pub use types::{
+    AccessList, ModelSettings, ProgramSettings, RouteSettings, SchedulingProfile,
+    SchedulingSettings, ServiceSettings, SettingsSnapshot, WorkspaceSettings,
+};
--- /dev/null
+++ b/crates/settings/src/table/daemon_keys.rs
@@ -0,0 +1,119 @@
+//! Keys of a daemon's own file.
+
+use crate::table::spec::{KeySpec, ValueKind, ValueUnit, count, key};
+use crate::tree::SectionKind::{Daemon, Log, Platform, Trace};
+
+const MAX_THREADS: u64 = 1_024;
+
+pub(crate) static DAEMON_KEYS: &[KeySpec] = &[
+    key(
+        "name",
+        &[Daemon],
+        ValueKind::Name,
+        "Name of the daemon, unique in the fleet and kept over restarts.",
+    )
+    .own()
+    .required(),
+    key(
+        "failure_domain",
+        &[Daemon],
+        ValueKind::Name,
+        "Failure domain that the VM stands in.",
+    )
+    .own()
+    .required(),
+    key(
+        "region",
+        &[Daemon],
+        ValueKind::Name,
+        "Region that the failure domain belongs to.",
+    )
+    .own()
+    .default("default"),
+    key(
+        "entry_address",
+        &[Daemon],
+        ValueKind::Address,
+        "Address for callers.",
+    )
+    .own()
+    .required(),
+    key(
+        "fleet_address",
+        &[Daemon],
+        ValueKind::Address,
+        "Address for the other daemons.",
+    )
+    .own()
+    .required(),
+    key(
+        "operator_address",
+        &[Daemon],
+        ValueKind::Address,
+        "Address for operators.",
+    )
+    .own()
+    .required(),
+    key(
+        "data_folder",
+        &[Daemon],
+        ValueKind::FilePath,
+        "Folder for bulk data; a daemon without one keeps nothing.",
+    )
+    .own(),
+    key(
+        "operator_key_hash",
+        &[Daemon],
+        ValueKind::KeyHash,
+        "Hash of the operators' key.",
+    )
+    .own()
+    .required(),
+    key(
+        "traffic_threads",
+        &[Daemon],
+        count(1, MAX_THREADS),
+        "Threads that carry traffic; one more holds control state.",
+    )
+    .own()
+    .unit(ValueUnit::Threads)
+    .default("2"),
+    key(
+        "key_value_endpoints",
+        &[Platform],
+        ValueKind::Addresses,
+        "Addresses of the platform's key-value service.",
+    )
+    .own()
+    .required(),
+    key(
+        "vm_list_address",
+        &[Platform],
+        ValueKind::Address,
+        "Address of the platform's VM list.",
+    )
+    .own()
+    .required(),
+    key(
+        "log_file",
+        &[Log],
+        ValueKind::FilePath,
+        "File for log events; standard error where unset.",
+    )
+    .own(),
+    key(
+        "log_level",
+        &[Log],
+        ValueKind::Choice(&["error", "warn", "info", "debug", "trace"]),
+        "Least level of the events that are logged.",
+    )
+    .own()
+    .default("info"),
+    key(
+        "trace_file",
+        &[Trace],
+        ValueKind::FilePath,
+        "File for trace spans as OTLP JSON lines; no spans are written where unset.",
+    )
+    .own(),
+];
--- /dev/null
+++ b/crates/settings/src/table/mod.rs
@@ -0,0 +1,14 @@
+//! The table of known keys, which drives checks, typed settings, `show` and the
+//! reference page.
+
+mod daemon_keys;
+mod operator_keys;
+mod reference;
+mod spec;
+mod value;
+
+pub use reference::render_reference;
+pub use spec::{KeySpec, ValueKind, ValueUnit, find_key, known_keys};
+pub use value::{FixedDecimal, ValueError};
+
+pub(crate) use value::{SettingValue, list_items};
--- /dev/null
+++ b/crates/settings/src/table/operator_keys.rs
@@ -0,0 +1,255 @@
+//! Keys of the operators' tree.
+
+use crate::table::spec::{KeySpec, ValueKind, ValueUnit, count, decimal, key};
+use crate::tree::SectionKind::{Key, Model, Program, Route, Scheduling, Service, Workspace};
+
+const DAY_MS: u64 = 86_400_000;
+const MAX_TOKENS: u64 = 1_000_000_000;
+const MAX_COUNT: u64 = 1_000_000;
+const MAX_DECIMAL_THOUSANDTHS: u64 = 1_000_000_000;
+
+pub(crate) static OPERATOR_KEYS: &[KeySpec] = &[
+    key(
+        "rate",
+        &[Workspace, Program],
+        decimal(1, MAX_DECIMAL_THOUSANDTHS),
+        "Requests that may start, across all VMs together.",
+    )
+    .unit(ValueUnit::RequestsPerSecond)
+    .default("10"),
+    key(
+        "burst",
+        &[Workspace, Program],
+        count(1, MAX_COUNT),
+        "Requests that may start at once after a quiet time, across all VMs together.",
+    )
+    .unit(ValueUnit::Requests)
+    .default("20"),
+    key(
+        "weight",
+        &[Workspace],
+        decimal(1, 1_000_000),
+        "Share of a busy engine, relative to the other workspaces.",
+    )
+    .default("1"),
+    key(
+        "models",
+        &[Workspace, Program],
+        ValueKind::References(Model),
+        "Models that may be called.",
+    )
+    .default(""),
+    key(
+        "services",
+        &[Workspace, Program],
+        ValueKind::References(Service),
+        "Services that may be called.",
+    )
+    .default(""),
+    key(
+        "history_copies",
+        &[Workspace],
+        count(0, 5),
+        "Copies of each program's history beside the owner's, each in another failure domain.",
+    )
+    .unit(ValueUnit::Copies)
+    .default("1"),
+    key(
+        "deadline_ms",
+        &[Workspace, Program],
+        count(1, DAY_MS),
+        "Deadline of a program that names none.",
+    )
+    .unit(ValueUnit::Millis)
+    .default("60000"),
+    key(
+        "max_deadline_ms",
+        &[Workspace, Program],
+        count(1, DAY_MS),
+        "Latest deadline that a program may ask for.",
+    )
+    .unit(ValueUnit::Millis)
+    .default("3600000"),
+    key(
+        "tokens",
+        &[Workspace, Program],
+        count(0, MAX_TOKENS),
+        "Token budget of a program that names none.",
+    )
+    .unit(ValueUnit::Tokens)
+    .default("20000"),
+    key(
+        "max_tokens",
+        &[Workspace, Program],
+        count(0, MAX_TOKENS),
+        "Largest token budget that a program may ask for.",
+    )
+    .unit(ValueUnit::Tokens)
+    .default("200000"),
+    key(
+        "paid_actions",
+        &[Workspace, Program],
+        count(0, MAX_COUNT),
+        "Budget of paid (non-idempotent) actions of a program that names none.",
+    )
+    .unit(ValueUnit::PaidActions)
+    .default("0"),
+    key(
+        "max_paid_actions",
+        &[Workspace, Program],
+        count(0, MAX_COUNT),
+        "Largest budget of paid actions that a program may ask for.",
+    )
+    .unit(ValueUnit::PaidActions)
+    .default("10"),
+    key(
+        "steps",
+        &[Workspace, Program],
+        count(1, MAX_COUNT),
+        "Step limit of a program that names none.",
+    )
+    .unit(ValueUnit::Steps)
+    .default("20"),
+    key(
+        "max_steps",
+        &[Workspace, Program],
+        count(1, MAX_COUNT),
+        "Largest step limit that a program may ask for.",
+    )
+    .unit(ValueUnit::Steps)
+    .default("100"),
+    key(
+        "wall_clock_ms",
+        &[Workspace, Program],
+        count(1, DAY_MS),
+        "Wall-clock limit of a program that names none.",
+    )
+    .unit(ValueUnit::Millis)
+    .default("300000"),
+    key(
+        "max_wall_clock_ms",
+        &[Workspace, Program],
+        count(1, DAY_MS),
+        "Largest wall-clock limit that a program may ask for.",
+    )
+    .unit(ValueUnit::Millis)
+    .default("3600000"),
+    key(
+        "hash",
+        &[Key],
+        ValueKind::KeyHash,
+        "Hash of the key; the key itself is shown once, when it is granted.",
+    )
+    .own()
+    .required(),
+    key(
+        "withdrawn",
+        &[Key],
+        ValueKind::Flag,
+        "Whether the key is withdrawn; set on a workspace, it withdraws all its keys.",
+    )
+    .default("no"),
+    key(
+        "vm_group",
+        &[Model, Service],
+        ValueKind::Name,
+        "Group of the platform's VM list that holds the replicas.",
+    )
+    .required(),
+    key(
+        "credential_file",
+        &[Model, Service],
+        ValueKind::FilePath,
+        "File with the credential that is presented to the upstream, on each VM.",
+    ),
+    key(
+        "checks_fencing",
+        &[Model],
+        ValueKind::Flag,
+        "Whether the engines refuse an order with an old fencing number.",
+    )
+    .default("no"),
+    key(
+        "context_tokens",
+        &[Model],
+        count(1, MAX_TOKENS),
+        "Longest context of the model.",
+    )
+    .unit(ValueUnit::Tokens)
+    .default("32768"),
+    key(
+        "resumes_streams",
+        &[Model],
+        ValueKind::Flag,
+        "Whether the engines can resume a stream that was cut.",
+    )
+    .default("no"),
+    key(
+        "method",
+        &[Route],
+        ValueKind::Choice(&["GET", "POST", "PUT", "PATCH", "DELETE"]),
+        "HTTP method.",
+    )
+    .default("POST"),
+    key(
+        "path",
+        &[Route],
+        ValueKind::UrlPath,
+        "Path at the upstream.",
+    )
+    .own()
+    .required(),
+    key(
+        "idempotent",
+        &[Route],
+        ValueKind::Flag,
+        "Whether a call may be repeated; a call that may not is a paid action.",
+    )
+    .default("no"),
+    key(
+        "open",
+        &[Route],
+        ValueKind::Flag,
+        "Whether the route may be called without a key.",
+    )
+    .default("no"),
+    key(
+        "timeout_ms",
+        &[Route],
+        count(1, DAY_MS),
+        "Time in which the upstream must answer.",
+    )
+    .unit(ValueUnit::Millis)
+    .default("10000"),
+    key(
+        "profile",
+        &[Scheduling],
+        ValueKind::Choice(&["fairness", "latency"]),
+        "What waiting calls are ordered for: the worst-served workspace or program latency.",
+    )
+    .default("fairness"),
+    key(
+        "fairness_weight",
+        &[Scheduling],
+        decimal(0, 1_000_000),
+        "Weight of what a workspace was served less than its share; the profile decides where unset.",
+    ),
+    key(
+        "progress_weight",
+        &[Scheduling],
+        decimal(0, 1_000_000),
+        "Weight of the service a program has had; the profile decides where unset.",
+    ),
+    key(
+        "deadline_weight",
+        &[Scheduling],
+        decimal(0, 1_000_000),
+        "Weight of the time left to a program's deadline; the profile decides where unset.",
+    ),
+    key(
+        "cache_weight",
+        &[Scheduling],
+        decimal(0, 1_000_000),
+        "Weight of a cached prefix in the choice of a replica; the profile decides where unset.",
+    ),
+];
--- /dev/null
+++ b/crates/settings/src/table/reference.rs
@@ -0,0 +1,105 @@
+//! The reference page, written from the table.
+
+use std::fmt::Write;
+
+use crate::table::spec::{KeySpec, ValueKind, known_keys};
+use crate::tree::SettingsGrammar;
+
+const INTRODUCTION: &str = "\
+# Settings
+
+Settings are INI files whose sections are paths. Lines starting with `;` are
+comments. Names in paths hold letters, digits, `-`, `_`, `.` and `:`.
+
+`ibisdale check FILE` reports everything that is wrong in a file, with file and
+line. This page is written from the table that the check uses.
+
+## The operators' tree
+
+One tree for the fleet. A value set on a parent section holds beneath it unless
+a child overrides it: `rate = 5` in `[/workspaces]` holds for every workspace
+that has no `rate` of its own. Keys marked *own* stand only in their section.
+
+";
+
+const DAEMON_INTRODUCTION: &str = "
+## A daemon's own file
+
+Read at start by `ibisdaled`.
+
+";
+
+/// Returns the reference page in Markdown.
+#[must_use]
+pub fn render_reference() -> String {
+    let mut page = INTRODUCTION.to_owned();
+    write_table(&mut page, known_keys(SettingsGrammar::Operators));
+    page.push_str(DAEMON_INTRODUCTION);
+    write_table(&mut page, known_keys(SettingsGrammar::Daemon));
+    page
+}
+
+fn write_table(page: &mut String, specs: &[KeySpec]) {
+    page.push_str("| key | section | value | unit | default | meaning |\n");
+    page.push_str("| --- | --- | --- | --- | --- | --- |\n");
+    for spec in specs {
+        // Writing to a string cannot fail.
+        let _ = writeln!(
+            page,
+            "| `{}` | {} | {} | {} | {} | {} |",
+            spec.name,
+            describe_sections(spec),
+            spec.kind.describe(),
+            spec.unit.as_str(),
+            describe_default(spec),
+            spec.doc,
+        );
+    }
+}
+
+fn describe_sections(spec: &KeySpec) -> String {
+    let sections: Vec<String> = spec
+        .sections
+        .iter()
+        .map(|section| format!("`{}`", section.pattern()))
+        .collect();
+    let sections = sections.join(", ");
+    if spec.is_inherited {
+        return sections;
+    }
+    format!("{sections} (*own*)")
+}
+
+fn describe_default(spec: &KeySpec) -> String {
+    match spec.default {
+        _ if spec.is_required => "*required*".to_owned(),
+        None => "unset".to_owned(),
+        Some("") => "empty".to_owned(),
+        Some(text) => format!("`{text}`"),
+    }
+}
+
+impl ValueKind {
+    /// Describes the values that are accepted.
+    #[must_use]
+    pub fn describe(self) -> String {
+        match self {
+            Self::Count { min, max } => format!("whole number, {min} to {max}"),
+            Self::Decimal { min, max } => format!("number, {min} to {max}"),
+            Self::Flag => "`yes` or `no`".to_owned(),
+            Self::Choice(words) => describe_words(words),
+            Self::Name => "name".to_owned(),
+            Self::References(kind) => format!("names of `{}`, separated by commas", kind.pattern()),
+            Self::KeyHash => "`blake3:` and 64 hexadecimal digits".to_owned(),
+            Self::FilePath => "path".to_owned(),
+            Self::UrlPath => "URL path".to_owned(),
+            Self::Address => "IP number and port".to_owned(),
+            Self::Addresses => "IP numbers and ports, separated by commas".to_owned(),
+        }
+    }
+}
+
+fn describe_words(words: &[&str]) -> String {
+    let words: Vec<String> = words.iter().map(|word| format!("`{word}`")).collect();
+    words.join(", ")
+}
--- /dev/null
+++ b/crates/settings/src/table/spec.rs
@@ -0,0 +1,187 @@
+//! What is known about each key.
+
+use crate::table::daemon_keys::DAEMON_KEYS;
+use crate::table::operator_keys::OPERATOR_KEYS;
+use crate::table::value::FixedDecimal;
+use crate::tree::{SectionKind, SettingsGrammar};
+
+/// The kind of a value, with its range.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ValueKind {
+    /// A whole number.
+    Count {
+        /// Smallest value.
+        min: u64,
+        /// Largest value.
+        max: u64,
+    },
+    /// A number with up to three decimals.
+    Decimal {
+        /// Smallest value.
+        min: FixedDecimal,
+        /// Largest value.
+        max: FixedDecimal,
+    },
+    /// `yes` or `no`.
+    Flag,
+    /// One of some words.
+    Choice(&'static [&'static str]),
+    /// A name: letters, digits, `-`, `_`, `.` and `:`.
+    Name,
+    /// Names of sections of this kind, separated by commas.
+    References(SectionKind),
+    /// `blake3:` and 64 hexadecimal digits.
+    KeyHash,
+    /// The path of a file or folder.
+    FilePath,
+    /// The path of a URL, from its `/`.
+    UrlPath,
+    /// An IP number and a port.
+    Address,
+    /// Addresses separated by commas.
+    Addresses,
+}
+
+/// The unit of a number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ValueUnit {
+    /// No unit.
+    None,
+    /// Milliseconds.
+    Millis,
+    /// Requests.
+    Requests,
+    /// Requests a second.
+    RequestsPerSecond,
+    /// Tokens.
+    Tokens,
+    /// Paid actions.
+    PaidActions,
+    /// Steps.
+    Steps,
+    /// Copies.
+    Copies,
+    /// Threads.
+    Threads,
+}
+
+impl ValueUnit {
+    /// Returns the unit as shown to operators.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::None => "",
+            Self::Millis => "ms",
+            Self::Requests => "requests",
+            Self::RequestsPerSecond => "requests/s",
+            Self::Tokens => "tokens",
+            Self::PaidActions => "paid actions",
+            Self::Steps => "steps",
+            Self::Copies => "copies",
+            Self::Threads => "threads",
+        }
+    }
+}
+
+/// A known key.
+#[derive(Clone, Copy, Debug)]
+pub struct KeySpec {
+    /// The key.
+    pub name: &'static str,
+    /// The sections that the value is for.
+    pub sections: &'static [SectionKind],
+    /// Whether the value may stand in a section above and hold beneath it.
+    pub is_inherited: bool,
+    /// The kind of the value.
+    pub kind: ValueKind,
+    /// The unit of the value.
+    pub unit: ValueUnit,
+    /// The value where none is written.
+    pub default: Option<&'static str>,
+    /// Whether a section that the value is for must have it.
+    pub is_required: bool,
+    /// One sentence for the reference page.
+    pub doc: &'static str,
+}
+
+impl KeySpec {
+    /// Tells whether the value is for sections of this kind.
+    #[must_use]
+    pub fn is_for(&self, section: SectionKind) -> bool {
+        self.sections.contains(&section)
+    }
+
+    /// Tells whether the key may be written in sections of this kind.
+    #[must_use]
+    pub fn is_allowed_in(&self, section: SectionKind) -> bool {
+        self.is_for(section)
+            || (self.is_inherited && self.sections.iter().any(|kind| kind.is_within(section)))
+    }
+}
+
+/// Returns the table of a file's keys.
+#[must_use]
+pub const fn known_keys(grammar: SettingsGrammar) -> &'static [KeySpec] {
+    match grammar {
+        SettingsGrammar::Operators => OPERATOR_KEYS,
+        SettingsGrammar::Daemon => DAEMON_KEYS,
+    }
+}
+
+/// Finds a key by its name.
+#[must_use]
+pub fn find_key(grammar: SettingsGrammar, name: &str) -> Option<&'static KeySpec> {
+    known_keys(grammar).iter().find(|spec| spec.name == name)
+}
+
+pub(crate) const fn count(min: u64, max: u64) -> ValueKind {
+    ValueKind::Count { min, max }
+}
+
+pub(crate) const fn decimal(min_thousandths: u64, max_thousandths: u64) -> ValueKind {
+    ValueKind::Decimal {
+        min: FixedDecimal::from_thousandths(min_thousandths),
+        max: FixedDecimal::from_thousandths(max_thousandths),
+    }
+}
+
+/// Starts a row of the table: inherited, optional and without a default.
+pub(crate) const fn key(
+    name: &'static str,
+    sections: &'static [SectionKind],
+    kind: ValueKind,
+    doc: &'static str,
+) -> KeySpec {
+    KeySpec {
+        name,
+        sections,
+        is_inherited: true,
+        kind,
+        unit: ValueUnit::None,
+        default: None,
+        is_required: false,
+        doc,
+    }
+}
+
+impl KeySpec {
+    pub(crate) const fn default(mut self, text: &'static str) -> Self {
+        self.default = Some(text);
+        self
+    }
+
+    pub(crate) const fn unit(mut self, unit: ValueUnit) -> Self {
+        self.unit = unit;
+        self
+    }
+
+    pub(crate) const fn required(mut self) -> Self {
+        self.is_required = true;
+        self
+    }
+
+    pub(crate) const fn own(mut self) -> Self {
+        self.is_inherited = false;
+        self
+    }
+}
--- /dev/null
+++ b/crates/settings/src/table/value.rs
@@ -0,0 +1,282 @@
+//! Values and how they are read from text.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use ibisdale_core::{NameError, WorkspaceName};
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+use crate::key_hash::KeyHash;
+use crate::table::spec::ValueKind;
+
+const THOUSANDTHS: u64 = 1_000;
+const DECIMAL_PLACES: usize = 3;
+const YES: &str = "yes";
+const NO: &str = "no";
+
+/// A number with three decimals, counted in thousandths.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize, Serialize)]
+#[serde(transparent)]
+pub struct FixedDecimal(u64);
+
+impl FixedDecimal {
+    /// Creates a number from its thousandths.
+    #[must_use]
+    pub const fn from_thousandths(thousandths: u64) -> Self {
+        Self(thousandths)
+    }
+
+    /// Returns the number's thousandths.
+    #[must_use]
+    pub const fn as_thousandths(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the number as floating point.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss, reason = "settings stay far below 2^52 thousandths")]
+    pub fn as_f64(self) -> f64 {
+        self.0 as f64 / THOUSANDTHS as f64
+    }
+}
+
+impl FromStr for FixedDecimal {
+    type Err = ValueError;
+
+    fn from_str(text: &str) -> Result<Self, ValueError> {
+        let (whole, decimals) = text.split_once('.').unwrap_or((text, "0"));
+        if !is_digits(whole) || !is_digits(decimals) || decimals.len() > DECIMAL_PLACES {
+            return Err(ValueError::Decimal);
+        }
+        let whole: u64 = whole.parse().map_err(|_| ValueError::Decimal)?;
+        let decimals: u64 = format!("{decimals:0<DECIMAL_PLACES$}")
+            .parse()
+            .map_err(|_| ValueError::Decimal)?;
+        whole
+            .checked_mul(THOUSANDTHS)
+            .and_then(|thousandths| thousandths.checked_add(decimals))
+            .map(Self)
+            .ok_or(ValueError::Decimal)
+    }
+}
+
+impl fmt::Display for FixedDecimal {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let whole = self.0 / THOUSANDTHS;
+        let decimals = self.0 % THOUSANDTHS;
+        if decimals == 0 {
+            return write!(formatter, "{whole}");
+        }
+        let decimals = format!("{decimals:0>DECIMAL_PLACES$}");
+        write!(formatter, "{whole}.{}", decimals.trim_end_matches('0'))
+    }
+}
+
+fn is_digits(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit())
+}
+
+/// Tells why a value is not accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum ValueError {
+    /// Not a whole number.
+    #[snafu(display("a whole number is expected"))]
+    Count,
+    /// Not a number with up to three decimals.
+    #[snafu(display("a number with at most three decimals is expected"))]
+    Decimal,
+    /// The number is outside its range.
+    #[snafu(display("a number from {min} to {max} is expected"))]
+    Range {
+        /// Smallest value.
+        min: String,
+        /// Largest value.
+        max: String,
+    },
+    /// Neither `yes` nor `no`.
+    #[snafu(display("'yes' or 'no' is expected"))]
+    Flag,
+    /// None of the words that are allowed.
+    #[snafu(display("one of {} is expected", words.join(", ")))]
+    Choice {
+        /// The words that are allowed.
+        words: &'static [&'static str],
+    },
+    /// Not a name.
+    #[snafu(display("{source}"))]
+    Name {
+        /// Why the name is not accepted.
+        source: NameError,
+    },
+    /// Not a hash.
+    #[snafu(display("'blake3:' and 64 hexadecimal digits are expected"))]
+    KeyHash,
+    /// No path is given.
+    #[snafu(display("a path is expected"))]
+    FilePath,
+    /// Not the path of a URL.
+    #[snafu(display("a URL path that starts with '/' and has no spaces, '?' or '#' is expected"))]
+    UrlPath,
+    /// Not an address.
+    #[snafu(display("an IP number with a port is expected, such as 127.0.0.1:7101"))]
+    Address,
+    /// A name or address stands twice in a list.
+    #[snafu(display("'{item}' stands twice"))]
+    Repeated {
+        /// The repeated item.
+        item: String,
+    },
+}
+
+/// A checked value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum SettingValue {
+    Count(u64),
+    Decimal(FixedDecimal),
+    Flag(bool),
+    Text(String),
+    Names(Vec<String>),
+    KeyHash(KeyHash),
+    Addresses(Vec<SocketAddr>),
+}
+
+impl ValueKind {
+    /// Checks a value.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text is not a value of this kind.
+    pub fn check(self, text: &str) -> Result<(), ValueError> {
+        self.parse(text).map(drop)
+    }
+
+    pub(crate) fn parse(self, text: &str) -> Result<SettingValue, ValueError> {
+        match self {
+            Self::Count { min, max } => parse_count(text, min, max),
+            Self::Decimal { min, max } => parse_decimal(text, min, max),
+            Self::Flag => parse_flag(text),
+            Self::Choice(words) => parse_choice(text, words),
+            Self::Name => check_name(text).map(|()| SettingValue::Text(text.to_owned())),
+            Self::References(_) => parse_names(text),
+            Self::KeyHash => text.parse().map(SettingValue::KeyHash),
+            Self::FilePath => parse_file_path(text),
+            Self::UrlPath => parse_url_path(text),
+            Self::Address => {
+                parse_address(text).map(|address| SettingValue::Addresses(vec![address]))
+            }
+            Self::Addresses => parse_addresses(text),
+        }
+    }
+}
+
+fn parse_count(text: &str, min: u64, max: u64) -> Result<SettingValue, ValueError> {
+    if !is_digits(text) {
+        return Err(ValueError::Count);
+    }
+    // More digits than a number holds are outside any range.
+    let count = text.parse().unwrap_or(u64::MAX);
+    check_range(&count, &min, &max)?;
+    Ok(SettingValue::Count(count))
+}
+
+fn parse_decimal(
+    text: &str,
+    min: FixedDecimal,
+    max: FixedDecimal,
+) -> Result<SettingValue, ValueError> {
+    let number = text.parse()?;
+    check_range(&number, &min, &max)?;
+    Ok(SettingValue::Decimal(number))
+}
+
+fn check_range<T: PartialOrd + ToString>(number: &T, min: &T, max: &T) -> Result<(), ValueError> {
+    if number >= min && number <= max {
+        return Ok(());
+    }
+    Err(ValueError::Range {
+        min: min.to_string(),
+        max: max.to_string(),
+    })
+}
+
+fn parse_flag(text: &str) -> Result<SettingValue, ValueError> {
+    match text {
+        YES => Ok(SettingValue::Flag(true)),
+        NO => Ok(SettingValue::Flag(false)),
+        _ => Err(ValueError::Flag),
+    }
+}
+
+fn parse_choice(text: &str, words: &'static [&'static str]) -> Result<SettingValue, ValueError> {
+    if words.contains(&text) {
+        return Ok(SettingValue::Text(text.to_owned()));
+    }
+    Err(ValueError::Choice { words })
+}
+
+fn check_name(text: &str) -> Result<(), ValueError> {
+    // All names follow one rule, that of workspaces.
+    match WorkspaceName::new(text.to_owned()) {
+        Ok(_) => Ok(()),
+        Err(source) => Err(ValueError::Name { source }),
+    }
+}
+
+fn parse_names(text: &str) -> Result<SettingValue, ValueError> {
+    let mut names: Vec<String> = Vec::new();
+    for name in list_items(text) {
+        check_name(name)?;
+        if names.iter().any(|known| known == name) {
+            return Err(ValueError::Repeated {
+                item: name.to_owned(),
+            });
+        }
+        names.push(name.to_owned());
+    }
+    Ok(SettingValue::Names(names))
+}
+
+/// Splits a list at its commas; an empty text is an empty list.
+pub(crate) fn list_items(text: &str) -> impl Iterator<Item = &str> {
+    let is_empty = text.is_empty();
+    text.split(',').map(str::trim).filter(move |_| !is_empty)
+}
+
+fn parse_file_path(text: &str) -> Result<SettingValue, ValueError> {
+    if text.is_empty() || text.contains('\0') {
+        return Err(ValueError::FilePath);
+    }
+    Ok(SettingValue::Text(text.to_owned()))
+}
+
+fn parse_url_path(text: &str) -> Result<SettingValue, ValueError> {
+    let is_plain = |byte: u8| byte.is_ascii_graphic() && !b"?#".contains(&byte);
+    if text.starts_with('/') && text.bytes().all(is_plain) {
+        return Ok(SettingValue::Text(text.to_owned()));
+    }
+    Err(ValueError::UrlPath)
+}
+
+fn parse_address(text: &str) -> Result<SocketAddr, ValueError> {
+    let address: SocketAddr = text.parse().map_err(|_| ValueError::Address)?;
+    if address.port() == 0 {
+        return Err(ValueError::Address);
+    }
+    Ok(address)
+}
+
+fn parse_addresses(text: &str) -> Result<SettingValue, ValueError> {
+    let mut addresses = Vec::new();
+    for item in text.split(',').map(str::trim) {
+        let address = parse_address(item)?;
+        if addresses.contains(&address) {
+            return Err(ValueError::Repeated {
+                item: item.to_owned(),
+            });
+        }
+        addresses.push(address);
+    }
+    Ok(SettingValue::Addresses(addresses))
+}
--- /dev/null
+++ b/crates/settings/src/tree/mod.rs
@@ -0,0 +1,12 @@
+//! The settings tree as written: sections, keys and their places.
+
+mod kind;
+mod path;
+mod source;
+
+pub use kind::{SectionKind, SettingsGrammar};
+pub use path::{PathError, SectionPath};
+pub use source::{SettingsSource, SourceEntry, SourceSection};
+
+pub(crate) use path::parent_of;
+pub(crate) use source::parse_source;
--- /dev/null
+++ b/crates/settings/src/tree/path.rs
@@ -0,0 +1,136 @@
+//! Paths of sections.
+
+use std::fmt;
+
+use ibisdale_core::{NameError, WorkspaceName};
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+use crate::tree::kind::{SectionKind, SettingsGrammar};
+
+/// Tells why a path is not accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum PathError {
+    /// The path does not start with `/`.
+    #[snafu(display("section '{path}' does not start with '/'"))]
+    Relative {
+        /// The rejected path.
+        path: String,
+    },
+    /// No section has this path.
+    #[snafu(display("section '{path}' is not known"))]
+    Unknown {
+        /// The rejected path.
+        path: String,
+    },
+    /// A name in the path is not accepted.
+    #[snafu(display("name '{name}' in section '{path}': {source}"))]
+    Name {
+        /// The rejected path.
+        path: String,
+        /// The rejected name.
+        name: String,
+        /// Why the name is not accepted.
+        source: NameError,
+    },
+}
+
+/// The path of a section, such as `/workspaces/kermesse`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Deserialize, Serialize)]
+#[serde(transparent)]
+pub struct SectionPath(String);
+
+impl SectionPath {
+    /// Returns the path of the top section, `/`.
+    #[must_use]
+    pub fn root() -> Self {
+        Self("/".to_owned())
+    }
+
+    /// Reads a path and tells what kind of section it leads to.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the path is relative, leads to no known section or holds a
+    /// name that is not accepted.
+    pub fn parse(path: &str, grammar: SettingsGrammar) -> Result<(Self, SectionKind), PathError> {
+        let Some(rest) = path.strip_prefix('/') else {
+            return Err(PathError::Relative {
+                path: path.to_owned(),
+            });
+        };
+        if rest.is_empty() {
+            return Ok((Self::root(), SectionKind::Root));
+        }
+        let mut kind = SectionKind::Root;
+        for segment in rest.split('/') {
+            kind = kind
+                .child(segment, grammar)
+                .ok_or_else(|| PathError::Unknown {
+                    path: path.to_owned(),
+                })?;
+            if kind.is_named() {
+                check_segment(path, segment)?;
+            }
+        }
+        Ok((Self(path.to_owned()), kind))
+    }
+
+    /// Returns the path of a section beneath this one.
+    #[must_use]
+    pub fn join(&self, segment: &str) -> Self {
+        if self.0 == "/" {
+            return Self(format!("/{segment}"));
+        }
+        Self(format!("{}/{segment}", self.0))
+    }
+
+    /// Returns the path of the section above.
+    #[must_use]
+    pub fn parent(&self) -> Option<Self> {
+        parent_of(&self.0).map(|parent| Self(parent.to_owned()))
+    }
+
+    /// Returns the last segment; empty for `/`.
+    #[must_use]
+    pub fn last(&self) -> &str {
+        self.0.rsplit('/').next().unwrap_or_default()
+    }
+
+    /// Returns the path as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for SectionPath {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+/// Returns the path above `path`, as text.
+pub(crate) fn parent_of(path: &str) -> Option<&str> {
+    if path == "/" {
+        return None;
+    }
+    match path.rfind('/') {
+        Some(0) => Some("/"),
+        Some(end) => Some(&path[..end]),
+        None => None,
+    }
+}
+
+fn check_segment(path: &str, segment: &str) -> Result<(), PathError> {
+    // All names follow one rule, that of workspaces.
+    match WorkspaceName::new(segment.to_owned()) {
+        Ok(_) => Ok(()),
+        Err(source) => Err(PathError::Name {
+            path: path.to_owned(),
+            name: segment.to_owned(),
+            source,
+        }),
+    }
+}
--- /dev/null
+++ b/crates/settings/src/tree/source.rs
@@ -0,0 +1,232 @@
+//! The tree as written in a file.
+
+use std::collections::HashMap;
+use std::fmt::Write;
+use std::sync::Arc;
+
+use ini_core::{Item, Parser};
+
+use crate::finding::{FindingKind, FindingList};
+use crate::tree::kind::{SectionKind, SettingsGrammar};
+use crate::tree::path::{PathError, SectionPath, parent_of};
+
+/// A `KEY = VALUE` pair.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SourceEntry {
+    /// The key.
+    pub key: String,
+    /// The value as written, without spaces around it.
+    pub value: String,
+    /// The line, from 1.
+    pub line: u32,
+}
+
+/// A section and its pairs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SourceSection {
+    /// The section's path.
+    pub path: SectionPath,
+    /// The section's kind.
+    pub kind: SectionKind,
+    /// The line of the section's header, from 1.
+    pub line: u32,
+    /// The pairs in the order of the file.
+    pub entries: Vec<SourceEntry>,
+}
+
+impl SourceSection {
+    /// Returns the pair with this key.
+    #[must_use]
+    pub fn get(&self, key: &str) -> Option<&SourceEntry> {
+        self.entries.iter().find(|entry| entry.key == key)
+    }
+}
+
+/// A parsed settings file.
+#[derive(Clone, Debug)]
+pub struct SettingsSource {
+    file: Arc<str>,
+    sections: Vec<SourceSection>,
+    index: HashMap<String, usize>,
+}
+
+impl SettingsSource {
+    fn new(file: Arc<str>) -> Self {
+        Self {
+            file,
+            sections: Vec::new(),
+            index: HashMap::new(),
+        }
+    }
+
+    /// Returns the file's name.
+    #[must_use]
+    pub fn file(&self) -> &Arc<str> {
+        &self.file
+    }
+
+    /// Returns the sections in the order of the file.
+    #[must_use]
+    pub fn sections(&self) -> &[SourceSection] {
+        &self.sections
+    }
+
+    /// Returns the section with this path.
+    #[must_use]
+    pub fn section(&self, path: &str) -> Option<&SourceSection> {
+        self.index.get(path).map(|index| &self.sections[*index])
+    }
+
+    /// Finds the pair that holds at `path`: the section's own, or the nearest
+    /// one above it.
+    #[must_use]
+    pub fn find_inherited(&self, path: &str, key: &str) -> Option<(&SourceSection, &SourceEntry)> {
+        let mut current = Some(path);
+        while let Some(path) = current {
+            if let Some(found) = self.find_own(path, key) {
+                return Some(found);
+            }
+            current = parent_of(path);
+        }
+        None
+    }
+
+    /// Finds the pair that is written in the section itself.
+    #[must_use]
+    pub fn find_own(&self, path: &str, key: &str) -> Option<(&SourceSection, &SourceEntry)> {
+        let section = self.section(path)?;
+        section.get(key).map(|entry| (section, entry))
+    }
+
+    /// Writes the tree as INI text, without comments.
+    #[must_use]
+    pub fn format(&self) -> String {
+        let mut text = String::new();
+        for (index, section) in self.sections.iter().enumerate() {
+            if index > 0 {
+                text.push('\n');
+            }
+            // Writing to a string cannot fail.
+            let _ = writeln!(text, "[{}]", section.path);
+            for entry in &section.entries {
+                let _ = writeln!(text, "{} = {}", entry.key, entry.value);
+            }
+        }
+        text
+    }
+}
+
+/// Reads INI text; what cannot be read becomes a finding and is left out.
+pub(crate) fn parse_source(
+    text: &str,
+    grammar: SettingsGrammar,
+    findings: &mut FindingList,
+    file: Arc<str>,
+) -> SettingsSource {
+    let mut builder = SourceBuilder {
+        source: SettingsSource::new(file),
+        grammar,
+        current: Current::None,
+    };
+    let mut parser = Parser::new(text).auto_trim(true);
+    loop {
+        let line = parser.line() + 1;
+        let Some(item) = parser.next() else {
+            return builder.source;
+        };
+        builder.take(item, line, findings);
+    }
+}
+
+/// The section that the following pairs belong to.
+#[derive(Clone, Copy)]
+enum Current {
+    /// No header has been read.
+    None,
+    /// The header was rejected; its pairs are not checked.
+    Rejected,
+    /// The section with this index.
+    Section(usize),
+}
+
+struct SourceBuilder {
+    source: SettingsSource,
+    grammar: SettingsGrammar,
+    current: Current,
+}
+
+impl SourceBuilder {
+    fn take(&mut self, item: Item<'_>, line: u32, findings: &mut FindingList) {
+        match item {
+            Item::Section(path) => self.open_section(path, line, findings),
+            Item::Property(key, Some(value)) => self.add_entry(key, value, line, findings),
+            Item::Property(text, None) | Item::Error(text) => {
+                if text.starts_with('[') {
+                    self.current = Current::Rejected;
+                }
+                let message = format!("'{text}' is neither [SECTION], KEY = VALUE nor a comment");
+                findings.add(line, FindingKind::Syntax, message);
+            }
+            Item::SectionEnd | Item::Comment(_) | Item::Blank => {}
+        }
+    }
+
+    fn open_section(&mut self, path: &str, line: u32, findings: &mut FindingList) {
+        self.current = Current::Rejected;
+        let (path, kind) = match SectionPath::parse(path, self.grammar) {
+            Ok(parsed) => parsed,
+            Err(error) => {
+                findings.add(line, path_finding(&error), error.to_string());
+                return;
+            }
+        };
+        if let Some(first) = self.source.section(path.as_str()) {
+            let message = format!(
+                "section '{path}' stands twice, first in line {}",
+                first.line
+            );
+            findings.add(line, FindingKind::Duplicate, message);
+        }
+        let index = self.source.sections.len();
+        self.source
+            .index
+            .entry(path.as_str().to_owned())
+            .or_insert(index);
+        self.source.sections.push(SourceSection {
+            path,
+            kind,
+            line,
+            entries: Vec::new(),
+        });
+        self.current = Current::Section(index);
+    }
+
+    fn add_entry(&mut self, key: &str, value: &str, line: u32, findings: &mut FindingList) {
+        let index = match self.current {
+            Current::Section(index) => index,
+            Current::Rejected => return,
+            Current::None => {
+                let message = format!("'{key}' stands before the first [SECTION]");
+                findings.add(line, FindingKind::Syntax, message);
+                return;
+            }
+        };
+        let section = &mut self.source.sections[index];
+        if let Some(first) = section.get(key) {
+            let message = format!("'{key}' stands twice, first in line {}", first.line);
+            findings.add(line, FindingKind::Duplicate, message);
+        }
+        section.entries.push(SourceEntry {
+            key: key.to_owned(),
+            value: value.to_owned(),
+            line,
+        });
+    }
+}
+
+fn path_finding(error: &PathError) -> FindingKind {
+    match error {
+        PathError::Relative { .. } | PathError::Unknown { .. } => FindingKind::UnknownSection,
+        PathError::Name { .. } => FindingKind::BadName,
+    }
+}
--- /dev/null
+++ b/crates/settings/tests/findings.rs
@@ -0,0 +1,130 @@
+//! Everything that is wrong in a file is reported together, with its place.
+
+use ibisdale_settings::{CheckedSettings, DaemonSettings, FindingKind};
+use rstest::rstest;
+
+const BROKEN: &str = "\
+rate = 1
+[workspaces]
+[/workspace/kermesse]
+rate = not checked
+[/workspaces/kermesse]
+rate = fast
+burst = 0
+Burst = 3
+models = small, ghost, small
+services = ghost
+tokens = 500
+max_tokens = 400
+nonsense
+[/workspaces/kermesse]
+[/workspaces/two words]
+[/workspaces/norrfrost/keys/app]
+[/workspaces/norrfrost/keys/web]
+hash = blake3:12
+[/models/small]
+idempotent = yes
+rate = 5
+[/services/orders]
+vm_group = orders
+vm_group = others
+[/services/orders/routes/book]
+path = book
+method = FETCH
+open = maybe
+timeout_ms = 99999999999999999999999
+[/models/small
+";
+
+#[test]
+fn reports_all_findings_with_their_lines() {
+    let findings = CheckedSettings::parse("settings.ini", BROKEN).unwrap_err();
+    insta::assert_snapshot!(findings, @r##"
+    settings.ini:1: 'rate' stands before the first [SECTION]
+    settings.ini:2: section 'workspaces' does not start with '/'
+    settings.ini:3: section '/workspace/kermesse' is not known
+    settings.ini:6: rate = 'fast': a number with at most three decimals is expected
+    settings.ini:7: burst = '0': a number from 1 to 1000000 is expected
+    settings.ini:8: key 'Burst' is not known; is 'burst' meant?
+    settings.ini:9: models = 'small, ghost, small': 'small' stands twice
+    settings.ini:9: 'models' names 'ghost', but there is no [/models/ghost]
+    settings.ini:10: 'services' names 'ghost', but there is no [/services/ghost]
+    settings.ini:12: tokens = 500 in line 11 is above max_tokens = 400 in line 12
+    settings.ini:13: 'nonsense' is neither [SECTION], KEY = VALUE nor a comment
+    settings.ini:14: section '/workspaces/kermesse' stands twice, first in line 5
+    settings.ini:15: name 'two words' in section '/workspaces/two words': the name may hold letters, digits, '-', '_', '.' and ':' only
+    settings.ini:16: 'hash' is missing in [/workspaces/norrfrost/keys/app]
+    settings.ini:16: [/workspaces/norrfrost] is missing, above [/workspaces/norrfrost/keys/app]
+    settings.ini:17: [/workspaces/norrfrost] is missing, above [/workspaces/norrfrost/keys/web]
+    settings.ini:18: hash = 'blake3:12': 'blake3:' and 64 hexadecimal digits are expected
+    settings.ini:19: 'vm_group' is missing in [/models/small]
+    settings.ini:20: key 'idempotent' does not belong in /models/NAME, it is for /services/NAME/routes/NAME
+    settings.ini:21: key 'rate' does not belong in /models/NAME, it is for /workspaces/NAME, /workspaces/NAME/programs/NAME
+    settings.ini:24: 'vm_group' stands twice, first in line 23
+    settings.ini:26: path = 'book': a URL path that starts with '/' and has no spaces, '?' or '#' is expected
+    settings.ini:27: method = 'FETCH': one of GET, POST, PUT, PATCH, DELETE is expected
+    settings.ini:28: open = 'maybe': 'yes' or 'no' is expected
+    settings.ini:29: timeout_ms = '99999999999999999999999': a number from 1 to 86400000 is expected
+    settings.ini:30: '[/models/small' is neither [SECTION], KEY = VALUE nor a comment
+    "##);
+}
+
+#[test]
+fn reports_all_findings_of_a_daemons_file() {
+    let text = "\
+[/daemon]
+name = a b
+failure_domain = north
+entry_address = localhost:7101
+fleet_address = 127.0.0.1:7301
+operator_address = 127.0.0.1:7301
+traffic_threads = 0
+[/log]
+log_level = loud
+[/workspaces/kermesse]
+";
+    let findings = DaemonSettings::parse("daemon.ini", text).unwrap_err();
+    insta::assert_snapshot!(findings, @r##"
+    daemon.ini:1: 'operator_key_hash' is missing in [/daemon]
+    daemon.ini:1: section '[/platform]' is missing
+    daemon.ini:2: name = 'a b': the name may hold letters, digits, '-', '_', '.' and ':' only
+    daemon.ini:4: entry_address = 'localhost:7101': an IP number with a port is expected, such as 127.0.0.1:7101
+    daemon.ini:7: traffic_threads = '0': a number from 1 to 1024 is expected
+    daemon.ini:9: log_level = 'loud': one of error, warn, info, debug, trace is expected
+    daemon.ini:10: section '/workspaces/kermesse' is not known
+    "##);
+}
+
+#[rstest]
+#[case::two_keys_with_one_hash("two_keys_with_one_hash", FindingKind::Duplicate)]
+#[case::limit_below_inherited("limit_below_inherited", FindingKind::Range)]
+#[case::too_many_decimals("too_many_decimals", FindingKind::BadValue)]
+#[case::misplaced_hash("misplaced_hash", FindingKind::UnknownKey)]
+fn classifies_findings(#[case] name: &str, #[case] kind: FindingKind) {
+    let hash = format!("blake3:{}", "ab".repeat(32));
+    let text = match name {
+        "two_keys_with_one_hash" => format!(
+            "[/workspaces/a]\n[/workspaces/b]\n\
+             [/workspaces/a/keys/x]\nhash = {hash}\n[/workspaces/b/keys/x]\nhash = {hash}\n"
+        ),
+        "limit_below_inherited" => "[/]\nsteps = 50\n[/workspaces/a]\nmax_steps = 40\n".to_owned(),
+        "too_many_decimals" => "[/]\nrate = 1.2345\n".to_owned(),
+        _ => format!("[/workspaces/a]\nhash = {hash}\n"),
+    };
+    let findings = CheckedSettings::parse("settings.ini", &text).unwrap_err();
+    let kinds: Vec<FindingKind> = findings.as_slice().iter().map(|found| found.kind).collect();
+    assert_eq!(kinds, [kind], "{findings}");
+}
+
+#[rstest]
+#[case::empty("")]
+#[case::only_brackets("[")]
+#[case::only_equals("[/]\n=")]
+#[case::carriage_returns("[/]\r\n\r\r= =\r")]
+#[case::nul("[/]\n\0 = \0\n")]
+#[case::not_ascii("[/wörkspaces/é]\nräte = ü\n")]
+fn odd_text_never_panics(#[case] text: &str) {
+    let _ = CheckedSettings::parse("settings.ini", text);
+    let findings = DaemonSettings::parse("daemon.ini", text).unwrap_err();
+    assert!(!findings.as_slice().is_empty());
+}
