Add views, edits and the stored form of the settings

Operators need to see where a value comes from, what differs between two revisions, and to grant and withdraw keys without losing comments.

A limit that is not written gives way to a written one that belongs to it (tokens and max_tokens), so that lowering one does not force writing both.

--- /dev/null
+++ b/crates/settings/src/difference.rs
@@ -0,0 +1,136 @@
+//! What differs between two revisions.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::tree::{SectionPath, SettingsSource, SourceSection};
+
+/// One section or value that differs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct SettingChange {
+    /// The section.
+    pub section: SectionPath,
+    /// The key; `None` where the section itself came or went.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub key: Option<String>,
+    /// What stood before; `None` where nothing did.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub before: Option<String>,
+    /// What stands now; `None` where nothing does.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub after: Option<String>,
+}
+
+impl fmt::Display for SettingChange {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let section = &self.section;
+        let Some(key) = &self.key else {
+            let sign = if self.after.is_some() { '+' } else { '-' };
+            return write!(formatter, "{sign} [{section}]");
+        };
+        match (&self.before, &self.after) {
+            (Some(before), Some(after)) => {
+                write!(formatter, "~ [{section}] {key} = {before} -> {after}")
+            }
+            (Some(before), None) => write!(formatter, "- [{section}] {key} = {before}"),
+            (None, Some(after)) => write!(formatter, "+ [{section}] {key} = {after}"),
+            (None, None) => write!(formatter, "  [{section}] {key}"),
+        }
+    }
+}
+
+/// What differs between two revisions, ordered by section and key.
+///
+/// Compares what is written; comments and order do not count.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+#[serde(transparent)]
+pub struct SettingsDifference(Vec<SettingChange>);
+
+impl SettingsDifference {
+    /// Compares two trees.
+    #[must_use]
+    pub fn between(before: &SettingsSource, after: &SettingsSource) -> Self {
+        let before = sections_by_path(before);
+        let after = sections_by_path(after);
+        let paths: BTreeSet<&SectionPath> = before.keys().chain(after.keys()).copied().collect();
+        let mut changes = Vec::new();
+        for path in paths {
+            let pair = (before.get(path).copied(), after.get(path).copied());
+            compare_sections(path, pair.0, pair.1, &mut changes);
+        }
+        Self(changes)
+    }
+
+    /// Returns the changes.
+    #[must_use]
+    pub fn changes(&self) -> &[SettingChange] {
+        &self.0
+    }
+
+    /// Tells whether nothing differs.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl fmt::Display for SettingsDifference {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, change) in self.0.iter().enumerate() {
+            if index > 0 {
+                formatter.write_str("\n")?;
+            }
+            change.fmt(formatter)?;
+        }
+        Ok(())
+    }
+}
+
+fn sections_by_path(source: &SettingsSource) -> BTreeMap<&SectionPath, &SourceSection> {
+    let sections = source.sections().iter();
+    sections.map(|section| (&section.path, section)).collect()
+}
+
+fn compare_sections(
+    path: &SectionPath,
+    before: Option<&SourceSection>,
+    after: Option<&SourceSection>,
+    changes: &mut Vec<SettingChange>,
+) {
+    if before.is_some() != after.is_some() {
+        let mark = |section: Option<&SourceSection>| section.map(|_| String::new());
+        changes.push(SettingChange {
+            section: path.clone(),
+            key: None,
+            before: mark(before),
+            after: mark(after),
+        });
+    }
+    let before = entries_by_key(before);
+    let after = entries_by_key(after);
+    let keys: BTreeSet<&str> = before.keys().chain(after.keys()).copied().collect();
+    for key in keys {
+        let (before, after) = (before.get(key), after.get(key));
+        if before == after {
+            continue;
+        }
+        changes.push(SettingChange {
+            section: path.clone(),
+            key: Some(key.to_owned()),
+            before: before.map(|value| (*value).to_owned()),
+            after: after.map(|value| (*value).to_owned()),
+        });
+    }
+}
+
+fn entries_by_key(section: Option<&SourceSection>) -> BTreeMap<&str, &str> {
+    let entries = section.map_or(&[][..], |section| &section.entries);
+    entries
+        .iter()
+        .map(|entry| (entry.key.as_str(), entry.value.as_str()))
+        .collect()
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -28,16 +28,23 @@
 
 mod check;
 mod daemon_file;
+mod difference;
+mod edit;
 mod finding;
 mod key_hash;
 mod reader;
+mod shown;
 mod snapshot;
+pub mod store;
 mod table;
 mod tree;
 
 pub use daemon_file::DaemonSettings;
+pub use difference::{SettingChange, SettingsDifference};
+pub use edit::{EditError, grant_key, withdraw_key};
 pub use finding::{FindingKind, SettingsFinding, SettingsFindings, SourcePlace};
 pub use key_hash::{KeyHash, SecretKey};
+pub use shown::{ShownValue, ValueOrigin};
 pub use snapshot::{
     AccessList, CheckedSettings, KeyMatch, LimitRange, ModelSettings, ProgramLimits,
     ProgramSettings, RateLimit, RouteSettings, SchedulingProfile, SchedulingSettings,
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::key_hash::KeyHash;
+use crate::snapshot::LimitRange;
 use crate::table::{FixedDecimal, KeySpec, SettingValue, find_key};
 use crate::tree::{SettingsGrammar, SettingsSource, SourceEntry, SourceSection};
 
@@ -39,7 +40,7 @@
     }
 
     /// Returns the value that is written, without its default.
-    pub(crate) fn written(&self, name: &str) -> Option<SettingValue> {
+    fn written(&self, name: &str) -> Option<SettingValue> {
         let spec = find_key(self.grammar, name)?;
         let (_, entry) = find_entry(self.source, spec, self.path)?;
         spec.kind.parse(&entry.value).ok()
@@ -60,6 +61,25 @@
         }
     }
 
+    /// Reads a limit; of a written and an unwritten value, the unwritten one
+    /// gives way.
+    pub(crate) fn limit(&self, default_key: &str, max_key: &str) -> LimitRange {
+        let default = self.count(default_key);
+        let max = self.count(max_key);
+        if default <= max {
+            return LimitRange { default, max };
+        }
+        let limit = if self.written(max_key).is_some() {
+            max
+        } else {
+            default
+        };
+        LimitRange {
+            default: limit,
+            max: limit,
+        }
+    }
+
     pub(crate) fn millis(&self, name: &str) -> Duration {
         Duration::from_millis(self.count(name))
     }
--- a/crates/settings/src/snapshot/build.rs
+++ b/crates/settings/src/snapshot/build.rs
@@ -10,12 +10,12 @@
 use crate::finding::SettingsFindings;
 use crate::reader::SectionReader;
 use crate::snapshot::key_index::KeyRecord;
-use crate::snapshot::limits::{LimitRange, ProgramLimits, RateLimit};
+use crate::snapshot::limits::{ProgramLimits, RateLimit};
 use crate::snapshot::types::{
     AccessList, ModelSettings, ProgramSettings, RouteSettings, SchedulingProfile,
     SchedulingSettings, ServiceSettings, SettingsSnapshot, SnapshotData, WorkspaceSettings,
 };
-use crate::table::{FixedDecimal, SettingValue};
+use crate::table::FixedDecimal;
 use crate::tree::{SectionKind, SettingsGrammar, SettingsSource, SourceSection};
 
 const SCHEDULING_PATH: &str = "/scheduling";
@@ -211,28 +211,11 @@
 
 fn read_limits(reader: SectionReader<'_>) -> ProgramLimits {
     ProgramLimits {
-        deadline_ms: read_range(reader, "deadline_ms", "max_deadline_ms"),
-        tokens: read_range(reader, "tokens", "max_tokens"),
-        paid_actions: read_range(reader, "paid_actions", "max_paid_actions"),
-        steps: read_range(reader, "steps", "max_steps"),
-        wall_clock_ms: read_range(reader, "wall_clock_ms", "max_wall_clock_ms"),
-    }
-}
-
-/// Reads a limit; of a written and an unwritten value, the unwritten one gives
-/// way.
-fn read_range(reader: SectionReader<'_>, default_key: &str, max_key: &str) -> LimitRange {
-    let default = reader.count(default_key);
-    let max = reader.count(max_key);
-    if default <= max {
-        return LimitRange { default, max };
-    }
-    match reader.written(max_key) {
-        Some(SettingValue::Count(_)) => LimitRange { default: max, max },
-        _ => LimitRange {
-            default,
-            max: default,
-        },
+        deadline_ms: reader.limit("deadline_ms", "max_deadline_ms"),
+        tokens: reader.limit("tokens", "max_tokens"),
+        paid_actions: reader.limit("paid_actions", "max_paid_actions"),
+        steps: reader.limit("steps", "max_steps"),
+        wall_clock_ms: reader.limit("wall_clock_ms", "max_wall_clock_ms"),
     }
 }
 
