Add numbered log events, metrics and trace spans

Cause: operators need to see what the daemon does, by published formats.

Ruled out: labels by workspace, program or upstream (15,000 workspaces would each be a series); spans written by the traffic threads (a slow disk would hold up requests).

Change: a catalogue of events whose fields the compiler checks; the log by fern, one line an event; metrics by prometheus from one table; W3C trace context; spans as OTLP JSON lines from a thread of its own with a bounded queue, whose drops are counted.

--- /dev/null
+++ b/crates/telemetry/src/catalogue.rs
@@ -0,0 +1,50 @@
+//! The catalogues as tables of the operators' pages.
+
+use std::fmt::Write;
+
+use crate::event::LogEvent;
+use crate::metric::METRIC_TABLE;
+
+/// Returns the catalogue of log events as a Markdown table.
+#[must_use]
+pub fn format_event_table() -> String {
+    let mut table = String::from(
+        "| number | level | name | fields | meaning |\n| --- | --- | --- | --- | --- |\n",
+    );
+    for event in LogEvent::ALL {
+        // Writing to a string never fails.
+        let _ = writeln!(
+            table,
+            "| {} | {} | `{}` | {} | {} |",
+            event.get_number(),
+            event.get_level().as_str().to_lowercase(),
+            event.get_name(),
+            format_names(event.get_fields()),
+            event.get_message(),
+        );
+    }
+    table
+}
+
+/// Returns the catalogue of metrics as a Markdown table.
+#[must_use]
+pub fn format_metric_table() -> String {
+    let mut table = String::from("| name | kind | labels | meaning |\n| --- | --- | --- | --- |\n");
+    for info in METRIC_TABLE {
+        // Writing to a string never fails.
+        let _ = writeln!(
+            table,
+            "| `{}` | {} | {} | {} |",
+            info.name,
+            info.kind.as_str(),
+            format_names(info.labels),
+            info.help,
+        );
+    }
+    table
+}
+
+fn format_names(names: &[&str]) -> String {
+    let names: Vec<String> = names.iter().map(|name| format!("`{name}`")).collect();
+    names.join(", ")
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,1 +1,30 @@
 //! Numbered log events, metrics and trace spans.
+//!
+//! Log events have a number that never changes; `docs/operate/events.md` lists
+//! them, and `docs/operate/metrics.md` the metrics. Spans are written as OTLP
+//! in JSON, one batch a line.
+//!
+//! ```
+//! use ibisdale_telemetry::{LogEvent, record_event};
+//!
+//! record_event!(SettingsInForce, revision = 12);
+//! assert_eq!(LogEvent::SettingsInForce.get_number(), 1101);
+//! ```
+
+mod catalogue;
+mod context;
+mod event;
+mod logger;
+mod metric;
+mod registry;
+mod span;
+mod writer;
+
+pub use catalogue::{format_event_table, format_metric_table};
+pub use context::{TraceContext, TraceContextError};
+pub use event::{EventField, LogEvent, record_fields};
+pub use logger::{LogError, LogOptions, LogTarget};
+pub use metric::{METRIC_TABLE, MetricInfo, MetricKind};
+pub use registry::{MetricRegistry, TokenKind};
+pub use span::{SpanKind, TraceSpan};
+pub use writer::{SpanError, SpanOptions, SpanSender, SpanWriter};
--- /dev/null
+++ b/crates/telemetry/src/span.rs
@@ -0,0 +1,133 @@
+//! Spans: one for each hop of a request.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use opentelemetry_proto::tonic::common::v1::any_value::Value;
+use opentelemetry_proto::tonic::common::v1::{AnyValue, KeyValue};
+use opentelemetry_proto::tonic::trace::v1::Status;
+use opentelemetry_proto::tonic::trace::v1::span::SpanKind as ProtoKind;
+use opentelemetry_proto::tonic::trace::v1::status::StatusCode;
+
+use crate::context::TraceContext;
+use crate::writer::SpanSender;
+
+/// The span as it is written.
+pub(crate) type SpanRecord = opentelemetry_proto::tonic::trace::v1::Span;
+
+/// Which side of a hop a span is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum SpanKind {
+    /// Work within the daemon.
+    Internal,
+    /// Answers a request.
+    Server,
+    /// Sends a request.
+    Client,
+}
+
+impl SpanKind {
+    const fn to_proto(self) -> ProtoKind {
+        match self {
+            Self::Internal => ProtoKind::Internal,
+            Self::Server => ProtoKind::Server,
+            Self::Client => ProtoKind::Client,
+        }
+    }
+}
+
+/// A span under way; written when it is closed, and not when it is dropped.
+#[derive(Debug)]
+pub struct TraceSpan {
+    context: TraceContext,
+    record: SpanRecord,
+    sender: SpanSender,
+}
+
+impl TraceSpan {
+    /// Starts a span under `parent`, or a new trace where there is none.
+    #[must_use]
+    pub fn start(
+        name: impl Into<String>,
+        kind: SpanKind,
+        parent: Option<TraceContext>,
+        sender: SpanSender,
+    ) -> Self {
+        let mut random = rand::rng();
+        let context = match parent {
+            Some(parent) => parent.create_child(&mut random),
+            None => TraceContext::generate(&mut random),
+        };
+        let parent_span_id = parent.map(|parent| parent.get_span_id().to_vec());
+        let record = SpanRecord {
+            trace_id: context.get_trace_id().to_vec(),
+            span_id: context.get_span_id().to_vec(),
+            parent_span_id: parent_span_id.unwrap_or_default(),
+            flags: u32::from(context.get_flags()),
+            name: name.into(),
+            kind: kind.to_proto() as i32,
+            start_time_unix_nano: now_nanos(),
+            ..SpanRecord::default()
+        };
+        Self {
+            context,
+            record,
+            sender,
+        }
+    }
+
+    /// Adds an attribute with text.
+    #[must_use]
+    pub fn attribute(mut self, key: impl Into<String>, value: impl Into<String>) -> Self {
+        self.add_attribute(key, value);
+        self
+    }
+
+    /// Adds an attribute with text to a span under way.
+    pub fn add_attribute(&mut self, key: impl Into<String>, value: impl Into<String>) {
+        self.add_value(key.into(), Value::StringValue(value.into()));
+    }
+
+    /// Adds an attribute with a number to a span under way.
+    pub fn add_number(&mut self, key: impl Into<String>, value: i64) {
+        self.add_value(key.into(), Value::IntValue(value));
+    }
+
+    /// Marks the span as failed.
+    pub fn fail(&mut self, message: impl Into<String>) {
+        self.record.status = Some(Status {
+            message: message.into(),
+            code: StatusCode::Error as i32,
+        });
+    }
+
+    /// Returns the context that goes on to the next hop.
+    #[must_use]
+    pub fn get_context(&self) -> TraceContext {
+        self.context
+    }
+
+    /// Ends the span and hands it to the writer.
+    pub fn close(mut self) {
+        if !self.context.is_sampled() {
+            return;
+        }
+        self.record.end_time_unix_nano = now_nanos();
+        self.sender.send(self.record);
+    }
+
+    fn add_value(&mut self, key: String, value: Value) {
+        let value = AnyValue { value: Some(value) };
+        self.record.attributes.push(KeyValue {
+            key,
+            value: Some(value),
+        });
+    }
+}
+
+/// Returns the time since the Unix epoch, in nanoseconds.
+fn now_nanos() -> u64 {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH);
+    time.ok()
+        .and_then(|time| u64::try_from(time.as_nanos()).ok())
+        .unwrap_or(0)
+}
--- /dev/null
+++ b/crates/telemetry/tests/catalogues.rs
@@ -0,0 +1,43 @@
+//! The operators' pages list what the code has.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+
+use ibisdale_telemetry::{LogEvent, METRIC_TABLE, format_event_table, format_metric_table};
+use rstest::rstest;
+
+fn read_page(name: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/operate");
+    fs::read_to_string(path.join(name)).unwrap()
+}
+
+fn table_lines(page: &str) -> String {
+    let lines: Vec<&str> = page.lines().filter(|line| line.starts_with('|')).collect();
+    lines.join("\n") + "\n"
+}
+
+#[rstest]
+#[case::events("events.md", format_event_table())]
+#[case::metrics("metrics.md", format_metric_table())]
+fn pages_agree_with_the_code(#[case] page: &str, #[case] table: String) {
+    assert_eq!(table_lines(&read_page(page)), table);
+}
+
+#[test]
+fn events_have_numbers_and_names_of_their_own() {
+    let numbers: BTreeSet<u32> = LogEvent::ALL
+        .iter()
+        .map(|event| event.get_number())
+        .collect();
+    let names: BTreeSet<&str> = LogEvent::ALL.iter().map(|event| event.get_name()).collect();
+    assert_eq!(numbers.len(), LogEvent::ALL.len());
+    assert_eq!(names.len(), LogEvent::ALL.len());
+    assert!(LogEvent::ALL.is_sorted_by_key(|event| event.get_number()));
+}
+
+#[test]
+fn metrics_have_names_of_their_own() {
+    let names: BTreeSet<&str> = METRIC_TABLE.iter().map(|info| info.name).collect();
+    assert_eq!(names.len(), METRIC_TABLE.len());
+}
