Add the operators' requests and answers to the shared types

The daemon and the command read and write the same JSON; both take its types from one module. Findings and changes of settings move there from the settings package, which goes on exporting them, so that they need no second definition.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here performs I/O or reads a clock: times are passed in.
 
+pub mod admin;
 mod digest;
 mod ids;
 mod names;
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use crate::finding::{FindingKind, FindingList, SettingsFindings};
+use ibisdale_core::admin::FindingKind;
+
+use crate::finding::{FindingList, SettingsFindings};
 use crate::reader::find_entry;
 use crate::table::{
     KeySpec, SettingValue, ValueError, ValueKind, find_key, known_keys, list_items,
--- a/crates/settings/src/daemon_file.rs
+++ b/crates/settings/src/daemon_file.rs
@@ -4,9 +4,10 @@
 use std::path::PathBuf;
 
 use ibisdale_core::DaemonName;
+use ibisdale_core::admin::FindingKind;
 
 use crate::check::check_source;
-use crate::finding::{FindingKind, FindingList, SettingsFindings};
+use crate::finding::{FindingList, SettingsFindings};
 use crate::key_hash::KeyHash;
 use crate::reader::SectionReader;
 use crate::tree::{SettingsGrammar, SettingsSource};
--- a/crates/settings/src/difference.rs
+++ b/crates/settings/src/difference.rs
@@ -3,45 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
+use ibisdale_core::admin::SettingChange;
 use serde::{Deserialize, Serialize};
 
 use crate::tree::{SectionPath, SettingsSource, SourceSection};
 
-/// One section or value that differs.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Deserialize, Serialize)]
-pub struct SettingChange {
-    /// The section.
-    pub section: SectionPath,
-    /// The key; `None` where the section itself came or went.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub key: Option<String>,
-    /// What stood before; `None` where nothing did.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub before: Option<String>,
-    /// What stands now; `None` where nothing does.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub after: Option<String>,
-}
-
-impl fmt::Display for SettingChange {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let section = &self.section;
-        let Some(key) = &self.key else {
-            let sign = if self.after.is_some() { '+' } else { '-' };
-            return write!(formatter, "{sign} [{section}]");
-        };
-        match (&self.before, &self.after) {
-            (Some(before), Some(after)) => {
-                write!(formatter, "~ [{section}] {key} = {before} -> {after}")
-            }
-            (Some(before), None) => write!(formatter, "- [{section}] {key} = {before}"),
-            (None, Some(after)) => write!(formatter, "+ [{section}] {key} = {after}"),
-            (None, None) => write!(formatter, "  [{section}] {key}"),
-        }
-    }
-}
-
 /// What differs between two revisions, ordered by section and key.
 ///
 /// Compares what is written; comments and order do not count.
@@ -71,6 +37,12 @@
         &self.0
     }
 
+    /// Returns the changes as a list.
+    #[must_use]
+    pub fn into_changes(self) -> Vec<SettingChange> {
+        self.0
+    }
+
     /// Tells whether nothing differs.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -104,7 +76,7 @@
     if before.is_some() != after.is_some() {
         let mark = |section: Option<&SourceSection>| section.map(|_| String::new());
         changes.push(SettingChange {
-            section: path.clone(),
+            section: path.to_string(),
             key: None,
             before: mark(before),
             after: mark(after),
@@ -119,7 +91,7 @@
             continue;
         }
         changes.push(SettingChange {
-            section: path.clone(),
+            section: path.to_string(),
             key: Some(key.to_owned()),
             before: before.map(|value| (*value).to_owned()),
             after: after.map(|value| (*value).to_owned()),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -40,9 +40,10 @@
 mod tree;
 
 pub use daemon_file::DaemonSettings;
-pub use difference::{SettingChange, SettingsDifference};
+pub use difference::SettingsDifference;
 pub use edit::{EditError, grant_key, withdraw_key};
-pub use finding::{FindingKind, SettingsFinding, SettingsFindings, SourcePlace};
+pub use finding::SettingsFindings;
+pub use ibisdale_core::admin::{FindingKind, SettingChange, SettingsFinding, SourcePlace};
 pub use key_hash::{KeyHash, SecretKey};
 pub use shown::{ShownValue, ValueOrigin};
 pub use snapshot::{
--- a/crates/settings/src/tree/source.rs
+++ b/crates/settings/src/tree/source.rs
@@ -4,9 +4,10 @@
 use std::fmt::Write;
 use std::sync::Arc;
 
+use ibisdale_core::admin::FindingKind;
 use ini_core::{Item, Parser};
 
-use crate::finding::{FindingKind, FindingList};
+use crate::finding::FindingList;
 use crate::tree::kind::{SectionKind, SettingsGrammar};
 use crate::tree::path::{PathError, SectionPath, parent_of};
 
