--- a/crates/policy/src/routing/prefix.rs
+++ b/crates/policy/src/routing/prefix.rs
@@ -25,6 +25,12 @@
         Self(number)
     }
 
+    /// Returns the number.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+
     /// Returns the identifier of a program's own history.
     #[must_use]
     pub fn from_program(program: ProgramId) -> Self {
@@ -105,6 +111,23 @@
         placements.push(placement);
     }
 
+    /// Notes that a replica has at least the tokens of `placement` cached.
+    pub(crate) fn confirm(&mut self, session: SessionId, placement: PrefixPlacement) {
+        let known = self
+            .placements(session)
+            .iter()
+            .find(|known| known.replica == placement.replica)
+            .map_or(0, |known| known.tokens);
+        let tokens = placement.tokens.max(known);
+        self.store(
+            session,
+            PrefixPlacement {
+                tokens,
+                ..placement
+            },
+        );
+    }
+
     /// Cuts a placement down to `tokens`, unless it was confirmed after `at`.
     pub(crate) fn evict(&mut self, session: SessionId, eviction: PrefixPlacement) {
         let placements = self.touch(session);
--- a/crates/policy/src/routing/set.rs
+++ b/crates/policy/src/routing/set.rs
@@ -347,7 +347,12 @@
             } else {
                 claim.tokens
             };
-            self.record_cached(flight.replica, claim.session, tokens, now);
+            let placement = PrefixPlacement {
+                replica: flight.replica,
+                tokens,
+                at: now,
+            };
+            self.prefixes.confirm(claim.session, placement);
         }
     }
 }
