--- a/crates/standins/src/kv/stream.rs
+++ b/crates/standins/src/kv/stream.rs
@@ -20,14 +20,23 @@
     is_silenced: impl Fn() -> bool,
 ) {
     let changes = state.subscribe();
-    let cut = async {
-        cut.wait().await;
-    };
-    let gone = sender.closed();
-    let feed = async {
-        let _ = feed_watch(&state, &request, &sender, &changes, is_silenced).await;
+    let is_whole = {
+        let cut = async {
+            cut.wait().await;
+            false
+        };
+        let gone = async {
+            sender.closed().await;
+            false
+        };
+        let feed = feed_watch(&state, &request, &sender, &changes, is_silenced);
+        let feed = async { feed.await.is_ok() };
+        feed.or(cut).or(gone).await
     };
-    feed.or(cut).or(gone).await;
+    if is_whole {
+        // The peer may be gone, which ends the stream as well.
+        let _ = sender.close().await;
+    }
 }
 
 async fn feed_watch(
