--- a/crates/platform/src/counts.rs
+++ b/crates/platform/src/counts.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Kinds of calls to the key-value service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum KvCallKind {
     /// A read.
@@ -62,7 +63,8 @@
 }
 
 /// Numbers of calls by kind.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct KvCallCounts {
     counts: [u64; KvCallKind::ALL.len()],
--- a/crates/platform/src/kv/entry.rs
+++ b/crates/platform/src/kv/entry.rs
@@ -6,9 +6,8 @@
 use crate::wire;
 
 /// A revision of the store, or 0 for none.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct KvRevision(i64);
 
@@ -36,7 +35,8 @@
 }
 
 /// Identifies a lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct LeaseId(i64);
 
--- a/crates/platform/src/kv/error.rs
+++ b/crates/platform/src/kv/error.rs
@@ -8,7 +8,8 @@
 use crate::counts::KvCallKind;
 
 /// Tells why a call failed.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum KvFailure {
     /// No endpoint is configured.
     #[snafu(display("no endpoint of the key-value service is configured"))]
@@ -50,7 +51,8 @@
 }
 
 /// A failed call.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum KvError {
     /// The call is proven to have had no effect.
     #[snafu(display("{} had no effect: {failure}", call.path()))]
--- a/crates/platform/src/vms/client.rs
+++ b/crates/platform/src/vms/client.rs
@@ -26,7 +26,8 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Tells why the list could not be read.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum VmListError {
     /// The connection failed.
     #[snafu(display("the VM list cannot be reached: {source}"))]
--- a/crates/platform/src/wire/kv.rs
+++ b/crates/platform/src/wire/kv.rs
@@ -6,7 +6,8 @@
 use super::scalar::{Base64Bytes, Int64};
 
 /// What every answer starts with.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct ResponseHeader {
     /// Revision of the store when the answer was made.
@@ -14,7 +15,8 @@
 }
 
 /// A key with its value and revisions.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct KeyValue {
     /// The key.
@@ -32,7 +34,8 @@
 }
 
 /// Reads a key, or all keys from `key` to below `range_end`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct RangeRequest {
     /// The first key.
@@ -46,7 +49,8 @@
 }
 
 /// Answers a [`RangeRequest`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct RangeResponse {
     /// Revision of the store.
@@ -60,7 +64,8 @@
 }
 
 /// Writes a key.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct PutRequest {
     /// The key.
@@ -72,7 +77,8 @@
 }
 
 /// Answers a [`PutRequest`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct PutResponse {
     /// Revision of the store.
@@ -80,7 +86,8 @@
 }
 
 /// Deletes a key, or all keys from `key` to below `range_end`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct DeleteRangeRequest {
     /// The first key.
@@ -90,7 +97,8 @@
 }
 
 /// Answers a [`DeleteRangeRequest`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct DeleteRangeResponse {
     /// Revision of the store.
--- a/crates/platform/src/wire/lease.rs
+++ b/crates/platform/src/wire/lease.rs
@@ -6,7 +6,8 @@
 use super::scalar::Int64;
 
 /// Asks for a new lease.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, rename_all = "UPPERCASE")]
 pub struct LeaseGrantRequest {
     /// Time to live, in seconds.
@@ -16,7 +17,8 @@
 }
 
 /// Answers a [`LeaseGrantRequest`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct LeaseGrantResponse {
     /// Revision of the store.
@@ -30,7 +32,8 @@
 }
 
 /// Renews a lease.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, rename_all = "UPPERCASE")]
 pub struct LeaseKeepAliveRequest {
     /// The lease.
@@ -38,7 +41,8 @@
 }
 
 /// Answers a [`LeaseKeepAliveRequest`], as a line of a stream.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct LeaseKeepAliveResponse {
     /// Revision of the store.
@@ -52,7 +56,8 @@
 }
 
 /// Ends a lease and deletes its keys.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, rename_all = "UPPERCASE")]
 pub struct LeaseRevokeRequest {
     /// The lease.
@@ -60,7 +65,8 @@
 }
 
 /// Answers a [`LeaseRevokeRequest`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct LeaseRevokeResponse {
     /// Revision of the store.
--- a/crates/platform/src/wire/txn.rs
+++ b/crates/platform/src/wire/txn.rs
@@ -9,7 +9,8 @@
 use super::scalar::{Base64Bytes, Int64};
 
 /// How the stored field must relate to the given one.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "SCREAMING_SNAKE_CASE")]
 pub enum CompareResult {
     /// Equal.
@@ -24,7 +25,8 @@
 }
 
 /// The field that is compared.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "SCREAMING_SNAKE_CASE")]
 pub enum CompareTarget {
     /// Number of writes; 0 when the key does not exist.
@@ -41,7 +43,8 @@
 }
 
 /// A condition on one key.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct TxnCompare {
     /// The relation.
@@ -68,7 +71,8 @@
 }
 
 /// One operation of a transaction; exactly one field is set.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct RequestOp {
     /// A read.
@@ -83,7 +87,8 @@
 }
 
 /// Runs `success` when all compares hold, and `failure` otherwise.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct TxnRequest {
     /// The conditions.
@@ -95,7 +100,8 @@
 }
 
 /// Result of one operation; exactly one field is set.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct ResponseOp {
     /// Result of a read.
@@ -110,7 +116,8 @@
 }
 
 /// Answers a [`TxnRequest`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct TxnResponse {
     /// Revision of the store.
--- a/crates/platform/src/wire/vms.rs
+++ b/crates/platform/src/wire/vms.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Tells whether a VM is to stay.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum VmState {
     /// The VM is to stay.
@@ -15,7 +16,8 @@
 }
 
 /// A VM and what runs on it.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct VmEntry {
     /// The VM's name.
@@ -33,7 +35,8 @@
 }
 
 /// The whole list.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct VmList {
     /// All VMs.
--- a/crates/platform/src/wire/watch.rs
+++ b/crates/platform/src/wire/watch.rs
@@ -6,7 +6,8 @@
 use super::scalar::{Base64Bytes, Int64};
 
 /// Opens a watch.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct WatchRequest {
     /// What is watched.
@@ -14,7 +15,8 @@
 }
 
 /// Names the keys to watch and where to start.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct WatchCreateRequest {
     /// The first key.
@@ -28,7 +30,8 @@
 }
 
 /// Tells what happened to a key.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "UPPERCASE")]
 pub enum EventKind {
     /// The key was written.
@@ -39,7 +42,8 @@
 }
 
 /// One change of one key.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct WatchEvent {
     /// What happened.
@@ -50,7 +54,8 @@
 }
 
 /// A line of a watch's stream.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct WatchResponse {
     /// Revision of the store.
@@ -66,7 +71,8 @@
 }
 
 /// The service's description of an error.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct ErrorBody {
     /// The gRPC status code.
@@ -76,7 +82,8 @@
 }
 
 /// A line of a streamed answer.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum StreamLine<T> {
     /// An answer.
--- a/crates/standins/src/kv/store.rs
+++ b/crates/standins/src/kv/store.rs
@@ -18,7 +18,8 @@
 const LOG_MAX_EVENTS: usize = 100_000;
 
 /// Tells why the store does not take a call.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 pub(crate) enum StoreError {
     #[snafu(display("etcdserver: key is not provided"))]
     EmptyKey,
