--- a/crates/platform/tests/kv_client.rs
+++ b/crates/platform/tests/kv_client.rs
@@ -12,7 +12,7 @@
 use ibisdale_standins::{KvServer, OutageKind};
 use rstest::rstest;
 
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 fn loopback() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
