Count a program's history on the owner's side when a step runs

Cause: a repeat of a finished attempt was refused as another request, since its upper bound of prompt tokens held the history, which had grown by the attempt itself; a request that waits for its turn also counted too little. Ruled out: leaving the bound out of the comparison alone, which would still reserve too little for a waiting request. Change: a request counts its own messages, the table adds the tokens of the last whole answer when the step runs, and repeats are compared without the history. Before: the repeat test of the whole path failed with attempt_mismatch; after: it passes.

--- a/crates/programs/src/record.rs
+++ b/crates/programs/src/record.rs
@@ -89,6 +89,24 @@
     ParentEnded,
 }
 
+impl EndReason {
+    /// Returns the reason as callers see it.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Finished => "finished",
+            Self::Cancelled => "cancelled",
+            Self::Deadline => "deadline",
+            Self::WallClock => "wall_clock",
+            Self::StepLimit => "step_limit",
+            Self::OutOfBudget => "out_of_budget",
+            Self::Idle => "idle",
+            Self::KeyWithdrawn => "key_withdrawn",
+            Self::ParentEnded => "parent_ended",
+        }
+    }
+}
+
 /// A program was started.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/programs/src/request.rs
+++ b/crates/programs/src/request.rs
@@ -79,7 +79,8 @@
 pub enum StepKind {
     /// A call to a model engine, which may be repeated.
     Model {
-        /// Upper bound of the prompt's tokens, with the history before it.
+        /// Upper bound of the prompt's tokens. A request counts its own messages
+        /// only; the table adds the history before them when the step runs.
         prompt_tokens: u64,
         /// Upper bound of the answer's tokens.
         max_tokens: u64,
@@ -101,6 +102,34 @@
         }
     }
 
+    /// Returns the kind with the history's tokens added to the prompt.
+    pub(crate) const fn with_history(self, tokens: u64) -> Self {
+        match self {
+            Self::Model {
+                prompt_tokens,
+                max_tokens,
+            } => Self::Model {
+                prompt_tokens: prompt_tokens.saturating_add(tokens),
+                max_tokens,
+            },
+            Self::Call { .. } => self,
+        }
+    }
+
+    /// Tells whether a request of the other kind can be a repeat of this one;
+    /// the history before it may have grown.
+    pub(crate) fn is_same_call(self, other: Self) -> bool {
+        match (self, other) {
+            (
+                Self::Model { max_tokens, .. },
+                Self::Model {
+                    max_tokens: other, ..
+                },
+            ) => max_tokens == other,
+            _ => self == other,
+        }
+    }
+
     /// Returns the most that the call can cost.
     pub(crate) const fn worst_case(self) -> BudgetAmount {
         match self {
--- a/crates/programs/src/result.rs
+++ b/crates/programs/src/result.rs
@@ -312,4 +312,6 @@
     pub request: Bytes,
     /// The answer.
     pub answer: Bytes,
+    /// Prompt and answer tokens used.
+    pub tokens_used: u64,
 }
--- a/crates/programs/src/state.rs
+++ b/crates/programs/src/state.rs
@@ -131,6 +131,17 @@
 }
 
 impl AttemptState {
+    /// Returns the tokens used by a model call with a whole answer.
+    fn model_tokens(&self) -> Option<u64> {
+        let record = self.record.as_ref()?;
+        match (self.kind, &record.result) {
+            (StepKind::Model { .. }, StepResult::Completed { tokens_used, .. }) => {
+                Some(*tokens_used)
+            }
+            _ => None,
+        }
+    }
+
     pub(crate) fn is_settled(&self) -> bool {
         self.record
             .as_ref()
@@ -218,6 +229,14 @@
         self.status == ProgramStatus::Running
     }
 
+    /// Returns the tokens of prompt and answer of the last whole model call,
+    /// which the next prompt begins with.
+    pub(crate) fn known_tokens(&self) -> u64 {
+        let attempts = self.steps.iter().rev();
+        let mut attempts = attempts.filter_map(|step| step.attempts.last());
+        attempts.find_map(AttemptState::model_tokens).unwrap_or(0)
+    }
+
     pub(crate) fn is_step_allowed(&self) -> bool {
         self.limits.steps.is_none_or(|limit| self.steps_run < limit)
     }
--- a/crates/programs/src/table/admit.rs
+++ b/crates/programs/src/table/admit.rs
@@ -55,6 +55,10 @@
             return self.wait(key, request, now, waiter);
         }
         self.check_turn(key, &request)?;
+        let request = StepRequest {
+            kind: request.kind.with_history(self.programs[key].known_tokens()),
+            ..request
+        };
         self.check_limits(key, &request, now)?;
         self.run(key, request, now)
     }
@@ -226,7 +230,7 @@
 }
 
 fn check_same(attempt: &AttemptState, request: &StepRequest) -> Result<(), RequestRefusal> {
-    if attempt.kind == request.kind && attempt.request == request.payload {
+    if attempt.kind.is_same_call(request.kind) && attempt.request == request.payload {
         return Ok(());
     }
     Err(refusals::attempt_mismatch(
--- a/crates/programs/src/table/views.rs
+++ b/crates/programs/src/table/views.rs
@@ -139,7 +139,11 @@
 
 fn exchange(attempt: &AttemptState) -> Option<StepExchange> {
     let record = attempt.record.as_ref()?;
-    let StepResult::Completed { answer, .. } = &record.result else {
+    let StepResult::Completed {
+        answer,
+        tokens_used,
+    } = &record.result
+    else {
         return None;
     };
     Some(StepExchange {
@@ -147,5 +151,6 @@
         kind: attempt.kind,
         request: attempt.request.clone(),
         answer: answer.clone(),
+        tokens_used: *tokens_used,
     })
 }
