--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -16,6 +16,18 @@
     Unknown,
 }
 
+impl RunState {
+    /// Returns the state as callers see it.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not_run",
+            Self::Ran => "ran",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 macro_rules! refusal_codes {
     ($($(#[$doc:meta])* $variant:ident = $text:literal, $status:literal;)*) => {
         /// Catalogue of refusal codes; `docs/REFUSALS.md` explains each.
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -1,7 +1,8 @@
 //! Bodies of requests and answers.
 
 use ibisdale_core::{
-    HistoryDigest, ProgramId, RefusalCode, RequestRefusal, ServiceName, StepNumber,
+    HistoryDigest, ProgramId, ProgramName, RefusalCode, RequestRefusal, RouteName, ServiceName,
+    StepNumber,
 };
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -46,7 +47,7 @@
 #[serde(deny_unknown_fields)]
 pub struct StartBody {
     /// Name of the program among those declared for the workspace.
-    pub program: ServiceName,
+    pub program: ProgramName,
     /// Time from now in which the program must finish, in milliseconds.
     pub deadline_ms: Option<u64>,
     /// The budget; what is left out comes from the settings.
@@ -93,7 +94,7 @@
     /// Name of the service.
     pub service: ServiceName,
     /// Name of the route in the settings.
-    pub route: ServiceName,
+    pub route: RouteName,
     /// What is sent to the service.
     #[serde(default)]
     pub body: Value,
@@ -134,11 +135,15 @@
     pub program: ProgramId,
     /// The step.
     pub step: StepNumber,
-    /// `running`, `completed`, `not_run` or `unknown`.
+    /// `waiting`, `running`, `completed`, or what is proven of a failed
+    /// attempt: `not_run`, `ran` or `unknown`.
     pub state: String,
     /// The recorded answer of a completed step.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub answer: Option<Value>,
+    /// The refusal of a failed attempt.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub refusal: Option<RequestRefusal>,
     /// Digest of the history up to the step.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub digest: Option<HistoryDigest>,
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -2,7 +2,8 @@
 
 use http::{Method, Uri};
 use ibisdale_core::{
-    ProgramId, RefusalCode, RequestRefusal, ServiceName, StepNumber, WorkspaceName,
+    KeyName, ProgramId, RefusalCode, RequestRefusal, RouteName, ServiceName, StepNumber,
+    WorkspaceName,
 };
 
 /// What an address request asks for.
@@ -29,7 +30,7 @@
     /// The service.
     pub service: ServiceName,
     /// The route's name in the settings.
-    pub route: ServiceName,
+    pub route: RouteName,
 }
 
 /// A request of the callers' interface.
@@ -94,7 +95,7 @@
     /// The workspace.
     pub workspace: WorkspaceName,
     /// The key's name.
-    pub key: ServiceName,
+    pub key: KeyName,
 }
 
 fn unknown_route() -> RequestRefusal {
@@ -134,10 +135,6 @@
     })
 }
 
-fn parse_name(what: &str, text: &str) -> Result<ServiceName, RequestRefusal> {
-    ServiceName::new(text.as_bytes().to_vec()).map_err(|error| bad_path(what, &error))
-}
-
 /// Reads the caller's route from a request's method and target.
 ///
 /// # Errors
@@ -172,8 +169,10 @@
         }
         ["v1", "open", service, route] => {
             require(method, &Method::POST)?;
-            let service = parse_name("service", service)?;
-            let route = parse_name("route", route)?;
+            let service = ServiceName::new(service.as_bytes().to_vec())
+                .map_err(|error| bad_path("service", &error))?;
+            let route = RouteName::new(route.as_bytes().to_vec())
+                .map_err(|error| bad_path("route", &error))?;
             Ok(CallerRoute::OpenCall(OpenPath { service, route }))
         }
         _ => Err(unknown_route()),
@@ -275,6 +274,6 @@
 fn parse_key(workspace: &str, key: &str) -> Result<KeyPath, RequestRefusal> {
     let workspace = WorkspaceName::new(workspace.as_bytes().to_vec())
         .map_err(|error| bad_path("workspace", &error))?;
-    let key = parse_name("key", key)?;
+    let key = KeyName::new(key.as_bytes().to_vec()).map_err(|error| bad_path("key", &error))?;
     Ok(KeyPath { workspace, key })
 }
