Serve programs end to end

Cause: the packages were not connected. Change: one control thread owns programs, replicas and waiting calls and takes typed messages; the traffic threads parse, authenticate, forward, stream and record. A step is finished even when its caller goes away; the digest and the end mark leave only after the outcome is recorded. Not yet: slots are all taken by the one daemon, settings come at start, records are kept in memory only, and non-idempotent calls are refused as not run.

--- /dev/null
+++ b/crates/daemon/src/callers/call.rs
@@ -0,0 +1,295 @@
+//! Calls to plain services.
+
+use std::sync::Arc;
+
+use async_channel::Receiver;
+use bytes::Bytes;
+use http::Response;
+use ibisdale_core::{RefusalCode, RequestId, RequestRefusal, RouteName, RunState, ServiceName};
+use ibisdale_entry::{AnswerHead, CallBody, OpenPath, StepPath, json_answer, parse_json};
+use ibisdale_net::BoxBody;
+use ibisdale_policy::{FlightOutcome, FlightReport};
+use ibisdale_programs::{StepKind, StepOutcome, StepRecord, StepResult, StepTicket};
+use ibisdale_settings::{RouteSettings, ServiceSettings, SettingsSnapshot};
+use ibisdale_upstreams::{
+    ServiceCall, ServiceClient, ServiceReply, UpstreamCredential, UpstreamError,
+};
+use serde_json::{Value, json};
+
+use super::access::workspace_settings;
+use super::chat::attempt_key;
+use super::chat_run::upstream_refusal;
+use super::dispatch::CallerRequest;
+use crate::clock::{instant_of, unix_now};
+use crate::context::DaemonContext;
+use crate::control::{AdmittedStep, RouteRequest, RunningStep, UpstreamGroup};
+
+/// A route of a service with its settings.
+struct ServiceRoute {
+    service: Arc<ServiceSettings>,
+    route: RouteSettings,
+}
+
+fn find_route(
+    settings: &SettingsSnapshot,
+    service: &ServiceName,
+    route: &RouteName,
+) -> Result<ServiceRoute, RequestRefusal> {
+    let unknown = || {
+        let message = format!("there is no route {route} of a service {service}");
+        RequestRefusal::new(RefusalCode::UnknownService, message)
+    };
+    let settings = settings.service(service).ok_or_else(unknown)?;
+    let found = settings.route(route).ok_or_else(unknown)?;
+    Ok(ServiceRoute {
+        service: Arc::clone(settings),
+        route: found.clone(),
+    })
+}
+
+/// Runs a call to a plain service as a step of a program.
+pub(super) async fn run_call_step(
+    context: &Arc<DaemonContext>,
+    request: &CallerRequest,
+    path: StepPath,
+) -> Result<Response<BoxBody>, RequestRefusal> {
+    let body: CallBody = parse_json(&request.body)?;
+    let snapshot = context.snapshot();
+    let workspace = workspace_settings(&snapshot, &request.caller.workspace)?;
+    if !workspace.access.has_service(&body.service) {
+        let message = format!("workspace {} may not use {}", workspace.name, body.service);
+        return Err(RequestRefusal::new(RefusalCode::NotAllowed, message));
+    }
+    let route = find_route(&snapshot, &body.service, &body.route)?;
+    let attempt = attempt_key(request)?;
+    let step = RunningStep {
+        program: path.program,
+        workspace: request.caller.workspace.clone(),
+        step: path.step,
+        attempt,
+        kind: StepKind::Call {
+            idempotent: route.route.is_idempotent,
+        },
+        payload: request.body.clone(),
+        digest: request.step.digest,
+        deadline: None,
+    };
+    match context.control.admit(step).await? {
+        AdmittedStep::Recorded(record) => answer_record(request.id, *record),
+        AdmittedStep::Run { ticket, cancel, .. } => {
+            let run = CallRun {
+                context: Arc::clone(context),
+                request: request.clone(),
+                route,
+                ticket,
+                cancel,
+                body: Bytes::from(serde_json::to_vec(&body.body).unwrap_or_default()),
+            };
+            // The run goes on when the caller goes away, so that its outcome is
+            // recorded.
+            let record = context.executor.spawn(run.run());
+            answer_record(request.id, detach_on_drop(context, record).await?)
+        }
+    }
+}
+
+/// Waits for a task that goes on when the waiting future is dropped.
+async fn detach_on_drop<T: Send + 'static>(
+    context: &DaemonContext,
+    task: async_executor::Task<Result<T, RequestRefusal>>,
+) -> Result<T, RequestRefusal> {
+    let (sender, receiver) = async_channel::bounded(1);
+    let deliver = async move {
+        let _ = sender.try_send(task.await);
+    };
+    context.executor.spawn(deliver).detach();
+    receiver.recv().await.unwrap_or_else(|_| {
+        let refusal = RequestRefusal::new(RefusalCode::Internal, "the run ended without an answer");
+        Err(refusal.run_state(RunState::Unknown))
+    })
+}
+
+fn answer_record(id: RequestId, record: StepRecord) -> Result<Response<BoxBody>, RequestRefusal> {
+    match record.result {
+        StepResult::Completed { answer, .. } => {
+            let value: Value = serde_json::from_slice(&answer).unwrap_or_default();
+            Ok(json_answer(
+                AnswerHead::new(id).digest(record.digest),
+                &value,
+            ))
+        }
+        StepResult::Refused(refusal) => Err(refusal),
+    }
+}
+
+/// One call of a step.
+struct CallRun {
+    context: Arc<DaemonContext>,
+    request: CallerRequest,
+    route: ServiceRoute,
+    ticket: Box<StepTicket>,
+    cancel: Receiver<()>,
+    body: Bytes,
+}
+
+impl CallRun {
+    async fn run(self) -> Result<StepRecord, RequestRefusal> {
+        let outcome = self.call().await;
+        self.context.control.finish(self.ticket, outcome).await
+    }
+
+    async fn call(&self) -> StepOutcome {
+        if self.ticket.is_intent_needed() {
+            let message = "non-idempotent calls are not possible yet";
+            let refusal = RequestRefusal::new(RefusalCode::NotImplemented, message);
+            return StepOutcome::Failed { refusal };
+        }
+        if self.cancel.is_closed() {
+            let refusal = RequestRefusal::new(RefusalCode::ProgramEnded, "the program has ended");
+            return StepOutcome::Failed { refusal };
+        }
+        let key = self.ticket.get_attempt().as_str();
+        let deadline = self.ticket.get_deadline();
+        let call = ServiceCall::new(
+            self.route.route.method.clone(),
+            self.route.route.path.clone(),
+        )
+        .body(self.body.clone())
+        .idempotency_key(&format!("{}:{key}", self.ticket.get_program()))
+        .idempotent(self.route.route.is_idempotent);
+        let call = match &self.request.traceparent {
+            Some(traceparent) => call.traceparent(traceparent),
+            None => call,
+        };
+        let workspace = &self.request.caller.workspace;
+        let program = Some(self.ticket.get_program());
+        let route = RouteRequest {
+            group: UpstreamGroup(Bytes::from(self.route.service.vm_group.clone())),
+            workspace: workspace.clone(),
+            program,
+            prompt_tokens: 0,
+            known_tokens: 0,
+            deadline,
+            avoid: None,
+        };
+        match send_call(&self.context, &self.route, route, call).await {
+            Ok(reply) => reply_outcome(&reply),
+            Err(refusal) => StepOutcome::Failed { refusal },
+        }
+    }
+}
+
+/// Chooses a replica and sends a call to it.
+async fn send_call(
+    context: &DaemonContext,
+    route: &ServiceRoute,
+    request: RouteRequest,
+    call: ServiceCall,
+) -> Result<ServiceReply, RequestRefusal> {
+    let limit = unix_now().plus(route.route.timeout);
+    let deadline = request
+        .deadline
+        .map_or(limit, |deadline| deadline.min(limit));
+    let routed = context.control.route(request).await?;
+    let mut call = call.deadline(instant_of(deadline));
+    if let Some(credential) = read_credential(&route.service) {
+        call = call.credential(credential);
+    }
+    let client = ServiceClient::new(context.pools.get(routed.address));
+    let result = client.call(call).await;
+    let outcome = match &result {
+        Ok(reply) if reply.get_status().is_server_error() => FlightOutcome::Failed,
+        Ok(_) => FlightOutcome::Succeeded,
+        Err(_) => FlightOutcome::Failed,
+    };
+    context
+        .control
+        .call_ended(routed.route, FlightReport::new(outcome));
+    result.map_err(|error| call_refusal(&error))
+}
+
+fn read_credential(service: &ServiceSettings) -> Option<UpstreamCredential> {
+    let path = service.credential_file.as_ref()?;
+    UpstreamCredential::read(path)
+        .inspect_err(|error| log::warn!("a credential can't be read: {error}"))
+        .ok()
+}
+
+fn call_refusal(error: &UpstreamError) -> RequestRefusal {
+    let refusal = upstream_refusal(error, false);
+    if refusal.get_run_state() != RunState::Unknown {
+        return refusal;
+    }
+    let message = format!(
+        "what became of the call is not known: {}",
+        error.get_message()
+    );
+    RequestRefusal::new(RefusalCode::OutcomeUnknown, message).run_state(RunState::Unknown)
+}
+
+/// Renders a service's answer as the step's: its status and its body.
+fn render_reply(reply: &ServiceReply) -> Value {
+    let body = serde_json::from_slice(reply.get_body())
+        .unwrap_or_else(|_| Value::String(String::from_utf8_lossy(reply.get_body()).into_owned()));
+    json!({"status": reply.get_status().as_u16(), "body": body})
+}
+
+fn reply_outcome(reply: &ServiceReply) -> StepOutcome {
+    let status = reply.get_status();
+    match reply.get_run_state() {
+        RunState::Ran => {
+            let answer = serde_json::to_vec(&render_reply(reply)).unwrap_or_default();
+            StepOutcome::Completed {
+                answer: answer.into(),
+                tokens_used: 0,
+            }
+        }
+        state => {
+            let message = format!("the service answered {status}");
+            let refusal =
+                RequestRefusal::new(RefusalCode::UpstreamFailed, message).run_state(state);
+            let refusal = match reply.get_retry_after() {
+                Some(delay) => refusal.retry_after(delay),
+                None => refusal,
+            };
+            StepOutcome::Failed { refusal }
+        }
+    }
+}
+
+/// Calls an open route, outside any program and without a key.
+pub(super) async fn run_open_call(
+    context: &Arc<DaemonContext>,
+    id: RequestId,
+    path: &OpenPath,
+    body: Bytes,
+) -> Result<Response<BoxBody>, RequestRefusal> {
+    let snapshot = context.snapshot();
+    let route = find_route(&snapshot, &path.service, &path.route)?;
+    if !route.route.is_open {
+        let message = "the route is not open: call it from a program, with a key";
+        return Err(RequestRefusal::new(RefusalCode::UnknownKey, message));
+    }
+    let call = ServiceCall::new(route.route.method.clone(), route.route.path.clone())
+        .body(body)
+        .idempotent(route.route.is_idempotent);
+    let workspace = ibisdale_core::WorkspaceName::new(OPEN_WORKSPACE)
+        .map_err(|error| RequestRefusal::new(RefusalCode::Internal, error.to_string()))?;
+    let request = RouteRequest {
+        group: UpstreamGroup(Bytes::from(route.service.vm_group.clone())),
+        workspace,
+        program: None,
+        prompt_tokens: 0,
+        known_tokens: 0,
+        deadline: None,
+        avoid: None,
+    };
+    let reply = send_call(context, &route, request, call).await?;
+    match reply_outcome(&reply) {
+        StepOutcome::Failed { refusal } => Err(refusal),
+        _ => Ok(json_answer(AnswerHead::new(id), &render_reply(&reply))),
+    }
+}
+
+/// Share of the upstreams that calls of open routes have together.
+const OPEN_WORKSPACE: &[u8] = b"open-routes";
--- /dev/null
+++ b/crates/daemon/src/callers/chat_run.rs
@@ -0,0 +1,403 @@
+//! One model call: routed, streamed, retried where that is safe, and finished.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use ibisdale_core::{
+    ProgramId, RefusalCode, RequestId, RequestRefusal, RunState, StepNumber, TimeStamp,
+    WorkspaceName,
+};
+use ibisdale_entry::{event_bytes, refusal_event};
+use ibisdale_net::BodySender;
+use ibisdale_policy::{FlightOutcome, FlightReport};
+use ibisdale_programs::{StepOutcome, StepRecord, StepTicket};
+use ibisdale_settings::ModelSettings;
+use ibisdale_upstreams::{
+    ChatCall, ChatEvent, EngineClient, UpstreamCredential, UpstreamError, UpstreamErrorKind,
+};
+
+use super::answer_builder::{AnswerBuilder, TokenUsage};
+use super::chat::stream_end;
+use super::dispatch::CallerRequest;
+use crate::clock::instant_of;
+use crate::context::DaemonContext;
+use crate::control::{RouteRequest, RoutedCall, UpstreamGroup};
+
+/// Attempts at engines for one step, the first included.
+const ENGINE_ATTEMPTS_MAX: u32 = 3;
+
+/// Where the answer goes.
+pub(super) enum AnswerSink {
+    /// To the caller while it comes in; `begin` tells that it has begun, or the
+    /// refusal.
+    Stream {
+        begin: Sender<Result<(), RequestRefusal>>,
+        sender: BodySender,
+    },
+    /// To the caller when it is whole.
+    Whole {
+        sender: Sender<Result<StepRecord, RequestRefusal>>,
+    },
+}
+
+impl AnswerSink {
+    /// Waits until the caller is gone.
+    async fn caller_gone(&self) {
+        match self {
+            Self::Stream { sender, .. } => sender.closed().await,
+            Self::Whole { sender } => sender.closed().await,
+        }
+    }
+
+    async fn send_chunk(&self, chunk: &Bytes) {
+        if let Self::Stream { begin, sender } = self {
+            let _ = begin.try_send(Ok(()));
+            // A caller that is gone is noticed by the run.
+            let _ = sender.send(event_bytes(chunk)).await;
+        }
+    }
+}
+
+/// Why a call was stopped from this side.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StopCause {
+    CallerGone,
+    ProgramEnded,
+}
+
+/// How one attempt at an engine ended.
+enum AttemptEnd {
+    Whole,
+    Stopped(StopCause),
+    Failed(UpstreamError),
+}
+
+/// One model call of a step.
+pub(super) struct ChatRun {
+    context: Arc<DaemonContext>,
+    request: RequestId,
+    traceparent: Option<String>,
+    workspace: WorkspaceName,
+    model: Arc<ModelSettings>,
+    ticket: Box<StepTicket>,
+    cancel: Receiver<()>,
+    engine_body: Bytes,
+    known_tokens: u64,
+    added_tokens: u64,
+    is_last: bool,
+}
+
+fn clamp_tokens(tokens: u64) -> u32 {
+    u32::try_from(tokens).unwrap_or(u32::MAX)
+}
+
+impl ChatRun {
+    pub(super) fn new(
+        context: &Arc<DaemonContext>,
+        request: &CallerRequest,
+        model: &Arc<ModelSettings>,
+        ticket: Box<StepTicket>,
+        cancel: Receiver<()>,
+    ) -> Self {
+        Self {
+            context: Arc::clone(context),
+            request: request.id,
+            traceparent: request.traceparent.clone(),
+            workspace: request.caller.workspace.clone(),
+            model: Arc::clone(model),
+            ticket,
+            cancel,
+            engine_body: Bytes::new(),
+            known_tokens: 0,
+            added_tokens: 0,
+            is_last: false,
+        }
+    }
+
+    /// Sets the engine's request.
+    pub(super) fn engine_body(mut self, body: Bytes) -> Self {
+        self.engine_body = body;
+        self
+    }
+
+    /// Sets the tokens of the history that an engine may have cached.
+    pub(super) fn known_tokens(mut self, tokens: u64) -> Self {
+        self.known_tokens = tokens;
+        self
+    }
+
+    /// Sets the most tokens that the new messages can be.
+    pub(super) fn added_tokens(mut self, tokens: u64) -> Self {
+        self.added_tokens = tokens;
+        self
+    }
+
+    /// Sets whether the program ends with this step.
+    pub(super) fn last(mut self, is_last: bool) -> Self {
+        self.is_last = is_last;
+        self
+    }
+
+    /// Runs the call, finishes the step and answers.
+    pub(super) async fn run(self, sink: AnswerSink) {
+        let mut answer = AnswerBuilder::default();
+        let outcome = match self.run_attempts(&mut answer, &sink).await {
+            Ok(()) => StepOutcome::Completed {
+                answer: answer.render(self.model.name.as_str()),
+                tokens_used: answer.get_usage().total(),
+            },
+            Err(refusal) => StepOutcome::Failed { refusal },
+        };
+        self.finish(outcome, sink).await;
+    }
+
+    async fn run_attempts(
+        &self,
+        answer: &mut AnswerBuilder,
+        sink: &AnswerSink,
+    ) -> Result<(), RequestRefusal> {
+        let mut avoid = None;
+        let mut attempt = 1;
+        loop {
+            let routed = self.route(avoid, sink).await?;
+            let address = routed.address;
+            match self.run_attempt(routed, answer, sink).await {
+                AttemptEnd::Whole => return Ok(()),
+                AttemptEnd::Stopped(cause) => return Err(stop_refusal(cause, answer.is_begun())),
+                AttemptEnd::Failed(error) => {
+                    let is_final = attempt >= ENGINE_ATTEMPTS_MAX
+                        || answer.is_begun()
+                        || !is_retryable(error.get_kind());
+                    if is_final {
+                        return Err(upstream_refusal(&error, answer.is_begun()));
+                    }
+                    avoid = Some(address);
+                    attempt += 1;
+                }
+            }
+        }
+    }
+
+    async fn route(
+        &self,
+        avoid: Option<SocketAddr>,
+        sink: &AnswerSink,
+    ) -> Result<RoutedCall, RequestRefusal> {
+        let request = RouteRequest {
+            group: UpstreamGroup(Bytes::from(self.model.vm_group.clone())),
+            workspace: self.workspace.clone(),
+            program: Some(self.ticket.get_program()),
+            prompt_tokens: clamp_tokens(self.known_tokens + self.added_tokens),
+            known_tokens: clamp_tokens(self.known_tokens),
+            deadline: self.deadline(),
+            avoid,
+        };
+        let routed = async { Ok(self.context.control.route(request).await) };
+        let stopped = async { Err(self.stopped(sink).await) };
+        match routed.or(stopped).await {
+            Ok(routed) => routed,
+            Err(cause) => Err(stop_refusal(cause, false)),
+        }
+    }
+
+    fn deadline(&self) -> Option<TimeStamp> {
+        self.ticket.get_deadline()
+    }
+
+    async fn stopped(&self, sink: &AnswerSink) -> StopCause {
+        let gone = async {
+            sink.caller_gone().await;
+            StopCause::CallerGone
+        };
+        let ended = async {
+            // Closed when the program ends.
+            let _ = self.cancel.recv().await;
+            StopCause::ProgramEnded
+        };
+        gone.or(ended).await
+    }
+
+    async fn run_attempt(
+        &self,
+        routed: RoutedCall,
+        answer: &mut AnswerBuilder,
+        sink: &AnswerSink,
+    ) -> AttemptEnd {
+        let program = self.ticket.get_program();
+        self.context.control.open_session(program, routed.address);
+        let exchange = self.exchange(&routed, answer, sink);
+        let stopped = async { AttemptEnd::Stopped(self.stopped(sink).await) };
+        let end = stopped.or(exchange).await;
+        let outcome = match &end {
+            AttemptEnd::Whole => FlightOutcome::Succeeded,
+            AttemptEnd::Stopped(_) => FlightOutcome::Cancelled,
+            AttemptEnd::Failed(_) => FlightOutcome::Failed,
+        };
+        let usage = answer.get_usage();
+        let mut report = FlightReport::new(outcome);
+        if outcome == FlightOutcome::Succeeded {
+            report = report
+                .cached_tokens(clamp_tokens(usage.cached))
+                .context_tokens(clamp_tokens(usage.total()));
+        }
+        self.context.control.call_ended(routed.route, report);
+        end
+    }
+
+    async fn exchange(
+        &self,
+        routed: &RoutedCall,
+        answer: &mut AnswerBuilder,
+        sink: &AnswerSink,
+    ) -> AttemptEnd {
+        let client = EngineClient::new(self.context.pools.get(routed.address));
+        let mut stream = match client.chat(self.engine_call(routed)).await {
+            Ok(stream) => stream,
+            Err(error) => return AttemptEnd::Failed(error),
+        };
+        loop {
+            match stream.next().await {
+                Some(Ok(ChatEvent::Delta(chunk))) => {
+                    if !answer.is_begun() {
+                        self.context.control.first_token(&routed.route);
+                    }
+                    answer.add_chunk(&chunk);
+                    sink.send_chunk(&chunk).await;
+                }
+                Some(Ok(ChatEvent::Usage {
+                    prompt,
+                    cached,
+                    completion,
+                })) => {
+                    answer.set_usage(TokenUsage {
+                        prompt,
+                        cached,
+                        completion,
+                    });
+                }
+                Some(Ok(ChatEvent::Done { .. })) | None => return AttemptEnd::Whole,
+                Some(Err(error)) => return AttemptEnd::Failed(error),
+            }
+        }
+    }
+
+    fn engine_call(&self, routed: &RoutedCall) -> ChatCall {
+        let program = self.ticket.get_program();
+        let mut call = ChatCall::new(self.engine_body.clone(), program)
+            .priority(routed.priority)
+            .fencing_number(self.ticket.get_epoch());
+        if let Some(deadline) = self.deadline() {
+            call = call.deadline(instant_of(deadline));
+        }
+        if let Some(traceparent) = &self.traceparent {
+            call = call.traceparent(traceparent);
+        }
+        match self.credential() {
+            Some(credential) => call.credential(credential),
+            None => call,
+        }
+    }
+
+    fn credential(&self) -> Option<UpstreamCredential> {
+        let path = self.model.credential_file.as_ref()?;
+        UpstreamCredential::read(path)
+            .inspect_err(|error| log::warn!("a credential can't be read: {error}"))
+            .ok()
+    }
+
+    async fn finish(self, outcome: StepOutcome, sink: AnswerSink) {
+        let program = self.ticket.get_program();
+        let step = self.ticket.get_step();
+        let result = self.context.control.finish(self.ticket, outcome).await;
+        if self.is_last {
+            let _ = self.context.control.end(program, self.workspace).await;
+        }
+        let result = result.and_then(completed);
+        match sink {
+            AnswerSink::Whole { sender } => {
+                let _ = sender.try_send(result);
+            }
+            AnswerSink::Stream { begin, sender } => {
+                end_stream(self.request, program, step, result, begin, sender).await;
+            }
+        }
+    }
+}
+
+fn completed(record: StepRecord) -> Result<StepRecord, RequestRefusal> {
+    match record.result {
+        ibisdale_programs::StepResult::Refused(refusal) => Err(refusal),
+        ibisdale_programs::StepResult::Completed { .. } => Ok(record),
+    }
+}
+
+async fn end_stream(
+    request: RequestId,
+    program: ProgramId,
+    step: StepNumber,
+    result: Result<StepRecord, RequestRefusal>,
+    begin: Sender<Result<(), RequestRefusal>>,
+    sender: BodySender,
+) {
+    let record = match result {
+        Ok(record) => record,
+        Err(refusal) => {
+            // Before the first chunk the refusal is the whole answer; after it,
+            // the last event of a stream that has no end mark.
+            if begin.try_send(Err(refusal.clone())).is_err() {
+                let _ = sender.send(refusal_event(request, &refusal)).await;
+                let _ = sender.close().await;
+            }
+            return;
+        }
+    };
+    let _ = begin.try_send(Ok(()));
+    let _ = sender.send(stream_end(program, step, record.digest)).await;
+    let _ = sender.close().await;
+}
+
+fn is_retryable(kind: UpstreamErrorKind) -> bool {
+    !matches!(
+        kind,
+        UpstreamErrorKind::DeadlineExceeded | UpstreamErrorKind::InvalidCall
+    )
+}
+
+fn run_state(is_begun: bool) -> RunState {
+    if is_begun {
+        RunState::Ran
+    } else {
+        RunState::Unknown
+    }
+}
+
+fn stop_refusal(cause: StopCause, is_begun: bool) -> RequestRefusal {
+    let (code, message) = match cause {
+        StopCause::CallerGone => (RefusalCode::UpstreamFailed, "the caller went away"),
+        StopCause::ProgramEnded => (RefusalCode::ProgramEnded, "the program has ended"),
+    };
+    RequestRefusal::new(code, message).run_state(run_state(is_begun))
+}
+
+/// Renders an upstream's failure; says `not_run` only where that is proven.
+pub(super) fn upstream_refusal(error: &UpstreamError, is_begun: bool) -> RequestRefusal {
+    let code = match error.get_kind() {
+        UpstreamErrorKind::Connect => RefusalCode::NoUpstream,
+        UpstreamErrorKind::DeadlineExceeded => RefusalCode::DeadlineExceeded,
+        UpstreamErrorKind::Refused => RefusalCode::Overloaded,
+        _ => RefusalCode::UpstreamFailed,
+    };
+    let state = if is_begun {
+        RunState::Ran
+    } else {
+        error.get_run_state()
+    };
+    let refusal = RequestRefusal::new(code, error.get_message()).run_state(state);
+    match error.get_retry_after() {
+        Some(delay) => refusal.retry_after(delay),
+        None => refusal,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/context.rs
@@ -0,0 +1,113 @@
+//! What all requests of a daemon share.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use arc_swap::ArcSwap;
+use ibisdale_core::{DaemonName, SlotId};
+use ibisdale_fleet::FleetLinks;
+use ibisdale_net::TrafficExecutor;
+use ibisdale_settings::SettingsSnapshot;
+use ibisdale_telemetry::MetricRegistry;
+use ibisdale_upstreams::{PoolOptions, UpstreamPool};
+
+use crate::control::ControlHandle;
+use crate::drain::DrainSwitch;
+
+/// What a daemon says of itself.
+#[derive(Clone, Debug)]
+pub(crate) struct DaemonIdentity {
+    pub(crate) name: DaemonName,
+    pub(crate) incarnation: u64,
+    pub(crate) entry_address: SocketAddr,
+}
+
+/// The daemon that owns a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SlotOwner {
+    pub(crate) entry_address: SocketAddr,
+    pub(crate) fleet_address: SocketAddr,
+    pub(crate) is_self: bool,
+}
+
+/// Owners of all slots, as this daemon knows them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OwnerTable {
+    owners: Vec<Option<SlotOwner>>,
+}
+
+impl OwnerTable {
+    /// Creates a table from one entry a slot, in order.
+    pub(crate) fn new(owners: Vec<Option<SlotOwner>>) -> Self {
+        Self { owners }
+    }
+
+    /// Returns a slot's owner, if one is known.
+    pub(crate) fn get(&self, slot: SlotId) -> Option<SlotOwner> {
+        self.owners.get(usize::from(slot.get())).copied().flatten()
+    }
+}
+
+/// Connection pools of the upstream replicas.
+#[derive(Debug)]
+pub(crate) struct UpstreamPools {
+    executor: TrafficExecutor,
+    pools: Mutex<HashMap<SocketAddr, UpstreamPool>>,
+}
+
+impl UpstreamPools {
+    pub(crate) fn new(executor: TrafficExecutor) -> Self {
+        Self {
+            executor,
+            pools: Mutex::default(),
+        }
+    }
+
+    /// Returns the pool of a replica.
+    pub(crate) fn get(&self, address: SocketAddr) -> UpstreamPool {
+        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        let executor = &self.executor;
+        let open = || {
+            UpstreamPool::new(
+                address,
+                TrafficExecutor::clone(executor),
+                PoolOptions::new(),
+            )
+        };
+        pools.entry(address).or_insert_with(open).clone()
+    }
+
+    /// Returns the addresses of all pools.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        let pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        pools.keys().copied().collect()
+    }
+
+    /// Forgets the pools of replicas that are gone.
+    pub(crate) fn retain(&self, is_listed: impl Fn(SocketAddr) -> bool) {
+        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        pools.retain(|address, _| is_listed(*address));
+    }
+}
+
+/// What all requests share.
+#[derive(Debug)]
+pub(crate) struct DaemonContext {
+    pub(crate) identity: DaemonIdentity,
+    pub(crate) control: ControlHandle,
+    pub(crate) settings: Arc<ArcSwap<SettingsSnapshot>>,
+    pub(crate) owners: ArcSwap<OwnerTable>,
+    pub(crate) links: FleetLinks,
+    pub(crate) pools: UpstreamPools,
+    pub(crate) executor: TrafficExecutor,
+    pub(crate) metrics: MetricRegistry,
+    pub(crate) drain: DrainSwitch,
+}
+
+impl DaemonContext {
+    /// Returns the settings in force.
+    pub(crate) fn snapshot(&self) -> Arc<SettingsSnapshot> {
+        self.settings.load_full()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/message.rs
@@ -0,0 +1,165 @@
+//! Messages to the control thread.
+
+use std::net::SocketAddr;
+
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use ibisdale_core::{
+    AttemptKey, HistoryDigest, ProgramId, RequestRefusal, SlotId, StepNumber, TimeStamp,
+    WorkspaceName,
+};
+use ibisdale_policy::{FlightKey, FlightReport, LoadReport};
+use ibisdale_programs::{
+    KeyLabel, ProgramBudget, ProgramLimits, ProgramSummary, StartedProgram, StepExchange, StepKind,
+    StepOutcome, StepRecord, StepTicket, StepView,
+};
+
+/// Says that the control thread has stopped.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ControlClosed;
+
+/// Where an answer goes; an answer that nobody awaits is dropped.
+pub(crate) type ReplySender<T> = Sender<T>;
+
+/// A program to be started.
+#[derive(Clone, Debug)]
+pub(crate) struct NewProgram {
+    pub(crate) workspace: WorkspaceName,
+    pub(crate) name: Bytes,
+    pub(crate) key: Option<KeyLabel>,
+    pub(crate) parent: Option<ProgramId>,
+    pub(crate) deadline: Option<TimeStamp>,
+    pub(crate) budget: ProgramBudget,
+    pub(crate) limits: ProgramLimits,
+}
+
+/// A step that asks to run.
+#[derive(Clone, Debug)]
+pub(crate) struct RunningStep {
+    pub(crate) program: ProgramId,
+    pub(crate) workspace: WorkspaceName,
+    pub(crate) step: StepNumber,
+    pub(crate) attempt: AttemptKey,
+    pub(crate) kind: StepKind,
+    pub(crate) payload: Bytes,
+    pub(crate) digest: Option<HistoryDigest>,
+    pub(crate) deadline: Option<TimeStamp>,
+}
+
+/// Answer to a step that asks to run.
+#[derive(Debug)]
+pub(crate) enum AdmittedStep {
+    /// It runs now; a message or the closing of `cancel` stops it.
+    Run {
+        ticket: Box<StepTicket>,
+        cancel: Receiver<()>,
+        history: Vec<StepExchange>,
+    },
+    /// It has run already.
+    Recorded(Box<StepRecord>),
+}
+
+/// Names the replicas that serve a model or a service, as in the VM list.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) struct UpstreamGroup(pub(crate) Bytes);
+
+/// A call that needs a replica.
+#[derive(Clone, Debug)]
+pub(crate) struct RouteRequest {
+    pub(crate) group: UpstreamGroup,
+    pub(crate) workspace: WorkspaceName,
+    pub(crate) program: Option<ProgramId>,
+    pub(crate) prompt_tokens: u32,
+    pub(crate) known_tokens: u32,
+    pub(crate) deadline: Option<TimeStamp>,
+    pub(crate) avoid: Option<SocketAddr>,
+}
+
+/// A call's place at a replica.
+#[derive(Clone, Debug)]
+pub(crate) struct CallRoute {
+    pub(crate) group: UpstreamGroup,
+    pub(crate) flight: FlightKey,
+}
+
+/// A call with its replica chosen.
+#[derive(Clone, Debug)]
+pub(crate) struct RoutedCall {
+    pub(crate) route: CallRoute,
+    pub(crate) address: SocketAddr,
+    pub(crate) priority: i32,
+}
+
+/// An upstream VM, as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct UpstreamVm {
+    pub(crate) group: UpstreamGroup,
+    pub(crate) address: SocketAddr,
+    pub(crate) failure_domain: Bytes,
+    pub(crate) is_leaving: bool,
+}
+
+/// Changes of slots that this daemon owns.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct SlotChange {
+    pub(crate) gained: Vec<OwnedSlot>,
+    pub(crate) lost: Vec<SlotId>,
+}
+
+/// A slot that this daemon owns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct OwnedSlot {
+    pub(crate) slot: SlotId,
+    pub(crate) epoch: u64,
+}
+
+/// What the control thread is asked.
+#[derive(Debug)]
+pub(crate) enum ControlMessage {
+    Start(
+        Box<NewProgram>,
+        ReplySender<Result<StartedProgram, RequestRefusal>>,
+    ),
+    Admit(
+        Box<RunningStep>,
+        ReplySender<Result<AdmittedStep, RequestRefusal>>,
+    ),
+    Finish(
+        Box<StepTicket>,
+        StepOutcome,
+        ReplySender<Result<StepRecord, RequestRefusal>>,
+    ),
+    End(
+        ProgramId,
+        WorkspaceName,
+        ReplySender<Result<ProgramSummary, RequestRefusal>>,
+    ),
+    Cancel(
+        ProgramId,
+        Option<WorkspaceName>,
+        ReplySender<Result<ProgramSummary, RequestRefusal>>,
+    ),
+    Summary(
+        ProgramId,
+        Option<WorkspaceName>,
+        ReplySender<Result<ProgramSummary, RequestRefusal>>,
+    ),
+    Step(
+        ProgramId,
+        WorkspaceName,
+        StepNumber,
+        ReplySender<Result<StepView, RequestRefusal>>,
+    ),
+    Programs(ReplySender<Vec<ProgramSummary>>),
+    Route(
+        Box<RouteRequest>,
+        ReplySender<Result<RoutedCall, RequestRefusal>>,
+    ),
+    SessionOpened(ProgramId, SocketAddr),
+    FirstToken(CallRoute),
+    CallEnded(CallRoute, FlightReport),
+    Upstreams(Vec<UpstreamVm>),
+    Load(SocketAddr, LoadReport),
+    Slots(SlotChange),
+    Stop,
+}
--- /dev/null
+++ b/crates/daemon/src/control/routing.rs
@@ -0,0 +1,287 @@
+//! Choice of replicas, and the calls that wait for one.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use ibisdale_core::{RefusalCode, RequestRefusal, TimeStamp, WorkspaceName};
+use ibisdale_policy::{
+    CallKey, CallRequest, ChoiceRequest, DomainKey, FairQueue, FlightReport, LoadReport,
+    PolicyProfile, PrefixClaim, PushError, RefusalReason, ReplicaKey, ReplicaSet, ReplicaSpec,
+    ReplicaStatus, RoutingRefusal, SessionId, ShareKey, choose,
+};
+use ibisdale_programs::EngineAddress;
+use rand::rngs::SmallRng;
+use slotmap::SecondaryMap;
+
+use super::message::{CallRoute, ReplySender, RouteRequest, RoutedCall, UpstreamGroup, UpstreamVm};
+use super::state::{ControlState, answer};
+use crate::clock::unix_now;
+
+/// Weight of a workspace whose settings name none.
+const DEFAULT_WEIGHT: f64 = 1.0;
+
+type RouteReply = ReplySender<Result<RoutedCall, RequestRefusal>>;
+
+struct WaitingCall {
+    request: RouteRequest,
+    reply: RouteReply,
+}
+
+/// Replicas of one group and the calls that wait for them.
+pub(super) struct UpstreamRouter {
+    set: ReplicaSet,
+    keys: HashMap<SocketAddr, ReplicaKey>,
+    queue: FairQueue,
+    shares: HashMap<WorkspaceName, ShareKey>,
+    waiting: SecondaryMap<CallKey, WaitingCall>,
+    domain: DomainKey,
+}
+
+impl UpstreamRouter {
+    fn new(profile: &PolicyProfile, failure_domain: &[u8]) -> Self {
+        let mut set = ReplicaSet::new(profile.routing.clone());
+        let domain = set.domain_key(failure_domain);
+        Self {
+            set,
+            keys: HashMap::new(),
+            queue: FairQueue::new(profile.queue.clone()),
+            shares: HashMap::new(),
+            waiting: SecondaryMap::new(),
+            domain,
+        }
+    }
+
+    fn set_vms(&mut self, vms: &[UpstreamVm]) {
+        let gone: Vec<SocketAddr> = self
+            .keys
+            .keys()
+            .filter(|address| !vms.iter().any(|vm| vm.address == **address))
+            .copied()
+            .collect();
+        for address in gone {
+            if let Some(key) = self.keys.remove(&address) {
+                self.set.remove(key);
+            }
+        }
+        for vm in vms {
+            let domain = self.set.domain_key(&vm.failure_domain);
+            let set = &mut self.set;
+            let key = *self
+                .keys
+                .entry(vm.address)
+                .or_insert_with(|| set.insert(ReplicaSpec::new(vm.address, domain)));
+            let status = if vm.is_leaving {
+                ReplicaStatus::Leaving
+            } else {
+                ReplicaStatus::Live
+            };
+            self.set.set_status(key, status);
+        }
+    }
+
+    /// Lets a call wait for its turn.
+    fn push(&mut self, request: RouteRequest, reply: RouteReply, now: TimeStamp) {
+        let queue = &mut self.queue;
+        let share = *self
+            .shares
+            .entry(request.workspace.clone())
+            .or_insert_with(|| queue.insert_workspace(DEFAULT_WEIGHT));
+        let mut call = CallRequest::new(share).expected_tokens(request.prompt_tokens);
+        if let Some(deadline) = request.deadline {
+            call = call.latest_start(deadline);
+        }
+        match self.queue.push(call, now) {
+            Ok(outcome) => {
+                self.waiting
+                    .insert(outcome.call, WaitingCall { request, reply });
+                if let Some(displaced) = outcome.displaced {
+                    self.refuse(displaced, &overloaded("another workspace has the place"));
+                }
+            }
+            Err(error) => answer(&reply, Err(push_refusal(error))),
+        }
+    }
+
+    fn refuse(&mut self, call: CallKey, refusal: &RequestRefusal) {
+        if let Some(waiting) = self.waiting.remove(call) {
+            answer(&waiting.reply, Err(refusal.clone()));
+        }
+    }
+
+    /// Gives replicas to calls in their order until none is free.
+    pub(super) fn drain(&mut self, now: TimeStamp, random: &mut SmallRng) {
+        while let Some(next) = self.queue.peek() {
+            let Some(waiting) = self.waiting.get(next.call) else {
+                self.queue.cancel(next.call);
+                continue;
+            };
+            let choice = self.choice(&waiting.request);
+            let decision = match choose(&self.set, &choice, now, random) {
+                Err(RoutingRefusal {
+                    reason: RefusalReason::AllBusy,
+                    ..
+                }) => return,
+                decision => decision,
+            };
+            self.queue.pop();
+            let Some(waiting) = self.waiting.remove(next.call) else {
+                continue;
+            };
+            let result = match decision {
+                Err(refusal) => Err(routing_refusal(refusal)),
+                Ok(decision) => {
+                    let flight = self.set.begin(&choice, &decision, now);
+                    let tokens = f64::from(waiting.request.prompt_tokens);
+                    self.queue.charge(next.request.get_share(), tokens);
+                    let address = self.set.get_address(decision.replica);
+                    let group = waiting.request.group.clone();
+                    address
+                        .map(|address| RoutedCall {
+                            route: CallRoute { group, flight },
+                            address,
+                            priority: i32::from(choice.get_priority()),
+                        })
+                        .ok_or_else(|| overloaded("the replica is gone"))
+                }
+            };
+            if let Err(unsent) = waiting.reply.try_send(result)
+                && let Ok(routed) = unsent.into_inner()
+            {
+                let report = FlightReport::new(ibisdale_policy::FlightOutcome::Cancelled);
+                self.set.finish(routed.route.flight, report, now);
+            }
+        }
+    }
+
+    /// Refuses calls whose deadline passed while they waited.
+    pub(super) fn expire(&mut self, now: TimeStamp) {
+        let late: Vec<CallKey> = self
+            .waiting
+            .iter()
+            .filter(|(_, call)| {
+                call.request
+                    .deadline
+                    .is_some_and(|deadline| deadline <= now)
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for call in late {
+            self.queue.cancel(call);
+            let message = "the deadline passed before a replica was free";
+            self.refuse(
+                call,
+                &RequestRefusal::new(RefusalCode::DeadlineExceeded, message),
+            );
+        }
+    }
+
+    fn choice(&self, request: &RouteRequest) -> ChoiceRequest {
+        let mut choice = ChoiceRequest::new()
+            .prompt_tokens(request.prompt_tokens)
+            .domain(self.domain);
+        if let Some(program) = request.program {
+            let session = SessionId::from_program(program);
+            let claim = PrefixClaim {
+                session,
+                tokens: request.known_tokens,
+            };
+            choice = choice.program(program).claim(claim);
+        }
+        if let Some(deadline) = request.deadline {
+            choice = choice.deadline(deadline);
+        }
+        match request.avoid.and_then(|address| self.keys.get(&address)) {
+            Some(key) => choice.avoid(*key),
+            None => choice,
+        }
+    }
+}
+
+fn overloaded(message: &str) -> RequestRefusal {
+    RequestRefusal::new(RefusalCode::Overloaded, message).retry_after(OVERLOAD_RETRY_DELAY)
+}
+
+/// Time after which a full queue is worth another try.
+const OVERLOAD_RETRY_DELAY: std::time::Duration = std::time::Duration::from_secs(1);
+
+fn push_refusal(error: PushError) -> RequestRefusal {
+    overloaded(&error.to_string())
+}
+
+fn routing_refusal(refusal: RoutingRefusal) -> RequestRefusal {
+    let code = match refusal.reason {
+        RefusalReason::NoReplica | RefusalReason::AllFailing => RefusalCode::NoUpstream,
+        RefusalReason::AllBusy | RefusalReason::DeadlineTooClose => RefusalCode::Overloaded,
+    };
+    RequestRefusal::new(code, refusal.to_string()).retry_after(refusal.retry_after)
+}
+
+impl ControlState {
+    pub(super) fn set_upstreams(&mut self, vms: Vec<UpstreamVm>) {
+        let mut groups: HashMap<UpstreamGroup, Vec<UpstreamVm>> = HashMap::new();
+        for vm in vms {
+            groups.entry(vm.group.clone()).or_default().push(vm);
+        }
+        for (group, router) in &mut self.routers {
+            if !groups.contains_key(group) {
+                router.set_vms(&[]);
+            }
+        }
+        let now = unix_now();
+        for (group, vms) in groups {
+            let profile = &self.profile;
+            let domain = &self.failure_domain;
+            let router = self
+                .routers
+                .entry(group)
+                .or_insert_with(|| UpstreamRouter::new(profile, domain));
+            router.set_vms(&vms);
+            router.drain(now, &mut self.random);
+        }
+    }
+
+    pub(super) fn record_load(&mut self, address: SocketAddr, report: LoadReport) {
+        let now = unix_now();
+        for router in self.routers.values_mut() {
+            if let Some(key) = router.keys.get(&address) {
+                router.set.record_load(*key, report);
+                router.drain(now, &mut self.random);
+            }
+        }
+    }
+
+    pub(super) fn route_call(&mut self, request: RouteRequest, reply: RouteReply) {
+        let now = unix_now();
+        let Some(router) = self.routers.get_mut(&request.group) else {
+            let message = "no upstream VM is listed for this model or service";
+            let refusal = RequestRefusal::new(RefusalCode::NoUpstream, message);
+            return answer(&reply, Err(refusal.retry_after(OVERLOAD_RETRY_DELAY)));
+        };
+        router.push(request, reply, now);
+        router.drain(now, &mut self.random);
+    }
+
+    /// Notes that an engine holds a session of a program.
+    pub(super) fn open_session(&mut self, program: ibisdale_core::ProgramId, address: SocketAddr) {
+        let engine = EngineAddress::new(address.to_string());
+        match self.table.open_session(program, engine) {
+            Ok(Some(record)) => drop(self.history.append(vec![record])),
+            Ok(None) => {}
+            Err(refusal) => log::warn!("session not noted: {}", refusal.get_message()),
+        }
+    }
+
+    pub(super) fn note_first_token(&mut self, route: &CallRoute) {
+        if let Some(router) = self.routers.get_mut(&route.group) {
+            router.set.record_first_token(route.flight, unix_now());
+        }
+    }
+
+    pub(super) fn end_call(&mut self, route: &CallRoute, report: FlightReport) {
+        let now = unix_now();
+        if let Some(router) = self.routers.get_mut(&route.group) {
+            router.set.finish(route.flight, report, now);
+            router.drain(now, &mut self.random);
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,20 @@
-//! The daemon as a library: control thread, traffic threads and the parts they connect.
+//! The daemon as a library: control thread, traffic threads and the parts they
+//! connect.
+//!
+//! One thread owns all control state and takes typed messages; the others carry
+//! traffic and read snapshots. The binaries only read settings and start a
+//! [`RunningDaemon`].
+
+mod callers;
+mod clock;
+mod context;
+mod control;
+mod drain;
+mod load_watch;
+mod operators;
+mod running;
+mod threads;
+mod upstream_watch;
+
+pub use drain::DrainSwitch;
+pub use running::{DaemonOptions, RunningDaemon, StartError};
--- /dev/null
+++ b/crates/daemon/src/operators/dispatch.rs
@@ -0,0 +1,109 @@
+//! Operators' requests: from their head to their answer.
+
+use std::sync::Arc;
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use ibisdale_core::admin::{DrainReply, ProgramsReply};
+use ibisdale_core::{ProgramId, RefusalCode, RequestId, RequestRefusal};
+use ibisdale_entry::{
+    AnswerHead, OperatorRoute, bearer_key, check_head, json_answer, parse_operator_route,
+    refusal_answer, text_answer,
+};
+use ibisdale_net::BoxBody;
+use ibisdale_settings::KeyHash;
+
+use super::render::{render_program, render_status};
+use crate::context::DaemonContext;
+
+/// What operators must present.
+#[derive(Clone, Debug)]
+pub(crate) struct OperatorAccess {
+    pub(crate) key_hash: KeyHash,
+}
+
+/// Answers an operator.
+pub(crate) async fn serve_operator(
+    context: Arc<DaemonContext>,
+    access: OperatorAccess,
+    request: Request<Incoming>,
+) -> Response<BoxBody> {
+    let id = RequestId::generate(&mut rand::rng());
+    match serve(&context, &access, id, request).await {
+        Ok(response) => response,
+        Err(refusal) => refusal_answer(id, &refusal),
+    }
+}
+
+fn authenticate(
+    access: &OperatorAccess,
+    request: &Request<Incoming>,
+) -> Result<(), RequestRefusal> {
+    let unknown = |message: &str| RequestRefusal::new(RefusalCode::UnknownKey, message);
+    let key = bearer_key(request.headers())?.ok_or_else(|| unknown("no key was given"))?;
+    if KeyHash::of(&key) == access.key_hash {
+        return Ok(());
+    }
+    Err(unknown("the key is not an operator's"))
+}
+
+async fn serve(
+    context: &Arc<DaemonContext>,
+    access: &OperatorAccess,
+    id: RequestId,
+    request: Request<Incoming>,
+) -> Result<Response<BoxBody>, RequestRefusal> {
+    let route = parse_operator_route(request.method(), request.uri())?;
+    if route == OperatorRoute::Metrics {
+        return Ok(text_answer(AnswerHead::new(id), context.metrics.render()));
+    }
+    authenticate(access, &request)?;
+    let (parts, _body) = request.into_parts();
+    check_head(&parts)?;
+    match route {
+        OperatorRoute::Programs => Ok(list_programs(context, id).await),
+        OperatorRoute::Program(program) => read_program(context, id, program).await,
+        OperatorRoute::CancelProgram(program) => cancel_program(context, id, program).await,
+        OperatorRoute::Status => Ok(json_answer(AnswerHead::new(id), &render_status(context))),
+        OperatorRoute::Drain => Ok(start_drain(context, id)),
+        _ => {
+            let message = "settings can't be read or changed through this daemon yet";
+            Err(RequestRefusal::new(RefusalCode::NotImplemented, message))
+        }
+    }
+}
+
+async fn list_programs(context: &DaemonContext, id: RequestId) -> Response<BoxBody> {
+    let programs = context.control.programs().await;
+    let programs = programs.iter().map(render_program).collect();
+    json_answer(AnswerHead::new(id), &ProgramsReply { programs })
+}
+
+async fn read_program(
+    context: &DaemonContext,
+    id: RequestId,
+    program: ProgramId,
+) -> Result<Response<BoxBody>, RequestRefusal> {
+    let summary = context.control.summary(program, None).await?;
+    Ok(json_answer(AnswerHead::new(id), &render_program(&summary)))
+}
+
+async fn cancel_program(
+    context: &DaemonContext,
+    id: RequestId,
+    program: ProgramId,
+) -> Result<Response<BoxBody>, RequestRefusal> {
+    let summary = context.control.cancel(program, None).await?;
+    Ok(json_answer(AnswerHead::new(id), &render_program(&summary)))
+}
+
+fn start_drain(context: &DaemonContext, id: RequestId) -> Response<BoxBody> {
+    context.drain.start();
+    let head = AnswerHead::new(id).status(StatusCode::ACCEPTED);
+    json_answer(
+        head,
+        &DrainReply {
+            name: context.identity.name.clone(),
+        },
+    )
+}
