Give the engine stand-in batching, a limited prefix cache and orders

Cause: decisions about placement and order are measured against the stand-in, which answered each call by itself and cached without limit.

Ruled out: growing a call's memory token by token with preemption (the whole answer is known beforehand, so it is reserved on admission); a clock of its own (times pass through one scale option).

Change: steps with prefill and decode cost, admission by priority, blocks by the hash of their prefix, eviction of the idle session used the longest ago, cache events late and with gaps, load reports that lag, export and import, resumed answers, and orders for models and roles whose fencing number is checked or ignored. The scripted peer keeps what it received, and closes its sending side, which an Async stream's close() does not do.

--- a/crates/standins/src/engine/stream.rs
+++ b/crates/standins/src/engine/stream.rs
@@ -3,48 +3,71 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_lite::FutureExt;
 use http::{HeaderValue, Response, StatusCode, header};
 use ibisdale_net::{BodySender, BoxBody, NetError, body_channel};
+use smol::channel::Receiver;
 
-use super::answer::{compose_tokens, split_tokens};
+use super::batch::SequenceItem;
 use super::message::{ChatBody, ChoiceBody, ChunkBody, TextBody, UsageBody};
 use super::options::EngineFault;
-use super::server::SharedState;
+use super::state::SharedState;
 use crate::host::{aborted_answer, error_answer, json_answer};
 
 /// Time for the tokens before a cut to leave.
 const FLUSH_DELAY: Duration = Duration::from_millis(20);
+/// Time between comments while a call waits.
+const COMMENT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// One accepted chat call.
 pub(crate) struct ChatRun {
     shared: SharedState,
     body: ChatBody,
     tokens: Vec<&'static str>,
-    usage: UsageBody,
+    items: Receiver<SequenceItem>,
+    prompt_tokens: u64,
+    cached_tokens: u64,
+    sent: u32,
+    resumed_from: usize,
     is_finished: bool,
 }
 
 impl ChatRun {
-    /// Takes the call in and computes its usage.
-    pub(crate) fn start(shared: SharedState, session: &str, body: ChatBody) -> Self {
-        let tokens = compose_tokens(&body.model, &body.messages, body.get_max_tokens());
-        let prompt = split_tokens(&body.messages).len() as u64;
-        let usage = {
+    /// Counts a call whose tokens come as `items`.
+    pub(crate) fn start(
+        shared: SharedState,
+        body: ChatBody,
+        tokens: Vec<&'static str>,
+        items: Receiver<SequenceItem>,
+        prompt_tokens: u64,
+    ) -> Self {
+        {
             let mut state = shared.lock();
-            let cached = state.take_prompt(session, prompt);
             state.counters.chats += 1;
             state.counters.running += 1;
-            UsageBody::new(prompt, cached, tokens.len() as u64)
-        };
+        }
         Self {
             shared,
             body,
             tokens,
-            usage,
+            items,
+            prompt_tokens,
+            cached_tokens: 0,
+            sent: 0,
+            resumed_from: 0,
             is_finished: false,
         }
     }
 
+    /// Sets the token that the answer goes on from.
+    pub(crate) fn resume_from(mut self, index: usize) -> Self {
+        if index > 0 {
+            self.resumed_from = index;
+            self.shared.lock().counters.resumed += 1;
+        }
+        self
+    }
+
     /// Answers the call, by a stream if the body asks for one.
     pub(crate) async fn answer(self) -> Response<BoxBody> {
         let fault = self.shared.lock().fault;
@@ -58,10 +81,16 @@
     }
 
     async fn answer_whole(mut self) -> Response<BoxBody> {
-        for _ in 0..self.tokens.len() {
-            self.generate_token().await;
+        loop {
+            match self.items.recv().await {
+                Ok(SequenceItem::Started { cached }) => self.cached_tokens = cached,
+                Ok(SequenceItem::Token { .. }) => self.sent += 1,
+                Ok(SequenceItem::Finished) => break,
+                Err(_) => return aborted_answer(),
+            }
         }
-        let text = self.tokens.join(" ");
+        self.is_finished = true;
+        let text = self.tokens[self.resumed_from..].join(" ");
         let choice = ChoiceBody {
             index: 0,
             delta: None,
@@ -77,11 +106,9 @@
             created: 0,
             model: &self.body.model,
             choices: vec![choice],
-            usage: Some(self.usage),
+            usage: Some(self.get_usage()),
         };
-        let response = json_answer(StatusCode::OK, &answer);
-        self.is_finished = true;
-        response
+        json_answer(StatusCode::OK, &answer)
     }
 
     fn answer_stream(mut self, fault: EngineFault) -> Response<BoxBody> {
@@ -89,11 +116,13 @@
         let Some(executor) = self.shared.get_executor() else {
             return error_answer(StatusCode::SERVICE_UNAVAILABLE, "closing", "closing");
         };
+        let resumed_from = HeaderValue::from(self.resumed_from);
         let task = async move {
             let produce = async {
+                // An error means that the caller is gone.
                 let _ = self.produce(&sender, fault).await;
             };
-            futures_lite::FutureExt::or(produce, sender.closed()).await;
+            produce.or(sender.closed()).await;
             if self.is_finished {
                 let _ = sender.close().await;
             }
@@ -101,34 +130,30 @@
         executor.spawn(task).detach();
         let mut response = Response::new(body);
         let kind = HeaderValue::from_static("text/event-stream");
-        response.headers_mut().insert(header::CONTENT_TYPE, kind);
+        let headers = response.headers_mut();
+        headers.insert(header::CONTENT_TYPE, kind);
+        if resumed_from != "0" {
+            headers.insert("resumed-from", resumed_from);
+        }
         response
     }
 
     async fn produce(&mut self, sender: &BodySender, fault: EngineFault) -> Result<(), NetError> {
-        for index in 0..self.tokens.len() {
-            let count = u32::try_from(index).unwrap_or(u32::MAX);
-            match fault {
-                EngineFault::CloseAfter(limit) if limit == count => {
-                    smol::Timer::after(FLUSH_DELAY).await;
-                    return Ok(());
-                }
-                EngineFault::GarbageAfter(limit) if limit == count => {
-                    sender
-                        .send(Bytes::from_static(b"data: {\"choices\": <garbage>\n\n"))
-                        .await?;
-                }
-                EngineFault::StallAfter(limit) if limit == count => {
-                    return std::future::pending().await;
-                }
-                EngineFault::EndWithoutDone(limit) if limit == count => {
-                    self.is_finished = true;
-                    return Ok(());
+        loop {
+            if self.meet_fault(sender, fault).await? {
+                return Ok(());
+            }
+            match self.next_item().await {
+                Some(SequenceItem::Started { cached }) => self.cached_tokens = cached,
+                Some(SequenceItem::Token { index }) => {
+                    sender.send(self.format_token(index)).await?;
+                    self.sent += 1;
                 }
-                _ => {}
+                Some(SequenceItem::Finished) => break,
+                // The engine gave the call up, for a release order.
+                None if self.items.is_closed() => return Ok(()),
+                None => sender.send(Bytes::from_static(b": waiting\n\n")).await?,
             }
-            self.generate_token().await;
-            sender.send(self.format_token(index)).await?;
         }
         sender.send(self.format_end()).await?;
         sender.send(Bytes::from_static(b"data: [DONE]\n\n")).await?;
@@ -136,22 +161,56 @@
         Ok(())
     }
 
-    async fn generate_token(&self) {
-        let delay = self.shared.lock().options.get_token_delay();
-        if !delay.is_zero() {
-            smol::Timer::after(delay).await;
+    /// Returns the next item; none when there was none for a while or the
+    /// engine gave the call up.
+    async fn next_item(&self) -> Option<SequenceItem> {
+        let receive = async { self.items.recv().await.ok() };
+        let expire = async {
+            smol::Timer::after(COMMENT_INTERVAL).await;
+            None
+        };
+        receive.or(expire).await
+    }
+
+    /// Fails as the fault says once so many tokens are sent; tells whether the
+    /// stream is over.
+    async fn meet_fault(
+        &mut self,
+        sender: &BodySender,
+        fault: EngineFault,
+    ) -> Result<bool, NetError> {
+        match fault {
+            EngineFault::CloseAfter(limit) if limit == self.sent => {
+                smol::Timer::after(FLUSH_DELAY).await;
+                Ok(true)
+            }
+            EngineFault::GarbageAfter(limit) if limit == self.sent => {
+                let garbage = Bytes::from_static(b"data: {\"choices\": <garbage>\n\n");
+                sender.send(garbage).await?;
+                Ok(false)
+            }
+            EngineFault::StallAfter(limit) if limit == self.sent => std::future::pending().await,
+            EngineFault::EndWithoutDone(limit) if limit == self.sent => {
+                self.is_finished = true;
+                Ok(true)
+            }
+            _ => Ok(false),
         }
-        self.shared.lock().counters.completion_tokens += 1;
     }
 
     fn get_finish_reason(&self) -> &'static str {
-        let limit = self.body.get_max_tokens() as usize;
-        if self.tokens.len() >= limit {
+        if self.tokens.len() >= self.body.get_max_tokens() as usize {
             return "length";
         }
         "stop"
     }
 
+    /// Returns the usage of this call; tokens sent before a resumption are not
+    /// counted again.
+    fn get_usage(&self) -> UsageBody {
+        UsageBody::new(self.prompt_tokens, self.cached_tokens, u64::from(self.sent))
+    }
+
     fn format_token(&self, index: usize) -> Bytes {
         let text = if index == 0 {
             self.tokens[index].to_owned()
@@ -168,7 +227,7 @@
     fn format_end(&self) -> Bytes {
         let choice = (TextBody::default(), Some(self.get_finish_reason()));
         let end = self.format_chunk(Some(choice), None);
-        let usage = self.format_chunk(None, Some(self.usage));
+        let usage = self.format_chunk(None, Some(self.get_usage()));
         [end, usage].concat().into()
     }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,7 +9,8 @@
 mod vms;
 
 pub use engine::{
-    EngineCounters, EngineFault, EngineOptions, EngineServer, PromptMessage, compose_answer,
+    EngineCounters, EngineFault, EngineOptions, EngineRole, EngineServer, PromptMessage,
+    compose_answer,
 };
 pub use kv::{KvServer, OutageKind};
 pub use scripted::{ScriptEnd, ScriptedServer};
--- a/crates/standins/src/scripted/mod.rs
+++ b/crates/standins/src/scripted/mod.rs
@@ -1,8 +1,7 @@
 //! A peer that answers with bytes given beforehand, right or wrong.
 
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
 use ibisdale_net::{NetError, TrafficExecutor, bind_listener};
@@ -21,13 +20,36 @@
     Hold,
 }
 
+/// The bytes that came in on each connection, in the order of acceptance.
+#[derive(Clone, Debug, Default)]
+struct ReceivedBytes(Arc<Mutex<Vec<Vec<u8>>>>);
+
+impl ReceivedBytes {
+    fn lock(&self) -> MutexGuard<'_, Vec<Vec<u8>>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds a connection and returns its index.
+    fn add(&self) -> usize {
+        let mut connections = self.lock();
+        connections.push(Vec::new());
+        connections.len() - 1
+    }
+
+    fn extend(&self, index: usize, bytes: &[u8]) {
+        if let Some(connection) = self.lock().get_mut(index) {
+            connection.extend_from_slice(bytes);
+        }
+    }
+}
+
 /// Answers the first request on each connection with the same bytes.
 ///
 /// It waits for the first bytes of a request and looks at none of them.
 #[derive(Debug)]
 pub struct ScriptedServer {
     address: SocketAddr,
-    connections: Arc<AtomicU64>,
+    received: ReceivedBytes,
     task: Task<()>,
 }
 
@@ -48,13 +70,12 @@
             .get_ref()
             .local_addr()
             .map_err(|source| NetError::Listen { address, source })?;
-        let connections = Arc::new(AtomicU64::new(0));
-        let count = Arc::clone(&connections);
-        let task = executor.spawn(accept_all(listener, script.into(), end, count));
+        let received = ReceivedBytes::default();
+        let accept = accept_all(listener, script.into(), end, received.clone());
         Ok(Self {
             address,
-            connections,
-            task,
+            received,
+            task: executor.spawn(accept),
         })
     }
 
@@ -66,8 +87,14 @@
 
     /// Returns the number of connections accepted.
     #[must_use]
-    pub fn get_connections(&self) -> u64 {
-        self.connections.load(Ordering::Relaxed)
+    pub fn get_connections(&self) -> usize {
+        self.received.lock().len()
+    }
+
+    /// Returns the bytes that came in on each connection so far.
+    #[must_use]
+    pub fn get_received(&self) -> Vec<Vec<u8>> {
+        self.received.lock().clone()
     }
 
     /// Closes the listener and every connection.
@@ -80,39 +107,56 @@
     listener: Async<TcpListener>,
     script: Bytes,
     end: ScriptEnd,
-    count: Arc<AtomicU64>,
+    received: ReceivedBytes,
 ) {
     let connections = async_executor::Executor::new();
     let accept = async {
         while let Ok((stream, _)) = listener.accept().await {
-            count.fetch_add(1, Ordering::Relaxed);
+            let index = received.add();
+            let connection = ScriptedConnection {
+                stream,
+                received: received.clone(),
+                index,
+            };
             connections
-                .spawn(answer_once(stream, script.clone(), end))
+                .spawn(connection.answer_once(script.clone(), end))
                 .detach();
         }
     };
     connections.run(accept).await;
 }
 
-async fn answer_once(mut stream: Async<TcpStream>, script: Bytes, end: ScriptEnd) {
-    let mut buffer = vec![0; READ_BYTES];
-    if !matches!(stream.read(&mut buffer).await, Ok(1..)) {
-        return;
-    }
-    if stream.write_all(&script).await.is_err() || stream.flush().await.is_err() {
-        return;
-    }
-    match end {
-        ScriptEnd::Close => drain_and_close(stream, &mut buffer).await,
-        ScriptEnd::Hold => while matches!(stream.read(&mut buffer).await, Ok(1..)) {},
-    }
+struct ScriptedConnection {
+    stream: Async<TcpStream>,
+    received: ReceivedBytes,
+    index: usize,
 }
 
-/// Closes the sending side, then reads what is left so that no reset overtakes
-/// the bytes sent.
-async fn drain_and_close(mut stream: Async<TcpStream>, buffer: &mut [u8]) {
-    if stream.close().await.is_err() {
-        return;
+impl ScriptedConnection {
+    async fn answer_once(mut self, script: Bytes, end: ScriptEnd) {
+        if !self.read_some().await {
+            return;
+        }
+        if self.stream.write_all(&script).await.is_err() || self.stream.flush().await.is_err() {
+            return;
+        }
+        // What is left is read first, so that no reset overtakes the script.
+        if end == ScriptEnd::Close {
+            // A peer that is gone already needs no closing.
+            let _ = self.stream.get_ref().shutdown(Shutdown::Write);
+        }
+        while self.read_some().await {}
+    }
+
+    /// Reads what comes next; tells whether anything came.
+    async fn read_some(&mut self) -> bool {
+        let mut buffer = vec![0; READ_BYTES];
+        match self.stream.read(&mut buffer).await {
+            Ok(length) if length > 0 => {
+                self.received.extend(self.index, &buffer[..length]);
+                true
+            }
+            _ => false,
+        }
     }
-    while matches!(stream.read(buffer).await, Ok(1..)) {}
 }
