--- a/crates/upstreams/src/engine.rs
+++ b/crates/upstreams/src/engine.rs
@@ -11,7 +11,10 @@
 use crate::credential::UpstreamCredential;
 use crate::error::{UpstreamError, UpstreamErrorKind};
 use crate::exchange::{UpstreamRequest, send_request, status_error};
-use crate::headers::{FENCING_NUMBER, PRIORITY, SESSION_ID, TRACEPARENT, number_value};
+use crate::headers::{
+    FENCING_NUMBER, PRIORITY, RESUME_FROM, RESUMED_FROM, SESSION_ID, TRACEPARENT, number_value,
+    read_number,
+};
 use crate::pool::{ConnectionReuse, UpstreamPool};
 
 const CHAT_PATH: &str = "/v1/chat/completions";
@@ -28,6 +31,7 @@
     priority: i32,
     fencing_number: u64,
     deadline: Option<Instant>,
+    resume_from: u32,
     traceparent: Option<HeaderValue>,
     credential: Option<UpstreamCredential>,
 }
@@ -41,6 +45,7 @@
             priority: 0,
             fencing_number: 0,
             deadline: None,
+            resume_from: 0,
             traceparent: None,
             credential: None,
         }
@@ -67,6 +72,14 @@
         self
     }
 
+    /// Sets the token that the answer goes on from, after a cut stream of the
+    /// same call; zero starts anew.
+    #[must_use]
+    pub fn resume_from(mut self, token: u32) -> Self {
+        self.resume_from = token;
+        self
+    }
+
     /// Sets the trace context; a malformed one is left out.
     #[must_use]
     pub fn traceparent(mut self, traceparent: &str) -> Self {
@@ -96,6 +109,9 @@
         }
         headers.insert(PRIORITY, number_value(self.priority));
         headers.insert(FENCING_NUMBER, number_value(self.fencing_number));
+        if self.resume_from > 0 {
+            headers.insert(RESUME_FROM, number_value(self.resume_from));
+        }
         if let Some(traceparent) = self.traceparent {
             headers.insert(TRACEPARENT, traceparent);
         }
@@ -131,15 +147,14 @@
     /// than an event stream; [`UpstreamError::get_run_state`] tells what is
     /// proven.
     pub async fn chat(&self, call: ChatCall) -> Result<ChatStream, UpstreamError> {
+        let resume_from = call.resume_from;
         let request = call.into_request();
         let answer = send_request(&self.pool, &request).await?;
         if !answer.status.is_success() {
             let answer = answer.read_whole(&self.pool).await?;
             return Err(status_error(self.pool.get_address(), &answer));
         }
-        let content_type = answer.headers.get(header::CONTENT_TYPE);
-        if !content_type.is_some_and(is_event_stream) {
-            let message = "the answer is not an event stream";
+        if let Some(message) = find_fault(&answer.headers, resume_from) {
             let kind = UpstreamErrorKind::Garbage;
             let error = UpstreamError::new(kind, self.pool.get_address(), message);
             return Err(error.status(answer.status));
@@ -148,6 +163,19 @@
     }
 }
 
+/// Returns what is wrong with the head of a successful answer, if anything.
+fn find_fault(headers: &HeaderMap, resume_from: u32) -> Option<&'static str> {
+    let content_type = headers.get(header::CONTENT_TYPE);
+    if !content_type.is_some_and(is_event_stream) {
+        return Some("the answer is not an event stream");
+    }
+    let start = headers.get(RESUMED_FROM).and_then(read_number);
+    if start.unwrap_or(0) != resume_from {
+        return Some("the answer does not start at the token asked for");
+    }
+    None
+}
+
 fn is_event_stream(value: &HeaderValue) -> bool {
     let kind = value.as_bytes().split(|byte| *byte == b';').next();
     kind.is_some_and(|kind| {
--- a/crates/upstreams/src/error.rs
+++ b/crates/upstreams/src/error.rs
@@ -147,7 +147,8 @@
         self.retry_after
     }
 
-    /// Returns the explanation for people.
+    /// Returns the explanation for operators; it may quote the upstream and is
+    /// not meant for callers.
     #[must_use]
     pub fn get_message(&self) -> &str {
         &self.message
--- a/crates/upstreams/src/headers.rs
+++ b/crates/upstreams/src/headers.rs
@@ -10,6 +10,10 @@
 pub(crate) const PRIORITY: HeaderName = HeaderName::from_static("priority");
 /// Fencing number of a call or order.
 pub(crate) const FENCING_NUMBER: HeaderName = HeaderName::from_static("fencing-number");
+/// Token that an answer is to go on from.
+pub(crate) const RESUME_FROM: HeaderName = HeaderName::from_static("resume-from");
+/// Token that an answer goes on from.
+pub(crate) const RESUMED_FROM: HeaderName = HeaderName::from_static("resumed-from");
 /// Says that a refused request has not run.
 pub(crate) const RUN_STATE: HeaderName = HeaderName::from_static("run-state");
 /// Identifies a request whose repetition must not run twice.
@@ -64,6 +68,11 @@
     HeaderValue::from_str(&text).unwrap_or_else(|_| HeaderValue::from_static("0"))
 }
 
+/// Returns the number that a header holds.
+pub(crate) fn read_number(value: &HeaderValue) -> Option<u32> {
+    value.to_str().ok()?.parse().ok()
+}
+
 /// Returns the delay that `Retry-After` asks for, in whole seconds.
 pub(crate) fn read_retry_after(headers: &HeaderMap) -> Option<Duration> {
     let seconds = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
--- a/crates/upstreams/src/load.rs
+++ b/crates/upstreams/src/load.rs
@@ -9,6 +9,7 @@
 use crate::credential::UpstreamCredential;
 use crate::error::UpstreamError;
 use crate::exchange::{UpstreamRequest, send_request};
+use crate::order::EngineRole;
 use crate::pool::UpstreamPool;
 
 /// Time in which a report must be whole.
@@ -32,6 +33,8 @@
     pub capacity: u64,
     /// Models, adapters and versions loaded; empty for any.
     pub models: Vec<String>,
+    /// What the upstream does of the calls it gets; mixed for services.
+    pub role: EngineRole,
     /// Whether the upstream takes no new work.
     pub is_leaving: bool,
 }
--- a/crates/upstreams/src/session.rs
+++ b/crates/upstreams/src/session.rs
@@ -2,18 +2,21 @@
 
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use http::Method;
 use ibisdale_core::ProgramId;
 use serde::Deserialize;
 
 use crate::credential::UpstreamCredential;
 use crate::error::UpstreamError;
-use crate::exchange::{UpstreamRequest, send_request};
+use crate::exchange::{UpstreamRequest, send_request, status_error};
 use crate::headers::{FENCING_NUMBER, number_value};
 use crate::pool::UpstreamPool;
 
 /// Time in which an order must be answered.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time in which an export or import must be whole.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// An engine's answer to a release order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
@@ -22,6 +25,16 @@
     pub released: bool,
 }
 
+/// An engine's answer to an import order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
+pub struct ImportReply {
+    /// Whether the session's cache is held now.
+    pub imported: bool,
+    /// Tokens held for it.
+    pub tokens: u64,
+}
+
 /// A session that holds memory at an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 pub struct SessionReport {
@@ -79,6 +92,51 @@
         self.send(&request).await
     }
 
+    /// Exports what the engine holds for a session, which stays there.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no whole export: with status 404 when nothing is
+    /// held, and 409 when the engine has seen a higher fencing number.
+    pub async fn export(
+        &self,
+        session: ProgramId,
+        fencing_number: u64,
+    ) -> Result<Bytes, UpstreamError> {
+        let path = format!("/v1/sessions/{session}/export");
+        let mut request = self.create_request(Method::POST, path);
+        request.deadline = Some(Instant::now() + TRANSFER_TIMEOUT);
+        let number = number_value(fencing_number);
+        request.headers.insert(FENCING_NUMBER, number);
+        let answer = send_request(&self.pool, &request).await?;
+        let answer = answer.read_whole(&self.pool).await?;
+        if !answer.status.is_success() {
+            return Err(status_error(self.pool.get_address(), &answer));
+        }
+        Ok(answer.body)
+    }
+
+    /// Imports what another engine of the same model exported.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the import is not confirmed: with status 507 when the engine
+    /// has no room, and 409 when it has seen a higher fencing number.
+    pub async fn import(
+        &self,
+        session: ProgramId,
+        fencing_number: u64,
+        export: Bytes,
+    ) -> Result<ImportReply, UpstreamError> {
+        let path = format!("/v1/sessions/{session}/import");
+        let mut request = self.create_request(Method::POST, path);
+        request.deadline = Some(Instant::now() + TRANSFER_TIMEOUT);
+        request.body = export;
+        let number = number_value(fencing_number);
+        request.headers.insert(FENCING_NUMBER, number);
+        self.send(&request).await
+    }
+
     /// Lists the sessions that hold memory.
     ///
     /// # Errors
--- a/crates/upstreams/tests/engine_chat.rs
+++ b/crates/upstreams/tests/engine_chat.rs
@@ -3,10 +3,11 @@
 mod support;
 
 use ibisdale_standins::{EngineFault, EngineOptions, EngineServer, PromptMessage, compose_answer};
-use ibisdale_upstreams::{ChatCall, ChatEvent, EngineClient};
+use ibisdale_upstreams::{ChatCall, ChatEvent, EngineClient, UpstreamPool};
 use rstest::rstest;
 use support::{
-    any_address, chat_body, chat_whole, describe, open_pool, run_test, session, wait_until,
+    any_address, chat_body, chat_whole, describe, open_pool, options_for, run_test, session,
+    wait_until,
 };
 
 #[test]
@@ -66,7 +67,8 @@
     run_test(|executor| async move {
         let options = EngineOptions::new().fault(fault);
         let engine = EngineServer::start(any_address(), &executor, options).unwrap();
-        let client = EngineClient::new(open_pool(engine.get_address(), &executor));
+        let pool = UpstreamPool::new(engine.get_address(), executor, options_for(expected));
+        let client = EngineClient::new(pool);
         let error = chat_whole(&client, "Which hall is next?")
             .await
             .unwrap_err();
--- a/crates/upstreams/tests/support/mod.rs
+++ b/crates/upstreams/tests/support/mod.rs
@@ -33,7 +33,15 @@
 
 /// Returns limits that are short enough for tests of silence.
 pub(crate) fn short_options() -> PoolOptions {
-    PoolOptions::new().progress_timeout(Duration::from_millis(200))
+    PoolOptions::new().progress_timeout(Duration::from_secs(1))
+}
+
+/// Returns short limits where silence is expected, and the default elsewhere.
+pub(crate) fn options_for(expected: &str) -> PoolOptions {
+    if expected.contains("stalled") {
+        return short_options();
+    }
+    PoolOptions::new()
 }
 
 /// Returns a session that differs by its number.
@@ -53,9 +61,9 @@
     .to_string()
 }
 
-/// Opens a pool with the tests' limits.
+/// Opens a pool with the default limits.
 pub(crate) fn open_pool(address: SocketAddr, executor: &TrafficExecutor) -> UpstreamPool {
-    UpstreamPool::new(address, executor.clone(), short_options())
+    UpstreamPool::new(address, executor.clone(), PoolOptions::new())
 }
 
 /// Sends a chat call and reads its answer to the end.
