Watch requests with metrics and a span for each hop

Cause: what a request did at each daemon and upstream could not be seen. Change: a watch counts the request and closes its span when the answer's body ends or is dropped; calls to engines and services have client spans whose context goes on to the upstream.

--- a/crates/daemon/src/callers/call.rs
+++ b/crates/daemon/src/callers/call.rs
@@ -11,6 +11,7 @@
 use ibisdale_policy::{FlightOutcome, FlightReport};
 use ibisdale_programs::{StepKind, StepOutcome, StepRecord, StepResult, StepTicket};
 use ibisdale_settings::{RouteSettings, ServiceSettings, SettingsSnapshot};
+use ibisdale_telemetry::SpanKind;
 use ibisdale_upstreams::{
     ServiceCall, ServiceClient, ServiceReply, UpstreamCredential, UpstreamError,
 };
@@ -23,6 +24,7 @@
 use crate::clock::{instant_of, unix_now};
 use crate::context::DaemonContext;
 use crate::control::{AdmittedStep, RouteRequest, RunningStep, UpstreamGroup};
+use crate::observe::start_span;
 
 /// A route of a service with its settings.
 struct ServiceRoute {
@@ -157,10 +159,6 @@
         .body(self.body.clone())
         .idempotency_key(&format!("{}:{key}", self.ticket.get_program()))
         .idempotent(self.route.route.is_idempotent);
-        let call = match &self.request.traceparent {
-            Some(traceparent) => call.traceparent(traceparent),
-            None => call,
-        };
         let workspace = &self.request.caller.workspace;
         let program = Some(self.ticket.get_program());
         let route = RouteRequest {
@@ -172,7 +170,8 @@
             deadline,
             avoid: None,
         };
-        match send_call(&self.context, &self.route, route, call).await {
+        let traceparent = self.request.traceparent.as_deref();
+        match send_call(&self.context, &self.route, route, call, traceparent).await {
             Ok(reply) => reply_outcome(&reply),
             Err(refusal) => StepOutcome::Failed { refusal },
         }
@@ -185,6 +184,7 @@
     route: &ServiceRoute,
     request: RouteRequest,
     call: ServiceCall,
+    traceparent: Option<&str>,
 ) -> Result<ServiceReply, RequestRefusal> {
     let limit = unix_now().plus(route.route.timeout);
     let deadline = request
@@ -195,8 +195,13 @@
     if let Some(credential) = read_credential(&route.service) {
         call = call.credential(credential);
     }
+    context.metrics.count_upstream_call("service");
+    let span = start_span(context, "service", SpanKind::Client, traceparent)
+        .attribute("ibisdale.upstream", routed.address.to_string());
+    let call = call.traceparent(&span.get_context().to_string());
     let client = ServiceClient::new(context.pools.get(routed.address));
     let result = client.call(call).await;
+    span.close();
     let outcome = match &result {
         Ok(reply) if reply.get_status().is_server_error() => FlightOutcome::Failed,
         Ok(_) => FlightOutcome::Succeeded,
@@ -284,7 +289,7 @@
         deadline: None,
         avoid: None,
     };
-    let reply = send_call(context, &route, request, call).await?;
+    let reply = send_call(context, &route, request, call, None).await?;
     match reply_outcome(&reply) {
         StepOutcome::Failed { refusal } => Err(refusal),
         _ => Ok(json_answer(AnswerHead::new(id), &render_reply(&reply))),
--- a/crates/daemon/src/callers/chat_run.rs
+++ b/crates/daemon/src/callers/chat_run.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
@@ -15,6 +16,7 @@
 use ibisdale_policy::{FlightOutcome, FlightReport};
 use ibisdale_programs::{StepOutcome, StepRecord, StepTicket};
 use ibisdale_settings::ModelSettings;
+use ibisdale_telemetry::{SpanKind, TokenKind, TraceSpan, record_event};
 use ibisdale_upstreams::{
     ChatCall, ChatEvent, EngineClient, UpstreamCredential, UpstreamError, UpstreamErrorKind,
 };
@@ -25,6 +27,7 @@
 use crate::clock::instant_of;
 use crate::context::DaemonContext;
 use crate::control::{RouteRequest, RoutedCall, UpstreamGroup};
+use crate::observe::start_span;
 
 /// Attempts at engines for one step, the first included.
 const ENGINE_ATTEMPTS_MAX: u32 = 3;
@@ -88,6 +91,7 @@
     known_tokens: u64,
     added_tokens: u64,
     is_last: bool,
+    started: Instant,
 }
 
 fn clamp_tokens(tokens: u64) -> u32 {
@@ -114,6 +118,7 @@
             known_tokens: 0,
             added_tokens: 0,
             is_last: false,
+            started: Instant::now(),
         }
     }
 
@@ -174,6 +179,7 @@
                     if is_final {
                         return Err(upstream_refusal(&error, answer.is_begun()));
                     }
+                    self.context.metrics.count_upstream_retry();
                     avoid = Some(address);
                     attempt += 1;
                 }
@@ -228,9 +234,13 @@
     ) -> AttemptEnd {
         let program = self.ticket.get_program();
         self.context.control.open_session(program, routed.address);
-        let exchange = self.exchange(&routed, answer, sink);
+        self.context.metrics.count_upstream_call("engine");
+        let span = self.start_span(&routed);
+        let traceparent = span.get_context().to_string();
+        let exchange = self.exchange(&routed, &traceparent, answer, sink);
         let stopped = async { AttemptEnd::Stopped(self.stopped(sink).await) };
         let end = stopped.or(exchange).await;
+        self.record_end(&end, span);
         let outcome = match &end {
             AttemptEnd::Whole => FlightOutcome::Succeeded,
             AttemptEnd::Stopped(_) => FlightOutcome::Cancelled,
@@ -247,23 +257,46 @@
         end
     }
 
+    fn start_span(&self, routed: &RoutedCall) -> TraceSpan {
+        let parent = self.traceparent.as_deref();
+        start_span(&self.context, "engine", SpanKind::Client, parent)
+            .attribute("ibisdale.upstream", routed.address.to_string())
+            .attribute("ibisdale.program", self.ticket.get_program().to_string())
+    }
+
+    fn record_end(&self, end: &AttemptEnd, mut span: TraceSpan) {
+        if let AttemptEnd::Failed(error) = end {
+            let kind = error.get_kind().as_str();
+            self.context.metrics.count_upstream_failure(kind);
+            record_event!(
+                UpstreamFailed,
+                upstream = error.get_address(),
+                kind = kind,
+                error = error
+            );
+            span.fail(kind);
+        }
+        span.close();
+    }
+
     async fn exchange(
         &self,
         routed: &RoutedCall,
+        traceparent: &str,
         answer: &mut AnswerBuilder,
         sink: &AnswerSink,
     ) -> AttemptEnd {
         let client = EngineClient::new(self.context.pools.get(routed.address));
-        let mut stream = match client.chat(self.engine_call(routed)).await {
+        let mut stream = match client.chat(self.engine_call(routed, traceparent)).await {
             Ok(stream) => stream,
             Err(error) => return AttemptEnd::Failed(error),
         };
+        let mut last_token = Instant::now();
         loop {
             match stream.next().await {
                 Some(Ok(ChatEvent::Delta(chunk))) => {
-                    if !answer.is_begun() {
-                        self.context.control.first_token(&routed.route);
-                    }
+                    self.observe_token(routed, answer.is_begun(), last_token);
+                    last_token = Instant::now();
                     answer.add_chunk(&chunk);
                     sink.send_chunk(&chunk).await;
                 }
@@ -272,6 +305,7 @@
                     cached,
                     completion,
                 })) => {
+                    self.count_tokens(prompt, cached, completion);
                     answer.set_usage(TokenUsage {
                         prompt,
                         cached,
@@ -284,17 +318,32 @@
         }
     }
 
-    fn engine_call(&self, routed: &RoutedCall) -> ChatCall {
+    fn observe_token(&self, routed: &RoutedCall, is_begun: bool, last_token: Instant) {
+        let metrics = &self.context.metrics;
+        if is_begun {
+            metrics.observe_between_tokens(last_token.elapsed());
+        } else {
+            self.context.control.first_token(&routed.route);
+            metrics.observe_first_token(self.started.elapsed());
+        }
+    }
+
+    fn count_tokens(&self, prompt: u64, cached: u64, completion: u64) {
+        let metrics = &self.context.metrics;
+        metrics.add_tokens(TokenKind::Prompt, prompt);
+        metrics.add_tokens(TokenKind::Cached, cached);
+        metrics.add_tokens(TokenKind::Completion, completion);
+    }
+
+    fn engine_call(&self, routed: &RoutedCall, traceparent: &str) -> ChatCall {
         let program = self.ticket.get_program();
         let mut call = ChatCall::new(self.engine_body.clone(), program)
             .priority(routed.priority)
-            .fencing_number(self.ticket.get_epoch());
+            .fencing_number(self.ticket.get_epoch())
+            .traceparent(traceparent);
         if let Some(deadline) = self.deadline() {
             call = call.deadline(instant_of(deadline));
         }
-        if let Some(traceparent) = &self.traceparent {
-            call = call.traceparent(traceparent);
-        }
         match self.credential() {
             Some(credential) => call.credential(credential),
             None => call,
--- a/crates/daemon/src/callers/dispatch.rs
+++ b/crates/daemon/src/callers/dispatch.rs
@@ -17,7 +17,10 @@
 use super::forwarding::{forward_request, forwarded_parts};
 use super::{addresses, call, chat, programs};
 use crate::context::DaemonContext;
+use crate::observe::RequestWatch;
 
+/// Header of the trace context.
+pub(super) const TRACEPARENT_HEADER: &str = "traceparent";
 /// Largest request body, in bytes.
 const BODY_MAX_BYTES: usize = 4 * 1_024 * 1_024;
 
@@ -38,20 +41,39 @@
     request: Request<Incoming>,
 ) -> Response<BoxBody> {
     let id = RequestId::generate(&mut rand::rng());
-    match serve(&context, id, request).await {
-        Ok(response) => response,
-        Err(refusal) => refusal_answer(id, &refusal),
-    }
+    let traceparent = read_traceparent(request.headers());
+    let mut watch = RequestWatch::start(&context, "entry", id, traceparent.as_deref());
+    let result = serve(&context, id, request, &mut watch).await;
+    answer_watched(id, result, watch)
+}
+
+fn answer_watched(
+    id: RequestId,
+    result: Result<Response<BoxBody>, RequestRefusal>,
+    mut watch: RequestWatch,
+) -> Response<BoxBody> {
+    let response = result.unwrap_or_else(|refusal| {
+        watch.refuse(&refusal);
+        refusal_answer(id, &refusal)
+    });
+    watch.watch(response)
+}
+
+fn read_traceparent(headers: &HeaderMap) -> Option<String> {
+    let value = headers.get(TRACEPARENT_HEADER)?;
+    value.to_str().ok().map(str::to_owned)
 }
 
 async fn serve(
     context: &Arc<DaemonContext>,
     id: RequestId,
     request: Request<Incoming>,
+    watch: &mut RequestWatch,
 ) -> Result<Response<BoxBody>, RequestRefusal> {
     let (parts, body) = request.into_parts();
     check_head(&parts)?;
     let route = parse_caller_route(&parts.method, &parts.uri)?;
+    watch.set_route(route.as_str());
     match route {
         CallerRoute::Addresses(query) => Ok(addresses::list_addresses(context, id, &query)),
         CallerRoute::OpenCall(path) => {
@@ -62,7 +84,8 @@
             let settings = context.snapshot();
             let caller = authenticate(&settings, &parts.headers)?;
             let body = read_body(body).await?;
-            let request = build_request(id, route, &parts.headers, body, caller)?;
+            let mut request = build_request(id, route, &parts.headers, body, caller)?;
+            request.traceparent = watch.traceparent();
             serve_known(context, request, &parts).await
         }
     }
@@ -172,26 +195,28 @@
 ) -> Response<BoxBody> {
     let id = forwarded.request_id.parse();
     let id = id.unwrap_or_else(|_| RequestId::generate(&mut rand::rng()));
-    match serve_hop(&context, id, forwarded).await {
-        Ok(response) => response,
-        Err(refusal) => refusal_answer(id, &refusal),
-    }
+    let mut watch = RequestWatch::start(&context, "owner", id, Some(&forwarded.traceparent));
+    let result = serve_hop(&context, id, forwarded, &mut watch).await;
+    answer_watched(id, result, watch)
 }
 
 async fn serve_hop(
     context: &Arc<DaemonContext>,
     id: RequestId,
     forwarded: ForwardRequest,
+    watch: &mut RequestWatch,
 ) -> Result<Response<BoxBody>, RequestRefusal> {
     let (method, uri, headers, caller): (Method, Uri, HeaderMap, CallerIdentity) =
         forwarded_parts(&forwarded)?;
     let route = parse_caller_route(&method, &uri)?;
+    watch.set_route(route.as_str());
     let is_owned = route_program(&route)
         .and_then(|program| context.owners.load().get(program.slot()))
         .is_some_and(|owner| owner.is_self);
     if !is_owned {
         return Err(owner_unknown());
     }
-    let request = build_request(id, route, &headers, forwarded.body, caller)?;
+    let mut request = build_request(id, route, &headers, forwarded.body, caller)?;
+    request.traceparent = watch.traceparent();
     serve_owned(context, request).await
 }
--- a/crates/daemon/src/callers/forwarding.rs
+++ b/crates/daemon/src/callers/forwarding.rs
@@ -18,7 +18,7 @@
 use crate::context::{DaemonContext, SlotOwner};
 
 /// Headers that go on to the owner; never the caller's key.
-const FORWARDED_HEADERS: [&str; 3] = [ATTEMPT_HEADER, DIGEST_HEADER, "traceparent"];
+const FORWARDED_HEADERS: [&str; 2] = [ATTEMPT_HEADER, DIGEST_HEADER];
 /// Time in which the owner must begin its answer.
 const HEAD_TIMEOUT: Duration = Duration::from_mins(2);
 /// Time after which an owner that can't be reached is worth another try.
@@ -31,6 +31,7 @@
     parts: &Parts,
     owner: SlotOwner,
 ) -> Result<Response<BoxBody>, RequestRefusal> {
+    context.metrics.count_forwarded();
     let forward = render_request(request, parts, context.snapshot().revision());
     let exchange = async { context.links.forward(owner.fleet_address, forward).await };
     let expire = async {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -9,7 +9,7 @@
 use ibisdale_fleet::FleetLinks;
 use ibisdale_net::TrafficExecutor;
 use ibisdale_settings::SettingsSnapshot;
-use ibisdale_telemetry::MetricRegistry;
+use ibisdale_telemetry::{MetricRegistry, SpanSender};
 use ibisdale_upstreams::{PoolOptions, UpstreamPool};
 
 use crate::control::ControlHandle;
@@ -102,6 +102,7 @@
     pub(crate) pools: UpstreamPools,
     pub(crate) executor: TrafficExecutor,
     pub(crate) metrics: MetricRegistry,
+    pub(crate) spans: SpanSender,
     pub(crate) drain: DrainSwitch,
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 mod control;
 mod drain;
 mod load_watch;
+mod observe;
 mod operators;
 mod running;
 mod threads;
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -14,7 +14,7 @@
 };
 use ibisdale_policy::PolicyProfile;
 use ibisdale_settings::{DaemonSettings, SettingsSnapshot};
-use ibisdale_telemetry::MetricRegistry;
+use ibisdale_telemetry::{MetricRegistry, SpanError, SpanOptions, SpanWriter};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use smol::Async;
@@ -46,6 +46,12 @@
         /// The system's error.
         source: io::Error,
     },
+    /// The trace file could not be opened.
+    #[snafu(display("{source}"))]
+    Spans {
+        /// The cause.
+        source: SpanError,
+    },
     /// A thread could not be started.
     #[snafu(display("a thread can't be started: {source}"))]
     Thread {
@@ -130,6 +136,7 @@
     guards: ServeGuards,
     watch: UpstreamWatch,
     load_watch: LoadWatch,
+    spans: Option<SpanWriter>,
     addresses: DaemonAddresses,
 }
 
@@ -162,6 +169,7 @@
         let threads = TrafficThreads::start(settings.traffic_threads).context(ThreadSnafu)?;
         let executor = threads.get_executor();
         let failure_domain = Bytes::from(settings.failure_domain.clone());
+        let spans = start_spans(&settings)?;
         let control = start_control(&failure_domain)?;
         let context = Arc::new(DaemonContext {
             identity: DaemonIdentity {
@@ -176,6 +184,10 @@
             pools: UpstreamPools::new(TrafficExecutor::clone(executor)),
             executor: TrafficExecutor::clone(executor),
             metrics: MetricRegistry::new(),
+            spans: spans
+                .as_ref()
+                .map(SpanWriter::get_sender)
+                .unwrap_or_default(),
             drain: DrainSwitch::new(),
         });
         own_all_slots(&context, addresses.fleet);
@@ -192,6 +204,7 @@
             guards,
             watch,
             load_watch,
+            spans,
             addresses,
         })
     }
@@ -236,9 +249,20 @@
         });
         self.control.close();
         self.threads.close();
+        if let Some(spans) = self.spans {
+            spans.close();
+        }
     }
 }
 
+fn start_spans(settings: &DaemonSettings) -> Result<Option<SpanWriter>, StartError> {
+    let Some(path) = &settings.trace_file else {
+        return Ok(None);
+    };
+    let options = SpanOptions::new(path, settings.name.as_str());
+    SpanWriter::start(options).map(Some).context(SpansSnafu)
+}
+
 fn start_control(failure_domain: &Bytes) -> Result<ControlThread, StartError> {
     let options = ControlOptions {
         failure_domain: failure_domain.clone(),
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -60,6 +60,26 @@
     OpenCall(OpenPath),
 }
 
+impl CallerRoute {
+    /// Returns the route's name, for metrics and spans.
+    #[must_use]
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Addresses(_) => "addresses",
+            Self::StartProgram => "start_program",
+            Self::ProgramState(_) => "program_state",
+            Self::StartChild(_) => "start_child",
+            Self::ChatStep(_) => "chat_step",
+            Self::CallStep(_) => "call_step",
+            Self::StepState(_) => "step_state",
+            Self::EndProgram(_) => "end_program",
+            Self::CancelProgram(_) => "cancel_program",
+            Self::ChatCompletion => "chat_completion",
+            Self::OpenCall(_) => "open_call",
+        }
+    }
+}
+
 /// A request of the operators' interface.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OperatorRoute {
