Count the delay that computing a prompt causes to other calls

Cause: at high load the choice left cached prefixes for replicas with a shorter wait; each prefix computed again holds up every call of that replica's batch, which made more replicas look busy and more calls leave.

Ruled out: a wrong wait estimate; with the wait known exactly the same call still gains for itself what several others lose.

Change: the cost of a replica holds the time to compute the uncached prompt once more for each call running there (`disturbance`, 1).

--- a/crates/policy/src/routing/cost.rs
+++ b/crates/policy/src/routing/cost.rs
@@ -15,7 +15,8 @@
     pub(crate) replica: ReplicaKey,
     /// Time until the first token, in milliseconds.
     pub(crate) wait_ms: f64,
-    /// Time until the first token and delay by other calls, in milliseconds.
+    /// Time until the first token, delay by other calls and delay of other
+    /// calls, in milliseconds.
     pub(crate) total_ms: f64,
     pub(crate) cached_tokens: u32,
     /// Calls the replica would hold waiting.
@@ -89,6 +90,10 @@
     let queue_ms = f64::from(waiting) * weights.service_ms / f64::from(limit);
     let wait_ms = (prefill_ms + queue_ms) * state.slowness;
     let load_ms = f64::from(calls.min(limit)) * weights.load_ms_per_running * state.slowness;
+    let disturbance_ms = uncached / TOKENS_PER_KILOTOKEN
+        * weights.prefill_ms_per_kilotoken
+        * f64::from(calls.min(limit))
+        * weights.disturbance;
     let is_remote = request
         .domain
         .is_some_and(|domain| domain != state.spec.domain);
@@ -100,7 +105,7 @@
     CandidateCost {
         replica: key,
         wait_ms,
-        total_ms: wait_ms + load_ms + distance_ms,
+        total_ms: wait_ms + load_ms + disturbance_ms + distance_ms,
         cached_tokens,
         waiting,
     }
--- a/crates/policy/src/routing/weights.rs
+++ b/crates/policy/src/routing/weights.rs
@@ -15,6 +15,9 @@
     pub service_ms: f64,
     /// Time that each other running call adds to a call, in milliseconds.
     pub load_ms_per_running: f64,
+    /// Part of the time to compute a prompt that counts once more for each call
+    /// that runs beside it, which it delays.
+    pub disturbance: f64,
     /// Cost of leaving the caller's failure domain, in milliseconds.
     pub cross_domain_ms: f64,
     /// Number of replicas drawn at random and compared.
@@ -41,6 +44,7 @@
             prefill_ms_per_kilotoken: 100.0,
             service_ms: 4_000.0,
             load_ms_per_running: 20.0,
+            disturbance: 1.0,
             cross_domain_ms: 3.0,
             sample_count: 2,
             queue_allowance: 0,
