Let calls with a cached prefix wait longer at their replica

Cause: after an outage and under overload, a replica with more than four calls waiting turned away calls whose prefix it had cached; they computed it again elsewhere, and throughput stayed low long after the fault.

Change: `prefix_queue_allowance` 4 to 16.

The overload by one workspace still hurts the others most.

--- a/crates/policy/src/routing/weights.rs
+++ b/crates/policy/src/routing/weights.rs
@@ -48,7 +48,7 @@
             cross_domain_ms: 3.0,
             sample_count: 2,
             queue_allowance: 0,
-            prefix_queue_allowance: 4,
+            prefix_queue_allowance: 16,
             report_max_age_ms: 10_000,
             ejection_failures: 3,
             ejection_ms: 1_000,
