Hold calls for their cached prefix, and bound a workspace with a long backlog

Cause: (1) a call whose replica was full either went elsewhere and computed its prefix again, or stood at the head of the queue and held up all others. (2) A workspace sending four times its rate filled every batch to its limit, so the others' calls ran slowly although the queue let them go first.

Change: (1) the choice answers `PrefixBusy` when waiting for the replica costs less than going elsewhere, and `FairQueue::pop_first` takes the first call that can be sent. (2) `FairQueue::is_over_share` tells a workspace whose backlog is three times that of the others by weight; `ChoiceRequest::over_share` leaves 0.4 of each replica's places to the others.

--- a/crates/policy/benches/support/world/dispatch.rs
+++ b/crates/policy/benches/support/world/dispatch.rs
@@ -4,8 +4,9 @@
 
 use ibisdale_core::RunState;
 use ibisdale_policy::{
-    AdmissionRequest, AttemptReport, CallRequest, ChoiceRequest, FailureKind, FlightOutcome,
-    FlightReport, PoppedCall, RefusalReason, RetryDecision, RoutingDecision, choose,
+    AdmissionRequest, AttemptReport, CallKey, CallRequest, ChoiceRequest, FailureKind, FairQueue,
+    FlightOutcome, FlightReport, PoppedCall, QueueWeights, RefusalReason, RetryDecision,
+    RoutingDecision, ShareKey, choose,
 };
 
 use super::World;
@@ -26,6 +27,21 @@
 /// Time after which callers come back from a refusal that names none.
 const COME_BACK_MS: u64 = 1_000;
 
+/// A waiting call and the replica chosen for it.
+struct SendableCall {
+    call: usize,
+    request: ChoiceRequest,
+    decision: RoutingDecision,
+}
+
+/// What a look at the waiting calls found.
+#[derive(Default)]
+struct PumpVerdict {
+    sendable: Option<SendableCall>,
+    hopeless: Vec<CallKey>,
+    retry_after: Option<Duration>,
+}
+
 impl World<'_> {
     fn program_of(&self, call: usize) -> usize {
         self.workload.agents[self.calls[call].agent].program
@@ -110,24 +126,76 @@
         if self.kind != PolicyKind::Ibisdale {
             return;
         }
+        loop {
+            let mut verdict = PumpVerdict::default();
+            let popped = self.pop_sendable(daemon, &mut verdict);
+            for call in verdict.hopeless {
+                self.drop_hopeless(daemon, call);
+            }
+            let (Some(popped), Some(sendable)) = (popped, verdict.sendable) else {
+                if let Some(delay) = verdict.retry_after {
+                    let delay_us = delay.as_micros() as u64;
+                    self.pump_later(daemon, delay_us.max(MICROS_PER_MILLI));
+                }
+                return;
+            };
+            self.send_chosen(daemon, popped, &sendable);
+        }
+    }
+
+    /// Takes the first waiting call for which a replica is chosen.
+    fn pop_sendable(&mut self, daemon: usize, verdict: &mut PumpVerdict) -> Option<PoppedCall> {
         let now = self.now();
-        while let Some(head) = self.daemons[daemon].queue.peek() {
-            let call = self.daemons[daemon].waiting[&head.call];
-            let request = self.choice_request(call);
-            let chosen = choose(&self.daemons[daemon].set, &request, now, &mut self.random);
-            match chosen {
-                Ok(decision) => self.send_chosen(daemon, head, call, &request, decision),
+        let over_share = self.over_share(daemon);
+        let mut queue = std::mem::replace(
+            &mut self.daemons[daemon].queue,
+            FairQueue::new(QueueWeights::default()),
+        );
+        let mut random = self.random.clone();
+        let popped = queue.pop_first(|popped| {
+            let call = self.daemons[daemon].waiting[&popped.call];
+            let share = popped.request.get_share();
+            let is_over_share = over_share.contains(&share);
+            let request = self.choice_request(call).over_share(is_over_share);
+            match choose(&self.daemons[daemon].set, &request, now, &mut random) {
+                Ok(decision) => {
+                    verdict.sendable = Some(SendableCall {
+                        call,
+                        request,
+                        decision,
+                    });
+                    true
+                }
                 Err(refusal) if refusal.reason == RefusalReason::DeadlineTooClose => {
-                    self.daemons[daemon].queue.cancel(head.call);
-                    self.daemons[daemon].waiting.remove(&head.call);
-                    self.refused(call, refusal.retry_after.as_millis() as u64);
+                    verdict.hopeless.push(popped.call);
+                    false
                 }
                 Err(refusal) => {
-                    let delay_us = refusal.retry_after.as_micros() as u64;
-                    self.pump_later(daemon, delay_us.max(MICROS_PER_MILLI));
-                    return;
+                    let known = verdict.retry_after.unwrap_or(refusal.retry_after);
+                    verdict.retry_after = Some(known.min(refusal.retry_after));
+                    false
                 }
             }
+        });
+        self.random = random;
+        self.daemons[daemon].queue = queue;
+        popped
+    }
+
+    fn over_share(&self, daemon: usize) -> Vec<ShareKey> {
+        let now = self.now();
+        let state = &self.daemons[daemon];
+        let shares = state.shares.iter().copied();
+        shares
+            .filter(|share| state.queue.is_over_share(*share, now))
+            .collect()
+    }
+
+    fn drop_hopeless(&mut self, daemon: usize, key: CallKey) {
+        let state = &mut self.daemons[daemon];
+        state.queue.cancel(key);
+        if let Some(call) = state.waiting.remove(&key) {
+            self.refused(call, COME_BACK_MS);
         }
     }
 
@@ -156,23 +224,21 @@
         request
     }
 
-    fn send_chosen(
-        &mut self,
-        daemon: usize,
-        head: PoppedCall,
-        call: usize,
-        request: &ChoiceRequest,
-        decision: RoutingDecision,
-    ) {
+    fn send_chosen(&mut self, daemon: usize, head: PoppedCall, sendable: &SendableCall) {
         let now = self.now();
+        let SendableCall {
+            call,
+            request,
+            decision,
+        } = sendable;
+        let call = *call;
         let state = &mut self.daemons[daemon];
-        state.queue.pop();
         state.waiting.remove(&head.call);
         let is_saturated = !state.queue.is_empty();
         state
             .gate
             .record_served(head.request.get_expected_tokens(), is_saturated, now);
-        let flight = state.set.begin(request, &decision, now);
+        let flight = state.set.begin(request, decision, now);
         let replica = state.keys.iter().position(|key| *key == decision.replica);
         self.calls[call].flight = Some(flight);
         self.calls[call].waiting = None;
--- a/crates/policy/src/queue/fair.rs
+++ b/crates/policy/src/queue/fair.rs
@@ -23,6 +23,9 @@
     pub call_limit: usize,
     /// Calls of one workspace that wait at most.
     pub workspace_call_limit: usize,
+    /// Calls of each workspace that are tried when those before them wait for
+    /// one replica.
+    pub tries_per_workspace: usize,
     /// Time that a call is put back for each 1,000 tokens its program was
     /// served, in milliseconds.
     pub attained_ms_per_kilotoken: f64,
@@ -35,6 +38,7 @@
         Self {
             call_limit: 4_096,
             workspace_call_limit: 1_024,
+            tries_per_workspace: 8,
             attained_ms_per_kilotoken: 200.0,
             priority_ms: 2_000,
         }
@@ -162,6 +166,8 @@
     calls: SlotMap<CallKey, WaitingCall>,
     order: HashMap<ShareKey, BTreeSet<(CallRank, CallKey)>>,
     sequence: u64,
+    /// Latest time seen.
+    latest: TimeStamp,
 }
 
 impl FairQueue {
@@ -174,6 +180,7 @@
             calls: SlotMap::with_key(),
             order: HashMap::new(),
             sequence: 0,
+            latest: TimeStamp::default(),
         }
     }
 
@@ -212,7 +219,9 @@
             .shares
             .get(request.share)
             .ok_or(PushError::UnknownWorkspace)?;
-        if share.waiting >= self.weights.workspace_call_limit {
+        let waiting = share.waiting;
+        self.latest = self.latest.max(now);
+        if waiting >= self.weights.workspace_call_limit {
             return Err(PushError::WorkspaceFull);
         }
         let displaced = if self.calls.len() >= self.weights.call_limit {
@@ -227,26 +236,28 @@
     /// Returns the call whose turn it is, which goes on waiting.
     #[must_use]
     pub fn peek(&self) -> Option<PoppedCall> {
-        let share = self.shares.least_served()?;
+        let share = self.shares.in_order().next()?;
         let (_, call) = self.order.get(&share)?.first()?;
-        let waiting = self.calls.get(*call)?;
-        Some(PoppedCall {
-            call: *call,
-            request: waiting.request,
-            queued_at: waiting.queued_at,
-        })
+        self.popped(*call)
     }
 
     /// Takes the call whose turn it is and charges its workspace with the
     /// tokens expected of it.
     pub fn pop(&mut self) -> Option<PoppedCall> {
-        let popped = self.peek()?;
+        self.pop_first(|_| true)
+    }
+
+    /// Takes the first call, in order of turn, that `accept` says can be sent.
+    ///
+    /// Workspaces are asked in order of service; of each, the first few calls.
+    /// A call that waits for one replica so does not hold up the others.
+    pub fn pop_first(&mut self, accept: impl FnMut(&PoppedCall) -> bool) -> Option<PoppedCall> {
+        let popped = self.find_first(accept)?;
         self.remove(popped.call);
         self.shares.raise_floor(popped.request.share);
-        self.charge(
-            popped.request.share,
-            f64::from(popped.request.expected_tokens),
-        );
+        let tokens = f64::from(popped.request.expected_tokens);
+        self.shares.serve(popped.request.share, tokens, self.latest);
+        self.charge(popped.request.share, tokens);
         Some(popped)
     }
 
@@ -261,6 +272,18 @@
         self.shares.charge(share, tokens);
     }
 
+    /// Returns whether a workspace has far more waiting for its weight than the
+    /// others and has lately been served its share.
+    ///
+    /// Its calls are to be routed with [`ChoiceRequest::over_share`], so that
+    /// they leave room in the engines for those of other workspaces.
+    ///
+    /// [`ChoiceRequest::over_share`]: crate::ChoiceRequest::over_share
+    #[must_use]
+    pub fn is_over_share(&self, share: ShareKey, now: TimeStamp) -> bool {
+        self.shares.is_over_share(share, now)
+    }
+
     /// Returns the number of waiting calls.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -288,6 +311,29 @@
         self.shares.fraction(share)
     }
 
+    fn find_first(&self, mut accept: impl FnMut(&PoppedCall) -> bool) -> Option<PoppedCall> {
+        for share in self.shares.in_order() {
+            let Some(order) = self.order.get(&share) else {
+                continue;
+            };
+            for (_, call) in order.iter().take(self.weights.tries_per_workspace) {
+                let popped = self.popped(*call)?;
+                if accept(&popped) {
+                    return Some(popped);
+                }
+            }
+        }
+        None
+    }
+
+    fn popped(&self, call: CallKey) -> Option<PoppedCall> {
+        self.calls.get(call).map(|waiting| PoppedCall {
+            call,
+            request: waiting.request,
+            queued_at: waiting.queued_at,
+        })
+    }
+
     fn insert(&mut self, request: CallRequest, now: TimeStamp) -> CallKey {
         self.sequence += 1;
         let rank = CallRank {
--- a/crates/policy/src/queue/mod.rs
+++ b/crates/policy/src/queue/mod.rs
@@ -1,6 +1,7 @@
 //! Order among waiting calls.
 
 mod fair;
+mod recent;
 mod share;
 
 pub use fair::{CallKey, CallRequest, FairQueue, PoppedCall, PushError, PushOutcome, QueueWeights};
--- a/crates/policy/src/queue/share.rs
+++ b/crates/policy/src/queue/share.rs
@@ -1,7 +1,19 @@
 //! What each workspace has been served.
 
+use ibisdale_core::TimeStamp;
 use slotmap::{SlotMap, new_key_type};
 
+use super::recent::RecentSum;
+
+/// Least weight of a workspace.
+const WEIGHT_MIN: f64 = 1e-6;
+/// Calls waiting from which a workspace may count as over its share.
+const BACKLOG_CALLS_MIN: usize = 12;
+/// Backlog over that of the others, by weight, from which it does.
+const OVER_SHARE_RATIO: f64 = 3.0;
+/// Backlog over that of the others below which it no longer does.
+const WITHIN_SHARE_RATIO: f64 = 1.5;
+
 new_key_type! {
     /// Names a workspace within a [`FairQueue`](crate::FairQueue).
     pub struct ShareKey;
@@ -17,6 +29,9 @@
     pub(crate) waiting: usize,
     /// Tokens expected of the waiting calls.
     pub(crate) waiting_tokens: u64,
+    /// Tokens lately served.
+    recently_served: RecentSum,
+    is_over_share: bool,
 }
 
 /// Virtual counters of service, one a workspace.
@@ -25,26 +40,38 @@
     shares: SlotMap<ShareKey, ShareState>,
     /// Counter of the workspace served last.
     floor: f64,
+    total_weight: f64,
+    total_waiting: usize,
+    total_served: RecentSum,
 }
 
 impl ShareTable {
     pub(crate) fn insert(&mut self, weight: f64) -> ShareKey {
+        let weight = sane_weight(weight);
+        self.total_weight += weight;
         self.shares.insert(ShareState {
-            weight: sane_weight(weight),
+            weight,
             served: self.floor,
             waiting: 0,
             waiting_tokens: 0,
+            recently_served: RecentSum::default(),
+            is_over_share: false,
         })
     }
 
     pub(crate) fn set_weight(&mut self, key: ShareKey, weight: f64) {
         if let Some(share) = self.shares.get_mut(key) {
+            self.total_weight -= share.weight;
             share.weight = sane_weight(weight);
+            self.total_weight += share.weight;
         }
     }
 
     pub(crate) fn remove(&mut self, key: ShareKey) {
-        self.shares.remove(key);
+        if let Some(share) = self.shares.remove(key) {
+            self.total_weight -= share.weight;
+            self.total_waiting -= share.waiting;
+        }
     }
 
     pub(crate) fn get(&self, key: ShareKey) -> Option<&ShareState> {
@@ -61,14 +88,18 @@
             }
             share.waiting += 1;
             share.waiting_tokens += tokens;
+            self.total_waiting += 1;
         }
+        self.update_over_share(key);
     }
 
     pub(crate) fn dequeue(&mut self, key: ShareKey, tokens: u64) {
         if let Some(share) = self.shares.get_mut(key) {
-            share.waiting = share.waiting.saturating_sub(1);
-            share.waiting_tokens = share.waiting_tokens.saturating_sub(tokens);
+            share.waiting -= 1;
+            share.waiting_tokens -= tokens;
+            self.total_waiting -= 1;
         }
+        self.update_over_share(key);
     }
 
     /// Adds service; negative when less was used than charged before.
@@ -78,13 +109,50 @@
         }
     }
 
-    /// Returns the waiting workspace that was served least for its weight.
-    pub(crate) fn least_served(&self) -> Option<ShareKey> {
-        self.shares
+    /// Decides whether a workspace, whose backlog has changed, has far more
+    /// waiting for its weight than the others have.
+    fn update_over_share(&mut self, key: ShareKey) {
+        let Some(share) = self.shares.get_mut(key) else {
+            return;
+        };
+        let others = count_as_f64(self.total_waiting - share.waiting);
+        let others_backlog = others / (self.total_weight - share.weight).max(WEIGHT_MIN);
+        let (calls_min, ratio) = if share.is_over_share {
+            (BACKLOG_CALLS_MIN / 4, WITHIN_SHARE_RATIO)
+        } else {
+            (BACKLOG_CALLS_MIN, OVER_SHARE_RATIO)
+        };
+        share.is_over_share =
+            share.waiting >= calls_min && share.backlog() >= others_backlog * ratio;
+    }
+
+    pub(crate) fn serve(&mut self, key: ShareKey, tokens: f64, now: TimeStamp) {
+        if let Some(share) = self.shares.get_mut(key) {
+            share.recently_served.add(tokens, now);
+            self.total_served.add(tokens, now);
+        }
+    }
+
+    /// Returns whether a workspace has far more waiting than the others and has
+    /// lately been served at least its share.
+    pub(crate) fn is_over_share(&self, key: ShareKey, now: TimeStamp) -> bool {
+        self.shares.get(key).is_some_and(|share| {
+            let fair = self.total_served.get(now) * share.weight / self.total_weight;
+            share.is_over_share && share.recently_served.get(now) >= fair
+        })
+    }
+
+    /// Iterates over the waiting workspaces, the one served least for its
+    /// weight first.
+    pub(crate) fn in_order(&self) -> impl Iterator<Item = ShareKey> + '_ {
+        let mut waiting: Vec<(f64, ShareKey)> = self
+            .shares
             .iter()
             .filter(|(_, share)| share.waiting > 0)
-            .min_by(|(_, left), (_, right)| left.served.total_cmp(&right.served))
-            .map(|(key, _)| key)
+            .map(|(key, share)| (share.served, key))
+            .collect();
+        waiting.sort_unstable_by(|left, right| left.0.total_cmp(&right.0));
+        waiting.into_iter().map(|(_, key)| key)
     }
 
     /// Returns the workspace with the most calls waiting for its weight.
@@ -120,12 +188,15 @@
 
 impl ShareState {
     pub(crate) fn backlog(&self) -> f64 {
-        f64::from(u32::try_from(self.waiting).unwrap_or(u32::MAX)) / self.weight
+        count_as_f64(self.waiting) / self.weight
     }
 }
 
+fn count_as_f64(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
 fn sane_weight(weight: f64) -> f64 {
-    const WEIGHT_MIN: f64 = 1e-6;
     if weight.is_finite() {
         weight.max(WEIGHT_MIN)
     } else {
--- a/crates/policy/src/routing/choice.rs
+++ b/crates/policy/src/routing/choice.rs
@@ -187,24 +187,33 @@
     now: TimeStamp,
     tally: &CandidateTally,
 ) -> Result<RoutingDecision, RoutingRefusal> {
-    if let Some(best) = tally.best {
-        return accept(request, now, best);
+    match (tally.best, tally.busy) {
+        (Some(best), Some(busy)) if is_worth_waiting(&best, &busy) => {
+            Err(busy_refusal(set, &busy, RefusalReason::PrefixBusy))
+        }
+        (Some(best), _) => accept(request, now, best),
+        (None, Some(busy)) => Err(busy_refusal(set, &busy, RefusalReason::AllBusy)),
+        (None, None) => Err(RoutingRefusal {
+            reason: RefusalReason::AllFailing,
+            retry_after: tally.opens_in.unwrap_or(NO_REPLICA_RETRY),
+        }),
     }
-    if let Some(busy) = tally.busy {
-        let weights = set.weights();
-        let limit = set
-            .state(busy.replica)
-            .map_or(1, |state| state.spec.running_limit);
-        let retry_ms = (weights.service_ms / f64::from(limit)).max(BUSY_RETRY_MIN_MS);
-        return Err(RoutingRefusal {
-            reason: RefusalReason::AllBusy,
-            retry_after: Duration::from_millis(whole_ms(retry_ms)),
-        });
+}
+
+fn is_worth_waiting(best: &CandidateCost, busy: &CandidateCost) -> bool {
+    busy.cached_tokens > best.cached_tokens && busy.total_ms < best.total_ms
+}
+
+fn busy_refusal(set: &ReplicaSet, busy: &CandidateCost, reason: RefusalReason) -> RoutingRefusal {
+    let weights = set.weights();
+    let limit = set
+        .state(busy.replica)
+        .map_or(1, |state| state.spec.running_limit);
+    let retry_ms = (weights.service_ms / f64::from(limit)).max(BUSY_RETRY_MIN_MS);
+    RoutingRefusal {
+        reason,
+        retry_after: Duration::from_millis(whole_ms(retry_ms)),
     }
-    Err(RoutingRefusal {
-        reason: RefusalReason::AllFailing,
-        retry_after: tally.opens_in.unwrap_or(NO_REPLICA_RETRY),
-    })
 }
 
 fn accept(
--- a/crates/policy/src/routing/cost.rs
+++ b/crates/policy/src/routing/cost.rs
@@ -21,11 +21,15 @@
     pub(crate) cached_tokens: u32,
     /// Calls the replica would hold waiting.
     pub(crate) waiting: u32,
+    is_out_of_reach: bool,
 }
 
 impl CandidateCost {
     /// Tells whether the replica holds more waiting calls than it should.
     pub(crate) fn is_busy(&self, set: &ReplicaSet) -> bool {
+        if self.is_out_of_reach {
+            return true;
+        }
         let weights = set.weights();
         let allowance = if self.cached_tokens > 0 {
             weights.prefix_queue_allowance
@@ -108,5 +112,7 @@
         total_ms: wait_ms + load_ms + disturbance_ms + distance_ms,
         cached_tokens,
         waiting,
+        is_out_of_reach: request.is_over_share
+            && f64::from(calls + 1) > f64::from(limit) * weights.over_share_part,
     }
 }
--- a/crates/policy/src/routing/request.rs
+++ b/crates/policy/src/routing/request.rs
@@ -20,6 +20,7 @@
     pub(crate) domain: Option<DomainKey>,
     pub(crate) deadline: Option<TimeStamp>,
     pub(crate) avoided: Option<ReplicaKey>,
+    pub(crate) is_over_share: bool,
 }
 
 impl ChoiceRequest {
@@ -79,6 +80,14 @@
         self
     }
 
+    /// Sets whether the call's workspace is over its share; such calls leave a
+    /// part of each replica's places free.
+    #[must_use]
+    pub fn over_share(mut self, is_over_share: bool) -> Self {
+        self.is_over_share = is_over_share;
+        self
+    }
+
     /// Returns the program, if one was set.
     #[must_use]
     pub fn get_program(&self) -> Option<ProgramId> {
@@ -115,6 +124,8 @@
     AllFailing,
     /// Every live replica holds as many calls as it should.
     AllBusy,
+    /// Waiting for the replica with the cached prefix costs less than going elsewhere.
+    PrefixBusy,
     /// No replica is expected to answer before the deadline.
     DeadlineTooClose,
 }
--- a/crates/policy/src/routing/weights.rs
+++ b/crates/policy/src/routing/weights.rs
@@ -26,6 +26,8 @@
     pub queue_allowance: u32,
     /// Calls a replica may hold waiting before a call with a cached prefix goes elsewhere.
     pub prefix_queue_allowance: u32,
+    /// Part of a replica's places that calls of a workspace over its share may fill.
+    pub over_share_part: f64,
     /// Age after which a load report counts for nothing, in milliseconds.
     pub report_max_age_ms: u64,
     /// Failures in a row after which a replica is avoided.
@@ -49,6 +51,7 @@
             sample_count: 2,
             queue_allowance: 0,
             prefix_queue_allowance: 16,
+            over_share_part: 0.6,
             report_max_age_ms: 10_000,
             ejection_failures: 3,
             ejection_ms: 1_000,
