Let calls wait in the daemon when their replica is busy

Cause: the choice now also answers that waiting for the replica with the cached prefix is worth it.

Change: such a call goes on waiting, as it does when all replicas are busy.

--- a/crates/daemon/src/control/routing.rs
+++ b/crates/daemon/src/control/routing.rs
@@ -118,7 +118,7 @@
             let choice = self.choice(&waiting.request);
             let decision = match choose(&self.set, &choice, now, random) {
                 Err(RoutingRefusal {
-                    reason: RefusalReason::AllBusy,
+                    reason: RefusalReason::AllBusy | RefusalReason::PrefixBusy,
                     ..
                 }) => return,
                 decision => decision,
@@ -211,7 +211,9 @@
 fn routing_refusal(refusal: RoutingRefusal) -> RequestRefusal {
     let code = match refusal.reason {
         RefusalReason::NoReplica | RefusalReason::AllFailing => RefusalCode::NoUpstream,
-        RefusalReason::AllBusy | RefusalReason::DeadlineTooClose => RefusalCode::Overloaded,
+        RefusalReason::AllBusy | RefusalReason::PrefixBusy | RefusalReason::DeadlineTooClose => {
+            RefusalCode::Overloaded
+        }
     };
     RequestRefusal::new(code, refusal.to_string()).retry_after(refusal.retry_after)
 }
