Take the platform's group names, with a default

Groups in the VM list are names joined by a slash (models/small), which the setting refused. Without a setting, the group is now models/NAME or services/NAME.

--- a/crates/settings/src/snapshot/build.rs
+++ b/crates/settings/src/snapshot/build.rs
@@ -95,7 +95,7 @@
     };
     let model = ModelSettings {
         name: name.clone(),
-        vm_group: reader.text("vm_group").unwrap_or_default(),
+        vm_group: read_group("models", name.as_str(), reader),
         credential_file: reader.file_path("credential_file"),
         checks_fencing: reader.flag("checks_fencing"),
         context_tokens: reader.count("context_tokens"),
@@ -110,7 +110,7 @@
     };
     let service = ServiceSettings {
         name: name.clone(),
-        vm_group: reader.text("vm_group").unwrap_or_default(),
+        vm_group: read_group("services", name.as_str(), reader),
         credential_file: reader.file_path("credential_file"),
         routes: BTreeMap::new(),
     };
@@ -187,6 +187,12 @@
     });
 }
 
+fn read_group(kind: &str, name: &str, reader: SectionReader<'_>) -> String {
+    reader
+        .text("vm_group")
+        .unwrap_or_else(|| format!("{kind}/{name}"))
+}
+
 fn read_scheduling(reader: SectionReader<'_>) -> SchedulingSettings {
     let profile = match reader.text("profile").as_deref() {
         Some("latency") => SchedulingProfile::Latency,
--- a/crates/settings/src/table/operator_keys.rs
+++ b/crates/settings/src/table/operator_keys.rs
@@ -152,10 +152,9 @@
     key(
         "vm_group",
         &[Model, Service],
-        ValueKind::Name,
-        "Group of the platform's VM list that holds the replicas.",
-    )
-    .required(),
+        ValueKind::GroupName,
+        "Group of the platform's VM list that holds the replicas; `models/NAME` or `services/NAME` where unset.",
+    ),
     key(
         "credential_file",
         &[Model, Service],
--- a/crates/settings/src/table/reference.rs
+++ b/crates/settings/src/table/reference.rs
@@ -89,6 +89,7 @@
             Self::Flag => "`yes` or `no`".to_owned(),
             Self::Choice(words) => describe_words(words),
             Self::Name => "name".to_owned(),
+            Self::GroupName => "names joined by `/`".to_owned(),
             Self::References(kind) => format!("names of `{}`, separated by commas", kind.pattern()),
             Self::KeyHash => "`blake3:` and 64 hexadecimal digits".to_owned(),
             Self::FilePath => "path".to_owned(),
--- a/crates/settings/src/table/spec.rs
+++ b/crates/settings/src/table/spec.rs
@@ -28,6 +28,8 @@
     Choice(&'static [&'static str]),
     /// A name: letters, digits, `-`, `_`, `.` and `:`.
     Name,
+    /// Names joined by `/`.
+    GroupName,
     /// Names of sections of this kind, separated by commas.
     References(SectionKind),
     /// `blake3:` and 64 hexadecimal digits.
--- a/crates/settings/src/table/value.rs
+++ b/crates/settings/src/table/value.rs
@@ -159,6 +159,7 @@
             Self::Flag => parse_flag(text),
             Self::Choice(words) => parse_choice(text, words),
             Self::Name => check_name(text).map(|()| SettingValue::Text(text.to_owned())),
+            Self::GroupName => parse_group(text),
             Self::References(_) => parse_names(text),
             Self::KeyHash => text.parse().map(SettingValue::KeyHash),
             Self::FilePath => parse_file_path(text),
@@ -224,6 +225,13 @@
     }
 }
 
+fn parse_group(text: &str) -> Result<SettingValue, ValueError> {
+    for name in text.split('/') {
+        check_name(name)?;
+    }
+    Ok(SettingValue::Text(text.to_owned()))
+}
+
 fn parse_names(text: &str) -> Result<SettingValue, ValueError> {
     let mut names: Vec<String> = Vec::new();
     for name in list_items(text) {
