Add the ibisdale command and the examples

Operators check, compare, apply and show settings, grant and withdraw keys, list and cancel programs, see status and start a drain; callers run a program from a JSON file. Exit codes are documented in docs/operate/command.md.

A lost answer to an apply is settled by reading back, and is no success unless the text is in force under the next revision. A step is sent again only where it has not run, and as the same attempt.

The daemon's side does not exist yet: the tests run the command against a daemon that answers from a script. Examples are checked by tests.

Broken versions that the tests were seen to fail on: repeats whatever the run state, a stream without its end mark taken as whole (the test had to be made stricter to see it), an apply resolved by text alone, a repeat after an unknown outcome.

--- a/crates/ibisdale/src/main.rs
+++ b/crates/ibisdale/src/main.rs
@@ -1,3 +1,16 @@
-//! The ibisdale command.
+//! The operators' and callers' command.
 
-fn main() {}
+mod cli;
+mod commands;
+mod error;
+mod exit;
+mod operator;
+mod output;
+mod run;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = cli::build_command().get_matches();
+    commands::dispatch(&matches).into()
+}
