Find out who lives by probes that cost the same in any fleet

Cause: the VM list lags, and a daemon must know within seconds who serves. Ruled out: a heartbeat of each daemon in the key-value service, whose writes grow with the fleet. Change: a pure membership table: one probe a round, probes through others, suspicion that only the member itself refutes, updates that travel with the probes, and a slow probe of addresses that the VM list names and no live member has, by which a fleet cut in two finds itself again. No figures on the wire yet.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,12 +1,17 @@
 //! Scheduling decisions as plain functions over time passed in; performs no I/O.
 
 mod admission;
+mod membership;
 mod profile;
 mod queue;
 mod retry;
 mod routing;
 
 pub use admission::{AdmissionGate, AdmissionLimits, AdmissionRefusal, AdmissionRequest};
+pub use membership::{
+    MemberFacts, MemberKey, MemberOptions, MemberState, MemberTable, MemberUpdate, MemberVersion,
+    ProbeKind, ProbeOrder,
+};
 pub use profile::{PolicyProfile, ProfileError};
 pub use queue::{
     CallKey, CallRequest, FairQueue, PoppedCall, PushError, PushOutcome, QueueWeights, ShareKey,
