Find the other daemons by probes, and leave the fleet before stopping

Cause: addresses named only the daemon that was asked, and a stopping daemon cut off callers that held an older answer. The assembly of a daemon is split into listeners, errors and context.

--- a/crates/daemon/src/callers/call.rs
+++ b/crates/daemon/src/callers/call.rs
@@ -56,7 +56,7 @@
     path: StepPath,
 ) -> Result<Response<BoxBody>, RequestRefusal> {
     let body: CallBody = parse_json(&request.body)?;
-    let snapshot = context.snapshot();
+    let snapshot = context.settings();
     let workspace = workspace_settings(&snapshot, &request.caller.workspace)?;
     if !workspace.access.has_service(&body.service) {
         let message = format!("workspace {} may not use {}", workspace.name, body.service);
@@ -269,7 +269,7 @@
     path: &OpenPath,
     body: Bytes,
 ) -> Result<Response<BoxBody>, RequestRefusal> {
-    let snapshot = context.snapshot();
+    let snapshot = context.settings();
     let route = find_route(&snapshot, &path.service, &path.route)?;
     if !route.route.is_open {
         let message = "the route is not open: call it from a program, with a key";
--- a/crates/daemon/src/callers/chat.rs
+++ b/crates/daemon/src/callers/chat.rs
@@ -48,7 +48,7 @@
 ) -> Result<Response<BoxBody>, RequestRefusal> {
     let body = parse_chat(&request.body)?;
     let model = find_model(context, request, &body)?;
-    let snapshot = context.snapshot();
+    let snapshot = context.settings();
     let workspace = workspace_settings(&snapshot, &request.caller.workspace)?;
     let name = ProgramName::new(COMPLETION_PROGRAM)
         .map_err(|error| RequestRefusal::new(RefusalCode::Internal, error.to_string()))?;
@@ -90,7 +90,7 @@
     request: &CallerRequest,
     body: &ChatBody,
 ) -> Result<Arc<ModelSettings>, RequestRefusal> {
-    let snapshot = context.snapshot();
+    let snapshot = context.settings();
     let workspace = workspace_settings(&snapshot, &request.caller.workspace)?;
     model_settings(&snapshot, workspace, &body.model).cloned()
 }
--- a/crates/daemon/src/callers/dispatch.rs
+++ b/crates/daemon/src/callers/dispatch.rs
@@ -81,7 +81,7 @@
             call::run_open_call(context, id, &path, body).await
         }
         route => {
-            let settings = context.snapshot();
+            let settings = context.settings();
             let caller = authenticate(&settings, &parts.headers)?;
             let body = read_body(body).await?;
             let mut request = build_request(id, route, &parts.headers, body, caller)?;
--- a/crates/daemon/src/callers/forwarding.rs
+++ b/crates/daemon/src/callers/forwarding.rs
@@ -32,7 +32,7 @@
     owner: SlotOwner,
 ) -> Result<Response<BoxBody>, RequestRefusal> {
     context.metrics.count_forwarded();
-    let forward = render_request(request, parts, context.snapshot().revision());
+    let forward = render_request(request, parts, context.settings().revision());
     let exchange = async { context.links.forward(owner.fleet_address, forward).await };
     let expire = async {
         smol::Timer::after(HEAD_TIMEOUT).await;
--- a/crates/daemon/src/callers/programs.rs
+++ b/crates/daemon/src/callers/programs.rs
@@ -76,7 +76,7 @@
     request: &CallerRequest,
 ) -> Result<Response<BoxBody>, RequestRefusal> {
     let body: StartBody = parse_json(&request.body)?;
-    let snapshot = context.snapshot();
+    let snapshot = context.settings();
     let workspace = workspace_settings(&snapshot, &request.caller.workspace)?;
     let settings = program_settings(workspace, &body.program)?;
     let new = new_program(
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use ibisdale_core::{DaemonName, SlotId};
@@ -14,6 +15,7 @@
 
 use crate::control::ControlHandle;
 use crate::drain::DrainSwitch;
+use crate::members::MemberHandle;
 
 /// What a daemon says of itself.
 #[derive(Clone, Debug)]
@@ -99,16 +101,66 @@
     pub(crate) settings: Arc<ArcSwap<SettingsSnapshot>>,
     pub(crate) owners: ArcSwap<OwnerTable>,
     pub(crate) links: FleetLinks,
+    pub(crate) members: MemberHandle,
     pub(crate) pools: UpstreamPools,
     pub(crate) executor: TrafficExecutor,
     pub(crate) metrics: MetricRegistry,
     pub(crate) spans: SpanSender,
     pub(crate) drain: DrainSwitch,
+    pub(crate) address_keep: Duration,
 }
 
 impl DaemonContext {
+    /// Creates the context of a daemon that owns nothing yet.
+    pub(crate) fn new(
+        identity: DaemonIdentity,
+        control: ControlHandle,
+        members: MemberHandle,
+        links: FleetLinks,
+        executor: &TrafficExecutor,
+    ) -> Self {
+        Self {
+            identity,
+            control,
+            settings: Arc::default(),
+            owners: ArcSwap::default(),
+            links,
+            members,
+            pools: UpstreamPools::new(TrafficExecutor::clone(executor)),
+            executor: TrafficExecutor::clone(executor),
+            metrics: MetricRegistry::new(),
+            spans: SpanSender::disabled(),
+            drain: DrainSwitch::new(),
+            address_keep: Duration::ZERO,
+        }
+    }
+
+    /// Sets where spans go.
+    pub(crate) fn spans(mut self, spans: SpanSender) -> Self {
+        self.spans = spans;
+        self
+    }
+
+    /// Sets how long callers keep an answer with addresses.
+    pub(crate) fn address_keep(mut self, keep: Duration) -> Self {
+        self.address_keep = keep;
+        self
+    }
+
+    /// Sets the settings to start with.
+    pub(crate) fn snapshot(self, snapshot: SettingsSnapshot) -> Self {
+        self.members.set_revision(snapshot.revision());
+        self.settings.store(Arc::new(snapshot));
+        self
+    }
+
+    /// Shares the finished context.
+    pub(crate) fn share(self) -> Arc<Self> {
+        Arc::new(self)
+    }
+
     /// Returns the settings in force.
-    pub(crate) fn snapshot(&self) -> Arc<SettingsSnapshot> {
+    pub(crate) fn settings(&self) -> Arc<SettingsSnapshot> {
         self.settings.load_full()
     }
 }
--- a/crates/daemon/src/control/handle.rs
+++ b/crates/daemon/src/control/handle.rs
@@ -10,8 +10,8 @@
 };
 
 use super::message::{
-    AdmittedStep, CallRoute, ControlClosed, ControlMessage, NewProgram, ReplySender, RouteRequest,
-    RoutedCall, RunningStep, SlotChange, UpstreamVm,
+    AdmittedStep, CallRoute, ControlClosed, ControlMessage, ControlTask, NewProgram, ReplySender,
+    RouteRequest, RoutedCall, RunningStep, SlotChange, UpstreamVm,
 };
 
 /// Sends messages to the control thread; cheap to clone.
@@ -166,6 +166,11 @@
         self.notify(ControlMessage::Slots(change));
     }
 
+    /// Runs a task on the control thread until the thread stops.
+    pub(crate) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.notify(ControlMessage::Spawn(ControlTask(Box::pin(task))));
+    }
+
     /// Stops the thread.
     pub(crate) fn stop(&self) {
         self.notify(ControlMessage::Stop);
--- a/crates/daemon/src/control/message.rs
+++ b/crates/daemon/src/control/message.rs
@@ -1,6 +1,8 @@
 //! Messages to the control thread.
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::pin::Pin;
 
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
@@ -113,6 +115,15 @@
     pub(crate) epoch: u64,
 }
 
+/// A task for the control thread; its debug form tells nothing of it.
+pub(crate) struct ControlTask(pub(super) Pin<Box<dyn Future<Output = ()> + Send>>);
+
+impl fmt::Debug for ControlTask {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("ControlTask")
+    }
+}
+
 /// What the control thread is asked.
 #[derive(Debug)]
 pub(crate) enum ControlMessage {
@@ -161,5 +172,6 @@
     Upstreams(Vec<UpstreamVm>),
     Load(SocketAddr, LoadReport),
     Slots(SlotChange),
+    Spawn(ControlTask),
     Stop,
 }
--- a/crates/daemon/src/control/run.rs
+++ b/crates/daemon/src/control/run.rs
@@ -117,6 +117,7 @@
         ControlMessage::Upstreams(vms) => state.set_upstreams(vms),
         ControlMessage::Load(address, report) => state.record_load(address, report),
         ControlMessage::Slots(change) => state.change_slots(change),
+        ControlMessage::Spawn(task) => tasks.spawn(task.0).detach(),
         ControlMessage::Stop => {}
     }
 }
--- /dev/null
+++ b/crates/daemon/src/error.rs
@@ -0,0 +1,38 @@
+//! Errors of a daemon's start.
+
+use std::io;
+
+use ibisdale_net::NetError;
+use ibisdale_telemetry::SpanError;
+use snafu::Snafu;
+
+/// Tells why a daemon did not start.
+#[derive(Debug)]
+#[derive(Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum StartError {
+    /// A listener could not be opened.
+    #[snafu(display("{source}"))]
+    Listener {
+        /// The cause.
+        source: NetError,
+    },
+    /// A listener's address could not be read.
+    #[snafu(display("a listener's address can't be read: {source}"))]
+    ListenerAddress {
+        /// The system's error.
+        source: io::Error,
+    },
+    /// The trace file could not be opened.
+    #[snafu(display("{source}"))]
+    Spans {
+        /// The cause.
+        source: SpanError,
+    },
+    /// A thread could not be started.
+    #[snafu(display("a thread can't be started: {source}"))]
+    Thread {
+        /// The system's error.
+        source: io::Error,
+    },
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,7 +10,10 @@
 mod context;
 mod control;
 mod drain;
+mod error;
+mod listeners;
 mod load_watch;
+mod members;
 mod observe;
 mod operators;
 mod running;
@@ -18,4 +21,5 @@
 mod upstream_watch;
 
 pub use drain::DrainSwitch;
-pub use running::{DaemonOptions, RunningDaemon, StartError};
+pub use error::StartError;
+pub use running::{DaemonOptions, RunningDaemon};
--- a/crates/daemon/src/operators/render.rs
+++ b/crates/daemon/src/operators/render.rs
@@ -1,10 +1,14 @@
 //! What operators are shown.
 
 use ibisdale_core::SlotId;
-use ibisdale_core::admin::{ProgramSummary as ProgramReply, StatusReply};
+use ibisdale_core::admin::{
+    MemberState, MemberStatus, ProgramSummary as ProgramReply, StatusReply,
+};
+use ibisdale_policy::{MemberState as PolicyState, MemberUpdate};
 use ibisdale_programs::{ProgramStatus, ProgramSummary};
 
 use crate::context::DaemonContext;
+use crate::members::MemberSnapshot;
 
 /// Renders a program.
 pub(super) fn render_program(summary: &ProgramSummary) -> ProgramReply {
@@ -39,10 +43,35 @@
     StatusReply {
         name: context.identity.name.clone(),
         incarnation: context.identity.incarnation,
-        settings_revision: context.snapshot().revision(),
+        settings_revision: context.settings().revision(),
         settings_confirmed_ms: None,
-        members: Vec::new(),
+        members: render_members(&context.members.snapshot()),
         slots_owned: u32::try_from(slots_owned).unwrap_or(u32::MAX),
         draining: context.drain.is_started(),
     }
 }
+
+fn render_members(members: &MemberSnapshot) -> Vec<MemberStatus> {
+    members
+        .own
+        .iter()
+        .chain(&members.others)
+        .map(render_member)
+        .collect()
+}
+
+fn render_member(update: &MemberUpdate) -> MemberStatus {
+    let state = match update.state {
+        PolicyState::Alive => MemberState::Alive,
+        PolicyState::Draining => MemberState::Draining,
+        PolicyState::Suspect => MemberState::Suspect,
+        PolicyState::Dead => MemberState::Dead,
+    };
+    MemberStatus {
+        name: update.facts.name.clone(),
+        failure_domain: String::from_utf8_lossy(&update.facts.failure_domain).into_owned(),
+        entry_address: update.facts.entry_address.to_string(),
+        state,
+        settings_revision: update.facts.settings_revision,
+    }
+}
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -1,70 +1,41 @@
 //! A running daemon: its listeners, threads and shutdown.
 
-use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use arc_swap::ArcSwap;
 use bytes::Bytes;
 use ibisdale_core::SlotId;
-use ibisdale_fleet::{FleetHandlers, FleetLinks, answer_stream, serve_fleet};
-use ibisdale_net::{
-    NetError, ServeOptions, ShutdownGuard, TrafficExecutor, bind_listener, serve_http,
-    shutdown_pair,
-};
-use ibisdale_policy::PolicyProfile;
+use ibisdale_fleet::FleetLinks;
+use ibisdale_net::TrafficExecutor;
+use ibisdale_policy::{MemberFacts, PolicyProfile};
 use ibisdale_settings::{DaemonSettings, SettingsSnapshot};
-use ibisdale_telemetry::{MetricRegistry, SpanError, SpanOptions, SpanWriter};
+use ibisdale_telemetry::{SpanOptions, SpanWriter};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use smol::Async;
-use snafu::{ResultExt, Snafu};
+use snafu::ResultExt;
 
-use crate::callers::{serve_caller, serve_forwarded};
 use crate::clock::unix_now;
-use crate::context::{DaemonContext, DaemonIdentity, OwnerTable, SlotOwner, UpstreamPools};
+use crate::context::{DaemonContext, DaemonIdentity, OwnerTable, SlotOwner};
 use crate::control::{ControlOptions, ControlThread, OwnedSlot, SlotChange};
 use crate::drain::DrainSwitch;
+use crate::error::{SpansSnafu, StartError, ThreadSnafu};
+use crate::listeners::{DaemonAddresses, DaemonListeners, ServeGuards, serve};
 use crate::load_watch::LoadWatch;
-use crate::operators::{OperatorAccess, serve_operator};
+use crate::members::{MemberSettings, start_members};
+use crate::operators::OperatorAccess;
 use crate::threads::TrafficThreads;
 use crate::upstream_watch::UpstreamWatch;
 
-/// Tells why a daemon did not start.
-#[derive(Debug)]
-#[derive(Snafu)]
-pub enum StartError {
-    /// A listener could not be opened.
-    #[snafu(display("{source}"))]
-    Listener {
-        /// The cause.
-        source: NetError,
-    },
-    /// A listener's address could not be read.
-    #[snafu(display("a listener's address can't be read: {source}"))]
-    ListenerAddress {
-        /// The system's error.
-        source: io::Error,
-    },
-    /// The trace file could not be opened.
-    #[snafu(display("{source}"))]
-    Spans {
-        /// The cause.
-        source: SpanError,
-    },
-    /// A thread could not be started.
-    #[snafu(display("a thread can't be started: {source}"))]
-    Thread {
-        /// The system's error.
-        source: io::Error,
-    },
-}
+/// Time for which callers keep an answer with addresses.
+const ADDRESS_KEEP: Duration = Duration::from_secs(5);
 
 /// How a daemon is started.
 #[derive(Clone, Debug)]
 pub struct DaemonOptions {
     settings: DaemonSettings,
     snapshot: SettingsSnapshot,
+    address_keep: Duration,
 }
 
 impl DaemonOptions {
@@ -74,6 +45,7 @@
         Self {
             settings,
             snapshot: SettingsSnapshot::empty(),
+            address_keep: ADDRESS_KEEP,
         }
     }
 
@@ -84,6 +56,14 @@
         self
     }
 
+    /// Sets how long callers keep an answer with addresses, and so how long a
+    /// leaving daemon still serves those who hold an old one.
+    #[must_use]
+    pub fn address_keep(mut self, keep: Duration) -> Self {
+        self.address_keep = keep;
+        self
+    }
+
     /// Returns the daemon's own settings.
     #[must_use]
     pub fn get_settings(&self) -> &DaemonSettings {
@@ -91,42 +71,6 @@
     }
 }
 
-struct DaemonListeners {
-    entry: Async<TcpListener>,
-    fleet: Async<TcpListener>,
-    operator: Async<TcpListener>,
-}
-
-impl DaemonListeners {
-    fn bind(settings: &DaemonSettings) -> Result<Self, StartError> {
-        let entry = bind_listener(settings.entry_address).context(ListenerSnafu)?;
-        let fleet = bind_listener(settings.fleet_address).context(ListenerSnafu)?;
-        let operator = bind_listener(settings.operator_address).context(ListenerSnafu)?;
-        Ok(Self {
-            entry,
-            fleet,
-            operator,
-        })
-    }
-}
-
-impl DaemonListeners {
-    fn addresses(&self) -> Result<DaemonAddresses, StartError> {
-        Ok(DaemonAddresses {
-            entry: local_address(&self.entry)?,
-            fleet: local_address(&self.fleet)?,
-            operator: local_address(&self.operator)?,
-        })
-    }
-}
-
-fn local_address(listener: &Async<TcpListener>) -> Result<SocketAddr, StartError> {
-    listener
-        .get_ref()
-        .local_addr()
-        .context(ListenerAddressSnafu)
-}
-
 /// A daemon that serves callers and other daemons.
 #[derive(Debug)]
 pub struct RunningDaemon {
@@ -140,22 +84,6 @@
     addresses: DaemonAddresses,
 }
 
-/// Stops the listeners.
-#[derive(Debug)]
-struct ServeGuards {
-    entry: ShutdownGuard,
-    fleet: ShutdownGuard,
-    operator: ShutdownGuard,
-}
-
-/// Where a daemon listens.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct DaemonAddresses {
-    entry: SocketAddr,
-    fleet: SocketAddr,
-    operator: SocketAddr,
-}
-
 impl RunningDaemon {
     /// Starts a daemon.
     ///
@@ -167,29 +95,14 @@
         let listeners = DaemonListeners::bind(&settings)?;
         let addresses = listeners.addresses()?;
         let threads = TrafficThreads::start(settings.traffic_threads).context(ThreadSnafu)?;
-        let executor = threads.get_executor();
-        let failure_domain = Bytes::from(settings.failure_domain.clone());
         let spans = start_spans(&settings)?;
-        let control = start_control(&failure_domain)?;
-        let context = Arc::new(DaemonContext {
-            identity: DaemonIdentity {
-                name: settings.name.clone(),
-                incarnation: unix_now().as_millis(),
-                entry_address: addresses.entry,
-            },
-            control: control.get_handle().clone(),
-            settings: Arc::new(ArcSwap::from_pointee(options.snapshot)),
-            owners: ArcSwap::default(),
-            links: FleetLinks::new(TrafficExecutor::clone(executor)),
-            pools: UpstreamPools::new(TrafficExecutor::clone(executor)),
-            executor: TrafficExecutor::clone(executor),
-            metrics: MetricRegistry::new(),
-            spans: spans
-                .as_ref()
-                .map(SpanWriter::get_sender)
-                .unwrap_or_default(),
-            drain: DrainSwitch::new(),
-        });
+        let control = start_control(&settings)?;
+        let sender = spans.as_ref().map(SpanWriter::get_sender);
+        let context = build_context(&settings, addresses, &control, threads.get_executor())
+            .spans(sender.unwrap_or_default())
+            .snapshot(options.snapshot)
+            .address_keep(options.address_keep)
+            .share();
         own_all_slots(&context, addresses.fleet);
         let access = OperatorAccess {
             key_hash: settings.operator_key_hash,
@@ -238,12 +151,14 @@
         smol::block_on(self.context.drain.wait());
     }
 
-    /// Finishes the requests in flight and stops.
+    /// Leaves the fleet: is no longer named in addresses, serves those who hold
+    /// an old answer, finishes the requests in flight and stops.
     pub fn close(self) {
+        self.context.drain.start();
+        self.context.members.start_drain();
         smol::block_on(async {
-            self.guards.entry.close().await;
-            self.guards.operator.close().await;
-            self.guards.fleet.close().await;
+            smol::Timer::after(self.context.address_keep).await;
+            self.guards.close().await;
             self.watch.close().await;
             self.load_watch.close().await;
         });
@@ -263,15 +178,51 @@
     SpanWriter::start(options).map(Some).context(SpansSnafu)
 }
 
-fn start_control(failure_domain: &Bytes) -> Result<ControlThread, StartError> {
+fn start_control(settings: &DaemonSettings) -> Result<ControlThread, StartError> {
     let options = ControlOptions {
-        failure_domain: failure_domain.clone(),
+        failure_domain: Bytes::from(settings.failure_domain.clone()),
         profile: PolicyProfile::default(),
         random: SmallRng::from_os_rng(),
     };
     ControlThread::start(options).context(ThreadSnafu)
 }
 
+fn member_facts(settings: &DaemonSettings, addresses: DaemonAddresses) -> MemberFacts {
+    MemberFacts {
+        name: settings.name.clone(),
+        fleet_address: addresses.fleet,
+        entry_address: addresses.entry,
+        failure_domain: Bytes::from(settings.failure_domain.clone()),
+        settings_revision: 0,
+        load_permille: 0,
+        is_holder: settings.data_folder.is_some(),
+    }
+}
+
+fn build_context(
+    settings: &DaemonSettings,
+    addresses: DaemonAddresses,
+    control: &ControlThread,
+    executor: &TrafficExecutor,
+) -> DaemonContext {
+    let incarnation = unix_now().as_millis();
+    let control = control.get_handle().clone();
+    let links = FleetLinks::new(TrafficExecutor::clone(executor));
+    let (revision_seen, _revisions) = async_channel::bounded(1);
+    let member_settings = MemberSettings {
+        facts: member_facts(settings, addresses),
+        incarnation,
+        random: SmallRng::from_os_rng(),
+    };
+    let members = start_members(member_settings, &control, &links, executor, revision_seen);
+    let identity = DaemonIdentity {
+        name: settings.name.clone(),
+        incarnation,
+        entry_address: addresses.entry,
+    };
+    DaemonContext::new(identity, control, members, links, executor)
+}
+
 /// Takes all slots, as the only daemon.
 fn own_all_slots(context: &DaemonContext, fleet_address: SocketAddr) {
     let entry_address = context.identity.entry_address;
@@ -290,64 +241,3 @@
         lost: Vec::new(),
     });
 }
-
-fn serve(
-    listeners: DaemonListeners,
-    context: &Arc<DaemonContext>,
-    access: &OperatorAccess,
-) -> ServeGuards {
-    ServeGuards {
-        entry: serve_callers(listeners.entry, context),
-        fleet: serve_daemons(listeners.fleet, context),
-        operator: serve_operators(listeners.operator, context, access),
-    }
-}
-
-fn serve_callers(listener: Async<TcpListener>, context: &Arc<DaemonContext>) -> ShutdownGuard {
-    let (guard, signal) = shutdown_pair();
-    let shared = Arc::clone(context);
-    let server = serve_http(
-        listener,
-        TrafficExecutor::clone(&context.executor),
-        ServeOptions::new(),
-        signal,
-        move |request, _peer| serve_caller(Arc::clone(&shared), request),
-    );
-    context.executor.spawn(server).detach();
-    guard
-}
-
-fn serve_operators(
-    listener: Async<TcpListener>,
-    context: &Arc<DaemonContext>,
-    access: &OperatorAccess,
-) -> ShutdownGuard {
-    let (guard, signal) = shutdown_pair();
-    let shared = Arc::clone(context);
-    let access = access.clone();
-    let server = serve_http(
-        listener,
-        TrafficExecutor::clone(&context.executor),
-        ServeOptions::new(),
-        signal,
-        move |request, _peer| serve_operator(Arc::clone(&shared), access.clone(), request),
-    );
-    context.executor.spawn(server).detach();
-    guard
-}
-
-fn serve_daemons(listener: Async<TcpListener>, context: &Arc<DaemonContext>) -> ShutdownGuard {
-    let (guard, signal) = shutdown_pair();
-    let executor = TrafficExecutor::clone(&context.executor);
-    let server = serve_fleet(listener, executor, signal, fleet_handlers(context));
-    context.executor.spawn(server).detach();
-    guard
-}
-
-fn fleet_handlers(context: &Arc<DaemonContext>) -> FleetHandlers {
-    let forward_context = Arc::clone(context);
-    FleetHandlers::new().forward(move |request| {
-        let context = Arc::clone(&forward_context);
-        async move { Ok(answer_stream(serve_forwarded(context, request).await)) }
-    })
-}
--- a/crates/daemon/src/upstream_watch.rs
+++ b/crates/daemon/src/upstream_watch.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ibisdale_platform::wire::{VmEntry, VmState};
+use ibisdale_platform::wire::{VmEntry, VmList, VmState};
 use ibisdale_platform::{VmListClient, VmListOptions};
 use smol::Task;
 
@@ -52,11 +52,17 @@
                 .pools
                 .retain(|address| vms.iter().any(|vm| vm.address == address));
             context.control.set_upstreams(vms);
+            context.members.propose(daemon_addresses(&snapshot.list));
         }
         client.changed().await;
     }
 }
 
+fn daemon_addresses(list: &VmList) -> Vec<SocketAddr> {
+    let daemons = list.vms.iter().filter(|entry| entry.group == DAEMON_GROUP);
+    daemons.map(|entry| entry.address).collect()
+}
+
 fn upstream_vm(entry: &VmEntry) -> Option<UpstreamVm> {
     if entry.group == DAEMON_GROUP {
         return None;
