Show the latency of programs alone and the calls answered by second

Cause: the bench did not show how far the latency could fall at all, nor the recovery after an outage in calls.

--- a/crates/policy/benches/decisions/output.rs
+++ b/crates/policy/benches/decisions/output.rs
@@ -15,6 +15,7 @@
 struct ResultRow {
     p50_ms: u64,
     p95_ms: u64,
+    p95_alone_ms: u64,
     p95_excess_ms: u64,
     wasted_tokens: u64,
     computed_tokens: u64,
@@ -30,6 +31,7 @@
     attempts: u64,
     calls_to_leaving: u64,
     finished_by_second: Vec<u32>,
+    answered_by_second: Vec<u32>,
 }
 
 /// Time of a decision.
@@ -54,6 +56,7 @@
         let row = ResultRow {
             p50_ms: measure.p50_ms,
             p95_ms: measure.p95_ms,
+            p95_alone_ms: measure.p95_alone_ms,
             p95_excess_ms: measure.p95_excess_ms,
             wasted_tokens: measure.wasted_tokens,
             computed_tokens: measure.computed_tokens,
@@ -69,6 +72,7 @@
             attempts: measure.attempts,
             calls_to_leaving: measure.calls_to_leaving,
             finished_by_second: measure.finished_by_second.clone(),
+            answered_by_second: measure.answered_by_second.clone(),
         };
         let rows = self.rows.entry(scenario.name.to_owned()).or_default();
         rows.insert(kind.name().to_owned(), row);
@@ -87,11 +91,12 @@
 
     pub(crate) fn print(&self) {
         println!(
-            "{:<17} {:<15} {:>7} {:>7} {:>8} {:>9} {:>8} {:>3} {:>6} {:>6} {:>6} {:>7} {:>5}",
+            "{:<17} {:<15} {:>7} {:>7} {:>7} {:>8} {:>9} {:>8} {:>3} {:>6} {:>6} {:>6} {:>7} {:>5}",
             "scenario",
             "policy",
             "p50 ms",
             "p95 ms",
+            "alone",
             "excess",
             "wasted",
             "stretch",
@@ -105,9 +110,10 @@
         for (scenario, rows) in &self.rows {
             for (policy, row) in rows {
                 println!(
-                    "{scenario:<17} {policy:<15} {:>7} {:>7} {:>8} {:>9} {:>8.2} {:>3} {:>6} {:>6} {:>6} {:>7} {:>5}",
+                    "{scenario:<17} {policy:<15} {:>7} {:>7} {:>7} {:>8} {:>9} {:>8.2} {:>3} {:>6} {:>6} {:>6} {:>7} {:>5}",
                     row.p50_ms,
                     row.p95_ms,
+                    row.p95_alone_ms,
                     row.p95_excess_ms,
                     row.wasted_tokens,
                     row.worst_stretch,
--- a/crates/policy/benches/support/measure.rs
+++ b/crates/policy/benches/support/measure.rs
@@ -23,6 +23,8 @@
     /// Whole latency of programs, tool pauses included, in milliseconds.
     pub(crate) p50_ms: u64,
     pub(crate) p95_ms: u64,
+    /// What `p95_ms` would be on idle engines with all prefixes cached.
+    pub(crate) p95_alone_ms: u64,
     /// Latency beyond that of the program alone on idle engines, in milliseconds.
     pub(crate) p95_excess_ms: u64,
     /// Prompt tokens computed again that had been computed before.
@@ -44,6 +46,8 @@
     /// to leave.
     pub(crate) calls_to_leaving: u64,
     pub(crate) finished_by_second: Vec<u32>,
+    /// Calls answered whole, by second.
+    pub(crate) answered_by_second: Vec<u32>,
 }
 
 /// Counters kept during a run.
@@ -56,6 +60,7 @@
     pub(crate) calls_to_leaving: u64,
     pub(crate) wasted_tokens: u64,
     pub(crate) computed_tokens: u64,
+    pub(crate) answered_by_second: Vec<u32>,
 }
 
 /// Returns whether a workspace sends more than its rate at some time.
@@ -76,6 +81,15 @@
     }
 }
 
+/// Counts an event in the second that it falls in.
+pub(crate) fn count_second(counts: &mut Vec<u32>, at_us: u64) {
+    let second = (at_us / MICROS_PER_SECOND) as usize;
+    if counts.len() <= second {
+        counts.resize(second + 1, 0);
+    }
+    counts[second] += 1;
+}
+
 impl RunMeasure {
     pub(crate) fn collect(
         scenario: &Scenario,
@@ -85,6 +99,7 @@
     ) -> Self {
         let mut latencies = histogram();
         let mut excesses = histogram();
+        let mut alone = histogram();
         let mut stretches = vec![histogram(); WORKSPACE_PARTS.len()];
         let mut means = vec![histogram(); WORKSPACE_PARTS.len()];
         let mut finished_by_second = Vec::new();
@@ -92,11 +107,7 @@
         for (plan, run) in workload.programs.iter().zip(runs) {
             let latency = latency_us(plan, run);
             if let ProgramState::Finished { at_us } = run.state {
-                let second = (at_us / MICROS_PER_SECOND) as usize;
-                if finished_by_second.len() <= second {
-                    finished_by_second.resize(second + 1, 0);
-                }
-                finished_by_second[second] += 1;
+                count_second(&mut finished_by_second, at_us);
             }
             if is_over_rate(scenario, plan.workspace) {
                 continue;
@@ -106,6 +117,7 @@
             let ideal_ms = plan.ideal_us / MICROS_PER_MILLI;
             let stretch = latency.map_or(FAILED_STRETCH, |us| us as f64 / plan.ideal_us as f64);
             latencies.saturating_record(latency_ms);
+            alone.saturating_record(ideal_ms);
             excesses.saturating_record(latency_ms.saturating_sub(ideal_ms));
             means[plan.workspace].saturating_record(latency_ms);
             stretches[plan.workspace].saturating_record((stretch * STRETCH_SCALE) as u64);
@@ -123,6 +135,7 @@
         Self {
             p50_ms: latencies.value_at_quantile(0.5),
             p95_ms: latencies.value_at_quantile(0.95),
+            p95_alone_ms: alone.value_at_quantile(0.95),
             p95_excess_ms: excesses.value_at_quantile(0.95),
             wasted_tokens: counters.wasted_tokens,
             computed_tokens: counters.computed_tokens,
@@ -138,6 +151,7 @@
             calls: counters.calls,
             calls_to_leaving: counters.calls_to_leaving,
             finished_by_second,
+            answered_by_second: counters.answered_by_second.clone(),
         }
     }
 }
--- a/crates/policy/benches/support/world.rs
+++ b/crates/policy/benches/support/world.rs
@@ -10,7 +10,7 @@
 use super::engine::{EnginePool, StepOutcome};
 use super::event::{EventKind, EventQueue, MICROS_PER_MILLI, MICROS_PER_SECOND, stamp};
 use super::fault::FaultKind;
-use super::measure::{RunCounters, RunMeasure, is_over_rate};
+use super::measure::{RunCounters, RunMeasure, count_second, is_over_rate};
 use super::scenario::{Scenario, WORKSPACE_PARTS};
 use super::workload::{Workload, shared_tokens};
 
@@ -259,6 +259,7 @@
         let plan = &self.workload.agents[agent];
         let workspace = self.workload.programs[plan.program].workspace;
         self.is_prompt_warm[workspace] = true;
+        count_second(&mut self.counters.answered_by_second, self.now_us);
         let run = &mut self.agents[agent];
         run.context_tokens = prompt_tokens + output_tokens;
         let context_tokens = run.context_tokens;
