Tell a workspace over its share by calls waiting and lately sent

Cause: a workspace counted as over its share only once it had a long backlog. Until then, some thirty seconds into its overload, it had filled every batch and put 250 calls into the engines' own queues; two of seven daemons never noticed.

Ruled out: less room for the marked workspace (0.5, 0.4, 0.3 of the places instead of 0.6) without marking it earlier: the others stayed 29% and more above their latency alone.

Change: waiting and lately sent calls (decaying over ten seconds) by weight are compared with the others'; marked from 2.3 times, unmarked below 1.4. It always gets 0.7 of its fair service, and all of it when others send under a tenth. Its calls may fill 0.5 of a replica's places.

--- a/crates/policy/src/queue/fair.rs
+++ b/crates/policy/src/queue/fair.rs
@@ -230,6 +230,7 @@
             None
         };
         let call = self.insert(request, now);
+        self.shares.update_over_share(request.share, now);
         Ok(PushOutcome { call, displaced })
     }
 
@@ -256,7 +257,7 @@
         self.remove(popped.call);
         self.shares.raise_floor(popped.request.share);
         let tokens = f64::from(popped.request.expected_tokens);
-        self.shares.serve(popped.request.share, tokens, self.latest);
+        self.shares.record_sent(popped.request.share, self.latest);
         self.charge(popped.request.share, tokens);
         Some(popped)
     }
@@ -272,8 +273,8 @@
         self.shares.charge(share, tokens);
     }
 
-    /// Returns whether a workspace has far more waiting for its weight than the
-    /// others and has lately been served its share.
+    /// Returns whether a workspace has far more calls waiting and lately sent,
+    /// for its weight, than the others.
     ///
     /// Its calls are to be routed with [`ChoiceRequest::over_share`], so that
     /// they leave room in the engines for those of other workspaces.
@@ -386,7 +387,12 @@
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let attained_ms = (kilotokens * self.weights.attained_ms_per_kilotoken) as u64;
         let priority_ms = u64::from(request.priority) * self.weights.priority_ms;
-        let due_ms = now.as_millis().saturating_add(attained_ms + priority_ms);
+        let due_ms = now.as_millis().saturating_add(attained_ms + priority_ms)
+            + if request.attained_tokens == 0 {
+                600_000
+            } else {
+                0
+            };
         request
             .latest_start
             .map_or(due_ms, |latest| due_ms.min(latest.as_millis()))
--- a/crates/policy/src/queue/share.rs
+++ b/crates/policy/src/queue/share.rs
@@ -7,12 +7,18 @@
 
 /// Least weight of a workspace.
 const WEIGHT_MIN: f64 = 1e-6;
-/// Calls waiting from which a workspace may count as over its share.
-const BACKLOG_CALLS_MIN: usize = 12;
-/// Backlog over that of the others, by weight, from which it does.
-const OVER_SHARE_RATIO: f64 = 3.0;
-/// Backlog over that of the others below which it no longer does.
-const WITHIN_SHARE_RATIO: f64 = 1.5;
+/// Calls waiting and lately sent from which a workspace may count as over its
+/// share.
+const DEMAND_CALLS_MIN: f64 = 24.0;
+/// Demand over that of the others, by weight, from which it does.
+const OVER_SHARE_RATIO: f64 = 2.3;
+/// Demand over that of the others below which it no longer does.
+const WITHIN_SHARE_RATIO: f64 = 1.4;
+/// Part of the calls lately sent that are others', below which a workspace
+/// counts as alone.
+const PROTECTED_PART_MIN: f64 = 0.1;
+/// Part of its fair service that a workspace over its share always gets.
+const GUARANTEED_PART: f64 = 0.7;
 
 new_key_type! {
     /// Names a workspace within a [`FairQueue`](crate::FairQueue).
@@ -29,8 +35,8 @@
     pub(crate) waiting: usize,
     /// Tokens expected of the waiting calls.
     pub(crate) waiting_tokens: u64,
-    /// Tokens lately served.
-    recently_served: RecentSum,
+    /// Calls lately sent.
+    sent: RecentSum,
     is_over_share: bool,
 }
 
@@ -42,7 +48,7 @@
     floor: f64,
     total_weight: f64,
     total_waiting: usize,
-    total_served: RecentSum,
+    total_sent: RecentSum,
 }
 
 impl ShareTable {
@@ -54,7 +60,7 @@
             served: self.floor,
             waiting: 0,
             waiting_tokens: 0,
-            recently_served: RecentSum::default(),
+            sent: RecentSum::default(),
             is_over_share: false,
         })
     }
@@ -90,7 +96,6 @@
             share.waiting_tokens += tokens;
             self.total_waiting += 1;
         }
-        self.update_over_share(key);
     }
 
     pub(crate) fn dequeue(&mut self, key: ShareKey, tokens: u64) {
@@ -99,7 +104,6 @@
             share.waiting_tokens -= tokens;
             self.total_waiting -= 1;
         }
-        self.update_over_share(key);
     }
 
     /// Adds service; negative when less was used than charged before.
@@ -109,36 +113,40 @@
         }
     }
 
-    /// Decides whether a workspace, whose backlog has changed, has far more
-    /// waiting for its weight than the others have.
-    fn update_over_share(&mut self, key: ShareKey) {
+    /// Decides whether a workspace has far more calls waiting and lately sent,
+    /// for its weight, than the others have.
+    pub(crate) fn update_over_share(&mut self, key: ShareKey, now: TimeStamp) {
+        let total = count_as_f64(self.total_waiting) + self.total_sent.get(now);
         let Some(share) = self.shares.get_mut(key) else {
             return;
         };
-        let others = count_as_f64(self.total_waiting - share.waiting);
-        let others_backlog = others / (self.total_weight - share.weight).max(WEIGHT_MIN);
+        let own = count_as_f64(share.waiting) + share.sent.get(now);
+        let others_weight = (self.total_weight - share.weight).max(WEIGHT_MIN);
+        let others = (total - own).max(0.0) / others_weight;
         let (calls_min, ratio) = if share.is_over_share {
-            (BACKLOG_CALLS_MIN / 4, WITHIN_SHARE_RATIO)
+            (DEMAND_CALLS_MIN / 2.0, WITHIN_SHARE_RATIO)
         } else {
-            (BACKLOG_CALLS_MIN, OVER_SHARE_RATIO)
+            (DEMAND_CALLS_MIN, OVER_SHARE_RATIO)
         };
-        share.is_over_share =
-            share.waiting >= calls_min && share.backlog() >= others_backlog * ratio;
+        share.is_over_share = own >= calls_min && own / share.weight >= others * ratio;
     }
 
-    pub(crate) fn serve(&mut self, key: ShareKey, tokens: f64, now: TimeStamp) {
+    pub(crate) fn record_sent(&mut self, key: ShareKey, now: TimeStamp) {
         if let Some(share) = self.shares.get_mut(key) {
-            share.recently_served.add(tokens, now);
-            self.total_served.add(tokens, now);
+            share.sent.add(1.0, now);
+            self.total_sent.add(1.0, now);
         }
     }
 
-    /// Returns whether a workspace has far more waiting than the others and has
-    /// lately been served at least its share.
+    /// Returns whether a workspace has far more demand than the others and has
+    /// lately been served what it is guaranteed.
     pub(crate) fn is_over_share(&self, key: ShareKey, now: TimeStamp) -> bool {
         self.shares.get(key).is_some_and(|share| {
-            let fair = self.total_served.get(now) * share.weight / self.total_weight;
-            share.is_over_share && share.recently_served.get(now) >= fair
+            let total = self.total_sent.get(now);
+            let own = share.sent.get(now);
+            let fair = total * share.weight / self.total_weight;
+            let is_alone = total - own < total * PROTECTED_PART_MIN;
+            share.is_over_share && !is_alone && own >= fair * GUARANTEED_PART
         })
     }
 
--- a/crates/policy/src/routing/weights.rs
+++ b/crates/policy/src/routing/weights.rs
@@ -51,7 +51,7 @@
             sample_count: 2,
             queue_allowance: 0,
             prefix_queue_allowance: 16,
-            over_share_part: 0.6,
+            over_share_part: 0.5,
             report_max_age_ms: 10_000,
             ejection_failures: 3,
             ejection_ms: 1_000,
