--- a/crates/programs/src/lib.rs
+++ b/crates/programs/src/lib.rs
@@ -12,7 +12,8 @@
 //!   request leaves; when [`StepTicket::is_intent_needed`] holds, the intent is
 //!   committed as well.
 //! - A [`FinishedStep`]'s records are safely stored before its answer or digest
-//!   is given to a caller.
+//!   is given to a caller. The same holds for [`StepAdmission::Recorded`]: the
+//!   history is stored up to [`ProgramTable::record_count`] first.
 //! - Each ticket is finished exactly once, also when the caller has gone.
 //! - When a holder or the journal refuses an append for its epoch, another owner
 //!   may have run the attempt: the caller is told that the outcome is unknown,
--- a/crates/programs/src/table/expiry.rs
+++ b/crates/programs/src/table/expiry.rs
@@ -122,13 +122,22 @@
         if self.is_busy(key) {
             return None;
         }
-        if program.end_wanted.is_some() {
-            return program.end_wanted;
+        if let Some(reason) = program.end_wanted.filter(|_| self.is_used_up(key)) {
+            return Some(reason);
         }
         let idle = self.last_activity(key).plus(self.options.idle_limit);
         (idle <= now).then_some(EndReason::Idle)
     }
 
+    /// Tells whether a step limit or the token budget still forbids every step.
+    fn is_used_up(&self, key: ProgramKey) -> bool {
+        let program = &self.programs[key];
+        let tree = &self.trees[program.tree];
+        !program.is_step_allowed()
+            || !tree.is_step_allowed()
+            || tree.budget.tokens.remaining() == Some(0)
+    }
+
     fn last_activity(&self, key: ProgramKey) -> TimeStamp {
         let own = self.programs[key].last_activity;
         self.descendants(key)
--- a/crates/programs/src/table/import.rs
+++ b/crates/programs/src/table/import.rs
@@ -102,6 +102,16 @@
         tree.records.get(index..)
     }
 
+    /// Returns the number of records in a root program's history.
+    ///
+    /// A recorded outcome is given to a caller only when the history is stored
+    /// up to here.
+    #[must_use]
+    pub fn record_count(&self, root: ProgramId) -> Option<u64> {
+        let key = self.by_id.get(&root)?;
+        Some(next_sequence(&self.trees[self.programs[*key].tree]))
+    }
+
     fn check_import(&self, records: &[ProgramRecord]) -> Result<ProgramId, HistoryError> {
         let first = records.first().ok_or(empty_history())?;
         let root = first.root;
