Hold each workspace and program to its rate across the fleet

Cause: requests were not limited. Change: each request that starts work takes credit; the daemon borrows it from the homes of the rate's parts, which the owners of the parts' slots are, over the fleet's links or in its own bucket. Programs have rates of their own, counted at their start. Measured: a workspace with a burst of three is refused its fourth request with rate_exceeded and Retry-After. Not yet: several daemons; what happens when no home can be reached.

--- a/crates/daemon/src/callers/chat.rs
+++ b/crates/daemon/src/callers/chat.rs
@@ -20,7 +20,7 @@
 use super::answer_builder::{answer_chunk, digest_event};
 use super::chat_run::{AnswerSink, ChatRun};
 use super::dispatch::CallerRequest;
-use super::programs::new_program;
+use super::programs::{new_program, take_program_credit};
 use super::prompt::{DEFAULT_MAX_TOKENS, added_tokens_max, render_engine_body, render_payload};
 use crate::context::DaemonContext;
 use crate::control::{AdmittedStep, RunningStep};
@@ -53,6 +53,7 @@
     let name = ProgramName::new(COMPLETION_PROGRAM)
         .map_err(|error| RequestRefusal::new(RefusalCode::Internal, error.to_string()))?;
     let settings = program_settings(workspace, &name)?;
+    take_program_credit(context, request, &name).await?;
     let (budget, limits) = (BudgetBody::default(), LimitsBody::default());
     let new = new_program(request, settings, None, budget, limits)?;
     let started = context.control.start(new).await?;
--- a/crates/daemon/src/callers/dispatch.rs
+++ b/crates/daemon/src/callers/dispatch.rs
@@ -17,6 +17,7 @@
 use super::forwarding::{forward_request, forwarded_parts};
 use super::{addresses, call, chat, programs};
 use crate::context::DaemonContext;
+use crate::credit::RateSubject;
 use crate::observe::RequestWatch;
 
 /// Header of the trace context.
@@ -83,6 +84,7 @@
         route => {
             let settings = context.settings();
             let caller = authenticate(&settings, &parts.headers)?;
+            take_credit(context, &route, &caller).await?;
             let body = read_body(body).await?;
             let mut request = build_request(id, route, &parts.headers, body, caller)?;
             request.traceparent = watch.traceparent();
@@ -91,6 +93,33 @@
     }
 }
 
+/// Takes one request of the workspace's rate, for routes that start work.
+async fn take_credit(
+    context: &DaemonContext,
+    route: &CallerRoute,
+    caller: &CallerIdentity,
+) -> Result<(), RequestRefusal> {
+    let is_limited = matches!(
+        route,
+        CallerRoute::StartProgram
+            | CallerRoute::StartChild(_)
+            | CallerRoute::ChatStep(_)
+            | CallerRoute::CallStep(_)
+            | CallerRoute::ChatCompletion
+    );
+    if !is_limited {
+        return Ok(());
+    }
+    let workspace = caller.workspace.clone();
+    context
+        .credit
+        .take(RateSubject {
+            workspace,
+            program: None,
+        })
+        .await
+}
+
 async fn read_body(body: Incoming) -> Result<Bytes, RequestRefusal> {
     read_limited(body, BODY_MAX_BYTES).await.map_err(|error| {
         let code = match error {
--- a/crates/daemon/src/callers/programs.rs
+++ b/crates/daemon/src/callers/programs.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
-use ibisdale_core::{ProgramId, RefusalCode, RequestRefusal};
+use ibisdale_core::{ProgramId, ProgramName, RefusalCode, RequestRefusal};
 use ibisdale_entry::{
     AnswerHead, BudgetBody, ChildBody, LimitsBody, ProgramReply, StartBody, StepPath, StepReply,
     json_answer, parse_json,
@@ -21,6 +21,7 @@
 use crate::clock::unix_now;
 use crate::context::DaemonContext;
 use crate::control::NewProgram;
+use crate::credit::RateSubject;
 
 /// Builds a program from what the caller wishes and the settings allow.
 pub(super) fn new_program(
@@ -79,6 +80,7 @@
     let snapshot = context.settings();
     let workspace = workspace_settings(&snapshot, &request.caller.workspace)?;
     let settings = program_settings(workspace, &body.program)?;
+    take_program_credit(context, request, &body.program).await?;
     let new = new_program(
         request,
         settings,
@@ -89,6 +91,20 @@
     answer_started(context, request, new).await
 }
 
+/// Takes one start of the program's own rate.
+pub(super) async fn take_program_credit(
+    context: &DaemonContext,
+    request: &CallerRequest,
+    program: &ProgramName,
+) -> Result<(), RequestRefusal> {
+    let workspace = request.caller.workspace.clone();
+    let subject = RateSubject {
+        workspace,
+        program: Some(program.clone()),
+    };
+    context.credit.take(subject).await
+}
+
 /// Starts a sub-agent of a program.
 pub(super) async fn start_child(
     context: &Arc<DaemonContext>,
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -14,6 +14,7 @@
 use ibisdale_upstreams::{PoolOptions, UpstreamPool};
 
 use crate::control::ControlHandle;
+use crate::credit::CreditHandle;
 use crate::drain::DrainSwitch;
 use crate::members::MemberHandle;
 
@@ -30,6 +31,7 @@
 pub(crate) struct SlotOwner {
     pub(crate) entry_address: SocketAddr,
     pub(crate) fleet_address: SocketAddr,
+    pub(crate) epoch: u64,
     pub(crate) is_self: bool,
 }
 
@@ -102,6 +104,7 @@
     pub(crate) owners: ArcSwap<OwnerTable>,
     pub(crate) links: FleetLinks,
     pub(crate) members: MemberHandle,
+    pub(crate) credit: CreditHandle,
     pub(crate) pools: UpstreamPools,
     pub(crate) executor: TrafficExecutor,
     pub(crate) metrics: MetricRegistry,
@@ -116,6 +119,7 @@
         identity: DaemonIdentity,
         control: ControlHandle,
         members: MemberHandle,
+        credit: CreditHandle,
         links: FleetLinks,
         executor: &TrafficExecutor,
     ) -> Self {
@@ -126,6 +130,7 @@
             owners: ArcSwap::default(),
             links,
             members,
+            credit,
             pools: UpstreamPools::new(TrafficExecutor::clone(executor)),
             executor: TrafficExecutor::clone(executor),
             metrics: MetricRegistry::new(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 mod clock;
 mod context;
 mod control;
+mod credit;
 mod drain;
 mod error;
 mod listeners;
--- a/crates/daemon/src/listeners.rs
+++ b/crates/daemon/src/listeners.rs
@@ -140,5 +140,6 @@
         let context = Arc::clone(&forward_context);
         async move { Ok(answer_stream(serve_forwarded(context, request).await)) }
     });
+    let handlers = context.credit.add_handlers(handlers);
     context.members.add_handlers(handlers, &context.links)
 }
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -18,6 +18,7 @@
 use crate::clock::unix_now;
 use crate::context::{DaemonContext, DaemonIdentity, OwnerTable, SlotOwner};
 use crate::control::{ControlOptions, ControlThread, OwnedSlot, SlotChange};
+use crate::credit::{CreditChannel, CreditHandle, start_credit};
 use crate::drain::DrainSwitch;
 use crate::error::{SpansSnafu, StartError, ThreadSnafu};
 use crate::listeners::{DaemonAddresses, DaemonListeners, ServeGuards, serve};
@@ -97,12 +98,20 @@
         let threads = TrafficThreads::start(settings.traffic_threads).context(ThreadSnafu)?;
         let spans = start_spans(&settings)?;
         let control = start_control(&settings)?;
+        let credit = CreditChannel::new();
         let sender = spans.as_ref().map(SpanWriter::get_sender);
-        let context = build_context(&settings, addresses, &control, threads.get_executor())
-            .spans(sender.unwrap_or_default())
-            .snapshot(options.snapshot)
-            .address_keep(options.address_keep)
-            .share();
+        let context = build_context(
+            &settings,
+            addresses,
+            &control,
+            credit.get_handle(),
+            threads.get_executor(),
+        )
+        .spans(sender.unwrap_or_default())
+        .snapshot(options.snapshot)
+        .address_keep(options.address_keep)
+        .share();
+        start_credit(credit, &context);
         own_all_slots(&context, addresses.fleet);
         let access = OperatorAccess {
             key_hash: settings.operator_key_hash,
@@ -203,6 +212,7 @@
     settings: &DaemonSettings,
     addresses: DaemonAddresses,
     control: &ControlThread,
+    credit: CreditHandle,
     executor: &TrafficExecutor,
 ) -> DaemonContext {
     let incarnation = unix_now().as_millis();
@@ -220,7 +230,7 @@
         incarnation,
         entry_address: addresses.entry,
     };
-    DaemonContext::new(identity, control, members, links, executor)
+    DaemonContext::new(identity, control, members, credit, links, executor)
 }
 
 /// Takes all slots, as the only daemon.
@@ -229,6 +239,7 @@
     let owner = SlotOwner {
         entry_address,
         fleet_address,
+        epoch: 1,
         is_self: true,
     };
     let owners = SlotId::all().map(|_| Some(owner)).collect();
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -40,7 +40,7 @@
          [/workspaces/kermesse/keys/old]\nhash = {}\nwithdrawn = yes\n\
          [/workspaces/kermesse/programs/planner]\n\
          [/workspaces/kermesse/programs/chat]\n\
-         [/workspaces/norrfrost]\nmodels = small\n\
+         [/workspaces/norrfrost]\nmodels = small\nrate = 0.01\nburst = 3\n\
          [/workspaces/norrfrost/keys/app]\nhash = {}\n\
          [/workspaces/norrfrost/programs/quotes]\n",
         hash(KERMESSE_KEY),
--- a/crates/daemon/tests/whole_path.rs
+++ b/crates/daemon/tests/whole_path.rs
@@ -127,3 +127,17 @@
     assert_snapshot!(other.refusal(), @"409 attempt_mismatch not_run");
     daemon.close();
 }
+
+#[test]
+fn a_workspace_over_its_rate_is_refused_at_once_with_when_to_come_back() {
+    let bed = TestBed::start();
+    let daemon = bed.start_daemon();
+    let caller = caller(&bed, &daemon, NORRFROST_KEY);
+    let start = || caller.post("/v1/programs", r#"{"program": "quotes"}"#);
+    let statuses: Vec<u16> = (0..3).map(|_| start().status.as_u16()).collect();
+    assert_eq!(statuses, [201, 201, 201]);
+    let refused = start();
+    assert_snapshot!(refused.refusal(), @"429 rate_exceeded not_run");
+    assert!(refused.headers.contains_key("retry-after"));
+    daemon.close();
+}
--- a/crates/policy/src/credit/amount.rs
+++ b/crates/policy/src/credit/amount.rs
@@ -36,6 +36,12 @@
         Self(millis.saturating_mul(MICROS_PER_MILLI))
     }
 
+    /// Creates an amount from millionths of a request.
+    #[must_use]
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
     /// Returns the amount in thousandths of a request, rounded down.
     #[must_use]
     pub const fn as_millis(self) -> u64 {
