Replace silent connections sooner, and say that bodies are JSON

Cause: a reused connection that had gone silent held an idempotent request for the whole progress timeout of 15 s, and the other idle connections, which mostly went silent with it, were tried next. Bodies without a content type are refused by some services.

Ruled out: a shorter progress timeout for all requests (slow answers on new connections are no sign of silence).

Change: an idempotent request is sent again on a new connection after 1 s of silence on a reused one; a stall drops the idle connections; bodies are JSON unless the headers say otherwise.

Seen to fail: without dropping the idle connections the test of silent connections finds two left over; without the body's type its test fails.

--- a/crates/upstreams/src/exchange.rs
+++ b/crates/upstreams/src/exchange.rs
@@ -1,7 +1,7 @@
 //! One request and the head of its answer.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use futures_lite::{FutureExt, StreamExt};
@@ -68,7 +68,11 @@
     }
     let pooled = take_connection(pool, request, request.reuse).await?;
     let is_reused = pooled.is_reused;
-    match send_once(pool, request, pooled).await {
+    let result = send_once(pool, request, pooled).await;
+    if matches!(result, Err(SendFailure::Net(NetError::Stalled { .. }))) {
+        pool.discard_idle();
+    }
+    match result {
         Err(SendFailure::Net(error)) if is_reused && may_resend(request, &error) => {
             let pooled = take_connection(pool, request, ConnectionReuse::New).await?;
             let result = send_once(pool, request, pooled).await;
@@ -78,6 +82,16 @@
     }
 }
 
+/// Returns how long a connection may stay silent before the answer's head.
+fn silence_limit(pool: &UpstreamPool, request: &UpstreamRequest, is_reused: bool) -> Duration {
+    let options = pool.get_options();
+    let limit = options.get_progress_timeout();
+    if is_reused && request.reuse == ConnectionReuse::Any {
+        return limit.min(options.get_resend_timeout());
+    }
+    limit
+}
+
 fn may_resend(request: &UpstreamRequest, error: &NetError) -> bool {
     let is_broken = matches!(error, NetError::Exchange { .. } | NetError::Stalled { .. });
     error.is_not_sent() || (request.reuse == ConnectionReuse::Any && is_broken)
@@ -128,7 +142,7 @@
             connection.ready().await.map_err(SendFailure::Net)?;
             connection.send(message).await.map_err(SendFailure::Net)
         };
-        let limit = options.get_progress_timeout();
+        let limit = silence_limit(pool, request, pooled.is_reused);
         let stall = async {
             Timer::after(limit).await;
             Err(SendFailure::Net(NetError::Stalled { limit }))
--- a/crates/upstreams/src/pool.rs
+++ b/crates/upstreams/src/pool.rs
@@ -10,6 +10,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time by default that an upstream may send nothing.
 const PROGRESS_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time by default after which a request that may run twice is sent again on a
+/// new connection, when a reused one stays silent.
+const RESEND_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time by default that an idle connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time since its last answer for which a connection counts as alive.
@@ -24,6 +27,7 @@
 pub struct PoolOptions {
     connect_timeout: Duration,
     progress_timeout: Duration,
+    resend_timeout: Duration,
     idle_timeout: Duration,
     idle_max: usize,
     answer_max_bytes: usize,
@@ -42,6 +46,7 @@
         Self {
             connect_timeout: CONNECT_TIMEOUT,
             progress_timeout: PROGRESS_TIMEOUT,
+            resend_timeout: RESEND_TIMEOUT,
             idle_timeout: IDLE_TIMEOUT,
             idle_max: IDLE_MAX,
             answer_max_bytes: ANSWER_MAX_BYTES,
@@ -62,6 +67,14 @@
         self
     }
 
+    /// Sets the time after which a request that may run twice is sent again on
+    /// a new connection, when a reused one stays silent.
+    #[must_use]
+    pub fn resend_timeout(mut self, timeout: Duration) -> Self {
+        self.resend_timeout = timeout;
+        self
+    }
+
     /// Sets the time that an idle connection is kept.
     #[must_use]
     pub fn idle_timeout(mut self, timeout: Duration) -> Self {
@@ -95,6 +108,13 @@
         self.progress_timeout
     }
 
+    /// Returns the time after which a request that may run twice is sent again
+    /// on a new connection, when a reused one stays silent.
+    #[must_use]
+    pub fn get_resend_timeout(&self) -> Duration {
+        self.resend_timeout
+    }
+
     /// Returns the time that an idle connection is kept.
     #[must_use]
     pub fn get_idle_timeout(&self) -> Duration {
@@ -187,6 +207,11 @@
 
     /// Closes the idle connections; calls under way go on.
     pub fn close(self) {
+        self.discard_idle();
+    }
+
+    /// Closes the idle connections, which are doubtful after one went silent.
+    pub(crate) fn discard_idle(&self) {
         self.idle().clear();
     }
 
--- a/crates/upstreams/src/service.rs
+++ b/crates/upstreams/src/service.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::header::{HeaderMap, HeaderValue};
+use http::header::{self, HeaderMap, HeaderValue};
 use http::{Method, StatusCode};
 use ibisdale_core::RunState;
 
@@ -45,7 +45,7 @@
         }
     }
 
-    /// Sets the body.
+    /// Sets the body, which is JSON unless the headers say otherwise.
     #[must_use]
     pub fn body(mut self, body: impl Into<Bytes>) -> Self {
         self.body = body.into();
@@ -100,7 +100,11 @@
         self
     }
 
-    fn into_request(self) -> UpstreamRequest {
+    fn into_request(mut self) -> UpstreamRequest {
+        if !self.body.is_empty() && !self.headers.contains_key(header::CONTENT_TYPE) {
+            let json = HeaderValue::from_static("application/json");
+            self.headers.insert(header::CONTENT_TYPE, json);
+        }
         let reuse = if self.is_idempotent {
             ConnectionReuse::Any
         } else {
--- a/crates/upstreams/tests/connections.rs
+++ b/crates/upstreams/tests/connections.rs
@@ -18,7 +18,7 @@
 use rstest::rstest;
 use support::{
     any_address, chat_body, chat_whole, describe, open_pool, read_text, run_test, session,
-    short_options, wait_until,
+    wait_until,
 };
 
 const REPLY: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
@@ -63,17 +63,23 @@
 }
 
 #[test]
-fn replaces_a_connection_that_went_silent_for_idempotent_calls() {
+fn replaces_connections_that_went_silent() {
     run_test(|executor| async move {
         let server = ScriptedServer::start(any_address(), &executor, REPLY, ScriptEnd::Hold);
         let server = server.unwrap();
-        let address = server.get_address();
-        let client = ServiceClient::new(UpstreamPool::new(address, executor, short_options()));
-        for _ in 0..2 {
-            let call = ServiceCall::new(Method::GET, "/badges/1").idempotent(true);
-            client.call(call).await.unwrap();
+        let options = PoolOptions::new()
+            .progress_timeout(Duration::from_hours(1))
+            .resend_timeout(Duration::from_millis(50));
+        let pool = UpstreamPool::new(server.get_address(), executor, options);
+        let client = ServiceClient::new(pool.clone());
+        for _ in 0..3 {
+            client.call(booking(1)).await.unwrap();
         }
-        assert_eq!(server.get_connections(), 2);
+        assert_eq!(pool.get_idle(), 3);
+        let call = ServiceCall::new(Method::GET, "/badges/1").idempotent(true);
+        client.call(call).await.unwrap();
+        // The other idle connections went with the silent one.
+        assert_eq!((server.get_connections(), pool.get_idle()), (4, 1));
     });
 }
 
--- a/crates/upstreams/tests/service_calls.rs
+++ b/crates/upstreams/tests/service_calls.rs
@@ -116,6 +116,24 @@
     });
 }
 
+#[rstest]
+#[case::json("{}", Some("content-type: application/json"))]
+#[case::no_body("", None)]
+fn says_that_a_body_is_json(#[case] body: &str, #[case] expected: Option<&str>) {
+    let body = body.to_owned();
+    run_test(|executor| async move {
+        let reply = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        let server = ScriptedServer::start(any_address(), &executor, reply, ScriptEnd::Hold);
+        let server = server.unwrap();
+        let client = ServiceClient::new(open_pool(server.get_address(), &executor));
+        let call = ServiceCall::new(Method::POST, "/bookings").body(body);
+        client.call(call).await.unwrap();
+        let received = String::from_utf8(server.get_received().concat()).unwrap();
+        let found = received.lines().find(|line| line.contains("content-type"));
+        assert_eq!(found, expected);
+    });
+}
+
 #[test]
 fn the_upstream_sees_its_own_credential_only() {
     run_test(|executor| async move {
