Release what engines hold of ended programs

Cause: sessions of ended programs stayed at the engines. Measured: the engine stand-in holds nothing of an ended program; how long that takes after kills is not measured yet.

--- a/crates/daemon/src/callers/call.rs
+++ b/crates/daemon/src/callers/call.rs
@@ -12,9 +12,7 @@
 use ibisdale_programs::{StepKind, StepOutcome, StepRecord, StepResult, StepTicket};
 use ibisdale_settings::{RouteSettings, ServiceSettings, SettingsSnapshot};
 use ibisdale_telemetry::SpanKind;
-use ibisdale_upstreams::{
-    ServiceCall, ServiceClient, ServiceReply, UpstreamCredential, UpstreamError,
-};
+use ibisdale_upstreams::{ServiceCall, ServiceClient, ServiceReply, UpstreamError};
 use serde_json::{Value, json};
 
 use super::access::workspace_settings;
@@ -22,7 +20,7 @@
 use super::chat_run::upstream_refusal;
 use super::dispatch::CallerRequest;
 use crate::clock::{instant_of, unix_now};
-use crate::context::DaemonContext;
+use crate::context::{DaemonContext, read_credential};
 use crate::control::{AdmittedStep, RouteRequest, RunningStep, UpstreamGroup};
 use crate::observe::start_span;
 
@@ -192,7 +190,8 @@
         .map_or(limit, |deadline| deadline.min(limit));
     let routed = context.control.route(request).await?;
     let mut call = call.deadline(instant_of(deadline));
-    if let Some(credential) = read_credential(&route.service) {
+    let credential_file = route.service.credential_file.as_deref();
+    if let Some(credential) = credential_file.and_then(read_credential) {
         call = call.credential(credential);
     }
     context.metrics.count_upstream_call("service");
@@ -213,13 +212,6 @@
     result.map_err(|error| call_refusal(&error))
 }
 
-fn read_credential(service: &ServiceSettings) -> Option<UpstreamCredential> {
-    let path = service.credential_file.as_ref()?;
-    UpstreamCredential::read(path)
-        .inspect_err(|error| log::warn!("a credential can't be read: {error}"))
-        .ok()
-}
-
 fn call_refusal(error: &UpstreamError) -> RequestRefusal {
     let refusal = upstream_refusal(error, false);
     if refusal.get_run_state() != RunState::Unknown {
--- a/crates/daemon/src/callers/chat_run.rs
+++ b/crates/daemon/src/callers/chat_run.rs
@@ -17,15 +17,13 @@
 use ibisdale_programs::{StepOutcome, StepRecord, StepTicket};
 use ibisdale_settings::ModelSettings;
 use ibisdale_telemetry::{SpanKind, TokenKind, TraceSpan, record_event};
-use ibisdale_upstreams::{
-    ChatCall, ChatEvent, EngineClient, UpstreamCredential, UpstreamError, UpstreamErrorKind,
-};
+use ibisdale_upstreams::{ChatCall, ChatEvent, EngineClient, UpstreamError, UpstreamErrorKind};
 
 use super::answer_builder::{AnswerBuilder, TokenUsage};
 use super::chat::stream_end;
 use super::dispatch::CallerRequest;
 use crate::clock::instant_of;
-use crate::context::DaemonContext;
+use crate::context::{DaemonContext, read_credential};
 use crate::control::{RouteRequest, RoutedCall, UpstreamGroup};
 use crate::observe::start_span;
 
@@ -344,19 +342,17 @@
         if let Some(deadline) = self.deadline() {
             call = call.deadline(instant_of(deadline));
         }
-        match self.credential() {
+        match self
+            .model
+            .credential_file
+            .as_deref()
+            .and_then(read_credential)
+        {
             Some(credential) => call.credential(credential),
             None => call,
         }
     }
 
-    fn credential(&self) -> Option<UpstreamCredential> {
-        let path = self.model.credential_file.as_ref()?;
-        UpstreamCredential::read(path)
-            .inspect_err(|error| log::warn!("a credential can't be read: {error}"))
-            .ok()
-    }
-
     async fn finish(self, outcome: StepOutcome, sink: AnswerSink) {
         let program = self.ticket.get_program();
         let step = self.ticket.get_step();
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -10,10 +11,10 @@
 use ibisdale_fleet::FleetLinks;
 use ibisdale_net::TrafficExecutor;
 use ibisdale_settings::SettingsSnapshot;
-use ibisdale_telemetry::{MetricRegistry, SpanSender};
-use ibisdale_upstreams::{PoolOptions, UpstreamPool};
+use ibisdale_telemetry::{MetricRegistry, SpanSender, record_event};
+use ibisdale_upstreams::{PoolOptions, UpstreamCredential, UpstreamPool};
 
-use crate::control::ControlHandle;
+use crate::control::{ControlHandle, UpstreamVm};
 use crate::credit::CreditHandle;
 use crate::drain::DrainSwitch;
 use crate::members::MemberHandle;
@@ -82,6 +83,12 @@
         pools.entry(address).or_insert_with(open).clone()
     }
 
+    /// Returns the pool of a replica that is listed.
+    pub(crate) fn find(&self, address: SocketAddr) -> Option<UpstreamPool> {
+        let pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        pools.get(&address).cloned()
+    }
+
     /// Returns the addresses of all pools.
     pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
         let pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
@@ -106,6 +113,7 @@
     pub(crate) members: MemberHandle,
     pub(crate) credit: CreditHandle,
     pub(crate) pools: UpstreamPools,
+    pub(crate) upstreams: ArcSwap<Vec<UpstreamVm>>,
     pub(crate) executor: TrafficExecutor,
     pub(crate) metrics: MetricRegistry,
     pub(crate) spans: SpanSender,
@@ -131,6 +139,7 @@
             links,
             members,
             credit,
+            upstreams: ArcSwap::default(),
             pools: UpstreamPools::new(TrafficExecutor::clone(executor)),
             executor: TrafficExecutor::clone(executor),
             metrics: MetricRegistry::new(),
@@ -164,8 +173,54 @@
         Arc::new(self)
     }
 
+    /// Returns the system's own credential at a replica, if there is one.
+    pub(crate) fn upstream_credential(&self, address: SocketAddr) -> Option<UpstreamCredential> {
+        let upstreams = self.upstreams.load();
+        let vm = upstreams.iter().find(|vm| vm.address == address)?;
+        let settings = self.settings();
+        let models = settings
+            .models()
+            .find(|model| model.vm_group.as_bytes() == vm.group.0);
+        let services = settings
+            .services()
+            .find(|item| item.vm_group.as_bytes() == vm.group.0);
+        let path = models
+            .and_then(|model| model.credential_file.as_ref())
+            .or_else(|| services.and_then(|service| service.credential_file.as_ref()))?;
+        read_credential(path)
+    }
+
+    /// Returns the addresses of the listed replicas that serve a model.
+    pub(crate) fn engine_addresses(&self) -> Vec<SocketAddr> {
+        let upstreams = self.upstreams.load();
+        let settings = self.settings();
+        let is_engine = |vm: &&UpstreamVm| {
+            settings
+                .models()
+                .any(|model| model.vm_group.as_bytes() == vm.group.0)
+        };
+        upstreams
+            .iter()
+            .filter(is_engine)
+            .map(|vm| vm.address)
+            .collect()
+    }
+
     /// Returns the settings in force.
     pub(crate) fn settings(&self) -> Arc<SettingsSnapshot> {
         self.settings.load_full()
     }
 }
+
+/// Reads the system's own credential at an upstream; a failure is logged.
+pub(crate) fn read_credential(path: &Path) -> Option<UpstreamCredential> {
+    UpstreamCredential::read(path)
+        .inspect_err(|error| {
+            record_event!(
+                CredentialUnreadable,
+                upstream = path.display(),
+                error = error
+            );
+        })
+        .ok()
+}
--- a/crates/daemon/src/control/handle.rs
+++ b/crates/daemon/src/control/handle.rs
@@ -6,7 +6,8 @@
 use ibisdale_core::{ProgramId, RefusalCode, RequestRefusal, RunState, StepNumber, WorkspaceName};
 use ibisdale_policy::{FlightReport, LoadReport};
 use ibisdale_programs::{
-    ProgramSummary, StartedProgram, StepOutcome, StepRecord, StepTicket, StepView,
+    CleanupKey, CleanupOrder, ProgramSummary, StartedProgram, StepOutcome, StepRecord, StepTicket,
+    StepView,
 };
 
 use super::message::{
@@ -166,6 +167,23 @@
         self.notify(ControlMessage::Slots(change));
     }
 
+    /// Returns the sessions to release at engines.
+    pub(crate) async fn cleanups(&self) -> Vec<(CleanupKey, CleanupOrder)> {
+        self.ask(ControlMessage::Cleanups).await.unwrap_or_default()
+    }
+
+    /// Notes that a session is released.
+    pub(crate) async fn confirm_cleanup(&self, key: CleanupKey) {
+        let _ = self
+            .ask(|reply| ControlMessage::CleanupDone(key, reply))
+            .await;
+    }
+
+    /// Compares what an engine holds with the programs that live.
+    pub(crate) fn sweep_engine(&self, engine: SocketAddr, held: Vec<ProgramId>) {
+        self.notify(ControlMessage::Sweep(engine, held));
+    }
+
     /// Runs a task on the control thread until the thread stops.
     pub(crate) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         self.notify(ControlMessage::Spawn(ControlTask(Box::pin(task))));
--- a/crates/daemon/src/control/message.rs
+++ b/crates/daemon/src/control/message.rs
@@ -12,8 +12,8 @@
 };
 use ibisdale_policy::{FlightKey, FlightReport, LoadReport};
 use ibisdale_programs::{
-    KeyLabel, ProgramBudget, ProgramLimits, ProgramSummary, StartedProgram, StepExchange, StepKind,
-    StepOutcome, StepRecord, StepTicket, StepView,
+    CleanupKey, CleanupOrder, KeyLabel, ProgramBudget, ProgramLimits, ProgramSummary,
+    StartedProgram, StepExchange, StepKind, StepOutcome, StepRecord, StepTicket, StepView,
 };
 
 /// Says that the control thread has stopped.
@@ -172,6 +172,9 @@
     Upstreams(Vec<UpstreamVm>),
     Load(SocketAddr, LoadReport),
     Slots(SlotChange),
+    Cleanups(ReplySender<Vec<(CleanupKey, CleanupOrder)>>),
+    CleanupDone(CleanupKey, ReplySender<()>),
+    Sweep(SocketAddr, Vec<ProgramId>),
     Spawn(ControlTask),
     Stop,
 }
--- a/crates/daemon/src/control/routing.rs
+++ b/crates/daemon/src/control/routing.rs
@@ -3,13 +3,14 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use ibisdale_core::{RefusalCode, RequestRefusal, TimeStamp, WorkspaceName};
+use ibisdale_core::{ProgramId, RefusalCode, RequestRefusal, TimeStamp, WorkspaceName};
 use ibisdale_policy::{
     CallKey, CallRequest, ChoiceRequest, DomainKey, FairQueue, FlightReport, LoadReport,
     PolicyProfile, PrefixClaim, PushError, RefusalReason, ReplicaKey, ReplicaSet, ReplicaSpec,
     ReplicaStatus, RoutingRefusal, SessionId, ShareKey, choose,
 };
-use ibisdale_programs::EngineAddress;
+use ibisdale_programs::{CleanupKey, CleanupOrder, EngineAddress};
+use ibisdale_telemetry::record_event;
 use rand::rngs::SmallRng;
 use slotmap::SecondaryMap;
 
@@ -264,7 +265,7 @@
     }
 
     /// Notes that an engine holds a session of a program.
-    pub(super) fn open_session(&mut self, program: ibisdale_core::ProgramId, address: SocketAddr) {
+    pub(super) fn open_session(&mut self, program: ProgramId, address: SocketAddr) {
         let engine = EngineAddress::new(address.to_string());
         match self.table.open_session(program, engine) {
             Ok(Some(record)) => drop(self.history.append(vec![record])),
@@ -273,6 +274,26 @@
         }
     }
 
+    pub(super) fn cleanups(&self) -> Vec<(CleanupKey, CleanupOrder)> {
+        let orders = self.table.cleanup_orders();
+        orders.map(|(key, order)| (key, order.clone())).collect()
+    }
+
+    pub(super) fn confirm_cleanup(&mut self, key: CleanupKey) {
+        match self.table.confirm_cleanup(key) {
+            Ok(record) => drop(self.history.append(record.into_iter().collect())),
+            Err(refusal) => log::debug!("release not noted: {}", refusal.get_message()),
+        }
+    }
+
+    pub(super) fn sweep_engine(&mut self, address: SocketAddr, held: &[ProgramId]) {
+        let engine = EngineAddress::new(address.to_string());
+        let found = self.table.sweep_engine(&engine, held);
+        if found > 0 {
+            record_event!(SessionOrphaned, upstream = address, session = found);
+        }
+    }
+
     pub(super) fn note_first_token(&mut self, route: &CallRoute) {
         if let Some(router) = self.routers.get_mut(&route.group) {
             router.set.record_first_token(route.flight, unix_now());
--- a/crates/daemon/src/control/run.rs
+++ b/crates/daemon/src/control/run.rs
@@ -117,6 +117,12 @@
         ControlMessage::Upstreams(vms) => state.set_upstreams(vms),
         ControlMessage::Load(address, report) => state.record_load(address, report),
         ControlMessage::Slots(change) => state.change_slots(change),
+        ControlMessage::Cleanups(reply) => answer(&reply, state.cleanups()),
+        ControlMessage::CleanupDone(key, reply) => {
+            state.confirm_cleanup(key);
+            answer(&reply, ());
+        }
+        ControlMessage::Sweep(engine, held) => state.sweep_engine(engine, &held),
         ControlMessage::Spawn(task) => tasks.spawn(task.0).detach(),
         ControlMessage::Stop => {}
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`RunningDaemon`].
 
 mod callers;
+mod cleanup;
 mod clock;
 mod context;
 mod control;
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -15,6 +15,7 @@
 use rand::rngs::SmallRng;
 use snafu::ResultExt;
 
+use crate::cleanup::CleanupTask;
 use crate::clock::unix_now;
 use crate::context::{DaemonContext, DaemonIdentity, OwnerTable, SlotOwner};
 use crate::control::{ControlOptions, ControlThread, OwnedSlot, SlotChange};
@@ -81,6 +82,7 @@
     guards: ServeGuards,
     watch: UpstreamWatch,
     load_watch: LoadWatch,
+    cleanup: CleanupTask,
     spans: Option<SpanWriter>,
     addresses: DaemonAddresses,
 }
@@ -119,6 +121,7 @@
         let guards = serve(listeners, &context, &access);
         let watch = UpstreamWatch::start(settings.vm_list_address, &context);
         let load_watch = LoadWatch::start(&context);
+        let cleanup = CleanupTask::start(&context);
         Ok(Self {
             context,
             control,
@@ -126,6 +129,7 @@
             guards,
             watch,
             load_watch,
+            cleanup,
             spans,
             addresses,
         })
@@ -169,6 +173,7 @@
             smol::Timer::after(self.context.address_keep).await;
             self.guards.close().await;
             self.watch.close().await;
+            self.cleanup.close().await;
             self.load_watch.close().await;
         });
         self.control.close();
--- a/crates/daemon/src/upstream_watch.rs
+++ b/crates/daemon/src/upstream_watch.rs
@@ -51,6 +51,7 @@
             context
                 .pools
                 .retain(|address| vms.iter().any(|vm| vm.address == address));
+            context.upstreams.store(Arc::new(vms.clone()));
             context.control.set_upstreams(vms);
             context.members.propose(daemon_addresses(&snapshot.list));
         }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -22,6 +22,8 @@
 pub(crate) const WITHDRAWN_KEY: &str = "withdrawn-key";
 
 const ANSWER_MAX_BYTES: usize = 1_024 * 1_024;
+/// Time after which a test that waits has failed.
+const GIVE_UP_TIME: Duration = Duration::from_secs(30);
 const READY_WAIT: Duration = Duration::from_millis(20);
 
 pub(crate) fn any_address() -> SocketAddr {
@@ -54,7 +56,6 @@
     pub(crate) executor: TrafficExecutor,
     pub(crate) kv: KvServer,
     pub(crate) vms: VmListServer,
-    #[expect(dead_code, reason = "kept alive for the test")]
     pub(crate) engine: EngineServer,
     #[expect(dead_code, reason = "kept alive for the test")]
     pub(crate) orders: ServiceServer,
@@ -220,3 +221,15 @@
         answer.json()["id"].as_str().expect("an id").to_owned()
     }
 }
+
+/// Waits until a condition holds; gives up after a generous time.
+pub(crate) fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    let given_up = std::time::Instant::now() + GIVE_UP_TIME;
+    while !condition() {
+        assert!(
+            std::time::Instant::now() < given_up,
+            "never happened: {what}"
+        );
+        std::thread::sleep(READY_WAIT);
+    }
+}
--- a/crates/daemon/tests/whole_path.rs
+++ b/crates/daemon/tests/whole_path.rs
@@ -5,7 +5,7 @@
 use ibisdale_daemon::RunningDaemon;
 use insta::assert_snapshot;
 use rstest::rstest;
-use support::{Caller, KERMESSE_KEY, NORRFROST_KEY, TestBed, WITHDRAWN_KEY};
+use support::{Caller, KERMESSE_KEY, NORRFROST_KEY, TestBed, WITHDRAWN_KEY, wait_until};
 
 const CHAT: &str =
     r#"{"model": "small", "messages": [{"role": "user", "content": "Which talk is next?"}]}"#;
@@ -141,3 +141,19 @@
     assert!(refused.headers.contains_key("retry-after"));
     daemon.close();
 }
+
+#[test]
+fn an_ended_program_leaves_nothing_at_the_engine() {
+    let bed = TestBed::start();
+    let daemon = bed.start_daemon();
+    let caller = caller(&bed, &daemon, KERMESSE_KEY);
+    let program = caller.start_program("planner");
+    let answer = caller.post(&format!("/v1/programs/{program}/steps/1/chat"), CHAT);
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    assert_eq!(bed.engine.get_sessions(), std::slice::from_ref(&program));
+    caller.post(&format!("/v1/programs/{program}/end"), "");
+    wait_until("the engine holds nothing", || {
+        bed.engine.get_sessions().is_empty()
+    });
+    daemon.close();
+}
