--- /dev/null
+++ b/crates/policy/src/journal/book.rs
@@ -0,0 +1,384 @@
+//! The owner's side of its journal: groups requests into writes.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use ibisdale_core::{ProgramId, SlotId, StepNumber, TimeStamp};
+
+use super::entry::{EntryState, JournalEntry, JournalValue};
+use super::queue::{IntentRequest, IntentTicket, QueuedIntent, take_matching};
+
+/// Limits of a journal and the pace of its writes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct JournalLimits {
+    /// Most entries in the value.
+    pub max_entries: usize,
+    /// Most requests in a write.
+    pub group_max: usize,
+    /// Least time between the starts of two writes.
+    pub commit_interval: Duration,
+    /// Time after which outcomes are written without a new request.
+    pub outcome_delay: Duration,
+}
+
+impl Default for JournalLimits {
+    fn default() -> Self {
+        Self {
+            max_entries: 1_024,
+            group_max: 64,
+            commit_interval: Duration::from_millis(5),
+            outcome_delay: Duration::from_secs(2),
+        }
+    }
+}
+
+/// Why an action is proven not to be recorded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotCommittedReason {
+    /// This daemon does not own the program's slot, or no longer does.
+    NotOwner,
+    /// The step is already recorded, by this attempt or another.
+    AlreadyRecorded(EntryState),
+    /// The journal has no room.
+    JournalFull,
+    /// The deadline passed before anything was written.
+    DeadlinePassed,
+}
+
+/// What became of a request to record an action.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IntentVerdict {
+    /// The intent is recorded: the action may be sent, once.
+    Committed {
+        /// Epoch of the program's slot.
+        epoch: u64,
+    },
+    /// The intent is not recorded and will not be.
+    NotCommitted(NotCommittedReason),
+    /// The intent may be recorded; the action must not be sent.
+    Unknown,
+}
+
+/// A request's verdict.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct IntentReceipt {
+    /// The request.
+    pub ticket: IntentTicket,
+    /// What became of it.
+    pub verdict: IntentVerdict,
+}
+
+/// The requests of one write.
+#[derive(Clone, Debug)]
+pub(crate) struct CommitGroup {
+    pub(crate) value: JournalValue,
+    pub(crate) intents: Vec<QueuedIntent>,
+}
+
+impl CommitGroup {
+    pub(crate) fn slots(&self) -> BTreeSet<SlotId> {
+        self.intents.iter().map(QueuedIntent::slot).collect()
+    }
+}
+
+/// The journal of this daemon's registration.
+#[derive(Clone, Debug)]
+pub struct JournalBook {
+    limits: JournalLimits,
+    value: JournalValue,
+    revision: i64,
+    queue: VecDeque<QueuedIntent>,
+    in_flight: Vec<QueuedIntent>,
+    finished: BTreeSet<(ProgramId, StepNumber)>,
+    withdrawn: BTreeSet<(ProgramId, StepNumber)>,
+    dropped_slots: BTreeSet<SlotId>,
+    finished_since: Option<TimeStamp>,
+    last_commit: Option<TimeStamp>,
+    not_before: TimeStamp,
+    next_ticket: u64,
+    receipts: Vec<IntentReceipt>,
+}
+
+impl JournalBook {
+    pub(crate) fn new(limits: JournalLimits) -> Self {
+        Self {
+            limits,
+            value: JournalValue::default(),
+            revision: 0,
+            queue: VecDeque::new(),
+            in_flight: Vec::new(),
+            finished: BTreeSet::new(),
+            withdrawn: BTreeSet::new(),
+            dropped_slots: BTreeSet::new(),
+            finished_since: None,
+            last_commit: None,
+            not_before: TimeStamp::default(),
+            next_ticket: 0,
+            receipts: Vec::new(),
+        }
+    }
+
+    /// Returns the revision of the value that the store holds.
+    #[must_use]
+    pub fn get_revision(&self) -> i64 {
+        self.revision
+    }
+
+    /// Returns the value that the store holds.
+    #[must_use]
+    pub fn get_value(&self) -> &JournalValue {
+        &self.value
+    }
+
+    pub(crate) fn push(&mut self, request: IntentRequest) -> IntentTicket {
+        self.next_ticket += 1;
+        let ticket = IntentTicket(self.next_ticket);
+        let intent = QueuedIntent { ticket, request };
+        if self.queue.len() < self.limits.max_entries {
+            self.queue.push_back(intent);
+        } else {
+            self.refuse(&intent, NotCommittedReason::JournalFull);
+        }
+        ticket
+    }
+
+    /// Notes that an action's outcome is stored in the program's history.
+    pub(crate) fn finish(&mut self, program: ProgramId, step: StepNumber, now: TimeStamp) {
+        self.finished.insert((program, step));
+        self.finished_since.get_or_insert(now);
+    }
+
+    /// Notes that a recorded action was not sent and never will be.
+    pub(crate) fn withdraw(&mut self, program: ProgramId, step: StepNumber, now: TimeStamp) {
+        self.withdrawn.insert((program, step));
+        self.finished_since.get_or_insert(now);
+    }
+
+    /// Drops the entries of a slot that another daemon has taken.
+    pub(crate) fn drop_slot(&mut self, slot: SlotId) {
+        if self.value.entries.iter().any(|entry| entry.slot() == slot) {
+            self.dropped_slots.insert(slot);
+        }
+    }
+
+    /// Keeps the entries of a slot that has come back.
+    pub(crate) fn keep_slot(&mut self, slot: SlotId) {
+        self.dropped_slots.remove(&slot);
+    }
+
+    pub(crate) fn take_receipts(&mut self) -> Vec<IntentReceipt> {
+        std::mem::take(&mut self.receipts)
+    }
+
+    /// Gives up what is past its deadline.
+    pub(crate) fn expire(&mut self, now: TimeStamp) {
+        let is_late = |intent: &QueuedIntent| intent.request.deadline <= now;
+        for intent in take_matching(&mut self.queue, is_late) {
+            self.refuse(&intent, NotCommittedReason::DeadlinePassed);
+        }
+        let (late, kept) = self.in_flight.drain(..).partition(is_late);
+        self.in_flight = kept;
+        for intent in Vec::from_iter::<Vec<QueuedIntent>>(late) {
+            self.answer(intent.ticket, IntentVerdict::Unknown);
+            self.withdraw(intent.request.program, intent.request.step, now);
+        }
+    }
+
+    fn refuse(&mut self, intent: &QueuedIntent, reason: NotCommittedReason) {
+        self.answer(intent.ticket, IntentVerdict::NotCommitted(reason));
+    }
+
+    fn answer(&mut self, ticket: IntentTicket, verdict: IntentVerdict) {
+        self.receipts.push(IntentReceipt { ticket, verdict });
+    }
+
+    /// Returns the slots of the waiting requests.
+    pub(crate) fn queued_slots(&self) -> BTreeSet<SlotId> {
+        self.queue.iter().map(QueuedIntent::slot).collect()
+    }
+
+    /// Holds writes back until `until`.
+    pub(crate) fn pause(&mut self, until: TimeStamp) {
+        self.not_before = until;
+    }
+
+    /// Returns when the next write is due, if one is wanted.
+    pub(crate) fn commit_due(&self) -> Option<TimeStamp> {
+        let paced = self.last_commit.map_or(TimeStamp::default(), |last| {
+            last.plus(self.limits.commit_interval)
+        });
+        let earliest = paced.max(self.not_before);
+        if !self.queue.is_empty() {
+            return Some(earliest);
+        }
+        let since = self.finished_since?;
+        Some(earliest.max(since.plus(self.limits.outcome_delay)))
+    }
+
+    /// Returns the earliest deadline of a waiting request.
+    pub(crate) fn next_deadline(&self) -> Option<TimeStamp> {
+        let waiting = self.queue.iter().chain(&self.in_flight);
+        waiting.map(|intent| intent.request.deadline).min()
+    }
+
+    /// Forms the next write; `epochs` has the epochs of owned slots.
+    ///
+    /// Returns nothing when no request is left and no outcome is to be written.
+    pub(crate) fn start_commit(
+        &mut self,
+        nonce: u64,
+        now: TimeStamp,
+        epochs: &BTreeMap<SlotId, u64>,
+    ) -> Option<CommitGroup> {
+        let mut value = self.pruned_value(nonce);
+        let mut intents = Vec::new();
+        while intents.len() < self.limits.group_max {
+            let Some(intent) = self.queue.pop_front() else {
+                break;
+            };
+            match self.admit(&value, &intent, epochs.get(&intent.slot()).copied()) {
+                Ok(entry) => {
+                    let key = (entry.program, entry.step);
+                    self.withdrawn.remove(&key);
+                    self.finished.remove(&key);
+                    value.entries.push(entry);
+                    intents.push(intent);
+                }
+                Err(reason) => self.refuse(&intent, reason),
+            }
+        }
+        if intents.is_empty() && value.entries == self.value.entries {
+            self.finished_since = None;
+            return None;
+        }
+        self.in_flight.clone_from(&intents);
+        self.last_commit = Some(now);
+        Some(CommitGroup { value, intents })
+    }
+
+    fn admit(
+        &self,
+        value: &JournalValue,
+        intent: &QueuedIntent,
+        epoch: Option<u64>,
+    ) -> Result<JournalEntry, NotCommittedReason> {
+        let request = &intent.request;
+        let epoch = epoch.ok_or(NotCommittedReason::NotOwner)?;
+        if let Some(entry) = value.find(request.program, request.step) {
+            return Err(NotCommittedReason::AlreadyRecorded(entry.state));
+        }
+        if value.entries.len() >= self.limits.max_entries {
+            return Err(NotCommittedReason::JournalFull);
+        }
+        Ok(JournalEntry {
+            program: request.program,
+            step: request.step,
+            attempt: request.attempt.clone(),
+            epoch,
+            state: EntryState::Intent,
+        })
+    }
+
+    /// Returns the value without entries that are no longer needed.
+    ///
+    /// An outcome stays for one write after it was recorded, so that the next
+    /// owner finds it when the history lags.
+    fn pruned_value(&self, nonce: u64) -> JournalValue {
+        let mut entries = Vec::new();
+        for entry in &self.value.entries {
+            let key = (entry.program, entry.step);
+            let is_dropped = self.dropped_slots.contains(&entry.slot());
+            if is_dropped || entry.state == EntryState::Outcome || self.withdrawn.contains(&key) {
+                continue;
+            }
+            let mut entry = entry.clone();
+            if self.finished.contains(&key) {
+                entry.state = EntryState::Outcome;
+            }
+            entries.push(entry);
+        }
+        JournalValue {
+            is_sealed: false,
+            nonce,
+            entries,
+        }
+    }
+
+    /// Returns the value with the entries of slots that are taken over.
+    pub(crate) fn carried_value(
+        &self,
+        slots: &[SlotId],
+        carried: Vec<JournalEntry>,
+        nonce: u64,
+    ) -> JournalValue {
+        let mut value = self.value.clone();
+        value.nonce = nonce;
+        value.entries.retain(|entry| !slots.contains(&entry.slot()));
+        value.entries.extend(carried);
+        value
+    }
+
+    /// Takes in a value that is known to be in the store.
+    pub(crate) fn adopt(&mut self, value: JournalValue, revision: i64) {
+        self.value = value;
+        self.revision = revision;
+        let value = &self.value;
+        self.finished.retain(|(program, step)| {
+            value
+                .find(*program, *step)
+                .is_some_and(|entry| entry.state == EntryState::Intent)
+        });
+        self.withdrawn
+            .retain(|(program, step)| value.find(*program, *step).is_some());
+        self.dropped_slots
+            .retain(|slot| value.entries.iter().any(|entry| entry.slot() == *slot));
+        if self.finished.is_empty() && self.withdrawn.is_empty() {
+            self.finished_since = None;
+        }
+    }
+
+    /// Ends a write that took effect.
+    pub(crate) fn commit_applied(&mut self, group: CommitGroup, revision: i64) {
+        self.adopt(group.value, revision);
+        for intent in std::mem::take(&mut self.in_flight) {
+            let request = &intent.request;
+            let entry = self.value.find(request.program, request.step);
+            let verdict = entry.map_or(IntentVerdict::Unknown, |entry| IntentVerdict::Committed {
+                epoch: entry.epoch,
+            });
+            self.answer(intent.ticket, verdict);
+        }
+    }
+
+    /// Ends a write that is proven not to take effect; its requests wait for
+    /// the next one.
+    pub(crate) fn commit_refused(&mut self) {
+        for intent in std::mem::take(&mut self.in_flight).into_iter().rev() {
+            self.queue.push_front(intent);
+        }
+    }
+
+    /// Ends a write of which it is not known whether it took effect.
+    pub(crate) fn commit_unknown(&mut self, now: TimeStamp) {
+        for intent in std::mem::take(&mut self.in_flight) {
+            self.answer(intent.ticket, IntentVerdict::Unknown);
+            self.withdraw(intent.request.program, intent.request.step, now);
+        }
+    }
+
+    /// Ends the journal: the registration has ended.
+    pub(crate) fn reset(&mut self) {
+        let queue = std::mem::take(&mut self.queue);
+        for intent in queue {
+            self.refuse(&intent, NotCommittedReason::NotOwner);
+        }
+        for intent in std::mem::take(&mut self.in_flight) {
+            self.answer(intent.ticket, IntentVerdict::Unknown);
+        }
+        let next_ticket = self.next_ticket;
+        let receipts = self.take_receipts();
+        *self = Self::new(self.limits);
+        self.next_ticket = next_ticket;
+        self.receipts = receipts;
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,3 +29,6 @@
     RefusalReason, ReplicaKey, ReplicaSet, ReplicaSpec, ReplicaStatus, RoutingDecision,
     RoutingRefusal, RoutingWeights, SessionId, choose, subset, watchers,
 };
+
+pub mod journal;
+pub mod ownership;
