Follow, confirm and apply the settings through the key-value service

Every daemon must have an accepted revision within seconds and never a lower one, and an operator must learn for certain whether settings were accepted.

The head is read in transactions only: a plain read may lag, and would then confirm a revision that is no longer the newest. Chunks are read plainly, and in a transaction where a plain read does not find them. A swap is repeated until its outcome is definite: its condition makes that harmless, and the nonce in the head or the history tells whether it took effect. Where neither can be read in time, the outcome is said to be unknown.

Revisions below the one in force, or below one that peers have, are refused. Confirmations by peers put off a daemon's own look at the head, so that the calls need not grow with the fleet.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,9 +19,13 @@
 mod observe;
 mod operators;
 mod running;
+mod settings_feed;
 mod threads;
 mod upstream_watch;
 
 pub use drain::DrainSwitch;
 pub use error::StartError;
 pub use running::{DaemonOptions, RunningDaemon};
+pub use settings_feed::{
+    AppliedSettings, FeedError, FeedOptions, FeedTask, SettingsFeed, StoredText,
+};
