Keep histories in checksummed segment files that refuse old epochs

Cause: holders need a store that survives a crash at any byte and never takes a record of a fenced-off owner. Segment files of frames; header and payload have a CRC32 each, so that a damaged payload is skipped exactly and its program named; one sync a batch; seals and drops are frames too. A torn end was never confirmed and is cut; any other damage is a finding, and the copy says that it may be short. Ruled out: searching for the next frame after damage (a caller's payload could hold a forged frame), an embedded database (the log is append-only and dropped by program), moving records without their epoch. Seen failing: tail not cut, payload or header unchecked, seal kept in memory only, no sync, gap or old epoch taken, compaction forgetting epochs or dropping a record, unconfirmed records kept beside a newer owner's, a failed batch counted, a stored record rewritten. Not proved: the cut after a write that failed halfway, since the injected fault comes before the write.

--- a/crates/programs/src/lib.rs
+++ b/crates/programs/src/lib.rs
@@ -64,6 +64,7 @@
 mod request;
 mod result;
 mod state;
+mod store;
 mod table;
 
 pub use account::{BudgetUsage, ProgramBudget, ProgramLimits, QuotaUsage};
@@ -78,6 +79,10 @@
     StepView, WokenWaiter,
 };
 pub use state::{HistoryError, HistoryFault, OpenAttempt};
+pub use store::{
+    AppendStatus, DiskFault, DiskOperation, FindingKind, HistoryStore, SealReply, StoreDisk,
+    StoreError, StoreFinding, StoreOptions, StoreUsage, StoredHistory, StoredRecord,
+};
 pub use table::{
     CleanupKey, CleanupOrder, ImportedProgram, ProgramTable, RunKey, SlotHistory, TableOptions,
     WaiterKey,
--- /dev/null
+++ b/crates/programs/src/store/disk.rs
@@ -0,0 +1,119 @@
+//! File operations of the store, with a place to make them fail.
+
+use std::fmt;
+use std::fs::{File, OpenOptions};
+use std::io::{self, Write};
+use std::os::unix::fs::FileExt;
+use std::path::Path;
+use std::sync::Arc;
+
+use snafu::ResultExt;
+
+use crate::store::error::{DiskSnafu, StoreError};
+
+/// Operation on a file or folder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiskOperation {
+    /// Creates the data folder.
+    CreateFolder,
+    /// Lists the data folder.
+    List,
+    /// Opens or creates a segment.
+    Open,
+    /// Reads a segment.
+    Read,
+    /// Appends to a segment.
+    Write,
+    /// Syncs a segment or the folder.
+    Sync,
+    /// Cuts a segment's end off.
+    Truncate,
+    /// Removes a segment.
+    Remove,
+}
+
+impl fmt::Display for DiskOperation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{self:?}")
+    }
+}
+
+/// Decides whether an operation fails, before it is tried.
+pub type DiskFault = Arc<dyn Fn(DiskOperation, &Path) -> io::Result<()> + Send + Sync>;
+
+/// The disk as the store uses it.
+#[derive(Clone)]
+pub struct StoreDisk {
+    fault: DiskFault,
+}
+
+impl Default for StoreDisk {
+    fn default() -> Self {
+        Self::with_fault(Arc::new(|_, _| Ok(())))
+    }
+}
+
+impl fmt::Debug for StoreDisk {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("StoreDisk").finish_non_exhaustive()
+    }
+}
+
+impl StoreDisk {
+    /// Creates a disk on which `fault` may make operations fail.
+    #[must_use]
+    pub fn with_fault(fault: DiskFault) -> Self {
+        Self { fault }
+    }
+
+    /// Runs one operation, with its place in the error.
+    pub(crate) fn run<T>(
+        &self,
+        operation: DiskOperation,
+        path: &Path,
+        action: impl FnOnce() -> io::Result<T>,
+    ) -> Result<T, StoreError> {
+        (self.fault)(operation, path)
+            .and_then(|()| action())
+            .context(DiskSnafu { operation, path })
+    }
+
+    pub(crate) fn open(&self, path: &Path) -> Result<File, StoreError> {
+        self.run(DiskOperation::Open, path, || {
+            OpenOptions::new()
+                .read(true)
+                .append(true)
+                .create(true)
+                .open(path)
+        })
+    }
+
+    pub(crate) fn write(
+        &self,
+        path: &Path,
+        mut file: &File,
+        bytes: &[u8],
+    ) -> Result<(), StoreError> {
+        self.run(DiskOperation::Write, path, || file.write_all(bytes))
+    }
+
+    pub(crate) fn sync(&self, path: &Path, file: &File) -> Result<(), StoreError> {
+        self.run(DiskOperation::Sync, path, || file.sync_data())
+    }
+
+    pub(crate) fn sync_folder(&self, path: &Path) -> Result<(), StoreError> {
+        self.run(DiskOperation::Sync, path, || File::open(path)?.sync_all())
+    }
+
+    pub(crate) fn read_at(
+        &self,
+        path: &Path,
+        file: &File,
+        offset: u64,
+        buffer: &mut [u8],
+    ) -> Result<(), StoreError> {
+        self.run(DiskOperation::Read, path, || {
+            file.read_exact_at(buffer, offset)
+        })
+    }
+}
--- /dev/null
+++ b/crates/programs/src/store/open.rs
@@ -0,0 +1,99 @@
+//! Opening of a data folder.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use crate::store::disk::{DiskOperation, StoreDisk};
+use crate::store::error::{FindingKind, StoreError, StoreFinding};
+use crate::store::history::{HistoryStore, StoreOptions};
+use crate::store::index::StoreIndex;
+use crate::store::segment::{self, SegmentFile};
+
+impl HistoryStore {
+    /// Opens the store in a data folder, which is created if needed.
+    ///
+    /// A frame that the last segment ends in was never confirmed and is cut
+    /// off. All damage is returned as findings.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the folder or a segment can't be read or written.
+    pub fn open(
+        folder: &Path,
+        options: StoreOptions,
+        disk: StoreDisk,
+    ) -> Result<(Self, Vec<StoreFinding>), StoreError> {
+        disk.run(DiskOperation::CreateFolder, folder, || {
+            fs::create_dir_all(folder)
+        })?;
+        let numbers = list(&disk, folder)?;
+        let mut index = StoreIndex::default();
+        let mut segments = BTreeMap::new();
+        let mut findings = Vec::new();
+        for number in &numbers {
+            let mut file = SegmentFile::open(&disk, segment::path(folder, *number))?;
+            let found = file.scan(&disk, *number, |header, place| index.apply(header, place))?;
+            let is_last = Some(number) == numbers.last();
+            settle_tail(&disk, &mut file, &found, is_last)?;
+            findings.extend(found);
+            segments.insert(*number, file);
+        }
+        findings.extend(missing(&index, &segments));
+        let mut store = Self::assemble(folder.to_owned(), options, disk, index, segments);
+        store.has_damage = findings
+            .iter()
+            .any(|finding| finding.kind != FindingKind::TruncatedTail);
+        store.start_segment_if_needed()?;
+        Ok((store, findings))
+    }
+}
+
+fn list(disk: &StoreDisk, folder: &Path) -> Result<Vec<u64>, StoreError> {
+    let paths: Vec<PathBuf> = disk.run(DiskOperation::List, folder, || {
+        let entries = fs::read_dir(folder)?;
+        entries
+            .map(|entry| entry.map(|entry| entry.path()))
+            .collect()
+    })?;
+    let mut numbers: Vec<_> = paths
+        .iter()
+        .filter_map(|path| segment::number(path))
+        .collect();
+    numbers.sort_unstable();
+    Ok(numbers)
+}
+
+/// Cuts off the frame that the last segment ends in; another segment that ends
+/// within a frame is damaged.
+fn settle_tail(
+    disk: &StoreDisk,
+    file: &mut SegmentFile,
+    findings: &[StoreFinding],
+    is_last: bool,
+) -> Result<(), StoreError> {
+    let tail = findings
+        .iter()
+        .find(|finding| finding.kind == FindingKind::TruncatedTail);
+    let Some(tail) = tail else {
+        return Ok(());
+    };
+    if is_last {
+        return file.cut(disk, tail.offset);
+    }
+    file.is_damaged = true;
+    Ok(())
+}
+
+fn missing(index: &StoreIndex, segments: &BTreeMap<u64, SegmentFile>) -> Vec<StoreFinding> {
+    let entries = index.after_gap().into_iter();
+    let findings = entries.filter_map(|(_, _, place)| {
+        Some(StoreFinding {
+            path: segments.get(&place.segment)?.path.clone(),
+            offset: place.offset,
+            length: place.length,
+            kind: FindingKind::MissingRecord,
+        })
+    });
+    findings.collect()
+}
--- /dev/null
+++ b/crates/programs/src/store/segment.rs
@@ -0,0 +1,191 @@
+//! Segment files of the store.
+
+use std::fs::File;
+use std::path::{Path, PathBuf};
+
+use crate::store::disk::{DiskOperation, StoreDisk};
+use crate::store::error::{FindingKind, StoreError, StoreFinding};
+use crate::store::frame::{CheckedHeader, FrameHeader, HEADER_BYTES};
+use crate::store::index::FramePlace;
+
+const SUFFIX: &str = ".segment";
+
+/// One open segment file.
+#[derive(Debug)]
+pub(crate) struct SegmentFile {
+    pub(crate) path: PathBuf,
+    pub(crate) file: File,
+    pub(crate) length: u64,
+    pub(crate) is_damaged: bool,
+}
+
+/// One frame as read.
+#[derive(Debug)]
+pub(crate) struct ReadFrame {
+    pub(crate) header: FrameHeader,
+    pub(crate) payload: Vec<u8>,
+}
+
+/// Returns the path of a segment.
+pub(crate) fn path(folder: &Path, number: u64) -> PathBuf {
+    folder.join(format!("{number:016}{SUFFIX}"))
+}
+
+/// Returns the number of a segment, if the path is one.
+pub(crate) fn number(path: &Path) -> Option<u64> {
+    let name = path.file_name()?.to_str()?;
+    name.strip_suffix(SUFFIX)?.parse().ok()
+}
+
+impl SegmentFile {
+    /// Opens a segment, or creates it.
+    pub(crate) fn open(disk: &StoreDisk, path: PathBuf) -> Result<Self, StoreError> {
+        let file = disk.open(&path)?;
+        let length = disk.run(DiskOperation::Open, &path, || Ok(file.metadata()?.len()))?;
+        Ok(Self {
+            path,
+            file,
+            length,
+            is_damaged: false,
+        })
+    }
+
+    /// Reads all frames and gives those that are whole to `visit`.
+    pub(crate) fn scan(
+        &mut self,
+        disk: &StoreDisk,
+        number: u64,
+        mut visit: impl FnMut(FrameHeader, FramePlace),
+    ) -> Result<Vec<StoreFinding>, StoreError> {
+        let mut findings = Vec::new();
+        let mut offset = 0;
+        while offset < self.length {
+            let Some(header) = self.read_header(disk, offset)? else {
+                findings.push(self.end_finding(offset));
+                break;
+            };
+            let length = to_u64(header.frame_length());
+            if offset + length > self.length {
+                findings.push(self.finding(offset, FindingKind::TruncatedTail));
+                break;
+            }
+            let payload = self.read_payload(disk, offset, &header)?;
+            if header.is_payload(&payload) {
+                let place = FramePlace {
+                    segment: number,
+                    offset,
+                    length,
+                };
+                visit(header.header, place);
+            } else {
+                let mut finding = self.finding(offset, FindingKind::BadChecksum);
+                finding.length = length;
+                findings.push(finding);
+            }
+            offset += length;
+        }
+        self.is_damaged = findings
+            .iter()
+            .any(|finding| finding.kind != FindingKind::TruncatedTail);
+        Ok(findings)
+    }
+
+    /// Reads one frame.
+    pub(crate) fn read(
+        &self,
+        disk: &StoreDisk,
+        place: FramePlace,
+    ) -> Result<ReadFrame, StoreError> {
+        let damaged = |kind| StoreError::Damaged {
+            finding: self.finding(place.offset, kind),
+        };
+        let header = self
+            .read_header(disk, place.offset)?
+            .filter(|header| to_u64(header.frame_length()) == place.length)
+            .ok_or_else(|| damaged(FindingKind::BadHeader))?;
+        let payload = self.read_payload(disk, place.offset, &header)?;
+        if !header.is_payload(&payload) {
+            return Err(damaged(FindingKind::BadChecksum));
+        }
+        Ok(ReadFrame {
+            header: header.header,
+            payload,
+        })
+    }
+
+    /// Appends bytes and syncs them. After a failed write the file is cut back.
+    ///
+    /// The error says with `true` that the file's content is not known.
+    pub(crate) fn append(
+        &mut self,
+        disk: &StoreDisk,
+        bytes: &[u8],
+    ) -> Result<(), (StoreError, bool)> {
+        if let Err(error) = disk.write(&self.path, &self.file, bytes) {
+            let is_unknown = self.cut(disk, self.length).is_err();
+            return Err((error, is_unknown));
+        }
+        disk.sync(&self.path, &self.file)
+            .map_err(|error| (error, true))?;
+        self.length += to_u64(bytes.len());
+        Ok(())
+    }
+
+    /// Cuts the file to a length.
+    pub(crate) fn cut(&mut self, disk: &StoreDisk, length: u64) -> Result<(), StoreError> {
+        disk.run(DiskOperation::Truncate, &self.path, || {
+            self.file.set_len(length)?;
+            self.file.sync_all()
+        })?;
+        self.length = length;
+        Ok(())
+    }
+
+    fn read_header(
+        &self,
+        disk: &StoreDisk,
+        offset: u64,
+    ) -> Result<Option<CheckedHeader>, StoreError> {
+        if self.length - offset < to_u64(HEADER_BYTES) {
+            return Ok(None);
+        }
+        let mut bytes = [0; HEADER_BYTES];
+        disk.read_at(&self.path, &self.file, offset, &mut bytes)?;
+        Ok(CheckedHeader::decode(&bytes))
+    }
+
+    fn read_payload(
+        &self,
+        disk: &StoreDisk,
+        offset: u64,
+        header: &CheckedHeader,
+    ) -> Result<Vec<u8>, StoreError> {
+        let mut payload = vec![0; header.payload_length];
+        let start = offset + to_u64(HEADER_BYTES);
+        disk.read_at(&self.path, &self.file, start, &mut payload)?;
+        Ok(payload)
+    }
+
+    fn end_finding(&self, offset: u64) -> StoreFinding {
+        let is_short = self.length - offset < to_u64(HEADER_BYTES);
+        let kind = if is_short {
+            FindingKind::TruncatedTail
+        } else {
+            FindingKind::BadHeader
+        };
+        self.finding(offset, kind)
+    }
+
+    fn finding(&self, offset: u64, kind: FindingKind) -> StoreFinding {
+        StoreFinding {
+            path: self.path.clone(),
+            offset,
+            length: self.length - offset,
+            kind,
+        }
+    }
+}
+
+pub(crate) fn to_u64(length: usize) -> u64 {
+    u64::try_from(length).unwrap_or(u64::MAX)
+}
