--- /dev/null
+++ b/crates/upstreams/benches/calls.rs
@@ -0,0 +1,180 @@
+//! Times of calls to the stand-ins over loopback.
+//!
+//! `cargo bench -p ibisdale-upstreams`
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use http::Method;
+use ibisdale_core::ProgramId;
+use ibisdale_net::TrafficExecutor;
+use ibisdale_standins::{EngineOptions, EngineServer, ServiceOptions, ServiceServer};
+use ibisdale_upstreams::{
+    ChatCall, ChatEvent, ChatStream, EngineClient, PoolOptions, ServiceCall, ServiceClient,
+    UpstreamPool,
+};
+
+const CALLS: u64 = 2_000;
+const CANCELS: u64 = 500;
+/// Calls left out of the figures.
+const WARM_UP_CALLS: u64 = 100;
+/// Streams that are open at once in the figure of tokens a second.
+const OPEN_STREAMS: u64 = 100;
+
+fn main() {
+    let upstreams = start_executor();
+    let clients = start_executor();
+    smol::block_on(clients.run(run_all(&upstreams, &clients)));
+}
+
+/// Starts an executor on a thread of its own, which ends with the process.
+fn start_executor() -> TrafficExecutor {
+    let executor = TrafficExecutor::default();
+    let running = executor.clone();
+    thread::spawn(move || smol::block_on(running.run(std::future::pending::<()>())));
+    executor
+}
+
+async fn run_all(upstreams: &TrafficExecutor, clients: &TrafficExecutor) {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let service = ServiceServer::start(any, upstreams, ServiceOptions::new()).unwrap();
+    let address = service.get_address();
+    measure_service("service call, idempotent", address, clients, true).await;
+    measure_service("service call, not idempotent", address, clients, false).await;
+    let engine = EngineServer::start(any, upstreams, EngineOptions::new()).unwrap();
+    measure_chat(engine.get_address(), clients).await;
+    measure_tokens(engine.get_address(), clients).await;
+    let options = EngineOptions::new().token_delay(Duration::from_hours(1));
+    let engine = EngineServer::start(any, upstreams, options).unwrap();
+    measure_cancel(&engine, clients).await;
+}
+
+fn open_pool(address: SocketAddr, executor: &TrafficExecutor) -> UpstreamPool {
+    UpstreamPool::new(address, executor.clone(), PoolOptions::new())
+}
+
+async fn measure_service(
+    name: &str,
+    address: SocketAddr,
+    executor: &TrafficExecutor,
+    is_idempotent: bool,
+) {
+    let client = ServiceClient::new(open_pool(address, executor));
+    let mut times = TimeTable::new();
+    for number in 0..CALLS {
+        let call = ServiceCall::new(Method::POST, "/bookings")
+            .body(format!(r#"{{"request_id": "{number}"}}"#))
+            .idempotent(is_idempotent);
+        let start = Instant::now();
+        client.call(call).await.unwrap();
+        times.record(number, start);
+    }
+    times.print(name);
+}
+
+async fn measure_chat(address: SocketAddr, executor: &TrafficExecutor) {
+    let client = EngineClient::new(open_pool(address, executor));
+    let mut first = TimeTable::new();
+    let mut whole = TimeTable::new();
+    for number in 0..CALLS {
+        let start = Instant::now();
+        let mut stream = client.chat(create_call(number)).await.unwrap();
+        stream.next().await.unwrap().unwrap();
+        first.record(number, start);
+        read_whole(stream).await;
+        whole.record(number, start);
+    }
+    first.print("chat, first token");
+    whole.print("chat, whole answer");
+}
+
+async fn measure_tokens(address: SocketAddr, executor: &TrafficExecutor) {
+    let client = EngineClient::new(open_pool(address, executor));
+    let start = Instant::now();
+    let streams: Vec<_> = (0..OPEN_STREAMS)
+        .map(|number| {
+            let client = client.clone();
+            executor.spawn(async move {
+                let mut tokens = 0;
+                for round in 0..20 {
+                    let call = create_call(number * 20 + round);
+                    tokens += read_whole(client.chat(call).await.unwrap()).await;
+                }
+                tokens
+            })
+        })
+        .collect();
+    let mut tokens = 0;
+    for stream in streams {
+        tokens += stream.await;
+    }
+    let seconds = start.elapsed().as_secs_f64();
+    println!("{OPEN_STREAMS} streams at once: {tokens} tokens in {seconds:.3} s");
+}
+
+async fn measure_cancel(engine: &EngineServer, executor: &TrafficExecutor) {
+    let client = EngineClient::new(open_pool(engine.get_address(), executor));
+    let mut times = TimeTable::new();
+    for number in 0..CANCELS {
+        let stream = client.chat(create_call(number)).await.unwrap();
+        let start = Instant::now();
+        stream.close();
+        while engine.get_counters().cancelled <= number {
+            smol::Timer::after(Duration::from_micros(50)).await;
+        }
+        times.record(number, start);
+    }
+    times.print("cancel, until the engine sees it");
+}
+
+async fn read_whole(mut stream: ChatStream) -> u64 {
+    let mut tokens = 0;
+    while let Some(event) = stream.next().await {
+        if let ChatEvent::Usage { completion, .. } = event.unwrap() {
+            tokens = completion;
+        }
+    }
+    tokens
+}
+
+fn create_call(number: u64) -> ChatCall {
+    let mut session = [0; 16];
+    session[8..].copy_from_slice(&number.to_be_bytes());
+    let session = ProgramId::from_bytes(&session).unwrap();
+    let body = format!(
+        r#"{{"model": "small", "stream": true,
+            "messages": [{{"role": "user", "content": "question {number}"}}]}}"#
+    );
+    ChatCall::new(body, session)
+}
+
+/// Times of calls, in microseconds.
+struct TimeTable {
+    histogram: Histogram<u64>,
+}
+
+impl TimeTable {
+    fn new() -> Self {
+        let histogram = Histogram::new(3).unwrap();
+        Self { histogram }
+    }
+
+    fn record(&mut self, number: u64, start: Instant) {
+        if number >= WARM_UP_CALLS {
+            let micros = u64::try_from(start.elapsed().as_micros()).unwrap();
+            self.histogram.record(micros).unwrap();
+        }
+    }
+
+    fn print(&self, name: &str) {
+        println!(
+            "{name}: {} calls, median {} us, 99 in 100 within {} us, longest {} us",
+            self.histogram.len(),
+            self.histogram.value_at_quantile(0.5),
+            self.histogram.value_at_quantile(0.99),
+            self.histogram.max(),
+        );
+    }
+}
