Bring settings into force from the key-value service and from peers

Cause: a daemon started with fixed settings. Change: the feed follows the head; operators read, apply, roll back, grant and withdraw through any daemon; pings tell of revisions, and a higher one is read from the service or fetched from a peer; programs of a withdrawn key are ended; a daemon that nobody confirmed for ten seconds and that is cut off from half of the fleet refuses closed routes. When the service is out for all, keys stay in force, since none can be withdrawn.

--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -71,6 +71,8 @@
     UnknownProgram = "unknown_program", 404;
     /// There is no such step.
     UnknownStep = "unknown_step", 404;
+    /// The settings revision is not kept.
+    UnknownRevision = "unknown_revision", 404;
     /// No upstream serves the model.
     UnknownModel = "unknown_model", 404;
     /// There is no such service or route of a service.
--- a/crates/daemon/src/callers/dispatch.rs
+++ b/crates/daemon/src/callers/dispatch.rs
@@ -19,6 +19,7 @@
 use crate::context::DaemonContext;
 use crate::credit::RateSubject;
 use crate::observe::RequestWatch;
+use crate::settings_watch::check_settings;
 
 /// Header of the trace context.
 pub(super) const TRACEPARENT_HEADER: &str = "traceparent";
@@ -82,6 +83,7 @@
             call::run_open_call(context, id, &path, body).await
         }
         route => {
+            check_settings(context)?;
             let settings = context.settings();
             let caller = authenticate(&settings, &parts.headers)?;
             take_credit(context, &route, &caller).await?;
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -18,6 +18,7 @@
 use crate::credit::CreditHandle;
 use crate::drain::DrainSwitch;
 use crate::members::MemberHandle;
+use crate::settings_feed::SettingsFeed;
 
 /// What a daemon says of itself.
 #[derive(Clone, Debug)]
@@ -107,7 +108,8 @@
 pub(crate) struct DaemonContext {
     pub(crate) identity: DaemonIdentity,
     pub(crate) control: ControlHandle,
-    pub(crate) settings: Arc<ArcSwap<SettingsSnapshot>>,
+    pub(crate) feed: SettingsFeed,
+    settings: Arc<ArcSwap<SettingsSnapshot>>,
     pub(crate) owners: ArcSwap<OwnerTable>,
     pub(crate) links: FleetLinks,
     pub(crate) members: MemberHandle,
@@ -128,13 +130,15 @@
         control: ControlHandle,
         members: MemberHandle,
         credit: CreditHandle,
+        feed: SettingsFeed,
         links: FleetLinks,
         executor: &TrafficExecutor,
     ) -> Self {
         Self {
             identity,
             control,
-            settings: Arc::default(),
+            settings: feed.get_cell(),
+            feed,
             owners: ArcSwap::default(),
             links,
             members,
@@ -161,13 +165,6 @@
         self
     }
 
-    /// Sets the settings to start with.
-    pub(crate) fn snapshot(self, snapshot: SettingsSnapshot) -> Self {
-        self.members.set_revision(snapshot.revision());
-        self.settings.store(Arc::new(snapshot));
-        self
-    }
-
     /// Shares the finished context.
     pub(crate) fn share(self) -> Arc<Self> {
         Arc::new(self)
--- a/crates/daemon/src/control/handle.rs
+++ b/crates/daemon/src/control/handle.rs
@@ -6,8 +6,8 @@
 use ibisdale_core::{ProgramId, RefusalCode, RequestRefusal, RunState, StepNumber, WorkspaceName};
 use ibisdale_policy::{FlightReport, LoadReport};
 use ibisdale_programs::{
-    CleanupKey, CleanupOrder, ProgramSummary, StartedProgram, StepOutcome, StepRecord, StepTicket,
-    StepView,
+    CleanupKey, CleanupOrder, KeyLabel, ProgramSummary, StartedProgram, StepOutcome, StepRecord,
+    StepTicket, StepView,
 };
 
 use super::message::{
@@ -167,6 +167,11 @@
         self.notify(ControlMessage::Slots(change));
     }
 
+    /// Ends the programs that were started under a key.
+    pub(crate) fn end_withdrawn(&self, workspace: WorkspaceName, key: KeyLabel) {
+        self.notify(ControlMessage::KeyWithdrawn(workspace, key));
+    }
+
     /// Returns the sessions to release at engines.
     pub(crate) async fn cleanups(&self) -> Vec<(CleanupKey, CleanupOrder)> {
         self.ask(ControlMessage::Cleanups).await.unwrap_or_default()
--- a/crates/daemon/src/control/message.rs
+++ b/crates/daemon/src/control/message.rs
@@ -174,6 +174,7 @@
     Slots(SlotChange),
     Cleanups(ReplySender<Vec<(CleanupKey, CleanupOrder)>>),
     CleanupDone(CleanupKey, ReplySender<()>),
+    KeyWithdrawn(WorkspaceName, KeyLabel),
     Sweep(SocketAddr, Vec<ProgramId>),
     Spawn(ControlTask),
     Stop,
--- a/crates/daemon/src/control/programs.rs
+++ b/crates/daemon/src/control/programs.rs
@@ -4,7 +4,7 @@
 
 use ibisdale_core::{ProgramId, RefusalCode, RequestRefusal, WorkspaceName};
 use ibisdale_programs::{
-    FinishedStep, ProgramStart, ProgramSummary, StartedProgram, StepExchange, StepKind,
+    FinishedStep, KeyLabel, ProgramStart, ProgramSummary, StartedProgram, StepExchange, StepKind,
     StepOutcome, StepRecord, StepRequest, StepTicket,
 };
 
@@ -186,6 +186,15 @@
             None => self.table.summary_any(program),
         }
     }
+
+    pub(super) fn end_withdrawn(&mut self, workspace: &WorkspaceName, key: &KeyLabel) {
+        match self.table.end_withdrawn(workspace, key, unix_now()) {
+            Ok(ended) => ended
+                .into_iter()
+                .for_each(|program| self.apply_end(program)),
+            Err(refusal) => log::warn!("programs not ended: {}", refusal.get_message()),
+        }
+    }
 }
 
 fn build_request(step: &RunningStep) -> StepRequest {
--- a/crates/daemon/src/control/run.rs
+++ b/crates/daemon/src/control/run.rs
@@ -117,6 +117,7 @@
         ControlMessage::Upstreams(vms) => state.set_upstreams(vms),
         ControlMessage::Load(address, report) => state.record_load(address, report),
         ControlMessage::Slots(change) => state.change_slots(change),
+        ControlMessage::KeyWithdrawn(workspace, key) => state.end_withdrawn(&workspace, &key),
         ControlMessage::Cleanups(reply) => answer(&reply, state.cleanups()),
         ControlMessage::CleanupDone(key, reply) => {
             state.confirm_cleanup(key);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 mod operators;
 mod running;
 mod settings_feed;
+mod settings_watch;
 mod threads;
 mod upstream_watch;
 
--- a/crates/daemon/src/listeners.rs
+++ b/crates/daemon/src/listeners.rs
@@ -15,6 +15,7 @@
 use crate::context::DaemonContext;
 use crate::error::{ListenerAddressSnafu, ListenerSnafu, StartError};
 use crate::operators::{OperatorAccess, serve_operator};
+use crate::settings_watch;
 
 /// The open listeners.
 pub(crate) struct DaemonListeners {
@@ -141,5 +142,8 @@
         async move { Ok(answer_stream(serve_forwarded(context, request).await)) }
     });
     let handlers = context.credit.add_handlers(handlers);
-    context.members.add_handlers(handlers, &context.links)
+    let handlers = settings_watch::add_handlers(handlers, context);
+    context
+        .members
+        .add_handlers(handlers, &context.links, &context.feed)
 }
--- a/crates/daemon/src/members/driver.rs
+++ b/crates/daemon/src/members/driver.rs
@@ -17,6 +17,7 @@
 use super::probe::{ProbeClient, ProbeTask};
 use crate::clock::unix_now;
 use crate::control::ControlHandle;
+use crate::settings_feed::SettingsFeed;
 
 /// Time between two probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -53,6 +54,7 @@
     settings: MemberSettings,
     control: &ControlHandle,
     links: &FleetLinks,
+    feed: &SettingsFeed,
     executor: &TrafficExecutor,
     revision_seen: Sender<u64>,
 ) -> MemberHandle {
@@ -66,6 +68,7 @@
         probes: Arc::new(ProbeClient {
             links: links.clone(),
             members: members.clone(),
+            feed: feed.clone(),
         }),
         executor: TrafficExecutor::clone(executor),
         snapshot,
@@ -81,10 +84,12 @@
         &self,
         handlers: FleetHandlers,
         links: &FleetLinks,
+        feed: &SettingsFeed,
     ) -> FleetHandlers {
         let probes = Arc::new(ProbeClient {
             links: links.clone(),
             members: self.clone(),
+            feed: feed.clone(),
         });
         let indirect = Arc::clone(&probes);
         handlers
--- a/crates/daemon/src/members/probe.rs
+++ b/crates/daemon/src/members/probe.rs
@@ -10,6 +10,7 @@
 
 use super::convert::{all_from_proto, all_to_proto};
 use super::handle::{MemberHandle, MemberMessage};
+use crate::settings_feed::SettingsFeed;
 
 /// Time in which a probed member must answer.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -29,6 +30,7 @@
 pub(super) struct ProbeClient {
     pub(super) links: FleetLinks,
     pub(super) members: MemberHandle,
+    pub(super) feed: SettingsFeed,
 }
 
 impl ProbeClient {
@@ -48,7 +50,6 @@
         };
         for proxy in task.proxies {
             let indirect = PingIndirectRequest {
-                target_name: String::new(),
                 target_address: task.address.to_string(),
                 ping: Some(request.clone()),
             };
@@ -72,11 +73,12 @@
         let updates = self.members.outgoing(address).await;
         PingRequest {
             updates: all_to_proto(&updates),
-            ..PingRequest::default()
         }
     }
 
     fn take(&self, reply: PingReply) {
+        let age = Duration::from_millis(reply.settings_age_ms);
+        self.feed.confirm_by_peer(reply.settings_revision, age);
         let updates = all_from_proto(reply.updates);
         self.members.notify(MemberMessage::Answered(updates));
     }
@@ -84,9 +86,11 @@
     /// Answers another daemon's probe.
     pub(super) async fn answer(&self, request: PingRequest) -> PingReply {
         let updates = self.members.exchange(all_from_proto(request.updates)).await;
+        let age = self.feed.get_confirmed_age().unwrap_or(Duration::MAX);
         PingReply {
             updates: all_to_proto(&updates),
-            ..PingReply::default()
+            settings_revision: self.feed.get_snapshot().revision(),
+            settings_age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         }
     }
 
--- a/crates/daemon/src/operators/dispatch.rs
+++ b/crates/daemon/src/operators/dispatch.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use http::{Request, Response, StatusCode};
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use ibisdale_core::admin::{DrainReply, ProgramsReply};
 use ibisdale_core::{ProgramId, RefusalCode, RequestId, RequestRefusal};
@@ -10,12 +11,16 @@
     AnswerHead, OperatorRoute, bearer_key, check_head, json_answer, parse_operator_route,
     refusal_answer, text_answer,
 };
-use ibisdale_net::BoxBody;
+use ibisdale_net::{BoxBody, NetError, read_limited};
 use ibisdale_settings::KeyHash;
 
 use super::render::{render_program, render_status};
+use super::settings;
 use crate::context::DaemonContext;
 
+/// Largest settings text that is taken, in bytes.
+const SETTINGS_MAX_BYTES: usize = 64 * 1_024 * 1_024;
+
 /// What operators must present.
 #[derive(Clone, Debug)]
 pub(crate) struct OperatorAccess {
@@ -58,7 +63,7 @@
         return Ok(text_answer(AnswerHead::new(id), context.metrics.render()));
     }
     authenticate(access, &request)?;
-    let (parts, _body) = request.into_parts();
+    let (parts, body) = request.into_parts();
     check_head(&parts)?;
     match route {
         OperatorRoute::Programs => Ok(list_programs(context, id).await),
@@ -66,13 +71,39 @@
         OperatorRoute::CancelProgram(program) => cancel_program(context, id, program).await,
         OperatorRoute::Status => Ok(json_answer(AnswerHead::new(id), &render_status(context))),
         OperatorRoute::Drain => Ok(start_drain(context, id)),
-        _ => {
-            let message = "settings can't be read or changed through this daemon yet";
-            Err(RequestRefusal::new(RefusalCode::NotImplemented, message))
+        route => {
+            let body = read_limited(body, SETTINGS_MAX_BYTES)
+                .await
+                .map_err(|error| body_refusal(&error))?;
+            Ok(serve_settings(context, id, route, &parts.headers, &body).await)
         }
     }
 }
 
+fn body_refusal(error: &NetError) -> RequestRefusal {
+    RequestRefusal::new(RefusalCode::BodyTooLarge, error.to_string())
+}
+
+async fn serve_settings(
+    context: &DaemonContext,
+    id: RequestId,
+    route: OperatorRoute,
+    headers: &HeaderMap,
+    body: &Bytes,
+) -> Response<BoxBody> {
+    let feed = &context.feed;
+    let result = match route {
+        OperatorRoute::Settings => Ok(settings::read_settings(feed, id)),
+        OperatorRoute::ApplySettings => settings::apply_settings(feed, id, headers, body).await,
+        OperatorRoute::Revisions => settings::list_revisions(feed, id).await,
+        OperatorRoute::Revision(revision) => settings::read_revision(feed, id, revision).await,
+        OperatorRoute::GrantKey(path) => settings::grant(feed, id, &path).await,
+        OperatorRoute::WithdrawKey(path) => settings::withdraw(feed, id, &path).await,
+        _ => Err(RequestRefusal::new(RefusalCode::UnknownRoute, "there is no such route").into()),
+    };
+    result.unwrap_or_else(|refusal| refusal.into_response(id))
+}
+
 async fn list_programs(context: &DaemonContext, id: RequestId) -> Response<BoxBody> {
     let programs = context.control.programs().await;
     let programs = programs.iter().map(render_program).collect();
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -2,5 +2,6 @@
 
 mod dispatch;
 mod render;
+mod settings;
 
 pub(crate) use dispatch::{OperatorAccess, serve_operator};
--- a/crates/daemon/src/operators/render.rs
+++ b/crates/daemon/src/operators/render.rs
@@ -7,6 +7,7 @@
 use ibisdale_policy::{MemberState as PolicyState, MemberUpdate};
 use ibisdale_programs::{ProgramStatus, ProgramSummary};
 
+use super::settings::confirmed_ms;
 use crate::context::DaemonContext;
 use crate::members::MemberSnapshot;
 
@@ -44,7 +45,7 @@
         name: context.identity.name.clone(),
         incarnation: context.identity.incarnation,
         settings_revision: context.settings().revision(),
-        settings_confirmed_ms: None,
+        settings_confirmed_ms: confirmed_ms(context),
         members: render_members(&context.members.snapshot()),
         slots_owned: u32::try_from(slots_owned).unwrap_or(u32::MAX),
         draining: context.drain.is_started(),
--- a/crates/daemon/src/operators/settings.rs
+++ b/crates/daemon/src/operators/settings.rs
@@ -23,7 +23,9 @@
     let record = stored.record.as_ref();
     SettingsText {
         revision: stored.revision,
-        author: record.map(|record| record.author.clone()).unwrap_or_default(),
+        author: record
+            .map(|record| record.author.clone())
+            .unwrap_or_default(),
         note: record.map(|record| record.note.clone()).unwrap_or_default(),
         text: String::from_utf8_lossy(&stored.text).into_owned(),
     }
@@ -59,7 +61,10 @@
     id: RequestId,
 ) -> Result<Response<BoxBody>, SettingsRefusal> {
     let revisions = feed.list_revisions().await?;
-    Ok(json_answer(AnswerHead::new(id), &RevisionsReply { revisions }))
+    Ok(json_answer(
+        AnswerHead::new(id),
+        &RevisionsReply { revisions },
+    ))
 }
 
 /// Applies settings made from the revision that `If-Match` names.
@@ -72,12 +77,20 @@
     let expected = expected_revision(headers)?;
     let request: ApplyRequest = parse_json(body)?;
     let text = Bytes::from(request.text);
-    let applied = feed.apply(text, expected, &request.author, &request.note).await?;
-    Ok(with_etag(json_answer(AnswerHead::new(id), &apply_reply(&applied)), applied.revision))
+    let applied = feed
+        .apply(text, expected, &request.author, &request.note)
+        .await?;
+    Ok(with_etag(
+        json_answer(AnswerHead::new(id), &apply_reply(&applied)),
+        applied.revision,
+    ))
 }
 
 fn apply_reply(applied: &AppliedSettings) -> ApplyReply {
-    ApplyReply { revision: applied.revision, digest: applied.digest.to_string() }
+    ApplyReply {
+        revision: applied.revision,
+        digest: applied.digest.to_string(),
+    }
 }
 
 fn expected_revision(headers: &HeaderMap) -> Result<u64, RequestRefusal> {
@@ -99,15 +112,29 @@
     let hash = secret.hash();
     let (workspace, key) = (&path.workspace, &path.key);
     let change = |text: &str| grant_key(text, workspace, key, &hash);
-    let applied = feed.edit(change, OPERATOR, &format!("key {key} of {workspace} granted")).await?;
-    record_event!(KeyGranted, workspace = workspace, key = key);
+    let applied = feed
+        .edit(
+            change,
+            OPERATOR,
+            &format!("key {key} of {workspace} granted"),
+        )
+        .await?;
+    record_event!(
+        KeyGranted,
+        workspace = workspace,
+        key = key,
+        revision = applied.revision
+    );
     let reply = KeyGrantReply {
         workspace: workspace.clone(),
         key: key.clone(),
         secret: secret.expose().to_owned(),
         revision: applied.revision,
     };
-    Ok(json_answer(AnswerHead::new(id).status(StatusCode::CREATED), &reply))
+    Ok(json_answer(
+        AnswerHead::new(id).status(StatusCode::CREATED),
+        &reply,
+    ))
 }
 
 /// Withdraws a key.
@@ -120,7 +147,12 @@
     let change = |text: &str| withdraw_key(text, workspace, key);
     let note = format!("key {key} of {workspace} withdrawn");
     let applied = feed.edit(change, OPERATOR, &note).await?;
-    record_event!(KeyWithdrawn, workspace = workspace, key = key);
+    record_event!(
+        KeyWithdrawn,
+        workspace = workspace,
+        key = key,
+        revision = applied.revision
+    );
     let reply = KeyWithdrawReply {
         workspace: workspace.clone(),
         key: key.clone(),
@@ -163,8 +195,15 @@
 }
 
 fn admin_refusal(id: RequestId, refusal: RequestRefusal) -> AdminRefusal {
-    let error = RefusalDetail { refusal, request_id: id };
-    AdminRefusal { error, findings: Vec::new(), conflict: None }
+    let error = RefusalDetail {
+        refusal,
+        request_id: id,
+    };
+    AdminRefusal {
+        error,
+        findings: Vec::new(),
+        conflict: None,
+    }
 }
 
 /// Time after which the key-value service is worth another try.
@@ -173,8 +212,7 @@
 fn feed_refusal(id: RequestId, error: FeedError) -> AdminRefusal {
     let message = error.to_string();
     let refuse = |code| RequestRefusal::new(code, message.clone());
-    let unavailable =
-        || refuse(RefusalCode::PlatformUnavailable).retry_after(PLATFORM_RETRY_DELAY);
+    let unavailable = || refuse(RefusalCode::PlatformUnavailable).retry_after(PLATFORM_RETRY_DELAY);
     match error {
         FeedError::Findings { findings } => AdminRefusal {
             findings: findings.into_vec(),
@@ -188,7 +226,9 @@
         FeedError::OutcomeUnknown { .. } => {
             admin_refusal(id, unavailable().run_state(RunState::Unknown))
         }
-        FeedError::UnknownRevision { .. } => admin_refusal(id, refuse(RefusalCode::UnknownStep)),
+        FeedError::UnknownRevision { .. } => {
+            admin_refusal(id, refuse(RefusalCode::UnknownRevision))
+        }
         FeedError::Edit { .. } => admin_refusal(id, refuse(RefusalCode::BadRequest)),
         _ => admin_refusal(id, refuse(RefusalCode::Internal)),
     }
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -4,12 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use ibisdale_core::SlotId;
 use ibisdale_fleet::FleetLinks;
 use ibisdale_net::TrafficExecutor;
+use ibisdale_platform::{KvClient, KvOptions};
 use ibisdale_policy::{MemberFacts, PolicyProfile};
-use ibisdale_settings::{DaemonSettings, SettingsSnapshot};
+use ibisdale_settings::DaemonSettings;
 use ibisdale_telemetry::{SpanOptions, SpanWriter};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -18,7 +20,7 @@
 use crate::cleanup::CleanupTask;
 use crate::clock::unix_now;
 use crate::context::{DaemonContext, DaemonIdentity, OwnerTable, SlotOwner};
-use crate::control::{ControlOptions, ControlThread, OwnedSlot, SlotChange};
+use crate::control::{ControlHandle, ControlOptions, ControlThread, OwnedSlot, SlotChange};
 use crate::credit::{CreditChannel, CreditHandle, start_credit};
 use crate::drain::DrainSwitch;
 use crate::error::{SpansSnafu, StartError, ThreadSnafu};
@@ -26,6 +28,8 @@
 use crate::load_watch::LoadWatch;
 use crate::members::{MemberSettings, start_members};
 use crate::operators::OperatorAccess;
+use crate::settings_feed::{FeedOptions, FeedTask, SettingsFeed};
+use crate::settings_watch::SettingsWatch;
 use crate::threads::TrafficThreads;
 use crate::upstream_watch::UpstreamWatch;
 
@@ -36,7 +40,6 @@
 #[derive(Clone, Debug)]
 pub struct DaemonOptions {
     settings: DaemonSettings,
-    snapshot: SettingsSnapshot,
     address_keep: Duration,
 }
 
@@ -46,18 +49,10 @@
     pub fn new(settings: DaemonSettings) -> Self {
         Self {
             settings,
-            snapshot: SettingsSnapshot::empty(),
             address_keep: ADDRESS_KEEP,
         }
     }
 
-    /// Sets the operators' settings to start with.
-    #[must_use]
-    pub fn snapshot(mut self, snapshot: SettingsSnapshot) -> Self {
-        self.snapshot = snapshot;
-        self
-    }
-
     /// Sets how long callers keep an answer with addresses, and so how long a
     /// leaving daemon still serves those who hold an old one.
     #[must_use]
@@ -80,9 +75,8 @@
     control: ControlThread,
     threads: TrafficThreads,
     guards: ServeGuards,
-    watch: UpstreamWatch,
-    load_watch: LoadWatch,
-    cleanup: CleanupTask,
+    platform: PlatformLinks,
+    watches: DaemonWatches,
     spans: Option<SpanWriter>,
     addresses: DaemonAddresses,
 }
@@ -101,35 +95,33 @@
         let spans = start_spans(&settings)?;
         let control = start_control(&settings)?;
         let credit = CreditChannel::new();
+        let platform = start_platform(&settings, threads.get_executor());
+        let (revision_seen, revisions) = async_channel::bounded(1);
+        let parts = ContextParts {
+            control: control.get_handle().clone(),
+            credit: credit.get_handle(),
+            feed: platform.feed.clone(),
+            revision_seen,
+        };
         let sender = spans.as_ref().map(SpanWriter::get_sender);
-        let context = build_context(
-            &settings,
-            addresses,
-            &control,
-            credit.get_handle(),
-            threads.get_executor(),
-        )
-        .spans(sender.unwrap_or_default())
-        .snapshot(options.snapshot)
-        .address_keep(options.address_keep)
-        .share();
+        let context = build_context(&settings, addresses, parts, threads.get_executor())
+            .spans(sender.unwrap_or_default())
+            .address_keep(options.address_keep)
+            .share();
         start_credit(credit, &context);
         own_all_slots(&context, addresses.fleet);
         let access = OperatorAccess {
             key_hash: settings.operator_key_hash,
         };
         let guards = serve(listeners, &context, &access);
-        let watch = UpstreamWatch::start(settings.vm_list_address, &context);
-        let load_watch = LoadWatch::start(&context);
-        let cleanup = CleanupTask::start(&context);
+        let watches = DaemonWatches::start(&settings, &context, revisions);
         Ok(Self {
             context,
             control,
             threads,
             guards,
-            watch,
-            load_watch,
-            cleanup,
+            platform,
+            watches,
             spans,
             addresses,
         })
@@ -172,9 +164,8 @@
         smol::block_on(async {
             smol::Timer::after(self.context.address_keep).await;
             self.guards.close().await;
-            self.watch.close().await;
-            self.cleanup.close().await;
-            self.load_watch.close().await;
+            self.watches.close().await;
+            self.platform.close().await;
         });
         self.control.close();
         self.threads.close();
@@ -184,6 +175,66 @@
     }
 }
 
+/// What the daemon shares with the platform.
+#[derive(Debug)]
+struct PlatformLinks {
+    feed: SettingsFeed,
+    feed_task: FeedTask,
+}
+
+impl PlatformLinks {
+    async fn close(self) {
+        self.feed_task.close().await;
+    }
+}
+
+fn start_platform(settings: &DaemonSettings, executor: &TrafficExecutor) -> PlatformLinks {
+    let endpoints = settings.key_value_endpoints.iter().copied();
+    let options = endpoints.fold(KvOptions::new(), KvOptions::endpoint);
+    let client = KvClient::new(options, executor);
+    let (feed, feed_task) = SettingsFeed::start(client, FeedOptions::new(), executor);
+    PlatformLinks { feed, feed_task }
+}
+
+/// The tasks that watch the platform, upstreams and settings.
+#[derive(Debug)]
+struct DaemonWatches {
+    upstreams: UpstreamWatch,
+    load: LoadWatch,
+    cleanup: CleanupTask,
+    settings: SettingsWatch,
+}
+
+impl DaemonWatches {
+    fn start(
+        settings: &DaemonSettings,
+        context: &Arc<DaemonContext>,
+        revisions: Receiver<u64>,
+    ) -> Self {
+        Self {
+            upstreams: UpstreamWatch::start(settings.vm_list_address, context),
+            load: LoadWatch::start(context),
+            cleanup: CleanupTask::start(context),
+            settings: SettingsWatch::start(context, revisions),
+        }
+    }
+
+    async fn close(self) {
+        self.upstreams.close().await;
+        self.cleanup.close().await;
+        self.load.close().await;
+        self.settings.close().await;
+    }
+}
+
+/// Parts that the context connects.
+struct ContextParts {
+    control: ControlHandle,
+    credit: CreditHandle,
+    feed: SettingsFeed,
+    revision_seen: Sender<u64>,
+}
+
 fn start_spans(settings: &DaemonSettings) -> Result<Option<SpanWriter>, StartError> {
     let Some(path) = &settings.trace_file else {
         return Ok(None);
@@ -216,26 +267,38 @@
 fn build_context(
     settings: &DaemonSettings,
     addresses: DaemonAddresses,
-    control: &ControlThread,
-    credit: CreditHandle,
+    parts: ContextParts,
     executor: &TrafficExecutor,
 ) -> DaemonContext {
     let incarnation = unix_now().as_millis();
-    let control = control.get_handle().clone();
     let links = FleetLinks::new(TrafficExecutor::clone(executor));
-    let (revision_seen, _revisions) = async_channel::bounded(1);
     let member_settings = MemberSettings {
         facts: member_facts(settings, addresses),
         incarnation,
         random: SmallRng::from_os_rng(),
     };
-    let members = start_members(member_settings, &control, &links, executor, revision_seen);
+    let members = start_members(
+        member_settings,
+        &parts.control,
+        &links,
+        &parts.feed,
+        executor,
+        parts.revision_seen,
+    );
     let identity = DaemonIdentity {
         name: settings.name.clone(),
         incarnation,
         entry_address: addresses.entry,
     };
-    DaemonContext::new(identity, control, members, credit, links, executor)
+    DaemonContext::new(
+        identity,
+        parts.control,
+        members,
+        parts.credit,
+        parts.feed,
+        links,
+        executor,
+    )
 }
 
 /// Takes all slots, as the only daemon.
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use ibisdale_daemon::{DaemonOptions, RunningDaemon};
 use ibisdale_net::{ClientConnection, ConnectOptions, TrafficExecutor, full_body, read_limited};
 use ibisdale_platform::wire::{VmEntry, VmState};
-use ibisdale_settings::{CheckedSettings, DaemonSettings};
+use ibisdale_settings::DaemonSettings;
 use ibisdale_standins::{
     EngineOptions, EngineServer, KvServer, ServiceOptions, ServiceServer, VmListServer,
 };
@@ -18,6 +18,8 @@
 pub(crate) const KERMESSE_KEY: &str = "kermesse-key";
 /// Key that the test settings grant to workspace `norrfrost`.
 pub(crate) const NORRFROST_KEY: &str = "norrfrost-key";
+/// Key of the operators.
+pub(crate) const OPERATOR_KEY: &str = "operator-key";
 /// Key that the test settings withdraw.
 pub(crate) const WITHDRAWN_KEY: &str = "withdrawn-key";
 
@@ -102,13 +104,14 @@
         }
     }
 
-    pub(crate) fn start_daemon(&self) -> RunningDaemon {
+    /// Starts a daemon without settings.
+    pub(crate) fn start_bare_daemon(&self) -> RunningDaemon {
         let text = format!(
             "[/daemon]\nname = a\nfailure_domain = a\nregion = r\n\
              entry_address = 127.0.0.1:1\nfleet_address = 127.0.0.1:2\n\
              operator_address = 127.0.0.1:3\noperator_key_hash = {}\ntraffic_threads = 2\n\
              [/platform]\nkey_value_endpoints = {}\nvm_list_address = {}\n",
-            ibisdale_settings::KeyHash::of(b"operator"),
+            ibisdale_settings::KeyHash::of(OPERATOR_KEY.as_bytes()),
             self.kv.get_address(),
             self.vms.get_address(),
         );
@@ -116,17 +119,34 @@
         settings.entry_address = any_address();
         settings.fleet_address = any_address();
         settings.operator_address = any_address();
-        let checked = CheckedSettings::parse("settings.ini", &settings_text()).expect("sound");
-        let options = DaemonOptions::new(settings)
-            .snapshot(checked.snapshot(1))
-            .address_keep(Duration::ZERO);
+        let options = DaemonOptions::new(settings).address_keep(Duration::ZERO);
         let daemon = RunningDaemon::start(options).expect("the daemon starts");
-        while self.vms.get_read_count() == 0 {
-            std::thread::sleep(READY_WAIT);
-        }
-        std::thread::sleep(READY_WAIT * 5);
+        wait_until("the VM list is read", || self.vms.get_read_count() > 0);
         daemon
     }
+
+    /// Starts a daemon and applies the test settings.
+    pub(crate) fn start_daemon(&self) -> RunningDaemon {
+        let daemon = self.start_bare_daemon();
+        let operator = self.operator(&daemon);
+        let request = serde_json::json!({
+            "file": "settings.ini", "text": settings_text(), "author": "test",
+        });
+        let headers = [("if-match", "\"0\"")];
+        let path = "/admin/v1/settings";
+        let answer = operator.send(Method::PUT, path, &headers, &request.to_string());
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+        daemon
+    }
+
+    /// Returns an operator of a daemon.
+    pub(crate) fn operator(&self, daemon: &RunningDaemon) -> Caller<'_> {
+        Caller {
+            bed: self,
+            address: daemon.get_operator_address(),
+            key: OPERATOR_KEY,
+        }
+    }
 }
 
 /// A caller's answer.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -49,7 +49,7 @@
 pub use snapshot::{
     AccessList, CheckedSettings, KeyMatch, LimitRange, ModelSettings, ProgramLimits,
     ProgramSettings, RateLimit, RouteSettings, SchedulingProfile, SchedulingSettings,
-    ServiceSettings, SettingsSnapshot, WorkspaceSettings,
+    ServiceSettings, SettingsSnapshot, WithdrawnKey, WorkspaceSettings,
 };
 pub use table::{
     FixedDecimal, KeySpec, ValueError, ValueKind, ValueUnit, find_key, known_keys, render_reference,
--- a/crates/settings/src/snapshot/key_index.rs
+++ b/crates/settings/src/snapshot/key_index.rs
@@ -30,6 +30,15 @@
     pub(crate) is_withdrawn: bool,
 }
 
+/// A key that was in force and is not any more.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WithdrawnKey {
+    /// The workspace that the key was for.
+    pub workspace: WorkspaceName,
+    /// The key's name.
+    pub key: KeyName,
+}
+
 /// Keys by a part of their hash.
 ///
 /// The part only narrows the search; whole hashes are compared in constant time.
@@ -62,4 +71,23 @@
             },
         }
     }
+
+    /// Returns the keys in force here that are not in force in `later`.
+    pub(crate) fn withdrawn_in(&self, later: &Self) -> Vec<WithdrawnKey> {
+        let records = self.records.values().flatten();
+        let in_force = records.filter(|record| !record.is_withdrawn);
+        let ended = in_force.filter(|record| !later.is_in_force(record));
+        let name = |record: &KeyRecord| WithdrawnKey {
+            workspace: record.workspace.clone(),
+            key: record.key.clone(),
+        };
+        ended.map(name).collect()
+    }
+
+    fn is_in_force(&self, key: &KeyRecord) -> bool {
+        let records = self.records.get(&key.hash.index());
+        records.into_iter().flatten().any(|record| {
+            record.hash == key.hash && record.workspace == key.workspace && !record.is_withdrawn
+        })
+    }
 }
--- a/crates/settings/src/snapshot/mod.rs
+++ b/crates/settings/src/snapshot/mod.rs
@@ -6,7 +6,7 @@
 mod types;
 
 pub use build::CheckedSettings;
-pub use key_index::KeyMatch;
+pub use key_index::{KeyMatch, WithdrawnKey};
 pub use limits::{LimitRange, ProgramLimits, RateLimit};
 pub use types::{
     AccessList, ModelSettings, ProgramSettings, RouteSettings, SchedulingProfile,
--- a/crates/settings/src/snapshot/types.rs
+++ b/crates/settings/src/snapshot/types.rs
@@ -9,7 +9,7 @@
 use http::Method;
 use ibisdale_core::{ModelName, ProgramName, RouteName, ServiceName, WorkspaceName};
 
-use crate::snapshot::key_index::{KeyIndex, KeyMatch};
+use crate::snapshot::key_index::{KeyIndex, KeyMatch, WithdrawnKey};
 use crate::snapshot::limits::{ProgramLimits, RateLimit};
 use crate::table::FixedDecimal;
 
@@ -200,6 +200,12 @@
         self.0.keys.find(key)
     }
 
+    /// Returns the keys that were in force in `earlier` and are not any more.
+    #[must_use]
+    pub fn withdrawn_since(&self, earlier: &Self) -> Vec<WithdrawnKey> {
+        earlier.0.keys.withdrawn_in(&self.0.keys)
+    }
+
     /// Returns how waiting calls are ordered.
     #[must_use]
     pub fn scheduling(&self) -> SchedulingSettings {
