Pin a chat call's headers and its resumption, and part the derives

Cause: the headers of chat calls and answers that start at another token than asked for were not tested; derives of libraries stood among standard ones.

Ruled out: nothing.

Change: two tests; derives of serde and snafu on lines of their own.

Seen to fail: with a cookie added and any start accepted, the tests of both fail.

--- a/crates/standins/src/engine/events.rs
+++ b/crates/standins/src/engine/events.rs
@@ -9,7 +9,8 @@
 const EVENTS_KEPT: usize = 4_096;
 
 /// What happened to a session's cache.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum CacheEventKind {
     Stored,
@@ -17,7 +18,8 @@
 }
 
 /// A change of the cache.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub(crate) struct CacheEventBody {
     pub(crate) number: u64,
     pub(crate) kind: CacheEventKind,
@@ -26,7 +28,8 @@
 }
 
 /// A page of events as readers get it.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct EventPageBody {
     pub(crate) events: Vec<CacheEventBody>,
     pub(crate) last: u64,
--- a/crates/standins/src/engine/message.rs
+++ b/crates/standins/src/engine/message.rs
@@ -7,7 +7,8 @@
 const DEFAULT_MAX_TOKENS: u32 = 256;
 
 /// One message of a prompt.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct PromptMessage {
     /// Who speaks: `system`, `user`, `assistant` or `tool`.
@@ -38,7 +39,8 @@
 }
 
 /// The body of a chat call.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 pub(crate) struct ChatBody {
     pub(crate) model: String,
     pub(crate) messages: Vec<PromptMessage>,
@@ -60,7 +62,8 @@
 }
 
 /// Tokens that a call took.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub(crate) struct UsageBody {
     pub(crate) prompt_tokens: u64,
     pub(crate) completion_tokens: u64,
@@ -69,7 +72,8 @@
 }
 
 /// The part of the prompt that was in the cache.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub(crate) struct UsageDetail {
     pub(crate) cached_tokens: u64,
 }
@@ -88,7 +92,8 @@
 }
 
 /// One chunk of a streamed answer.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct ChunkBody<'a> {
     pub(crate) id: &'a str,
     pub(crate) object: &'a str,
@@ -100,7 +105,8 @@
 }
 
 /// One choice of an answer, whole or in part.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct ChoiceBody<'a> {
     pub(crate) index: u32,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -111,7 +117,8 @@
 }
 
 /// Generated text.
-#[derive(Debug, Default, Serialize)]
+#[derive(Debug, Default)]
+#[derive(Serialize)]
 pub(crate) struct TextBody<'a> {
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) role: Option<&'a str>,
--- a/crates/standins/src/engine/orders.rs
+++ b/crates/standins/src/engine/orders.rs
@@ -15,7 +15,8 @@
 const ENGINE_FENCE: &str = "engine";
 
 /// A model with an adapter and a version, if any.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 struct ModelBody {
     model: String,
     #[serde(default)]
@@ -24,7 +25,8 @@
     version: Option<String>,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize)]
 struct RoleBody {
     role: EngineRole,
 }
--- a/crates/standins/src/engine/reports.rs
+++ b/crates/standins/src/engine/reports.rs
@@ -11,7 +11,8 @@
 const REPORTS_KEPT: usize = 4_096;
 
 /// The engine's load at some time.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub(crate) struct LoadBody {
     pub(crate) number: u64,
     pub(crate) running: u64,
--- a/crates/standins/src/engine/sessions.rs
+++ b/crates/standins/src/engine/sessions.rs
@@ -11,7 +11,8 @@
 use crate::host::{BODY_MAX_BYTES, error_answer, json_answer};
 
 /// What the engine holds for one session.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub(crate) struct SessionBody {
     pub(crate) session: String,
     pub(crate) tokens: u64,
@@ -29,7 +30,8 @@
 }
 
 /// A session's cache as it goes from engine to engine.
-#[derive(Debug, Deserialize, Serialize)]
+#[derive(Debug)]
+#[derive(Deserialize, Serialize)]
 struct ExportBody {
     session: String,
     tokens: u64,
--- a/crates/telemetry/src/context.rs
+++ b/crates/telemetry/src/context.rs
@@ -13,7 +13,8 @@
 const FLAG_SAMPLED: u8 = 1;
 
 /// The text is no valid `traceparent`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(display("the traceparent is malformed"))]
 pub struct TraceContextError;
 
--- a/crates/telemetry/src/logger.rs
+++ b/crates/telemetry/src/logger.rs
@@ -16,7 +16,8 @@
 const NO_NUMBER: &str = "-";
 
 /// Tells why the log could not be set up.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum LogError {
     /// The log file can't be opened.
     #[snafu(display("cannot open the log file {}: {source}", path.display()))]
--- a/crates/telemetry/src/writer.rs
+++ b/crates/telemetry/src/writer.rs
@@ -26,7 +26,8 @@
 const SERVICE_NAME: &str = "ibisdale";
 
 /// Tells why spans can't be written.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum SpanError {
     /// The file can't be opened.
     #[snafu(display("cannot open the span file {}: {source}", path.display()))]
--- a/crates/upstreams/src/credential.rs
+++ b/crates/upstreams/src/credential.rs
@@ -12,7 +12,8 @@
 const CREDENTIAL_MAX_BYTES: usize = 8 * 1_024;
 
 /// Tells why a credential can't be used.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum CredentialError {
     /// The file can't be read.
     #[snafu(display("cannot read the credential file {}: {source}", path.display()))]
--- a/crates/upstreams/src/error.rs
+++ b/crates/upstreams/src/error.rs
@@ -56,7 +56,8 @@
 ///
 /// A new error says that it is unknown whether the call ran; the state is
 /// lowered to [`RunState::NotRun`] only where that is proven.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(display("upstream {address}: {}: {message}", kind.as_str()))]
 pub struct UpstreamError {
     kind: UpstreamErrorKind,
--- a/crates/upstreams/src/load.rs
+++ b/crates/upstreams/src/load.rs
@@ -16,7 +16,8 @@
 const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What an upstream says of its load, as it was some time ago.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct LoadReport {
     /// Raised with each report that differs.
@@ -40,7 +41,8 @@
 }
 
 /// What happened to a session's cache.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CacheEventKind {
     /// The session's prefix is held, with the tokens told.
@@ -53,7 +55,8 @@
 }
 
 /// A change of an engine's cache.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct CacheEvent {
     /// Numbers events without gaps, from 1.
     pub number: u64,
--- a/crates/upstreams/src/progress.rs
+++ b/crates/upstreams/src/progress.rs
@@ -14,7 +14,8 @@
 use snafu::Snafu;
 
 /// Tells why a body could not be read on.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub(crate) enum ProgressError {
     #[snafu(display("{source}"))]
     Net { source: NetError },
--- a/crates/upstreams/src/session.rs
+++ b/crates/upstreams/src/session.rs
@@ -19,7 +19,8 @@
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// An engine's answer to a release order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct ReleaseReply {
     /// Whether anything was held; false when the session was gone already.
     pub released: bool,
@@ -36,7 +37,8 @@
 }
 
 /// A session that holds memory at an engine.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct SessionReport {
     /// The session, which is a program's identifier unless another system uses
     /// the engine too.
--- a/crates/upstreams/tests/engine_chat.rs
+++ b/crates/upstreams/tests/engine_chat.rs
@@ -2,12 +2,14 @@
 
 mod support;
 
-use ibisdale_standins::{EngineFault, EngineOptions, EngineServer, PromptMessage, compose_answer};
+use ibisdale_standins::{
+    EngineFault, EngineOptions, EngineServer, PromptMessage, ScriptEnd, compose_answer,
+};
 use ibisdale_upstreams::{ChatCall, ChatEvent, EngineClient, UpstreamPool};
 use rstest::rstest;
 use support::{
-    any_address, chat_body, chat_whole, describe, open_pool, options_for, run_test, session,
-    wait_until,
+    any_address, chat_body, chat_whole, describe, open_pool, options_for, read_text, run_test,
+    scripted_engine, session, wait_until,
 };
 
 #[test]
@@ -78,6 +80,54 @@
     });
 }
 
+#[test]
+fn sends_its_own_headers_only() {
+    run_test(|executor| async move {
+        let (server, client) = scripted_engine(&executor, "HTTP/1.1 ", ScriptEnd::Close);
+        let call = ChatCall::new("{}", session(1))
+            .priority(-3)
+            .fencing_number(7)
+            .resume_from(2)
+            .traceparent("00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01");
+        client.chat(call).await.unwrap_err();
+        let received = String::from_utf8(server.get_received().concat()).unwrap();
+        let received = received.replace(&server.get_address().to_string(), "ADDRESS");
+        insta::assert_snapshot!(received.replace('\r', ""), @r#"
+        POST /v1/chat/completions HTTP/1.1
+        content-type: application/json
+        accept: text/event-stream
+        session-id: 00000000000000000000000000000001
+        priority: -3
+        fencing-number: 7
+        resume-from: 2
+        traceparent: 00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01
+        host: ADDRESS
+        content-length: 2
+
+        {}
+        "#);
+    });
+}
+
+#[rstest]
+#[case::refused("", "garbage Unknown")]
+#[case::another_token("resumed-from: 2\r\n", "garbage Unknown")]
+#[case::the_token("resumed-from: 3\r\n", "truncated Unknown")]
+fn goes_on_only_from_the_token_asked_for(#[case] header: &str, #[case] expected: &str) {
+    let script = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{header}content-length: 0\r\n\r\n"
+    );
+    run_test(|executor| async move {
+        let (_server, client) = scripted_engine(&executor, &script, ScriptEnd::Close);
+        let call = ChatCall::new("{}", session(1)).resume_from(3);
+        let error = match client.chat(call).await {
+            Ok(stream) => read_text(stream).await.unwrap_err(),
+            Err(error) => error,
+        };
+        assert_eq!(describe(&error), expected);
+    });
+}
+
 #[rstest]
 #[case::dropped(false)]
 #[case::closed(true)]
