--- a/crates/ibisdale/tests/files.rs
+++ b/crates/ibisdale/tests/files.rs
@@ -98,13 +98,13 @@
     insta::assert_snapshot!(transcript(&ibisdale(&["show", path, "--file", &settings])), @r##"
     exit 0
     [/workspaces/kermesse/programs/guide]
-    rate = 20 requests/s  (from [/workspaces/kermesse/programs/guide], line 61)
-    burst = 20 requests  (from [/workspaces/kermesse/programs/guide], line 62)
+    rate = 20 requests/s  (from [/workspaces/kermesse/programs/guide], line 65)
+    burst = 20 requests  (from [/workspaces/kermesse/programs/guide], line 66)
     models = small  (from [/workspaces/kermesse], line 51)
     services = orders  (from [/workspaces], line 44)
     deadline_ms = 60000 ms  (from [/], line 7)
     max_deadline_ms = 3600000 ms  (default)
-    tokens = 5000 tokens  (from [/workspaces/kermesse/programs/guide], line 63)
+    tokens = 5000 tokens  (from [/workspaces/kermesse/programs/guide], line 67)
     max_tokens = 200000 tokens  (default)
     paid_actions = 0 paid actions  (default)
     max_paid_actions = 10 paid actions  (default)
