--- a/crates/ibisdale/tests/operators.rs
+++ b/crates/ibisdale/tests/operators.rs
@@ -185,9 +185,9 @@
     "##);
     insta::assert_snapshot!(transcript(&operate(address, &["workspace", "list"])), @r##"
     exit 0
-    WORKSPACE  RATE  BURST  PROGRAMS         KEYS
-    kermesse   40    80     guide, planner   app
-    norrfrost  12.5  25     delivery, quote  quotes
+    WORKSPACE  RATE  BURST  PROGRAMS              KEYS
+    kermesse   40    80     chat, guide, planner  app
+    norrfrost  12.5  25     delivery, quote       quotes
     --- errors
     "##);
     let output = operate(
