Never say "not run" for a request of which a first copy may have run

Cause: when an idempotent request on a reused connection broke and was sent again, the error or refusal of the second copy was given as the outcome. A refused connection then said "not run" although the first copy may have run.

Ruled out: no second copy at all (every closed idle connection would fail a request that may be repeated).

Change: what the second copy proves is lowered to "unknown" unless it is proven that nothing of the first was sent.

Seen to fail: before the change the case of a peer that is gone gave connect NotRun; without the check of a refusal's proof the second case fails.

--- a/crates/upstreams/src/exchange.rs
+++ b/crates/upstreams/src/exchange.rs
@@ -52,6 +52,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: ProgressBody,
     pub(crate) connection: ClientConnection,
+    may_have_run: bool,
 }
 
 /// Sends a request and waits for the head of its answer.
@@ -74,14 +75,28 @@
     }
     match result {
         Err(SendFailure::Net(error)) if is_reused && may_resend(request, &error) => {
-            let pooled = take_connection(pool, request, ConnectionReuse::New).await?;
-            let result = send_once(pool, request, pooled).await;
-            result.map_err(|failure| failure.into_error(address))
+            let result = resend(pool, request).await;
+            if error.is_not_sent() {
+                return result;
+            }
+            // The first copy may have run, whatever became of the second.
+            result
+                .map(|answer| answer.may_have_run(true))
+                .map_err(|failure| failure.run_state(RunState::Unknown))
         }
         result => result.map_err(|failure| failure.into_error(address)),
     }
 }
 
+async fn resend(
+    pool: &UpstreamPool,
+    request: &UpstreamRequest,
+) -> Result<UpstreamAnswer, UpstreamError> {
+    let pooled = take_connection(pool, request, ConnectionReuse::New).await?;
+    let result = send_once(pool, request, pooled).await;
+    result.map_err(|failure| failure.into_error(pool.get_address()))
+}
+
 /// Returns how long a connection may stay silent before the answer's head.
 fn silence_limit(pool: &UpstreamPool, request: &UpstreamRequest, is_reused: bool) -> Duration {
     let options = pool.get_options();
@@ -164,6 +179,7 @@
         headers: head.headers,
         body: ProgressBody::new(body, limits),
         connection,
+        may_have_run: false,
     })
 }
 
@@ -198,6 +214,12 @@
 }
 
 impl UpstreamAnswer {
+    /// Sets whether an earlier copy of the request may have run.
+    fn may_have_run(mut self, may_have_run: bool) -> Self {
+        self.may_have_run = may_have_run;
+        self
+    }
+
     /// Reads the whole body and gives the connection back to the pool.
     pub(crate) async fn read_whole(
         self,
@@ -214,6 +236,7 @@
             status: self.status,
             headers: self.headers,
             body: data.freeze(),
+            may_have_run: self.may_have_run,
         })
     }
 }
@@ -224,9 +247,16 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    may_have_run: bool,
 }
 
 impl WholeAnswer {
+    /// Tells whether the answer proves that nothing ran, given that its status
+    /// or headers say so.
+    pub(crate) fn is_proof(&self) -> bool {
+        !self.may_have_run
+    }
+
     /// Parses the body of a successful answer to an order or report.
     pub(crate) fn parse<T: serde::de::DeserializeOwned>(
         &self,
@@ -251,10 +281,15 @@
     let text = String::from_utf8_lossy(text);
     let message = format!("status {}: {text}", answer.status.as_u16());
     let is_refusal = is_refusal_status(answer.status) || is_marked_not_run(&answer.headers);
-    let (kind, state) = if is_refusal {
-        (UpstreamErrorKind::Refused, RunState::NotRun)
+    let kind = if is_refusal {
+        UpstreamErrorKind::Refused
+    } else {
+        UpstreamErrorKind::Failed
+    };
+    let state = if is_refusal && answer.is_proof() {
+        RunState::NotRun
     } else {
-        (UpstreamErrorKind::Failed, RunState::Unknown)
+        RunState::Unknown
     };
     UpstreamError::new(kind, address, message)
         .run_state(state)
--- a/crates/upstreams/src/service.rs
+++ b/crates/upstreams/src/service.rs
@@ -134,9 +134,10 @@
 
 impl ServiceReply {
     fn new(answer: WholeAnswer) -> Self {
-        let run_state = if is_marked_not_run(&answer.headers) {
+        let is_marked = is_marked_not_run(&answer.headers);
+        let run_state = if is_marked && answer.is_proof() {
             RunState::NotRun
-        } else if answer.status.is_server_error() {
+        } else if is_marked || answer.status.is_server_error() {
             RunState::Unknown
         } else {
             RunState::Ran
--- a/crates/upstreams/tests/connections.rs
+++ b/crates/upstreams/tests/connections.rs
@@ -16,6 +16,8 @@
     UpstreamPool,
 };
 use rstest::rstest;
+use smol::Async;
+use smol::io::{AsyncReadExt, AsyncWriteExt};
 use support::{
     any_address, chat_body, chat_whole, describe, open_pool, read_text, run_test, session,
     wait_until,
@@ -98,6 +100,54 @@
     });
 }
 
+/// Answers one request and closes in the middle of a second on the same
+/// connection; then answers one more with `last`, if there is one.
+async fn break_second_request(listener: Async<TcpListener>, last: Option<&str>) {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut buffer = [0; 4_096];
+    assert!(stream.read(&mut buffer).await.unwrap() > 0);
+    stream.write_all(REPLY.as_bytes()).await.unwrap();
+    assert!(stream.read(&mut buffer).await.unwrap() > 0);
+    let Some(last) = last else {
+        return;
+    };
+    drop(stream);
+    let (mut stream, _) = listener.accept().await.unwrap();
+    assert!(stream.read(&mut buffer).await.unwrap() > 0);
+    stream.write_all(last.as_bytes()).await.unwrap();
+}
+
+#[rstest]
+#[case::gone(None, "connect Unknown")]
+#[case::refuses(
+    Some("HTTP/1.1 503 Busy\r\nrun-state: not_run\r\ncontent-length: 0\r\n\r\n"),
+    "503 Unknown"
+)]
+#[case::answers(Some(REPLY), "200 Ran")]
+fn a_second_copy_says_nothing_of_the_first(
+    #[case] last: Option<&'static str>,
+    #[case] expected: &str,
+) {
+    run_test(|executor| async move {
+        let listener = Async::<TcpListener>::bind(any_address()).unwrap();
+        let address = listener.get_ref().local_addr().unwrap();
+        let peer = executor.spawn(break_second_request(listener, last));
+        let client = ServiceClient::new(open_pool(address, &executor));
+        let call = || ServiceCall::new(Method::GET, "/badges/1").idempotent(true);
+        client.call(call()).await.unwrap();
+        let result = match client.call(call()).await {
+            Ok(reply) => format!(
+                "{} {:?}",
+                reply.get_status().as_u16(),
+                reply.get_run_state()
+            ),
+            Err(error) => describe(&error),
+        };
+        peer.await;
+        assert_eq!(result, expected);
+    });
+}
+
 #[test]
 fn a_late_answer_never_reaches_the_next_call() {
     run_test(|executor| async move {
