--- /dev/null
+++ b/crates/programs/benches/table.rs
@@ -0,0 +1,94 @@
+//! Cost of the program table: steps a second, bytes a step, time of a rebuild.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use ibisdale_core::{AttemptKey, ProgramId, SlotId, StepNumber, TimeStamp, WorkspaceName};
+use ibisdale_programs::{
+    ProgramRecord, ProgramStart, ProgramTable, SlotHistory, StepAdmission, StepKind, StepOutcome,
+    StepRequest, TableOptions,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const PROGRAMS: u32 = 80;
+const STEPS: u32 = 60;
+const REQUEST_BYTES: usize = 2_000;
+const ANSWER_BYTES: usize = 5_000;
+
+fn main() {
+    let slot = SlotId::new(1).expect("a slot");
+    let now = TimeStamp::from_millis(1);
+    let mut random = SmallRng::seed_from_u64(1);
+    let mut table = ProgramTable::new(TableOptions::default());
+    table.begin_slot(slot, 1);
+    table.open_slot(slot, SlotHistory::Whole);
+    let mut ids = Vec::new();
+    let start = Instant::now();
+    for _ in 0..PROGRAMS {
+        let id = ProgramId::generate(slot, &mut random);
+        run_program(&mut table, id, now);
+        ids.push(id);
+    }
+    let seconds = start.elapsed().as_secs_f64();
+    let steps = f64::from(PROGRAMS * STEPS);
+    println!("{:>9.0} steps/s admitted and finished", steps / seconds);
+
+    let histories: Vec<_> = ids.iter().filter_map(|id| table.export(*id)).collect();
+    let start = Instant::now();
+    let encoded: Vec<Vec<Bytes>> = histories.iter().map(|records| encode(records)).collect();
+    println!(
+        "{:>9.0} steps/s encoded",
+        steps / start.elapsed().as_secs_f64()
+    );
+    let bytes: usize = encoded.iter().flatten().map(Bytes::len).sum();
+    let payload =
+        (REQUEST_BYTES + ANSWER_BYTES) * usize::try_from(PROGRAMS * STEPS).expect("small");
+    let extra = (bytes - payload) / usize::try_from(PROGRAMS * STEPS).expect("small");
+    println!("{extra:>9} bytes a step beside request and answer");
+
+    let start = Instant::now();
+    let mut next = ProgramTable::new(TableOptions::default());
+    next.begin_slot(slot, 2);
+    for records in &encoded {
+        let records = records.iter().map(|bytes| ProgramRecord::from_bytes(bytes));
+        let records: Vec<_> = records.map(|record| record.expect("a record")).collect();
+        let imported = next.import(&records, |_| StepOutcome::Unknown, now);
+        assert!(imported.is_ok());
+    }
+    let each = start.elapsed().as_secs_f64() * 1_000.0 / f64::from(PROGRAMS);
+    println!("{each:>9.3} ms to decode and rebuild a program of {STEPS} steps");
+}
+
+fn run_program(table: &mut ProgramTable, id: ProgramId, now: TimeStamp) {
+    let workspace = WorkspaceName::new("bench").expect("a name");
+    let start = ProgramStart::new(id, workspace.clone(), "planner");
+    table.start(start, now).expect("it starts");
+    for number in 1..=STEPS {
+        let attempt = AttemptKey::new("attempt-1").expect("a key");
+        let kind = StepKind::Model {
+            prompt_tokens: 500,
+            max_tokens: 1_500,
+        };
+        let step = StepNumber::new(number);
+        let payload = vec![b'q'; REQUEST_BYTES];
+        let request = StepRequest::new(id, workspace.clone(), step, attempt, kind, payload);
+        let Ok(StepAdmission::Run(ticket)) = table.admit_step(request, now) else {
+            unreachable!("the step is next");
+        };
+        let outcome = StepOutcome::Completed {
+            answer: vec![b'a'; ANSWER_BYTES].into(),
+            tokens_used: 1_800,
+        };
+        table
+            .finish_step(ticket, outcome, now)
+            .expect("it finishes");
+    }
+}
+
+fn encode(records: &[ProgramRecord]) -> Vec<Bytes> {
+    let encoded = records.iter().map(ProgramRecord::to_bytes);
+    encoded
+        .map(|bytes| bytes.expect("records encode"))
+        .collect()
+}
