--- a/crates/policy/src/ownership/machine.rs
+++ b/crates/policy/src/ownership/machine.rs
@@ -1,13 +1,13 @@
 //! The machine: what it knows, and the entry points.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use ibisdale_core::{ProgramId, SlotId, StepNumber, TimeStamp};
 
 use super::call::{CallFailure, CallId, IssuedCall, KeyChange, StoreAnswer, StoreCall};
 use super::options::OwnershipOptions;
 use super::pace::{PaceSource, RetryTimer};
-use super::plan::{PlanOwner, plan_moves};
 use super::record::{OwnerIdentity, SlotRecord};
 use super::session::SessionState;
 use super::snapshot::{LiveDaemon, OwnershipSnapshot, SlotOwner};
@@ -16,6 +16,9 @@
 use super::writer::PendingWrite;
 use crate::journal::{IntentReceipt, IntentRequest, IntentTicket, JournalBook, JournalEntry};
 
+/// Least time between two polls when nothing else happens.
+const POLL_INTERVAL_MIN: Duration = Duration::from_millis(20);
+
 /// What a call is for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum CallPurpose {
@@ -61,6 +64,7 @@
     next_call: u64,
     outbox: Vec<IssuedCall>,
     version: u64,
+    polled_at: TimeStamp,
 }
 
 impl OwnershipMachine {
@@ -93,12 +97,14 @@
             next_call: 0,
             outbox: Vec::new(),
             version: 0,
+            polled_at: TimeStamp::default(),
             options,
         }
     }
 
     /// Returns the calls that are to be made now.
     pub fn poll(&mut self, now: TimeStamp) -> Vec<IssuedCall> {
+        self.polled_at = now;
         self.book.expire(now);
         self.poll_session(now);
         if matches!(self.session, SessionState::Active { .. }) {
@@ -115,13 +121,17 @@
     #[must_use]
     pub fn next_wake(&self) -> Option<TimeStamp> {
         let is_active = matches!(self.session, SessionState::Active { .. });
-        let session = if is_active {
-            let read = self.session_timer.wake().filter(|_| self.needs_read);
-            self.renewal.wake().into_iter().chain(read).min()
-        } else if matches!(self.session, SessionState::Ended | SessionState::Superseded) {
-            None
-        } else {
-            self.session_timer.wake()
+        let session = match &self.session {
+            SessionState::Active { .. } => {
+                let read = self.session_timer.wake().filter(|_| self.needs_read);
+                self.renewal.wake().into_iter().chain(read).min()
+            }
+            SessionState::Reading
+            | SessionState::Granting { .. }
+            | SessionState::Closing { .. } => self.session_timer.wake(),
+            SessionState::Registering { .. } | SessionState::Ended | SessionState::Superseded => {
+                None
+            }
         };
         let idle = [
             self.release_at,
@@ -135,7 +145,13 @@
             None => None,
         };
         let wakes = [session, writer, self.book.next_deadline()];
-        wakes.into_iter().flatten().min()
+        let wake = wakes.into_iter().flatten().min()?;
+        // What was due at the last poll waits for something that gives no time.
+        Some(if wake > self.polled_at {
+            wake
+        } else {
+            self.polled_at.plus(POLL_INTERVAL_MIN)
+        })
     }
 
     /// Takes in the answer to a call; answers to forgotten calls are ignored.
@@ -348,48 +364,4 @@
             }
         }
     }
-
-    fn refresh_plan(&mut self, now: TimeStamp) {
-        if !self.is_plan_stale {
-            return;
-        }
-        self.is_plan_stale = false;
-        let (daemons, owners) = self.view.plan_input();
-        let name = &self.options.profile.name;
-        let own = daemons.iter().position(|daemon| daemon.name == *name);
-        let moves = plan_moves(&daemons, &owners);
-        let is_take = |to: usize, from: Option<usize>| from.is_none() && Some(to) == own;
-        self.takes = moves
-            .iter()
-            .filter(|step| is_take(step.to, step.from))
-            .map(|step| step.slot)
-            .collect();
-        self.leaves = moves
-            .iter()
-            .filter(|step| own.is_some() && step.from == own)
-            .map(|step| step.slot)
-            .collect();
-        let orphans = owners.iter().filter(|owner| **owner == PlanOwner::Nobody);
-        self.orphan_count = orphans.count();
-        self.schedule_takes(now);
-        self.schedule_release(now);
-        if self.view.retired().is_empty() {
-            self.prune_at = None;
-        } else if self.prune_at.is_none() {
-            let delay = self.pace.around(self.options.rebalance_delay);
-            self.prune_at = Some(now.plus(delay));
-        }
-    }
-
-    /// Ends the lease once a draining daemon has nothing left to give up.
-    fn poll_end(&mut self, now: TimeStamp) {
-        let SessionState::Active { lease, .. } = self.session else {
-            return;
-        };
-        let is_idle = self.writer.is_none() && self.pinned.is_empty();
-        if self.is_draining && self.is_announced() && self.leaves.is_empty() && is_idle {
-            self.end_registration(SessionState::Closing { lease });
-            self.session_timer = RetryTimer::at(now);
-        }
-    }
 }
--- a/crates/policy/src/ownership/mod.rs
+++ b/crates/policy/src/ownership/mod.rs
@@ -13,6 +13,7 @@
 mod plan;
 mod record;
 mod release;
+mod schedule;
 mod session;
 mod snapshot;
 mod takeover;
--- a/crates/policy/tests/fleet/world.rs
+++ b/crates/policy/tests/fleet/world.rs
@@ -54,6 +54,8 @@
     generations: Vec<u64>,
     flights: Vec<Flight>,
     is_outage: bool,
+    /// Revisions that all reads are behind.
+    read_lag: u8,
     sent: BTreeMap<(ProgramId, StepNumber), u32>,
     done: BTreeSet<(ProgramId, StepNumber)>,
     slot_count: u16,
@@ -85,6 +87,7 @@
             generations: vec![0; daemons],
             flights: Vec::new(),
             is_outage: false,
+            read_lag: 0,
             sent: BTreeMap::new(),
             done: BTreeSet::new(),
             slot_count,
@@ -134,6 +137,10 @@
         self.is_outage = is_outage;
     }
 
+    pub(crate) fn set_read_lag(&mut self, revisions: u8) {
+        self.read_lag = revisions;
+    }
+
     pub(crate) fn lapse(&mut self, daemon: usize) {
         if !self.is_outage {
             self.store.end_lease_of(&daemon_key(&name_of(daemon)));
@@ -248,7 +255,7 @@
         let flight = self.flights.remove(index);
         let lag = match fate {
             CallFate::Lagging(lag) => usize::from(lag),
-            _ => 0,
+            _ => usize::from(self.read_lag),
         };
         let answer = match fate {
             _ if self.is_outage => Err(CallFailure::NotApplied),
@@ -338,6 +345,7 @@
     /// Ends all faults and runs for `duration`.
     pub(crate) fn settle(&mut self, duration: Duration) {
         self.set_outage(false);
+        self.set_read_lag(0);
         for daemon in 0..self.processes.len() {
             self.set_paused(daemon, false);
         }
--- a/crates/policy/tests/ownership_fuzz.rs
+++ b/crates/policy/tests/ownership_fuzz.rs
@@ -40,6 +40,7 @@
     Drain(usize),
     MissChanges(usize),
     Stall(usize, u32),
+    Lag(u8),
     Ask(usize, u16, u8, u32),
     Finish(usize, u16, u8, u32),
 }
@@ -69,7 +70,8 @@
         2 => daemon.clone().prop_map(Transition::Resume),
         1 => daemon.clone().prop_map(Transition::Lapse),
         1 => any::<bool>().prop_map(Transition::Outage),
-        1 => daemon.clone().prop_map(Transition::Drain),
+        2 => daemon.clone().prop_map(Transition::Drain),
+        2 => (0_u8..10).prop_map(Transition::Lag),
         1 => daemon.clone().prop_map(Transition::MissChanges),
         1 => (daemon, 1_u32..3).prop_map(|(of, step)| Transition::Stall(of, step)),
         8 => action.clone().prop_map(|(of, slot, program, step)| Transition::Ask(of, slot, program, step)),
@@ -133,6 +135,7 @@
             Transition::Outage(is_outage) => world.set_outage(is_outage),
             Transition::Drain(daemon) => world.drain(daemon),
             Transition::MissChanges(daemon) => world.miss_changes(daemon),
+            Transition::Lag(revisions) => world.set_read_lag(revisions),
             Transition::Stall(daemon, step) => world.stall(daemon, step),
             Transition::Ask(daemon, slot, program, step) => world.ask(daemon, slot, program, step),
             Transition::Finish(daemon, slot, program, step) => {
