--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,6 +18,7 @@
 mod members;
 mod observe;
 mod operators;
+pub mod ownership;
 mod running;
 mod settings_feed;
 mod settings_watch;
