Make the head start of begun programs a setting

Programs begun and then held up in the queue lose their cached prefixes.

Change: `new_program_ms`, 600000 as before, in the queue's weights.

Conclusion: 600 s kept; no behaviour changed.

--- a/crates/policy/src/queue/fair.rs
+++ b/crates/policy/src/queue/fair.rs
@@ -29,6 +29,8 @@
     /// Time that a call is put back for each 1,000 tokens its program was
     /// served, in milliseconds.
     pub attained_ms_per_kilotoken: f64,
+    /// Time that the first call of a program is put back, in milliseconds.
+    pub new_program_ms: u64,
     /// Time that a call is put back for each step of lower priority, in milliseconds.
     pub priority_ms: u64,
 }
@@ -40,6 +42,7 @@
             workspace_call_limit: 1_024,
             tries_per_workspace: 8,
             attained_ms_per_kilotoken: 200.0,
+            new_program_ms: 600_000,
             priority_ms: 2_000,
         }
     }
@@ -387,12 +390,14 @@
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let attained_ms = (kilotokens * self.weights.attained_ms_per_kilotoken) as u64;
         let priority_ms = u64::from(request.priority) * self.weights.priority_ms;
-        let due_ms = now.as_millis().saturating_add(attained_ms + priority_ms)
-            + if request.attained_tokens == 0 {
-                600_000
-            } else {
-                0
-            };
+        let new_program_ms = if request.attained_tokens == 0 {
+            self.weights.new_program_ms
+        } else {
+            0
+        };
+        let due_ms = now
+            .as_millis()
+            .saturating_add(attained_ms + priority_ms + new_program_ms);
         request
             .latest_start
             .map_or(due_ms, |latest| due_ms.min(latest.as_millis()))
