Count the delay of other calls twice

Cause: under one workspace's overload the others still lost up to 15%, mostly to prefixes computed again.

Change: `disturbance` 1 to 2.

--- a/crates/policy/src/routing/weights.rs
+++ b/crates/policy/src/routing/weights.rs
@@ -46,7 +46,7 @@
             prefill_ms_per_kilotoken: 100.0,
             service_ms: 4_000.0,
             load_ms_per_running: 20.0,
-            disturbance: 1.0,
+            disturbance: 2.0,
             cross_domain_ms: 3.0,
             sample_count: 2,
             queue_allowance: 0,
