--- a/crates/policy/benches/support/mod.rs
+++ b/crates/policy/benches/support/mod.rs
@@ -1,9 +1,10 @@
 //! A small pool of engines in virtual time, driven by the real decisions.
 #![allow(
+    dead_code,
     clippy::cast_possible_truncation,
     clippy::cast_precision_loss,
     clippy::cast_sign_loss,
-    reason = "figures of the model stay far below the limits of the types"
+    reason = "the bench and the tests each use a part; figures stay far below the limits of the types"
 )]
 
 mod client;
--- /dev/null
+++ b/crates/policy/tests/fair_queue.rs
@@ -0,0 +1,121 @@
+//! Order among waiting calls, and early refusal.
+
+use std::time::Duration;
+
+use ibisdale_core::TimeStamp;
+use ibisdale_policy::{
+    AdmissionGate, AdmissionLimits, AdmissionRequest, CallRequest, FairQueue, PushError,
+    QueueWeights, ShareKey,
+};
+
+const NOW: TimeStamp = TimeStamp::from_millis(1_000);
+const TOKENS: u32 = 100;
+
+fn push(queue: &mut FairQueue, share: ShareKey, count: usize) {
+    for _ in 0..count {
+        let request = CallRequest::new(share).expected_tokens(TOKENS);
+        queue.push(request, NOW).unwrap();
+    }
+}
+
+fn popped_shares(queue: &mut FairQueue, count: usize) -> Vec<ShareKey> {
+    (0..count)
+        .map(|_| queue.pop().unwrap().request.get_share())
+        .collect()
+}
+
+#[test]
+fn service_follows_the_weights() {
+    let mut queue = FairQueue::new(QueueWeights::default());
+    let heavy = queue.insert_workspace(3.0);
+    let light = queue.insert_workspace(1.0);
+    push(&mut queue, heavy, 100);
+    push(&mut queue, light, 100);
+    let popped = popped_shares(&mut queue, 40);
+    let count = popped.iter().filter(|share| **share == heavy).count();
+    assert!((29..=31).contains(&count), "{count} of 40");
+}
+
+#[test]
+fn idle_time_earns_no_service() {
+    let mut queue = FairQueue::new(QueueWeights::default());
+    let steady = queue.insert_workspace(1.0);
+    let late = queue.insert_workspace(1.0);
+    push(&mut queue, steady, 200);
+    popped_shares(&mut queue, 100);
+    push(&mut queue, late, 100);
+    let popped = popped_shares(&mut queue, 20);
+    let count = popped.iter().filter(|share| **share == late).count();
+    assert!((9..=11).contains(&count), "{count} of 20");
+}
+
+#[test]
+fn program_with_less_service_goes_first_unless_a_deadline_is_near() {
+    let mut queue = FairQueue::new(QueueWeights::default());
+    let share = queue.insert_workspace(1.0);
+    let served = CallRequest::new(share).attained_tokens(50_000);
+    let fresh = CallRequest::new(share).attained_tokens(1_000);
+    let urgent = served.latest_start(TimeStamp::from_millis(1_001));
+    let served = queue.push(served, NOW).unwrap().call;
+    let fresh = queue.push(fresh, NOW).unwrap().call;
+    let urgent = queue.push(urgent, NOW).unwrap().call;
+    let order: Vec<_> = (0..3).map(|_| queue.pop().unwrap().call).collect();
+    assert_eq!(order, [urgent, fresh, served]);
+}
+
+#[test]
+fn full_queue_makes_room_for_the_workspace_with_fewer_waiting() {
+    let weights = QueueWeights {
+        call_limit: 10,
+        workspace_call_limit: 10,
+        ..QueueWeights::default()
+    };
+    let mut queue = FairQueue::new(weights);
+    let busy = queue.insert_workspace(1.0);
+    let calm = queue.insert_workspace(1.0);
+    push(&mut queue, busy, 10);
+    let refused = queue.push(CallRequest::new(busy), NOW);
+    assert_eq!(refused, Err(PushError::WorkspaceFull));
+    let outcome = queue.push(CallRequest::new(calm), NOW).unwrap();
+    assert!(outcome.displaced.is_some());
+    assert_eq!(queue.len(), 10);
+    assert!(queue.cancel(outcome.call));
+    assert!(!queue.cancel(outcome.call));
+}
+
+#[test]
+fn workspace_with_far_more_demand_is_over_its_share() {
+    let mut queue = FairQueue::new(QueueWeights::default());
+    let busy = queue.insert_workspace(1.0);
+    let calm = queue.insert_workspace(1.0);
+    push(&mut queue, calm, 20);
+    push(&mut queue, busy, 100);
+    popped_shares(&mut queue, 20);
+    assert!(queue.is_over_share(busy, NOW));
+    assert!(!queue.is_over_share(calm, NOW));
+}
+
+#[test]
+fn call_that_cannot_meet_its_deadline_is_refused_and_others_are_not() {
+    let mut queue = FairQueue::new(QueueWeights::default());
+    let busy = queue.insert_workspace(1.0);
+    let calm = queue.insert_workspace(1.0);
+    push(&mut queue, busy, 500);
+    let mut gate = AdmissionGate::new(AdmissionLimits::default());
+    for second in 0..10 {
+        let now = NOW.plus(Duration::from_secs(second));
+        gate.record_served(1_000, true, now);
+    }
+    let request = AdmissionRequest {
+        share: busy,
+        expected_service: Duration::from_secs(1),
+        deadline: Some(NOW.plus(Duration::from_secs(20))),
+    };
+    let refusal = gate.admit(&queue, &request, NOW).unwrap_err();
+    assert!(refusal.retry_after > Duration::from_secs(20));
+    let calm = AdmissionRequest {
+        share: calm,
+        ..request
+    };
+    assert!(gate.admit(&queue, &calm, NOW).is_ok());
+}
