--- a/crates/policy/src/queue/share.rs
+++ b/crates/policy/src/queue/share.rs
@@ -1,5 +1,7 @@
 //! What each workspace has been served.
 
+use std::collections::BTreeSet;
+
 use ibisdale_core::TimeStamp;
 use slotmap::{SlotMap, new_key_type};
 
@@ -44,6 +46,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ShareTable {
     shares: SlotMap<ShareKey, ShareState>,
+    /// Workspaces with calls waiting.
+    active: BTreeSet<ShareKey>,
     /// Counter of the workspace served last.
     floor: f64,
     total_weight: f64,
@@ -77,6 +81,7 @@
         if let Some(share) = self.shares.remove(key) {
             self.total_weight -= share.weight;
             self.total_waiting -= share.waiting;
+            self.active.remove(&key);
         }
     }
 
@@ -95,6 +100,7 @@
             share.waiting += 1;
             share.waiting_tokens += tokens;
             self.total_waiting += 1;
+            self.active.insert(key);
         }
     }
 
@@ -103,6 +109,9 @@
             share.waiting -= 1;
             share.waiting_tokens -= tokens;
             self.total_waiting -= 1;
+            if share.waiting == 0 {
+                self.active.remove(&key);
+            }
         }
     }
 
@@ -154,24 +163,27 @@
     /// weight first.
     pub(crate) fn in_order(&self) -> impl Iterator<Item = ShareKey> + '_ {
         let mut waiting: Vec<(f64, ShareKey)> = self
-            .shares
-            .iter()
-            .filter(|(_, share)| share.waiting > 0)
+            .active_shares()
             .map(|(key, share)| (share.served, key))
             .collect();
-        waiting.sort_unstable_by(|left, right| left.0.total_cmp(&right.0));
+        waiting
+            .sort_unstable_by(|left, right| left.0.total_cmp(&right.0).then(left.1.cmp(&right.1)));
         waiting.into_iter().map(|(_, key)| key)
     }
 
     /// Returns the workspace with the most calls waiting for its weight.
     pub(crate) fn most_waiting(&self) -> Option<ShareKey> {
-        self.shares
-            .iter()
-            .filter(|(_, share)| share.waiting > 0)
+        self.active_shares()
             .max_by(|(_, left), (_, right)| left.backlog().total_cmp(&right.backlog()))
             .map(|(key, _)| key)
     }
 
+    fn active_shares(&self) -> impl Iterator<Item = (ShareKey, &ShareState)> {
+        self.active
+            .iter()
+            .filter_map(|key| Some((*key, self.shares.get(*key)?)))
+    }
+
     pub(crate) fn raise_floor(&mut self, key: ShareKey) {
         if let Some(share) = self.shares.get(key) {
             self.floor = self.floor.max(share.served);
@@ -185,9 +197,8 @@
             return 1.0;
         };
         let others: f64 = self
-            .shares
-            .iter()
-            .filter(|(other, share)| *other != key && share.waiting > 0)
+            .active_shares()
+            .filter(|(other, _)| *other != key)
             .map(|(_, share)| share.weight)
             .sum();
         own.weight / (own.weight + others)
