Keep limits of no time from hanging the table, and mend the fuzz's order

Cause: an idle limit or retention of zero set a timer that fired at once and for ever. Change: a timer that fires again does so a millisecond later at the earliest.

--- a/crates/programs/src/table/expiry.rs
+++ b/crates/programs/src/table/expiry.rs
@@ -1,5 +1,7 @@
 //! What the passing of time brings.
 
+use std::time::Duration;
+
 use ibisdale_core::{RequestRefusal, TimeStamp};
 
 use crate::record::EndReason;
@@ -9,6 +11,9 @@
 use crate::table::waiters::WaitReason;
 use crate::table::{ProgramKey, ProgramTable, TreeKey, WaiterKey};
 
+/// Least time until a timer that has fired fires again.
+const TIMER_STEP: Duration = Duration::from_millis(1);
+
 /// What is looked at when a timer fires; it may have become void since.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Timer {
@@ -57,14 +62,23 @@
         self.timers.insert(TimerEntry { at, timer });
     }
 
+    /// Sets a timer that has fired again, later than `now`.
+    fn arm_again(&mut self, at: TimeStamp, timer: Timer, now: TimeStamp) {
+        self.arm(at.max(now.plus(TIMER_STEP)), timer);
+    }
+
     /// Sets the timer for a program's next limit in time.
     pub(super) fn arm_program(&mut self, key: ProgramKey) {
+        if let Some(at) = self.program_limit(key) {
+            self.arm(at, Timer::Program(key));
+        }
+    }
+
+    fn program_limit(&self, key: ProgramKey) -> Option<TimeStamp> {
         let program = &self.programs[key];
         let idle = self.last_activity(key).plus(self.options.idle_limit);
         let limits = [program.deadline, program.wall_clock_end, Some(idle)];
-        if let Some(at) = limits.into_iter().flatten().min() {
-            self.arm(at, Timer::Program(key));
-        }
+        limits.into_iter().flatten().min()
     }
 
     /// Refuses requests of a program whose time is up but not yet acted upon.
@@ -108,7 +122,9 @@
             let program = &mut self.programs[key];
             program.last_activity = program.last_activity.max(now);
         }
-        self.arm_program(key);
+        if let Some(at) = self.program_limit(key) {
+            self.arm_again(at, Timer::Program(key), now);
+        }
     }
 
     fn end_reason(&self, key: ProgramKey, now: TimeStamp) -> Option<EndReason> {
@@ -172,7 +188,8 @@
         if is_held {
             let is_ended = !self.programs[tree.members[0]].is_running();
             if is_ended {
-                self.arm(now.plus(self.options.keep_ended), Timer::Forget(key));
+                let at = now.plus(self.options.keep_ended);
+                self.arm_again(at, Timer::Forget(key), now);
             }
             return;
         }
--- a/crates/programs/tests/owner_fuzz/calls.rs
+++ b/crates/programs/tests/owner_fuzz/calls.rs
@@ -117,13 +117,14 @@
             outcome,
         });
         self.check_record(id, &finished.record);
+        // What is woken may have started already: its start is flushed as well.
+        self.wake(finished.woken, &[]);
         if is_stored {
             self.flush(tree);
         }
         if let (true, Outcome::Answer(_)) = (is_stored, outcome) {
             self.deliver(id.0, &finished.record);
         }
-        self.wake(finished.woken, &[]);
     }
 
     /// Gives an answer and its digest to the caller.
