--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -11,8 +11,8 @@
     KeySpec, SettingValue, ValueError, ValueKind, find_key, known_keys, list_items,
 };
 use crate::tree::{
-    SectionKind, SettingsGrammar, SettingsSource, SourceEntry, SourceSection, parent_of,
-    parse_source,
+    SectionKind, SectionLineage, SettingsGrammar, SettingsSource, SourceEntry, SourceSection,
+    parent_of, parse_source,
 };
 
 /// Pairs of a default and the largest value that a program may ask for.
@@ -148,11 +148,12 @@
     }
 
     fn check_required(&mut self, section: &SourceSection) {
+        let lineage = SectionLineage::new(self.source, section.path.as_str());
         for spec in known_keys(self.grammar) {
             if !spec.is_required || !spec.is_for(section.kind) {
                 continue;
             }
-            if find_entry(self.source, spec, section.path.as_str()).is_none() {
+            if find_entry(&lineage, spec).is_none() {
                 let message = format!("'{}' is missing in [{}]", spec.name, section.path);
                 self.findings
                     .add(section.line, FindingKind::Missing, message);
@@ -177,10 +178,10 @@
     }
 
     fn check_limits(&mut self, section: &SourceSection) {
+        let lineage = SectionLineage::new(self.source, section.path.as_str());
         for (default_key, max_key) in LIMIT_KEYS {
-            let path = section.path.as_str();
-            let default = self.source.find_inherited(path, default_key);
-            let max = self.source.find_inherited(path, max_key);
+            let default = lineage.find_inherited(default_key);
+            let max = lineage.find_inherited(max_key);
             if let (Some((_, default)), Some((_, max))) = (default, max) {
                 self.check_limit(default, max);
             }
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -7,42 +7,39 @@
 use crate::key_hash::KeyHash;
 use crate::snapshot::LimitRange;
 use crate::table::{FixedDecimal, KeySpec, SettingValue, find_key};
-use crate::tree::{SettingsGrammar, SettingsSource, SourceEntry, SourceSection};
+use crate::tree::{SectionLineage, SettingsGrammar, SettingsSource, SourceEntry, SourceSection};
 
-/// Finds the pair that holds for `spec` at `path`.
+/// Finds the pair that holds for `spec` at a section.
 pub(crate) fn find_entry<'a>(
-    source: &'a SettingsSource,
+    lineage: &SectionLineage<'a>,
     spec: &KeySpec,
-    path: &str,
 ) -> Option<(&'a SourceSection, &'a SourceEntry)> {
     if spec.is_inherited {
-        source.find_inherited(path, spec.name)
+        lineage.find_inherited(spec.name)
     } else {
-        source.find_own(path, spec.name)
+        lineage.find_own(spec.name)
     }
 }
 
 /// Reads the values of one section of a checked source.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SectionReader<'a> {
-    source: &'a SettingsSource,
     grammar: SettingsGrammar,
-    path: &'a str,
+    lineage: SectionLineage<'a>,
 }
 
 impl<'a> SectionReader<'a> {
-    pub(crate) fn new(source: &'a SettingsSource, grammar: SettingsGrammar, path: &'a str) -> Self {
+    pub(crate) fn new(source: &'a SettingsSource, grammar: SettingsGrammar, path: &str) -> Self {
         Self {
-            source,
             grammar,
-            path,
+            lineage: SectionLineage::new(source, path),
         }
     }
 
     /// Returns the value that is written, without its default.
     fn written(&self, name: &str) -> Option<SettingValue> {
         let spec = find_key(self.grammar, name)?;
-        let (_, entry) = find_entry(self.source, spec, self.path)?;
+        let (_, entry) = find_entry(&self.lineage, spec)?;
         spec.kind.parse(&entry.value).ok()
     }
 
--- a/crates/settings/src/shown.rs
+++ b/crates/settings/src/shown.rs
@@ -9,8 +9,8 @@
 use crate::snapshot::CheckedSettings;
 use crate::table::{KeySpec, known_keys};
 use crate::tree::{
-    PathError, SectionKind, SectionPath, SettingsGrammar, SettingsSource, SourceEntry,
-    SourceSection,
+    PathError, SectionKind, SectionLineage, SectionPath, SettingsGrammar, SettingsSource,
+    SourceEntry, SourceSection,
 };
 
 /// Where a value comes from.
@@ -100,11 +100,12 @@
     kind: SectionKind,
     values: &mut Vec<ShownValue>,
 ) {
+    let lineage = SectionLineage::new(source, path.as_str());
     for spec in known_keys(SettingsGrammar::Operators) {
         let found = if spec.is_for(kind) {
-            find_entry(source, spec, path.as_str())
+            find_entry(&lineage, spec)
         } else {
-            source.find_own(path.as_str(), spec.name)
+            lineage.find_own(spec.name)
         };
         let default = spec.default.filter(|_| spec.is_for(kind));
         if let Some((section, entry)) = found {
--- a/crates/settings/src/snapshot/build.rs
+++ b/crates/settings/src/snapshot/build.rs
@@ -1,6 +1,6 @@
 //! Builds a snapshot from a checked file.
 
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use http::Method;
@@ -46,50 +46,89 @@
     /// Returns the typed settings as those of `revision`.
     #[must_use]
     pub fn snapshot(&self, revision: u64) -> SettingsSnapshot {
-        let mut data = SnapshotData {
-            revision,
-            scheduling: read_scheduling(self.reader(SCHEDULING_PATH)),
-            ..SnapshotData::default()
-        };
+        let mut builder = SnapshotBuilder::default();
+        builder.data.revision = revision;
+        builder.data.scheduling = read_scheduling(self.reader(SCHEDULING_PATH));
         // Parents are built before what stands in them, whatever the file's order.
         for section in self.source.sections() {
-            self.add_section(&mut data, section);
+            self.add_section(&mut builder, section);
         }
         for section in self.source.sections() {
-            self.add_part(&mut data, section);
+            self.add_part(&mut builder, section);
         }
-        SettingsSnapshot(Arc::new(data))
+        builder.finish()
     }
 
     fn reader<'a>(&'a self, path: &'a str) -> SectionReader<'a> {
         SectionReader::new(&self.source, SettingsGrammar::Operators, path)
     }
 
-    fn add_section(&self, data: &mut SnapshotData, section: &SourceSection) {
+    fn add_section(&self, builder: &mut SnapshotBuilder, section: &SourceSection) {
         let reader = self.reader(section.path.as_str());
         let name = section.path.last().to_owned();
         match section.kind {
-            SectionKind::Model => add_model(data, name, reader),
-            SectionKind::Service => add_service(data, name, reader),
-            SectionKind::Workspace => add_workspace(data, name, reader),
+            SectionKind::Model => add_model(builder, name, reader),
+            SectionKind::Service => add_service(builder, name, reader),
+            SectionKind::Workspace => add_workspace(builder, name, reader),
             _ => {}
         }
     }
 
-    fn add_part(&self, data: &mut SnapshotData, section: &SourceSection) {
+    fn add_part(&self, builder: &mut SnapshotBuilder, section: &SourceSection) {
         let reader = self.reader(section.path.as_str());
         let name = section.path.last().to_owned();
         let owner = section.path.as_str().split('/').nth(2).unwrap_or_default();
         match section.kind {
-            SectionKind::Route => add_route(data, owner, name, reader),
-            SectionKind::Key => add_key(data, owner, name, reader),
-            SectionKind::Program => add_program(data, owner, name, reader),
+            SectionKind::Route => add_route(builder, owner, name, reader),
+            SectionKind::Key => add_key(builder, owner, name, reader),
+            SectionKind::Program => add_program(builder, owner, name, reader),
             _ => {}
         }
     }
 }
 
-fn add_model(data: &mut SnapshotData, name: String, reader: SectionReader<'_>) {
+/// A snapshot that is being built.
+#[derive(Debug, Default)]
+struct SnapshotBuilder {
+    data: SnapshotData,
+    /// Access lists that were read; most workspaces have one of a few.
+    accesses: HashMap<AccessList, Arc<AccessList>>,
+}
+
+impl SnapshotBuilder {
+    fn read_access(&mut self, reader: SectionReader<'_>) -> Arc<AccessList> {
+        let models = reader.names("models").into_iter();
+        let services = reader.names("services").into_iter();
+        let access = AccessList {
+            models: models
+                .filter_map(|name| ModelName::new(name).ok())
+                .collect(),
+            services: services
+                .filter_map(|name| ServiceName::new(name).ok())
+                .collect(),
+        };
+        let shared = self.accesses.entry(access);
+        let shared = shared.or_insert_with_key(|access| Arc::new(access.clone()));
+        Arc::clone(shared)
+    }
+
+    fn finish(mut self) -> SettingsSnapshot {
+        for workspace in self.data.workspaces.values_mut() {
+            let programs = &mut Arc::make_mut(workspace).programs;
+            programs.sort_by(|one, other| one.name.cmp(&other.name));
+            programs.shrink_to_fit();
+        }
+        for service in self.data.services.values_mut() {
+            let routes = &mut Arc::make_mut(service).routes;
+            routes.sort_by(|one, other| one.name.cmp(&other.name));
+            routes.shrink_to_fit();
+        }
+        self.data.keys.finish();
+        SettingsSnapshot(Arc::new(self.data))
+    }
+}
+
+fn add_model(builder: &mut SnapshotBuilder, name: String, reader: SectionReader<'_>) {
     let Ok(name) = ModelName::new(name) else {
         return;
     };
@@ -101,10 +140,10 @@
         context_tokens: reader.count("context_tokens"),
         resumes_streams: reader.flag("resumes_streams"),
     };
-    data.models.insert(name, Arc::new(model));
+    builder.data.models.insert(name, Arc::new(model));
 }
 
-fn add_service(data: &mut SnapshotData, name: String, reader: SectionReader<'_>) {
+fn add_service(builder: &mut SnapshotBuilder, name: String, reader: SectionReader<'_>) {
     let Ok(name) = ServiceName::new(name) else {
         return;
     };
@@ -112,31 +151,36 @@
         name: name.clone(),
         vm_group: read_group("services", name.as_str(), reader),
         credential_file: reader.file_path("credential_file"),
-        routes: BTreeMap::new(),
+        routes: Vec::new(),
     };
-    data.services.insert(name, Arc::new(service));
+    builder.data.services.insert(name, Arc::new(service));
 }
 
-fn add_route(data: &mut SnapshotData, service: &str, name: String, reader: SectionReader<'_>) {
+fn add_route(
+    builder: &mut SnapshotBuilder,
+    service: &str,
+    name: String,
+    reader: SectionReader<'_>,
+) {
     let names = (ServiceName::new(service.to_owned()), RouteName::new(name));
     let (Ok(service), Ok(name)) = names else {
         return;
     };
     let method = reader.text("method").unwrap_or_default();
     let route = RouteSettings {
-        name: name.clone(),
+        name,
         method: Method::from_bytes(method.as_bytes()).unwrap_or(Method::POST),
         path: reader.text("path").unwrap_or_default(),
         is_idempotent: reader.flag("idempotent"),
         is_open: reader.flag("open"),
         timeout: reader.millis("timeout_ms"),
     };
-    if let Some(service) = data.services.get_mut(&service) {
-        Arc::make_mut(service).routes.insert(name, route);
+    if let Some(service) = builder.data.services.get_mut(&service) {
+        Arc::make_mut(service).routes.push(route);
     }
 }
 
-fn add_workspace(data: &mut SnapshotData, name: String, reader: SectionReader<'_>) {
+fn add_workspace(builder: &mut SnapshotBuilder, name: String, reader: SectionReader<'_>) {
     let Ok(name) = WorkspaceName::new(name) else {
         return;
     };
@@ -146,13 +190,18 @@
         weight: reader.decimal("weight").unwrap_or_default(),
         history_copies: reader.count("history_copies"),
         limits: read_limits(reader),
-        access: read_access(reader),
-        programs: BTreeMap::new(),
+        access: builder.read_access(reader),
+        programs: Vec::new(),
     };
-    data.workspaces.insert(name, Arc::new(workspace));
+    builder.data.workspaces.insert(name, Arc::new(workspace));
 }
 
-fn add_program(data: &mut SnapshotData, workspace: &str, name: String, reader: SectionReader<'_>) {
+fn add_program(
+    builder: &mut SnapshotBuilder,
+    workspace: &str,
+    name: String,
+    reader: SectionReader<'_>,
+) {
     let names = (
         WorkspaceName::new(workspace.to_owned()),
         ProgramName::new(name),
@@ -161,17 +210,22 @@
         return;
     };
     let program = ProgramSettings {
-        name: name.clone(),
+        name,
         rate_limit: read_rate_limit(reader),
         limits: read_limits(reader),
-        access: read_access(reader),
+        access: builder.read_access(reader),
     };
-    if let Some(workspace) = data.workspaces.get_mut(&workspace) {
-        Arc::make_mut(workspace).programs.insert(name, program);
+    if let Some(workspace) = builder.data.workspaces.get_mut(&workspace) {
+        Arc::make_mut(workspace).programs.push(program);
     }
 }
 
-fn add_key(data: &mut SnapshotData, workspace: &str, name: String, reader: SectionReader<'_>) {
+fn add_key(
+    builder: &mut SnapshotBuilder,
+    workspace: &str,
+    name: String,
+    reader: SectionReader<'_>,
+) {
     let names = (WorkspaceName::new(workspace.to_owned()), KeyName::new(name));
     let (Ok(workspace), Ok(key)) = names else {
         return;
@@ -179,7 +233,7 @@
     let Some(hash) = reader.key_hash("hash") else {
         return;
     };
-    data.keys.insert(KeyRecord {
+    builder.data.keys.insert(KeyRecord {
         hash,
         workspace,
         key,
@@ -224,16 +278,3 @@
         wall_clock_ms: reader.limit("wall_clock_ms", "max_wall_clock_ms"),
     }
 }
-
-fn read_access(reader: SectionReader<'_>) -> AccessList {
-    let models = reader.names("models").into_iter();
-    let services = reader.names("services").into_iter();
-    AccessList {
-        models: models
-            .filter_map(|name| ModelName::new(name).ok())
-            .collect(),
-        services: services
-            .filter_map(|name| ServiceName::new(name).ok())
-            .collect(),
-    }
-}
--- a/crates/settings/src/snapshot/key_index.rs
+++ b/crates/settings/src/snapshot/key_index.rs
@@ -1,7 +1,5 @@
 //! Finds the workspace of a key.
 
-use std::collections::HashMap;
-
 use ibisdale_core::{KeyName, WorkspaceName};
 
 use crate::key_hash::KeyHash;
@@ -39,29 +37,39 @@
     pub key: KeyName,
 }
 
-/// Keys by a part of their hash.
+/// Keys ordered by a part of their hash.
 ///
 /// The part only narrows the search; whole hashes are compared in constant time.
 #[derive(Debug, Default)]
 pub(crate) struct KeyIndex {
-    records: HashMap<u64, Vec<KeyRecord>>,
+    records: Vec<KeyRecord>,
 }
 
 impl KeyIndex {
     pub(crate) fn insert(&mut self, record: KeyRecord) {
-        self.records
-            .entry(record.hash.index())
-            .or_default()
-            .push(record);
+        self.records.push(record);
+    }
+
+    /// Orders the keys after the last insertion.
+    pub(crate) fn finish(&mut self) {
+        self.records.sort_by_key(|record| record.hash.index());
+        self.records.shrink_to_fit();
+    }
+
+    /// Iterates over the records with this hash.
+    fn with_hash(&self, hash: KeyHash) -> impl Iterator<Item = &KeyRecord> {
+        let index = hash.index();
+        let start = self
+            .records
+            .partition_point(|record| record.hash.index() < index);
+        self.records[start..]
+            .iter()
+            .take_while(move |record| record.hash.index() == index)
+            .filter(move |record| record.hash == hash)
     }
 
     pub(crate) fn find(&self, key: &[u8]) -> KeyMatch {
-        let hash = KeyHash::of(key);
-        let records = self.records.get(&hash.index());
-        let record = records
-            .into_iter()
-            .flatten()
-            .find(|record| record.hash == hash);
+        let record = self.with_hash(KeyHash::of(key)).next();
         match record {
             None => KeyMatch::Unknown,
             Some(record) if record.is_withdrawn => KeyMatch::Withdrawn,
@@ -74,8 +82,7 @@
 
     /// Returns the keys in force here that are not in force in `later`.
     pub(crate) fn withdrawn_in(&self, later: &Self) -> Vec<WithdrawnKey> {
-        let records = self.records.values().flatten();
-        let in_force = records.filter(|record| !record.is_withdrawn);
+        let in_force = self.records.iter().filter(|record| !record.is_withdrawn);
         let ended = in_force.filter(|record| !later.is_in_force(record));
         let name = |record: &KeyRecord| WithdrawnKey {
             workspace: record.workspace.clone(),
@@ -85,9 +92,7 @@
     }
 
     fn is_in_force(&self, key: &KeyRecord) -> bool {
-        let records = self.records.get(&key.hash.index());
-        records.into_iter().flatten().any(|record| {
-            record.hash == key.hash && record.workspace == key.workspace && !record.is_withdrawn
-        })
+        self.with_hash(key.hash)
+            .any(|record| record.workspace == key.workspace && !record.is_withdrawn)
     }
 }
--- a/crates/settings/src/snapshot/types.rs
+++ b/crates/settings/src/snapshot/types.rs
@@ -1,6 +1,5 @@
 //! The types of a snapshot.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -14,7 +13,7 @@
 use crate::table::FixedDecimal;
 
 /// The models and services that may be called.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct AccessList {
     /// Models.
     pub models: Vec<ModelName>,
@@ -46,7 +45,7 @@
     /// The program's limits.
     pub limits: ProgramLimits,
     /// What the program may call.
-    pub access: AccessList,
+    pub access: Arc<AccessList>,
 }
 
 /// A workspace.
@@ -63,20 +62,24 @@
     /// The limits of programs that have none of their own.
     pub limits: ProgramLimits,
     /// What the workspace may call.
-    pub access: AccessList,
-    pub(crate) programs: BTreeMap<ProgramName, ProgramSettings>,
+    pub access: Arc<AccessList>,
+    /// Ordered by name.
+    pub(crate) programs: Vec<ProgramSettings>,
 }
 
 impl WorkspaceSettings {
     /// Returns a program that the workspace may run.
     #[must_use]
     pub fn program(&self, name: &ProgramName) -> Option<&ProgramSettings> {
-        self.programs.get(name)
+        let found = self
+            .programs
+            .binary_search_by(|program| program.name.cmp(name));
+        found.ok().map(|index| &self.programs[index])
     }
 
     /// Iterates over the programs that the workspace may run, by name.
     pub fn programs(&self) -> impl Iterator<Item = &ProgramSettings> {
-        self.programs.values()
+        self.programs.iter()
     }
 }
 
@@ -106,19 +109,21 @@
     pub vm_group: String,
     /// The file with the credential for the service.
     pub credential_file: Option<PathBuf>,
-    pub(crate) routes: BTreeMap<RouteName, RouteSettings>,
+    /// Ordered by name.
+    pub(crate) routes: Vec<RouteSettings>,
 }
 
 impl ServiceSettings {
     /// Returns a route of the service.
     #[must_use]
     pub fn route(&self, name: &RouteName) -> Option<&RouteSettings> {
-        self.routes.get(name)
+        let found = self.routes.binary_search_by(|route| route.name.cmp(name));
+        found.ok().map(|index| &self.routes[index])
     }
 
     /// Iterates over the service's routes, by name.
     pub fn routes(&self) -> impl Iterator<Item = &RouteSettings> {
-        self.routes.values()
+        self.routes.iter()
     }
 }
 
@@ -194,7 +199,7 @@
 
     /// Tells which workspace a caller's key is for.
     ///
-    /// The cost does not depend on the number of keys.
+    /// The cost grows with the logarithm of the number of keys.
     #[must_use]
     pub fn authenticate(&self, key: &[u8]) -> KeyMatch {
         self.0.keys.find(key)
--- /dev/null
+++ b/crates/settings/src/tree/lineage.rs
@@ -0,0 +1,40 @@
+//! A section and those above it.
+
+use crate::tree::path::parent_of;
+use crate::tree::source::{SettingsSource, SourceEntry, SourceSection};
+
+/// Sections on the way from the deepest section to the top.
+const DEPTH_MAX: usize = 5;
+
+/// A section that may be written, and those above it, the nearest first.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SectionLineage<'a> {
+    sections: [Option<&'a SourceSection>; DEPTH_MAX],
+}
+
+impl<'a> SectionLineage<'a> {
+    pub(crate) fn new(source: &'a SettingsSource, path: &str) -> Self {
+        let mut sections = [None; DEPTH_MAX];
+        let mut current = Some(path);
+        for section in &mut sections {
+            let Some(path) = current else {
+                break;
+            };
+            *section = source.section(path);
+            current = parent_of(path);
+        }
+        Self { sections }
+    }
+
+    /// Finds the pair that is written in the section itself.
+    pub(crate) fn find_own(&self, key: &str) -> Option<(&'a SourceSection, &'a SourceEntry)> {
+        let section = self.sections[0]?;
+        section.get(key).map(|entry| (section, entry))
+    }
+
+    /// Finds the pair that holds at the section: its own, or the nearest above.
+    pub(crate) fn find_inherited(&self, key: &str) -> Option<(&'a SourceSection, &'a SourceEntry)> {
+        let mut sections = self.sections.iter().flatten();
+        sections.find_map(|section| section.get(key).map(|entry| (*section, entry)))
+    }
+}
--- a/crates/settings/src/tree/source.rs
+++ b/crates/settings/src/tree/source.rs
@@ -9,7 +9,8 @@
 
 use crate::finding::FindingList;
 use crate::tree::kind::{SectionKind, SettingsGrammar};
-use crate::tree::path::{PathError, SectionPath, parent_of};
+use crate::tree::lineage::SectionLineage;
+use crate::tree::path::{PathError, SectionPath};
 
 /// A `KEY = VALUE` pair.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -82,14 +83,7 @@
     /// one above it.
     #[must_use]
     pub fn find_inherited(&self, path: &str, key: &str) -> Option<(&SourceSection, &SourceEntry)> {
-        let mut current = Some(path);
-        while let Some(path) = current {
-            if let Some(found) = self.find_own(path, key) {
-                return Some(found);
-            }
-            current = parent_of(path);
-        }
-        None
+        SectionLineage::new(self, path).find_inherited(key)
     }
 
     /// Finds the pair that is written in the section itself.
