Run the main job in one process: ibisdale demo

Cause: a new user needs one command that shows a program served. Change: the demonstration starts the stand-ins and a daemon in this process, applies the example settings, runs the example program and prints the hops of its trace.

--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -145,6 +145,16 @@
         self.addresses.operator
     }
 
+    /// Tells whether the daemon owns slots and knows upstreams, and so can take
+    /// programs.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let owners = self.context.owners.load();
+        let owns_slots =
+            SlotId::all().any(|slot| owners.get(slot).is_some_and(|owner| owner.is_self));
+        owns_slots && !self.context.upstreams.load().is_empty()
+    }
+
     /// Returns the switch that starts a graceful shutdown.
     #[must_use]
     pub fn get_drain(&self) -> DrainSwitch {
--- a/crates/ibisdale/src/cli/callers.rs
+++ b/crates/ibisdale/src/cli/callers.rs
@@ -8,8 +8,8 @@
 /// Address of a daemon for callers where none is given.
 const ENTRY_ADDRESS: &str = "127.0.0.1:7101";
 
-pub(crate) fn build_commands() -> [Command; 2] {
-    [build_run(), build_completions()]
+pub(crate) fn build_commands() -> [Command; 3] {
+    [build_run(), build_demo(), build_completions()]
 }
 
 fn build_run() -> Command {
@@ -34,6 +34,11 @@
         )
 }
 
+fn build_demo() -> Command {
+    Command::new("demo")
+        .about("Runs a program on a daemon and stand-ins within this process; needs nothing else")
+}
+
 fn build_completions() -> Command {
     Command::new("completions")
         .about("Writes completions for a shell to standard output")
--- a/crates/ibisdale/src/commands/mod.rs
+++ b/crates/ibisdale/src/commands/mod.rs
@@ -16,6 +16,7 @@
 use snafu::ResultExt;
 
 use crate::cli;
+use crate::demo;
 use crate::error::{CommandError, ReadFileSnafu};
 use crate::exit::ExitStatus;
 use crate::operator::OperatorClient;
@@ -52,6 +53,7 @@
         "program" => programs::dispatch(matches, format),
         "status" => daemon::status(matches, format),
         "drain" => daemon::drain(matches, format),
+        "demo" => demo::run(format),
         "run" => run::run_file(matches, format),
         "completions" => write_completions(matches),
         _ => Ok(ExitStatus::Usage),
--- a/crates/ibisdale/src/main.rs
+++ b/crates/ibisdale/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod commands;
+mod demo;
 mod error;
 mod exit;
 mod operator;
--- a/crates/ibisdale/src/operator/client.rs
+++ b/crates/ibisdale/src/operator/client.rs
@@ -44,6 +44,15 @@
         })
     }
 
+    /// Creates a client of the operators' interface at `address`.
+    pub(crate) fn new(address: SocketAddr, key: HeaderValue, executor: TrafficExecutor) -> Self {
+        Self {
+            address,
+            key,
+            executor,
+        }
+    }
+
     fn call<T: DeserializeOwned>(&self, call: HttpCall) -> Result<T, CommandError> {
         let call = call.key(Some(&self.key));
         let exchange = call.send(self.address, &self.executor);
--- a/crates/ibisdale/src/run/mod.rs
+++ b/crates/ibisdale/src/run/mod.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 
 use clap::ArgMatches;
+use http::HeaderValue;
 use ibisdale_net::TrafficExecutor;
 use snafu::ResultExt;
 
@@ -21,6 +22,7 @@
 use crate::output::OutputFormat;
 use crate::run::caller::CallerClient;
 use crate::run::file::ProgramFile;
+use crate::run::report::RunReport;
 use crate::run::runner::ProgramRunner;
 
 /// Runs the program file of the command line.
@@ -35,18 +37,36 @@
         return Ok(ExitStatus::Usage);
     };
     let program = read_program_file(file)?;
-    let executor = TrafficExecutor::from(Arc::default());
-    let client = CallerClient::new(entry, read_key_file(key_file)?, Arc::clone(&executor));
-    let runner = ProgramRunner::new(client, format);
-    let report = smol::block_on(executor.run(runner.run(&program)))?;
+    let report = run_program(entry, read_key_file(key_file)?, &program, format)?;
     format.write(&report, &report)?;
     Ok(ExitStatus::Success)
 }
 
+/// Runs a program through the daemon at `entry`.
+pub(crate) fn run_program(
+    entry: SocketAddr,
+    key: HeaderValue,
+    program: &ProgramFile,
+    format: OutputFormat,
+) -> Result<RunReport, CommandError> {
+    let executor = TrafficExecutor::from(Arc::default());
+    let client = CallerClient::new(entry, key, Arc::clone(&executor));
+    let runner = ProgramRunner::new(client, format);
+    smol::block_on(executor.run(runner.run(program)))
+}
+
 fn read_program_file(path: &Path) -> Result<ProgramFile, CommandError> {
     let data = fs::read(path).context(ReadFileSnafu { path })?;
-    serde_json::from_slice(&data).map_err(|error| CommandError::BadFile {
-        path: path.to_owned(),
+    parse_program(path, &data)
+}
+
+/// Parses a program; `path` names it in errors.
+pub(crate) fn parse_program(
+    path: impl AsRef<Path>,
+    data: &[u8],
+) -> Result<ProgramFile, CommandError> {
+    serde_json::from_slice(data).map_err(|error| CommandError::BadFile {
+        path: path.as_ref().to_owned(),
         message: error.to_string(),
     })
 }
