--- a/crates/policy/src/credit/amount.rs
+++ b/crates/policy/src/credit/amount.rs
@@ -106,6 +106,19 @@
         }
     }
 
+    /// Returns a part of the rate and the burst, rounded down.
+    ///
+    /// # Panics
+    ///
+    /// Panics when `whole` is zero.
+    #[must_use]
+    pub const fn scaled(self, part: u64, whole: u64) -> Self {
+        Self {
+            rate_milli: self.rate_milli.saturating_mul(part) / whole,
+            burst: CreditAmount(self.burst.0.saturating_mul(part) / whole),
+        }
+    }
+
     /// Returns what accrues in `time`.
     #[must_use]
     pub fn accrued(self, time: Duration) -> CreditAmount {
--- a/crates/policy/src/credit/borrower.rs
+++ b/crates/policy/src/credit/borrower.rs
@@ -37,6 +37,16 @@
     returns: Vec<CreditReturn>,
     asked: Option<AskedOrder>,
     closed_until: TimeStamp,
+    is_unreachable: bool,
+}
+
+impl PartState {
+    /// Closes the part until its home is asked again.
+    fn close_unreachable(&mut self, now: TimeStamp) {
+        self.asked = None;
+        self.closed_until = now.plus(UNREACHABLE_RETRY);
+        self.is_unreachable = true;
+    }
 }
 
 /// Asks the home of a part for credit.
@@ -59,8 +69,11 @@
 pub enum BorrowState {
     /// An order is under way or can be made.
     Pending,
-    /// Every part is used up or out of reach; come back after this time.
+    /// Every part is used up; come back after this time.
     Exhausted(Duration),
+    /// No part has credit, and a home could not be reached; come back after
+    /// this time.
+    Unreachable(Duration),
 }
 
 /// Credit borrowed for one workspace.
@@ -148,8 +161,7 @@
             part.held.retain(|held| now < held.expires);
             let is_lost = |asked: AskedOrder| now.since(asked.at) >= ORDER_TIMEOUT;
             if part.asked.is_some_and(is_lost) {
-                part.asked = None;
-                part.closed_until = now.plus(UNREACHABLE_RETRY);
+                part.close_unreachable(now);
             }
         }
     }
@@ -231,6 +243,7 @@
             return;
         };
         part.asked = None;
+        part.is_unreachable = false;
         if answer.amount < CreditAmount::ONE {
             part.closed_until = now.plus(answer.retry_after);
             return;
@@ -248,8 +261,7 @@
     /// Notes that an order had no answer.
     pub fn fail(&mut self, order: &CreditOrder, now: TimeStamp) {
         if let Some(part) = self.part_mut(order) {
-            part.asked = None;
-            part.closed_until = now.plus(UNREACHABLE_RETRY);
+            part.close_unreachable(now);
         }
     }
 
@@ -269,7 +281,11 @@
             return BorrowState::Pending;
         }
         let opens = self.parts.iter().map(|part| part.closed_until).min();
-        BorrowState::Exhausted(opens.unwrap_or(now).since(now))
+        let delay = opens.unwrap_or(now).since(now);
+        if self.parts.iter().any(|part| part.is_unreachable) {
+            return BorrowState::Unreachable(delay);
+        }
+        BorrowState::Exhausted(delay)
     }
 
     /// Returns what to give back when this daemon stops or the workspace has
--- a/crates/policy/src/credit/home.rs
+++ b/crates/policy/src/credit/home.rs
@@ -96,15 +96,15 @@
     /// Creates the home of a part that has had another: an empty bucket, closed
     /// until all credit that the old home lent has expired.
     ///
-    /// The old home must have stopped lending by `now`.
+    /// The old home must have stopped lending by `since`.
     #[must_use]
-    pub fn take_over(rate: CreditRate, epoch: u64, now: TimeStamp) -> Self {
-        let opens = now.plus(LEND_TIME);
+    pub fn take_over(rate: CreditRate, epoch: u64, since: TimeStamp) -> Self {
+        let opens = since.plus(LEND_TIME);
         Self {
             level: CreditAmount::ZERO,
             updated: opens,
             opens,
-            ..Self::first(rate, epoch, now)
+            ..Self::first(rate, epoch, since)
         }
     }
 
