--- a/crates/daemon/src/callers/call.rs
+++ b/crates/daemon/src/callers/call.rs
@@ -1,6 +1,7 @@
 //! Calls to plain services.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_channel::Receiver;
 use bytes::Bytes;
@@ -22,7 +23,9 @@
 use crate::clock::{instant_of, unix_now};
 use crate::context::{DaemonContext, read_credential};
 use crate::control::{AdmittedStep, RouteRequest, RunningStep, UpstreamGroup};
+use crate::history::StoreResult;
 use crate::observe::start_span;
+use crate::ownership::{IntentError, PaidIntent};
 
 /// A route of a service with its settings.
 struct ServiceRoute {
@@ -76,13 +79,19 @@
     };
     match context.control.admit(step).await? {
         AdmittedStep::Recorded(record) => answer_record(request.id, *record),
-        AdmittedStep::Run { ticket, cancel, .. } => {
+        AdmittedStep::Run {
+            ticket,
+            cancel,
+            stored,
+            ..
+        } => {
             let run = CallRun {
                 context: Arc::clone(context),
                 request: request.clone(),
                 route,
                 ticket,
                 cancel,
+                stored,
                 body: Bytes::from(serde_json::to_vec(&body.body).unwrap_or_default()),
             };
             // The run goes on when the caller goes away, so that its outcome is
@@ -129,19 +138,52 @@
     route: ServiceRoute,
     ticket: Box<StepTicket>,
     cancel: Receiver<()>,
+    stored: Receiver<StoreResult>,
     body: Bytes,
 }
 
 impl CallRun {
     async fn run(self) -> Result<StepRecord, RequestRefusal> {
+        let (program, step) = (self.ticket.get_program(), self.ticket.get_step());
+        let is_paid = self.ticket.is_intent_needed();
         let outcome = self.call().await;
-        self.context.control.finish(self.ticket, outcome).await
+        let is_unsent = is_not_run(&outcome);
+        let ownership = self.context.ownership.clone();
+        let result = self.context.control.finish(self.ticket, outcome).await;
+        if is_paid && is_unsent {
+            ownership.withdraw_intent(program, step);
+        } else if is_paid && result.is_ok() {
+            ownership.finish_intent(program, step);
+        }
+        result
+    }
+
+    /// Records the intent of a paid action: first in the history, so that its
+    /// next owner knows of it, then in the journal, by which it is fenced.
+    async fn commit_intent(&self) -> Result<(), RequestRefusal> {
+        self.stored.recv().await.unwrap_or(Ok(()))?;
+        let intent = PaidIntent {
+            program: self.ticket.get_program(),
+            step: self.ticket.get_step(),
+            attempt: self.ticket.get_attempt().clone(),
+            timeout: INTENT_TIMEOUT,
+        };
+        let committed = self.context.ownership.commit_intent(intent).await;
+        let committed = committed.map_err(|error| intent_refusal(&error))?;
+        if committed.epoch == self.ticket.get_epoch() {
+            return Ok(());
+        }
+        let message = "the program's owner changed before the call was sent";
+        Err(RequestRefusal::new(RefusalCode::OwnerUnavailable, message)
+            .retry_after(INTENT_RETRY_DELAY))
     }
 
     async fn call(&self) -> StepOutcome {
-        if self.ticket.is_intent_needed() {
-            let message = "non-idempotent calls are not possible yet";
-            let refusal = RequestRefusal::new(RefusalCode::NotImplemented, message);
+        if self.ticket.is_intent_needed()
+            && let Err(refusal) = self.commit_intent().await
+        {
+            // Nothing was sent, whatever became of the intent.
+            let refusal = refusal.run_state(RunState::NotRun);
             return StepOutcome::Failed { refusal };
         }
         if self.cancel.is_closed() {
@@ -176,6 +218,23 @@
     }
 }
 
+/// Time in which an intent must be recorded.
+const INTENT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which an intent that was not recorded is worth another try.
+const INTENT_RETRY_DELAY: Duration = Duration::from_secs(1);
+
+fn intent_refusal(error: &IntentError) -> RequestRefusal {
+    RequestRefusal::new(RefusalCode::PlatformUnavailable, error.to_string())
+        .retry_after(INTENT_RETRY_DELAY)
+}
+
+fn is_not_run(outcome: &StepOutcome) -> bool {
+    match outcome {
+        StepOutcome::Failed { refusal } => refusal.get_run_state() == RunState::NotRun,
+        StepOutcome::Completed { .. } | StepOutcome::Unknown => false,
+    }
+}
+
 /// Chooses a replica and sends a call to it.
 async fn send_call(
     context: &DaemonContext,
--- a/crates/daemon/src/callers/chat.rs
+++ b/crates/daemon/src/callers/chat.rs
@@ -133,6 +133,7 @@
             ticket,
             cancel,
             history,
+            ..
         } => {
             let engine_body = match render_engine_body(&body, &history, max_tokens) {
                 Ok(engine_body) => engine_body,
--- a/crates/daemon/src/callers/chat_run.rs
+++ b/crates/daemon/src/callers/chat_run.rs
@@ -74,6 +74,8 @@
     Whole,
     Stopped(StopCause),
     Failed(UpstreamError),
+    /// The stream ended without saying that the answer is whole.
+    Ended,
 }
 
 /// One model call of a step.
@@ -170,6 +172,7 @@
             match self.run_attempt(routed, answer, sink).await {
                 AttemptEnd::Whole => return Ok(()),
                 AttemptEnd::Stopped(cause) => return Err(stop_refusal(cause, answer.is_begun())),
+                AttemptEnd::Ended => return Err(ended_refusal(answer.is_begun())),
                 AttemptEnd::Failed(error) => {
                     let is_final = attempt >= ENGINE_ATTEMPTS_MAX
                         || answer.is_begun()
@@ -242,7 +245,7 @@
         let outcome = match &end {
             AttemptEnd::Whole => FlightOutcome::Succeeded,
             AttemptEnd::Stopped(_) => FlightOutcome::Cancelled,
-            AttemptEnd::Failed(_) => FlightOutcome::Failed,
+            AttemptEnd::Failed(_) | AttemptEnd::Ended => FlightOutcome::Failed,
         };
         let usage = answer.get_usage();
         let mut report = FlightReport::new(outcome);
@@ -310,7 +313,8 @@
                         completion,
                     });
                 }
-                Some(Ok(ChatEvent::Done { .. })) | None => return AttemptEnd::Whole,
+                Some(Ok(ChatEvent::Done { .. })) => return AttemptEnd::Whole,
+                None => return AttemptEnd::Ended,
                 Some(Err(error)) => return AttemptEnd::Failed(error),
             }
         }
@@ -419,6 +423,11 @@
     }
 }
 
+fn ended_refusal(is_begun: bool) -> RequestRefusal {
+    let message = "the engine ended its answer without saying that it is whole";
+    RequestRefusal::new(RefusalCode::UpstreamFailed, message).run_state(run_state(is_begun))
+}
+
 fn stop_refusal(cause: StopCause, is_begun: bool) -> RequestRefusal {
     let (code, message) = match cause {
         StopCause::CallerGone => (RefusalCode::UpstreamFailed, "the caller went away"),
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use ibisdale_core::{DaemonName, SlotId};
+use ibisdale_core::{DaemonName, SlotId, TimeStamp};
 use ibisdale_fleet::FleetLinks;
 use ibisdale_net::TrafficExecutor;
 use ibisdale_settings::SettingsSnapshot;
@@ -18,6 +18,7 @@
 use crate::credit::CreditHandle;
 use crate::drain::DrainSwitch;
 use crate::members::MemberHandle;
+use crate::ownership::{OwnershipHandle, ProcessClock};
 use crate::settings_feed::SettingsFeed;
 
 /// What a daemon says of itself.
@@ -34,6 +35,8 @@
     pub(crate) entry_address: SocketAddr,
     pub(crate) fleet_address: SocketAddr,
     pub(crate) epoch: u64,
+    /// When this daemon learned of the owner, by the clock of its process.
+    pub(crate) since: TimeStamp,
     pub(crate) is_self: bool,
 }
 
@@ -103,12 +106,25 @@
     }
 }
 
+/// Parts of the daemon that requests talk to.
+pub(crate) struct ContextParts {
+    pub(crate) control: ControlHandle,
+    pub(crate) credit: CreditHandle,
+    pub(crate) members: MemberHandle,
+    pub(crate) feed: SettingsFeed,
+    pub(crate) ownership: OwnershipHandle,
+    pub(crate) clock: ProcessClock,
+    pub(crate) links: FleetLinks,
+}
+
 /// What all requests share.
 #[derive(Debug)]
 pub(crate) struct DaemonContext {
     pub(crate) identity: DaemonIdentity,
     pub(crate) control: ControlHandle,
     pub(crate) feed: SettingsFeed,
+    pub(crate) ownership: OwnershipHandle,
+    pub(crate) clock: ProcessClock,
     settings: Arc<ArcSwap<SettingsSnapshot>>,
     pub(crate) owners: ArcSwap<OwnerTable>,
     pub(crate) links: FleetLinks,
@@ -127,22 +143,20 @@
     /// Creates the context of a daemon that owns nothing yet.
     pub(crate) fn new(
         identity: DaemonIdentity,
-        control: ControlHandle,
-        members: MemberHandle,
-        credit: CreditHandle,
-        feed: SettingsFeed,
-        links: FleetLinks,
+        parts: ContextParts,
         executor: &TrafficExecutor,
     ) -> Self {
         Self {
             identity,
-            control,
-            settings: feed.get_cell(),
-            feed,
+            control: parts.control,
+            settings: parts.feed.get_cell(),
+            feed: parts.feed,
+            ownership: parts.ownership,
+            clock: parts.clock,
             owners: ArcSwap::default(),
-            links,
-            members,
-            credit,
+            links: parts.links,
+            members: parts.members,
+            credit: parts.credit,
             upstreams: ArcSwap::default(),
             pools: UpstreamPools::new(TrafficExecutor::clone(executor)),
             executor: TrafficExecutor::clone(executor),
--- a/crates/daemon/src/control/handle.rs
+++ b/crates/daemon/src/control/handle.rs
@@ -3,18 +3,22 @@
 use std::net::SocketAddr;
 
 use async_channel::Sender;
-use ibisdale_core::{ProgramId, RefusalCode, RequestRefusal, RunState, StepNumber, WorkspaceName};
+use ibisdale_core::{
+    ProgramId, RefusalCode, RequestRefusal, RunState, SlotId, StepNumber, WorkspaceName,
+};
 use ibisdale_policy::{FlightReport, LoadReport};
 use ibisdale_programs::{
-    CleanupKey, CleanupOrder, KeyLabel, ProgramSummary, StartedProgram, StepOutcome, StepRecord,
-    StepTicket, StepView,
+    CleanupKey, CleanupOrder, KeyLabel, OpenAttempt, ProgramRecord, ProgramSummary, StartedProgram,
+    StepOutcome, StepRecord, StepTicket, StepView,
 };
 
 use super::message::{
-    AdmittedStep, CallRoute, ControlClosed, ControlMessage, ControlTask, NewProgram, ReplySender,
-    RouteRequest, RoutedCall, RunningStep, SlotChange, UpstreamVm,
+    AdmittedStep, CallRoute, ControlClosed, ControlMessage, ControlTask, NewProgram, OwnedSlot,
+    ReplySender, RouteRequest, RoutedCall, RunningStep, UpstreamVm,
 };
 
+use crate::history::SlotRecovery;
+
 /// Sends messages to the control thread; cheap to clone.
 #[derive(Clone, Debug)]
 pub(crate) struct ControlHandle {
@@ -162,9 +166,31 @@
         self.notify(ControlMessage::Load(address, report));
     }
 
-    /// Notes which slots were gained and lost.
-    pub(crate) fn change_slots(&self, change: SlotChange) {
-        self.notify(ControlMessage::Slots(change));
+    /// Takes slots, whose programs do not answer yet.
+    pub(crate) fn begin_slots(&self, slots: Vec<OwnedSlot>) {
+        self.notify(ControlMessage::BeginSlots(slots));
+    }
+
+    /// Opens a slot with what was read back of it.
+    pub(crate) fn open_slot(
+        &self,
+        slot: OwnedSlot,
+        recovery: SlotRecovery,
+        unsent: Vec<OpenAttempt>,
+    ) {
+        self.notify(ControlMessage::OpenSlot(slot, Box::new(recovery), unsent));
+    }
+
+    /// Gives slots up.
+    pub(crate) fn release_slots(&self, slots: Vec<SlotId>) {
+        self.notify(ControlMessage::ReleaseSlots(slots));
+    }
+
+    /// Returns the whole history of a root program.
+    pub(crate) async fn export(&self, root: ProgramId) -> Vec<ProgramRecord> {
+        self.ask(|reply| ControlMessage::Export(root, reply))
+            .await
+            .unwrap_or_default()
     }
 
     /// Ends the programs that were started under a key.
--- a/crates/daemon/src/control/history.rs
+++ b/crates/daemon/src/control/history.rs
@@ -1,26 +1,57 @@
 //! Storing of history records.
 
-use async_channel::Receiver;
-use ibisdale_core::RequestRefusal;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use async_channel::{Receiver, Sender};
+use ibisdale_core::WorkspaceName;
 use ibisdale_programs::ProgramRecord;
+use ibisdale_settings::SettingsSnapshot;
 
-/// Result of storing records.
-pub(crate) type StoreResult = Result<(), RequestRefusal>;
+use crate::history::{AppendJob, StoreResult};
 
 /// Takes the records of all programs, in order.
 #[derive(Debug)]
-pub(super) struct HistorySink;
+pub(super) struct HistorySink {
+    jobs: Sender<AppendJob>,
+    settings: Arc<ArcSwap<SettingsSnapshot>>,
+}
 
 impl HistorySink {
-    /// Appends records; the receiver yields when they are stored.
-    ///
-    /// Nothing is copied to other VMs yet: the records live in the table only.
-    #[expect(clippy::unused_self)]
-    pub(super) fn append(&self, _records: Vec<ProgramRecord>) -> Receiver<StoreResult> {
-        let (stored, result) = async_channel::bounded(1);
-        let _ = stored.try_send(Ok(()));
+    pub(super) fn new(jobs: Sender<AppendJob>, settings: Arc<ArcSwap<SettingsSnapshot>>) -> Self {
+        Self { jobs, settings }
+    }
+
+    /// Appends records of one root program; the receiver yields when they are
+    /// stored at as many holders as the workspace wants.
+    pub(super) fn append(
+        &self,
+        workspace: Option<&WorkspaceName>,
+        records: Vec<ProgramRecord>,
+    ) -> Receiver<StoreResult> {
+        let (reply, result) = async_channel::bounded(1);
+        let copies = workspace.map_or(0, |name| self.copies(name));
+        if copies == 0 || records.is_empty() {
+            let _ = reply.try_send(Ok(()));
+            return result;
+        }
+        let job = AppendJob {
+            records,
+            copies,
+            reply,
+        };
+        // The channel is unbounded; it closes only with the daemon.
+        let _ = self.jobs.try_send(job);
         result
     }
+
+    fn copies(&self, workspace: &WorkspaceName) -> usize {
+        let settings = self.settings.load();
+        let copies = settings
+            .workspace(workspace)
+            .map_or(0, |found| found.history_copies);
+        usize::try_from(copies).unwrap_or(usize::MAX)
+    }
 }
 
 /// Waits until records are stored.
--- a/crates/daemon/src/control/message.rs
+++ b/crates/daemon/src/control/message.rs
@@ -12,10 +12,13 @@
 };
 use ibisdale_policy::{FlightKey, FlightReport, LoadReport};
 use ibisdale_programs::{
-    CleanupKey, CleanupOrder, KeyLabel, ProgramBudget, ProgramLimits, ProgramSummary,
-    StartedProgram, StepExchange, StepKind, StepOutcome, StepRecord, StepTicket, StepView,
+    CleanupKey, CleanupOrder, KeyLabel, OpenAttempt, ProgramBudget, ProgramLimits, ProgramRecord,
+    ProgramSummary, StartedProgram, StepExchange, StepKind, StepOutcome, StepRecord, StepTicket,
+    StepView,
 };
 
+use crate::history::{SlotRecovery, StoreResult};
+
 /// Says that the control thread has stopped.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ControlClosed;
@@ -54,6 +57,7 @@
     /// It runs now; a message or the closing of `cancel` stops it.
     Run {
         ticket: Box<StepTicket>,
+        stored: Receiver<StoreResult>,
         cancel: Receiver<()>,
         history: Vec<StepExchange>,
     },
@@ -101,13 +105,6 @@
     pub(crate) is_leaving: bool,
 }
 
-/// Changes of slots that this daemon owns.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) struct SlotChange {
-    pub(crate) gained: Vec<OwnedSlot>,
-    pub(crate) lost: Vec<SlotId>,
-}
-
 /// A slot that this daemon owns.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct OwnedSlot {
@@ -171,7 +168,10 @@
     CallEnded(CallRoute, FlightReport),
     Upstreams(Vec<UpstreamVm>),
     Load(SocketAddr, LoadReport),
-    Slots(SlotChange),
+    BeginSlots(Vec<OwnedSlot>),
+    OpenSlot(OwnedSlot, Box<SlotRecovery>, Vec<OpenAttempt>),
+    ReleaseSlots(Vec<SlotId>),
+    Export(ProgramId, ReplySender<Vec<ProgramRecord>>),
     Cleanups(ReplySender<Vec<(CleanupKey, CleanupOrder)>>),
     CleanupDone(CleanupKey, ReplySender<()>),
     KeyWithdrawn(WorkspaceName, KeyLabel),
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -10,8 +10,8 @@
 
 pub(crate) use handle::ControlHandle;
 pub(crate) use message::{
-    AdmittedStep, NewProgram, OwnedSlot, RouteRequest, RoutedCall, RunningStep, SlotChange,
-    UpstreamGroup, UpstreamVm,
+    AdmittedStep, NewProgram, OwnedSlot, RouteRequest, RoutedCall, RunningStep, UpstreamGroup,
+    UpstreamVm,
 };
 pub(crate) use programs::known_tokens;
 pub(crate) use run::ControlThread;
--- a/crates/daemon/src/control/programs.rs
+++ b/crates/daemon/src/control/programs.rs
@@ -8,11 +8,12 @@
     StepOutcome, StepRecord, StepRequest, StepTicket,
 };
 
-use super::history::{StoreResult, stored};
+use super::history::stored;
 use super::message::{AdmittedStep, NewProgram, ReplySender, RunningStep};
 use super::run::{ControlTasks, SharedState};
 use super::state::{ControlState, WaitingStep, answer};
 use crate::clock::unix_now;
+use crate::history::StoreResult;
 
 /// A program with its records on the way to the holders.
 pub(super) struct PendingStart {
@@ -95,7 +96,7 @@
             start = start.deadline(deadline);
         }
         let started = self.table.start(start, unix_now())?;
-        let result = self.history.append(started.records.clone());
+        let result = self.append(started.records.clone());
         Ok(PendingStart { started, result })
     }
 
@@ -119,9 +120,10 @@
             .unwrap_or_default();
         let (sender, cancel) = async_channel::bounded(1);
         self.runs.insert(ticket.get_run(), sender);
-        drop(self.history.append(ticket.get_records().to_vec()));
+        let stored = self.append(ticket.get_records().to_vec());
         let admitted = AdmittedStep::Run {
             ticket: Box::new(ticket),
+            stored,
             cancel,
             history,
         };
@@ -149,7 +151,7 @@
     ) -> Result<PendingFinish, RequestRefusal> {
         self.runs.remove(ticket.get_run());
         let finished = self.table.finish_step(ticket, outcome, unix_now())?;
-        let result = self.history.append(finished.records.clone());
+        let result = self.append(finished.records.clone());
         Ok(PendingFinish { finished, result })
     }
 
--- a/crates/daemon/src/control/routing.rs
+++ b/crates/daemon/src/control/routing.rs
@@ -268,7 +268,7 @@
     pub(super) fn open_session(&mut self, program: ProgramId, address: SocketAddr) {
         let engine = EngineAddress::new(address.to_string());
         match self.table.open_session(program, engine) {
-            Ok(Some(record)) => drop(self.history.append(vec![record])),
+            Ok(Some(record)) => drop(self.append(vec![record])),
             Ok(None) => {}
             Err(refusal) => log::warn!("session not noted: {}", refusal.get_message()),
         }
@@ -281,7 +281,7 @@
 
     pub(super) fn confirm_cleanup(&mut self, key: CleanupKey) {
         match self.table.confirm_cleanup(key) {
-            Ok(record) => drop(self.history.append(record.into_iter().collect())),
+            Ok(record) => drop(self.append(record.into_iter().collect())),
             Err(refusal) => log::debug!("release not noted: {}", refusal.get_message()),
         }
     }
--- a/crates/daemon/src/control/run.rs
+++ b/crates/daemon/src/control/run.rs
@@ -10,7 +10,6 @@
 use futures_lite::FutureExt;
 
 use super::handle::ControlHandle;
-use super::history::HistorySink;
 use super::message::ControlMessage;
 use super::programs;
 use super::state::{ControlOptions, ControlState, answer};
@@ -60,7 +59,7 @@
 
 fn run_thread(options: ControlOptions, receiver: Receiver<ControlMessage>) {
     let tasks = ControlTasks::default();
-    let state = Rc::new(RefCell::new(ControlState::new(options, HistorySink)));
+    let state = Rc::new(RefCell::new(ControlState::new(options)));
     let run = receive_messages(Rc::clone(&tasks), state, receiver);
     smol::block_on(tasks.run(run));
 }
@@ -116,7 +115,14 @@
         ControlMessage::CallEnded(route, report) => state.end_call(&route, report),
         ControlMessage::Upstreams(vms) => state.set_upstreams(vms),
         ControlMessage::Load(address, report) => state.record_load(address, report),
-        ControlMessage::Slots(change) => state.change_slots(change),
+        ControlMessage::BeginSlots(slots) => state.begin_slots(&slots),
+        ControlMessage::OpenSlot(slot, recovery, unsent) => {
+            state.open_slot(slot, *recovery, &unsent);
+        }
+        ControlMessage::ReleaseSlots(slots) => state.release_slots(&slots),
+        ControlMessage::Export(root, reply) => {
+            answer(&reply, state.table.export(root).unwrap_or_default());
+        }
         ControlMessage::KeyWithdrawn(workspace, key) => state.end_withdrawn(&workspace, &key),
         ControlMessage::Cleanups(reply) => answer(&reply, state.cleanups()),
         ControlMessage::CleanupDone(key, reply) => {
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -1,23 +1,28 @@
 //! State that the control thread owns.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
-use async_channel::Sender;
-use ibisdale_core::{RequestRefusal, SlotId, TimeStamp};
+use arc_swap::ArcSwap;
+use async_channel::{Receiver, Sender};
+use ibisdale_core::{RefusalCode, RequestRefusal, SlotId, TimeStamp};
 use ibisdale_policy::PolicyProfile;
 use ibisdale_programs::{
-    EndedProgram, LostSlot, ProgramTable, RunKey, SlotHistory, StepAdmission, TableOptions,
-    WaiterKey, WokenWaiter,
+    EndedProgram, LostSlot, OpenAttempt, ProgramRecord, ProgramTable, RunKey, StepAdmission,
+    StepOutcome, TableOptions, WaiterKey, WokenWaiter,
 };
+use ibisdale_settings::SettingsSnapshot;
+use ibisdale_telemetry::record_event;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use slotmap::SecondaryMap;
 
 use super::history::HistorySink;
-use super::message::{AdmittedStep, ReplySender, RunningStep, SlotChange, UpstreamGroup};
+use super::message::{AdmittedStep, OwnedSlot, ReplySender, RunningStep, UpstreamGroup};
 use super::routing::UpstreamRouter;
 use crate::clock::unix_now;
+use crate::history::{AppendJob, SlotRecovery, StoreResult};
 
 /// Longest time between two looks at what has expired.
 const EXPIRY_MAX: Duration = Duration::from_millis(250);
@@ -28,6 +33,8 @@
     pub(crate) failure_domain: bytes::Bytes,
     pub(crate) profile: PolicyProfile,
     pub(crate) random: SmallRng,
+    pub(crate) settings: Arc<ArcSwap<SettingsSnapshot>>,
+    pub(crate) jobs: Sender<AppendJob>,
 }
 
 /// A step that waits for its turn or for a running attempt.
@@ -50,7 +57,7 @@
 }
 
 impl ControlState {
-    pub(super) fn new(options: ControlOptions, history: HistorySink) -> Self {
+    pub(super) fn new(options: ControlOptions) -> Self {
         Self {
             table: ProgramTable::new(TableOptions::default()),
             random: options.random,
@@ -60,7 +67,7 @@
             waiting: SecondaryMap::new(),
             runs: SecondaryMap::new(),
             routers: HashMap::new(),
-            history,
+            history: HistorySink::new(options.jobs, options.settings),
         }
     }
 
@@ -69,6 +76,14 @@
         self.owned.choose(&mut self.random).copied()
     }
 
+    /// Appends records to the history that they belong to.
+    pub(super) fn append(&self, records: Vec<ProgramRecord>) -> Receiver<StoreResult> {
+        let root = records.first().map(|record| record.root);
+        let summary = root.and_then(|root| self.table.summary_any(root).ok());
+        let workspace = summary.as_ref().map(|summary| &summary.workspace);
+        self.history.append(workspace, records)
+    }
+
     /// Returns the time until something expires.
     pub(super) fn next_delay(&self, now: TimeStamp) -> Duration {
         let expiry = self.table.next_expiry().map(|time| time.since(now));
@@ -97,26 +112,66 @@
     /// who waits.
     pub(super) fn apply_end(&mut self, ended: EndedProgram) {
         self.cancel_runs(&ended.running);
-        drop(self.history.append(ended.records));
+        drop(self.append(ended.records));
         self.wake(ended.woken);
     }
 
-    pub(super) fn change_slots(&mut self, change: SlotChange) {
-        for slot in change.lost {
-            let lost = self.table.release_slot(slot);
+    /// Takes slots; their programs answer once the slots are opened.
+    pub(super) fn begin_slots(&mut self, slots: &[OwnedSlot]) {
+        for owned in slots {
+            let lost = self.table.begin_slot(owned.slot, owned.epoch);
             self.apply_loss(lost);
-            self.owned.retain(|owned| *owned != slot);
+            self.owned.retain(|slot| *slot != owned.slot);
         }
-        for gained in change.gained {
-            let lost = self.table.begin_slot(gained.slot, gained.epoch);
-            self.apply_loss(lost);
-            self.table.open_slot(gained.slot, SlotHistory::Whole);
-            if !self.owned.contains(&gained.slot) {
-                self.owned.push(gained.slot);
+    }
+
+    /// Takes in what was read back of a slot, and opens it.
+    ///
+    /// `unsent` names attempts of non-idempotent calls that are proven not to
+    /// have been sent.
+    pub(super) fn open_slot(
+        &mut self,
+        owned: OwnedSlot,
+        recovery: SlotRecovery,
+        unsent: &[OpenAttempt],
+    ) {
+        if self.table.slot_epoch(owned.slot) != Some(owned.epoch) {
+            return;
+        }
+        let count = recovery.histories.len();
+        for history in recovery.histories {
+            self.import_history(&history, unsent);
+        }
+        if count > 0 {
+            record_event!(ProgramsRecovered, slot = owned.slot.get(), count = count);
+        }
+        self.table.open_slot(owned.slot, recovery.completeness);
+        self.owned.push(owned.slot);
+    }
+
+    fn import_history(&mut self, history: &[ProgramRecord], unsent: &[OpenAttempt]) {
+        let resolve = |attempt: &OpenAttempt| resolve_attempt(attempt, unsent);
+        match self.table.import(history, resolve, unix_now()) {
+            Ok(imported) => drop(self.append(imported.records)),
+            Err(error) => {
+                if let Some(record) = history.first() {
+                    record_event!(HistoryLost, program = record.root);
+                    log::warn!("history not taken in: {error}");
+                    self.table.mark_lost(record.root);
+                }
             }
         }
     }
 
+    /// Gives slots up.
+    pub(super) fn release_slots(&mut self, slots: &[SlotId]) {
+        for slot in slots {
+            let lost = self.table.release_slot(*slot);
+            self.apply_loss(lost);
+            self.owned.retain(|owned| owned != slot);
+        }
+    }
+
     fn apply_loss(&mut self, lost: LostSlot) {
         self.cancel_runs(&lost.running);
         self.wake(lost.woken);
@@ -157,6 +212,16 @@
     }
 }
 
+/// Tells what became of an attempt that a history left open.
+fn resolve_attempt(attempt: &OpenAttempt, unsent: &[OpenAttempt]) -> StepOutcome {
+    if !unsent.contains(attempt) {
+        return StepOutcome::Unknown;
+    }
+    let message = "the call was not sent: its owner changed before";
+    let refusal = RequestRefusal::new(RefusalCode::OwnerUnavailable, message);
+    StepOutcome::Failed { refusal }
+}
+
 /// Sends an answer; nobody may await it any more.
 pub(super) fn answer<T>(reply: &ReplySender<T>, value: T) {
     let _ = reply.try_send(value);
--- a/crates/daemon/src/credit/borrowing.rs
+++ b/crates/daemon/src/credit/borrowing.rs
@@ -49,6 +49,11 @@
     RequestRefusal::new(RefusalCode::RateExceeded, message).retry_after(retry_after)
 }
 
+fn home_unreachable(retry_after: Duration) -> RequestRefusal {
+    let message = "the home of the workspace's rate can't be reached";
+    RequestRefusal::new(RefusalCode::OwnerUnavailable, message).retry_after(retry_after)
+}
+
 impl BorrowerState {
     /// Answers waiting requests: with credit, or for good where none will come.
     fn settle(&mut self, now: TimeStamp) {
@@ -58,9 +63,14 @@
                 let _ = waiting.reply.try_send(Ok(()));
             }
         }
-        if let BorrowState::Exhausted(retry_after) = self.borrower.state(now) {
+        let refusal = match self.borrower.state(now) {
+            BorrowState::Pending => None,
+            BorrowState::Exhausted(retry_after) => Some(rate_exceeded(retry_after)),
+            BorrowState::Unreachable(retry_after) => Some(home_unreachable(retry_after)),
+        };
+        if let Some(refusal) = refusal {
             for waiting in self.waiting.drain(..) {
-                let _ = waiting.reply.try_send(Err(rate_exceeded(retry_after)));
+                let _ = waiting.reply.try_send(Err(refusal.clone()));
             }
         }
         while self
@@ -69,7 +79,7 @@
             .is_some_and(|waiting| waiting.until <= now)
         {
             if let Some(waiting) = self.waiting.pop_front() {
-                let _ = waiting.reply.try_send(Err(rate_exceeded(WAIT_MAX)));
+                let _ = waiting.reply.try_send(Err(home_unreachable(WAIT_MAX)));
             }
         }
     }
--- a/crates/daemon/src/credit/driver.rs
+++ b/crates/daemon/src/credit/driver.rs
@@ -12,9 +12,11 @@
 
 use super::borrowing::{CreditBook, SubjectOrder};
 use super::handle::{CreditHandle, CreditMessage, RateSubject};
-use super::homes::{CreditHomes, part_slot};
+use super::homes::{CreditHomes, HomeSlot, part_slot};
 use super::wire::{ReceivedOrder, parse_answer, parse_order, render_answer, render_order};
 use crate::context::{DaemonContext, SlotOwner};
+use crate::settings_watch::is_in_doubt;
+use crate::slot_watch::is_lease_held;
 
 /// Time between two looks at who has waited too long.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
@@ -50,7 +52,6 @@
         handle: channel.handle,
         book: CreditBook::default(),
         homes: CreditHomes::default(),
-        started: Instant::now(),
     };
     context.control.spawn(driver.run(channel.receiver));
 }
@@ -60,13 +61,12 @@
     handle: CreditHandle,
     book: CreditBook,
     homes: CreditHomes,
-    started: Instant,
 }
 
 impl CreditDriver {
-    /// Returns the monotonic time since the start.
+    /// Returns the monotonic time of the process.
     fn now(&self) -> TimeStamp {
-        TimeStamp::default().plus(self.started.elapsed())
+        self.context.clock.now()
     }
 
     async fn run(mut self, receiver: Receiver<CreditMessage>) {
@@ -180,8 +180,12 @@
         if order.part >= rate.parts() {
             return None;
         }
-        let now = self.now();
-        Some(self.homes.borrow(order, rate, owner.epoch, now))
+        let share = self.lent_rate(rate.share())?;
+        let slot = HomeSlot {
+            epoch: owner.epoch,
+            since: owner.since,
+        };
+        Some(self.homes.borrow(order, share, slot, self.now()))
     }
 
     fn take(
@@ -198,6 +202,27 @@
         self.book.take(subject, rate, reply, now)
     }
 
+    /// Returns the part of a rate that this daemon may lend as a home.
+    ///
+    /// With its lease and most of the fleet in sight, that is all of it. A home
+    /// that sees less than half of the fleet, or that lost its lease while the
+    /// key-value service is out for all that it sees, lends the part of the
+    /// fleet that it sees: two homes on both sides of a cut then lend no more
+    /// than the whole. A home whose lease others may have taken over lends
+    /// nothing.
+    fn lent_rate(&self, rate: CreditRate) -> Option<CreditRate> {
+        let members = self.context.members.snapshot();
+        let is_held = is_lease_held(&self.context);
+        if is_held && !members.is_cut_off() {
+            return Some(rate);
+        }
+        let is_out_for_all = is_in_doubt(&self.context) && !members.is_cut_off();
+        if is_held || is_out_for_all {
+            return Some(rate.scaled(members.answering() as u64, members.known() as u64));
+        }
+        None
+    }
+
     fn rate_of(&self, subject: &RateSubject) -> Option<CreditRate> {
         let settings = self.context.settings();
         let workspace = settings.workspace(&subject.workspace)?;
--- a/crates/daemon/src/credit/homes.rs
+++ b/crates/daemon/src/credit/homes.rs
@@ -41,22 +41,31 @@
     SlotId::from_name(name.as_bytes())
 }
 
-fn new_home(rate: CreditRate, epoch: u64, now: TimeStamp) -> CreditHome {
-    if epoch == FIRST_EPOCH {
-        return CreditHome::first(rate.share(), epoch, now);
+/// The slot of a part, as this daemon owns it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct HomeSlot {
+    /// Epoch of the slot.
+    pub(super) epoch: u64,
+    /// When this daemon took the slot, by the clock of its process.
+    pub(super) since: TimeStamp,
+}
+
+fn new_home(rate: CreditRate, slot: HomeSlot) -> CreditHome {
+    if slot.epoch == FIRST_EPOCH {
+        return CreditHome::first(rate, slot.epoch, slot.since);
     }
-    CreditHome::take_over(rate.share(), epoch, now)
+    CreditHome::take_over(rate, slot.epoch, slot.since)
 }
 
 impl CreditHomes {
-    /// Lends from a part whose slot this daemon owns under `epoch`.
+    /// Lends from a part whose slot this daemon owns; `rate` is the part's share.
     ///
-    /// `now` is this daemon's monotonic time.
+    /// `now` is the time of the process's clock.
     pub(super) fn borrow(
         &mut self,
         order: &ReceivedOrder,
         rate: CreditRate,
-        epoch: u64,
+        slot: HomeSlot,
         now: TimeStamp,
     ) -> CreditAnswer {
         let name = PartName {
@@ -64,16 +73,16 @@
             part: order.part,
         };
         let open = || OwnedHome {
-            home: new_home(rate, epoch, now),
-            epoch,
+            home: new_home(rate, slot),
+            epoch: slot.epoch,
             rate,
         };
         let owned = self.homes.entry(name).or_insert_with(open);
-        if owned.epoch != epoch {
+        if owned.epoch != slot.epoch {
             *owned = open();
         }
         if owned.rate != rate {
-            owned.home.set_rate(rate.share(), now);
+            owned.home.set_rate(rate, now);
             owned.rate = rate;
         }
         owned.home.borrow(order.wanted, &order.returns, now)
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -3,6 +3,7 @@
 use std::io;
 
 use ibisdale_net::NetError;
+use ibisdale_programs::StoreError;
 use ibisdale_telemetry::SpanError;
 use snafu::Snafu;
 
@@ -29,6 +30,12 @@
         /// The cause.
         source: SpanError,
     },
+    /// The data folder can't be used.
+    #[snafu(display("the data folder can't be used: {source}"))]
+    History {
+        /// The cause.
+        source: StoreError,
+    },
     /// A thread could not be started.
     #[snafu(display("a thread can't be started: {source}"))]
     Thread {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 mod credit;
 mod drain;
 mod error;
+mod history;
 mod listeners;
 mod load_watch;
 mod members;
@@ -22,6 +23,7 @@
 mod running;
 mod settings_feed;
 mod settings_watch;
+mod slot_watch;
 mod threads;
 mod upstream_watch;
 
--- a/crates/daemon/src/listeners.rs
+++ b/crates/daemon/src/listeners.rs
@@ -14,6 +14,7 @@
 use crate::callers::{serve_caller, serve_forwarded};
 use crate::context::DaemonContext;
 use crate::error::{ListenerAddressSnafu, ListenerSnafu, StartError};
+use crate::history::HistoryHolder;
 use crate::operators::{OperatorAccess, serve_operator};
 use crate::settings_watch;
 
@@ -86,10 +87,11 @@
     listeners: DaemonListeners,
     context: &Arc<DaemonContext>,
     access: &OperatorAccess,
+    holder: Option<&HistoryHolder>,
 ) -> ServeGuards {
     ServeGuards {
         entry: serve_callers(listeners.entry, context),
-        fleet: serve_daemons(listeners.fleet, context),
+        fleet: serve_daemons(listeners.fleet, context, holder),
         operator: serve_operators(listeners.operator, context, access),
     }
 }
@@ -127,10 +129,19 @@
     guard
 }
 
-fn serve_daemons(listener: Async<TcpListener>, context: &Arc<DaemonContext>) -> ShutdownGuard {
+fn serve_daemons(
+    listener: Async<TcpListener>,
+    context: &Arc<DaemonContext>,
+    holder: Option<&HistoryHolder>,
+) -> ShutdownGuard {
     let (guard, signal) = shutdown_pair();
     let executor = TrafficExecutor::clone(&context.executor);
-    let server = serve_fleet(listener, executor, signal, fleet_handlers(context));
+    let handlers = fleet_handlers(context);
+    let handlers = match holder {
+        Some(holder) => holder.add_handlers(handlers),
+        None => handlers,
+    };
+    let server = serve_fleet(listener, executor, signal, handlers);
     context.executor.spawn(server).detach();
     guard
 }
--- a/crates/daemon/src/load_watch.rs
+++ b/crates/daemon/src/load_watch.rs
@@ -65,7 +65,8 @@
 }
 
 async fn read_load(context: &DaemonContext, address: SocketAddr) {
-    let client = LoadClient::new(context.pools.get(address), None);
+    let credential = context.upstream_credential(address);
+    let client = LoadClient::new(context.pools.get(address), credential);
     match client.read_load().await {
         Ok(report) => context.control.record_load(address, to_policy(&report)),
         Err(error) => log::debug!("no load report: {error}"),
--- a/crates/daemon/src/members/handle.rs
+++ b/crates/daemon/src/members/handle.rs
@@ -17,6 +17,22 @@
 }
 
 impl MemberSnapshot {
+    /// Returns the number of daemons that answer, this one included.
+    pub(crate) fn answering(&self) -> usize {
+        let is_answering = |update: &&MemberUpdate| update.state < MemberState::Suspect;
+        self.others.iter().filter(is_answering).count() + 1
+    }
+
+    /// Returns the number of daemons that are remembered, this one included.
+    pub(crate) fn known(&self) -> usize {
+        self.others.len() + 1
+    }
+
+    /// Tells whether less than half of the remembered daemons answer.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        2 * self.answering() < self.known()
+    }
+
     /// Iterates over the other members that take new work.
     pub(crate) fn live(&self) -> impl Iterator<Item = &MemberUpdate> {
         self.others
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -6,33 +6,42 @@
 
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
+use futures_lite::FutureExt;
 use ibisdale_core::SlotId;
 use ibisdale_fleet::FleetLinks;
 use ibisdale_net::TrafficExecutor;
 use ibisdale_platform::{KvClient, KvOptions};
+use ibisdale_policy::ownership::{DaemonProfile, OwnershipOptions};
 use ibisdale_policy::{MemberFacts, PolicyProfile};
 use ibisdale_settings::DaemonSettings;
 use ibisdale_telemetry::{SpanOptions, SpanWriter};
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use snafu::ResultExt;
 
 use crate::cleanup::CleanupTask;
 use crate::clock::unix_now;
-use crate::context::{DaemonContext, DaemonIdentity, OwnerTable, SlotOwner};
-use crate::control::{ControlHandle, ControlOptions, ControlThread, OwnedSlot, SlotChange};
-use crate::credit::{CreditChannel, CreditHandle, start_credit};
+use crate::context::{ContextParts, DaemonContext, DaemonIdentity};
+use crate::control::{ControlOptions, ControlThread};
+use crate::credit::{CreditChannel, start_credit};
 use crate::drain::DrainSwitch;
-use crate::error::{SpansSnafu, StartError, ThreadSnafu};
+use crate::error::{HistorySnafu, SpansSnafu, StartError, ThreadSnafu};
+use crate::history::{AppendJob, HistoryHolder, HistoryWriter};
 use crate::listeners::{DaemonAddresses, DaemonListeners, ServeGuards, serve};
 use crate::load_watch::LoadWatch;
 use crate::members::{MemberSettings, start_members};
 use crate::operators::OperatorAccess;
+use crate::ownership::{OwnershipDriver, ProcessClock};
 use crate::settings_feed::{FeedOptions, FeedTask, SettingsFeed};
 use crate::settings_watch::SettingsWatch;
+use crate::slot_watch::SlotWatch;
 use crate::threads::TrafficThreads;
 use crate::upstream_watch::UpstreamWatch;
 
+/// Time between two writes by which slots are claimed.
+const CLAIM_INTERVAL: Duration = Duration::from_millis(200);
+/// Time in which a leaving daemon's slots must be handed over.
+const HANDOVER_LIMIT: Duration = Duration::from_secs(20);
 /// Time for which callers keep an answer with addresses.
 const ADDRESS_KEEP: Duration = Duration::from_secs(5);
 
@@ -41,6 +50,7 @@
 pub struct DaemonOptions {
     settings: DaemonSettings,
     address_keep: Duration,
+    claim_interval: Duration,
 }
 
 impl DaemonOptions {
@@ -50,6 +60,7 @@
         Self {
             settings,
             address_keep: ADDRESS_KEEP,
+            claim_interval: CLAIM_INTERVAL,
         }
     }
 
@@ -61,6 +72,13 @@
         self
     }
 
+    /// Sets the time between two writes by which slots are claimed.
+    #[must_use]
+    pub fn claim_interval(mut self, interval: Duration) -> Self {
+        self.claim_interval = interval;
+        self
+    }
+
     /// Returns the daemon's own settings.
     #[must_use]
     pub fn get_settings(&self) -> &DaemonSettings {
@@ -77,6 +95,7 @@
     guards: ServeGuards,
     platform: PlatformLinks,
     watches: DaemonWatches,
+    holder: Option<HistoryHolder>,
     spans: Option<SpanWriter>,
     addresses: DaemonAddresses,
 }
@@ -92,28 +111,34 @@
         let listeners = DaemonListeners::bind(&settings)?;
         let addresses = listeners.addresses()?;
         let threads = TrafficThreads::start(settings.traffic_threads).context(ThreadSnafu)?;
+        let executor = threads.get_executor();
         let spans = start_spans(&settings)?;
-        let control = start_control(&settings)?;
+        let holder = start_holder(&settings)?;
+        let platform = start_platform(&settings, addresses, options.claim_interval, executor);
+        let (jobs, appends) = async_channel::unbounded();
+        let control = start_control(&settings, &platform.feed, jobs)?;
         let credit = CreditChannel::new();
-        let platform = start_platform(&settings, threads.get_executor());
         let (revision_seen, revisions) = async_channel::bounded(1);
-        let parts = ContextParts {
-            control: control.get_handle().clone(),
-            credit: credit.get_handle(),
-            feed: platform.feed.clone(),
+        let member_settings = member_settings(&settings, addresses);
+        let parts = connect_parts(
+            &control,
+            &credit,
+            &platform,
+            member_settings,
+            executor,
             revision_seen,
-        };
+        );
+        start_writer(&parts, appends, executor);
         let sender = spans.as_ref().map(SpanWriter::get_sender);
-        let context = build_context(&settings, addresses, parts, threads.get_executor())
+        let context = DaemonContext::new(identity(&settings, addresses), parts, executor)
             .spans(sender.unwrap_or_default())
             .address_keep(options.address_keep)
             .share();
         start_credit(credit, &context);
-        own_all_slots(&context, addresses.fleet);
         let access = OperatorAccess {
             key_hash: settings.operator_key_hash,
         };
-        let guards = serve(listeners, &context, &access);
+        let guards = serve(listeners, &context, &access, holder.as_ref());
         let watches = DaemonWatches::start(&settings, &context, revisions);
         Ok(Self {
             context,
@@ -122,6 +147,7 @@
             guards,
             platform,
             watches,
+            holder,
             spans,
             addresses,
         })
@@ -145,14 +171,13 @@
         self.addresses.operator
     }
 
-    /// Tells whether the daemon owns slots and knows upstreams, and so can take
-    /// programs.
+    /// Tells whether every slot has an owner and upstreams are known, so that
+    /// programs can be served.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let owners = self.context.owners.load();
-        let owns_slots =
-            SlotId::all().any(|slot| owners.get(slot).is_some_and(|owner| owner.is_self));
-        owns_slots && !self.context.upstreams.load().is_empty()
+        let is_owned = SlotId::all().all(|slot| owners.get(slot).is_some());
+        is_owned && !self.context.upstreams.load().is_empty()
     }
 
     /// Returns the switch that starts a graceful shutdown.
@@ -166,19 +191,28 @@
         smol::block_on(self.context.drain.wait());
     }
 
-    /// Leaves the fleet: is no longer named in addresses, serves those who hold
-    /// an old answer, finishes the requests in flight and stops.
+    /// Leaves the fleet: is no longer named in addresses, hands its slots over,
+    /// serves those who hold an old answer, finishes the requests in flight and
+    /// stops.
+    ///
+    /// Slots that can't be handed over in time are taken over by others when
+    /// the lease has ended.
     pub fn close(self) {
         self.context.drain.start();
         self.context.members.start_drain();
         smol::block_on(async {
-            smol::Timer::after(self.context.address_keep).await;
+            let keep = smol::Timer::after(self.context.address_keep);
+            self.platform.drain().await;
+            keep.await;
             self.guards.close().await;
             self.watches.close().await;
             self.platform.close().await;
         });
         self.control.close();
         self.threads.close();
+        if let Some(holder) = self.holder {
+            holder.close();
+        }
         if let Some(spans) = self.spans {
             spans.close();
         }
@@ -190,20 +224,115 @@
 struct PlatformLinks {
     feed: SettingsFeed,
     feed_task: FeedTask,
+    driver: OwnershipDriver,
+    clock: ProcessClock,
 }
 
 impl PlatformLinks {
+    /// Hands all slots over, or gives that up after a while.
+    async fn drain(&self) {
+        let give_up = async {
+            smol::Timer::after(HANDOVER_LIMIT).await;
+        };
+        self.driver.drain().or(give_up).await;
+    }
+
     async fn close(self) {
         self.feed_task.close().await;
+        self.driver.close().await;
     }
 }
 
-fn start_platform(settings: &DaemonSettings, executor: &TrafficExecutor) -> PlatformLinks {
+fn start_platform(
+    settings: &DaemonSettings,
+    addresses: DaemonAddresses,
+    claim_interval: Duration,
+    executor: &TrafficExecutor,
+) -> PlatformLinks {
     let endpoints = settings.key_value_endpoints.iter().copied();
     let options = endpoints.fold(KvOptions::new(), KvOptions::endpoint);
     let client = KvClient::new(options, executor);
-    let (feed, feed_task) = SettingsFeed::start(client, FeedOptions::new(), executor);
-    PlatformLinks { feed, feed_task }
+    let (feed, feed_task) = SettingsFeed::start(client.clone(), FeedOptions::new(), executor);
+    let profile = DaemonProfile {
+        name: settings.name.clone(),
+        fleet_address: addresses.fleet,
+        entry_address: addresses.entry,
+        failure_domain: settings.failure_domain.clone(),
+    };
+    let clock = ProcessClock::start();
+    let options =
+        OwnershipOptions::new(profile, rand::rng().random()).batch_interval(claim_interval);
+    let driver = OwnershipDriver::start(options, client, clock, executor);
+    PlatformLinks {
+        feed,
+        feed_task,
+        driver,
+        clock,
+    }
+}
+
+fn start_holder(settings: &DaemonSettings) -> Result<Option<HistoryHolder>, StartError> {
+    let folder = settings.data_folder.as_deref();
+    folder
+        .map(HistoryHolder::start)
+        .transpose()
+        .context(HistorySnafu)
+}
+
+fn start_writer(parts: &ContextParts, appends: Receiver<AppendJob>, executor: &TrafficExecutor) {
+    let writer = HistoryWriter {
+        links: parts.links.clone(),
+        members: parts.members.clone(),
+        control: parts.control.clone(),
+        executor: TrafficExecutor::clone(executor),
+    };
+    executor.spawn(writer.run(appends)).detach();
+}
+
+fn member_settings(settings: &DaemonSettings, addresses: DaemonAddresses) -> MemberSettings {
+    MemberSettings {
+        facts: member_facts(settings, addresses),
+        incarnation: unix_now().as_millis(),
+        random: SmallRng::from_os_rng(),
+    }
+}
+
+fn identity(settings: &DaemonSettings, addresses: DaemonAddresses) -> DaemonIdentity {
+    DaemonIdentity {
+        name: settings.name.clone(),
+        incarnation: unix_now().as_millis(),
+        entry_address: addresses.entry,
+    }
+}
+
+fn connect_parts(
+    control: &ControlThread,
+    credit: &CreditChannel,
+    platform: &PlatformLinks,
+    member_settings: MemberSettings,
+    executor: &TrafficExecutor,
+    revision_seen: Sender<u64>,
+) -> ContextParts {
+    let control = control.get_handle().clone();
+    let links = FleetLinks::new(TrafficExecutor::clone(executor));
+    let feed = platform.feed.clone();
+    let members = start_members(
+        member_settings,
+        &control,
+        &links,
+        &feed,
+        executor,
+        revision_seen,
+    );
+    ContextParts {
+        control,
+        credit: credit.get_handle(),
+        members,
+        feed,
+        ownership: platform.driver.handle(),
+        clock: platform.clock,
+        links,
+    }
 }
 
 /// The tasks that watch the platform, upstreams and settings.
@@ -213,6 +342,7 @@
     load: LoadWatch,
     cleanup: CleanupTask,
     settings: SettingsWatch,
+    slots: SlotWatch,
 }
 
 impl DaemonWatches {
@@ -226,6 +356,7 @@
             load: LoadWatch::start(context),
             cleanup: CleanupTask::start(context),
             settings: SettingsWatch::start(context, revisions),
+            slots: SlotWatch::start(context),
         }
     }
 
@@ -234,17 +365,10 @@
         self.cleanup.close().await;
         self.load.close().await;
         self.settings.close().await;
+        self.slots.close().await;
     }
 }
 
-/// Parts that the context connects.
-struct ContextParts {
-    control: ControlHandle,
-    credit: CreditHandle,
-    feed: SettingsFeed,
-    revision_seen: Sender<u64>,
-}
-
 fn start_spans(settings: &DaemonSettings) -> Result<Option<SpanWriter>, StartError> {
     let Some(path) = &settings.trace_file else {
         return Ok(None);
@@ -253,11 +377,17 @@
     SpanWriter::start(options).map(Some).context(SpansSnafu)
 }
 
-fn start_control(settings: &DaemonSettings) -> Result<ControlThread, StartError> {
+fn start_control(
+    settings: &DaemonSettings,
+    feed: &SettingsFeed,
+    jobs: Sender<AppendJob>,
+) -> Result<ControlThread, StartError> {
     let options = ControlOptions {
         failure_domain: Bytes::from(settings.failure_domain.clone()),
         profile: PolicyProfile::default(),
         random: SmallRng::from_os_rng(),
+        settings: feed.get_cell(),
+        jobs,
     };
     ControlThread::start(options).context(ThreadSnafu)
 }
@@ -273,60 +403,3 @@
         is_holder: settings.data_folder.is_some(),
     }
 }
-
-fn build_context(
-    settings: &DaemonSettings,
-    addresses: DaemonAddresses,
-    parts: ContextParts,
-    executor: &TrafficExecutor,
-) -> DaemonContext {
-    let incarnation = unix_now().as_millis();
-    let links = FleetLinks::new(TrafficExecutor::clone(executor));
-    let member_settings = MemberSettings {
-        facts: member_facts(settings, addresses),
-        incarnation,
-        random: SmallRng::from_os_rng(),
-    };
-    let members = start_members(
-        member_settings,
-        &parts.control,
-        &links,
-        &parts.feed,
-        executor,
-        parts.revision_seen,
-    );
-    let identity = DaemonIdentity {
-        name: settings.name.clone(),
-        incarnation,
-        entry_address: addresses.entry,
-    };
-    DaemonContext::new(
-        identity,
-        parts.control,
-        members,
-        parts.credit,
-        parts.feed,
-        links,
-        executor,
-    )
-}
-
-/// Takes all slots, as the only daemon.
-fn own_all_slots(context: &DaemonContext, fleet_address: SocketAddr) {
-    let entry_address = context.identity.entry_address;
-    let owner = SlotOwner {
-        entry_address,
-        fleet_address,
-        epoch: 1,
-        is_self: true,
-    };
-    let owners = SlotId::all().map(|_| Some(owner)).collect();
-    context.owners.store(Arc::new(OwnerTable::new(owners)));
-    let gained = SlotId::all()
-        .map(|slot| OwnedSlot { slot, epoch: 1 })
-        .collect();
-    context.control.change_slots(SlotChange {
-        gained,
-        lost: Vec::new(),
-    });
-}
--- a/crates/daemon/src/settings_watch.rs
+++ b/crates/daemon/src/settings_watch.rs
@@ -8,7 +8,6 @@
 use ibisdale_core::{RefusalCode, RequestRefusal};
 use ibisdale_fleet::FleetHandlers;
 use ibisdale_fleet::proto::{FetchSettingsReply, FetchSettingsRequest};
-use ibisdale_policy::MemberState;
 use ibisdale_programs::KeyLabel;
 use ibisdale_settings::{SettingsSnapshot, WithdrawnKey};
 use smol::Task;
@@ -138,8 +137,7 @@
 /// are in doubt only at a daemon that is cut off from most of the fleet: when
 /// the service is out for all, no key can have been withdrawn.
 pub(crate) fn check_settings(context: &DaemonContext) -> Result<(), RequestRefusal> {
-    let age = context.feed.get_confirmed_age();
-    if age.is_some_and(|age| age < DOUBT_AFTER) || !is_cut_off(context) {
+    if !is_in_doubt(context) || !context.members.snapshot().is_cut_off() {
         return Ok(());
     }
     let message = "this daemon is cut off and cannot tell which keys are in force";
@@ -147,15 +145,8 @@
     Err(refusal.retry_after(DOUBT_RETRY_DELAY))
 }
 
-/// Tells whether less than half of the known daemons answer, this one counted.
-fn is_cut_off(context: &DaemonContext) -> bool {
-    let members = context.members.snapshot();
-    let is_answering = |state: MemberState| state < MemberState::Suspect;
-    let answering = members
-        .others
-        .iter()
-        .filter(|update| is_answering(update.state))
-        .count();
-    let known = members.others.len() + 1;
-    2 * (answering + 1) < known
+/// Tells whether nobody confirmed the settings for long.
+pub(crate) fn is_in_doubt(context: &DaemonContext) -> bool {
+    let age = context.feed.get_confirmed_age();
+    age.is_none_or(|age| age >= DOUBT_AFTER)
 }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -61,6 +61,7 @@
     pub(crate) engine: EngineServer,
     #[expect(dead_code, reason = "kept alive for the test")]
     pub(crate) orders: ServiceServer,
+    folder: tempfile::TempDir,
     _threads: Vec<std::thread::JoinHandle<()>>,
 }
 
@@ -100,6 +101,7 @@
             vms,
             engine,
             orders,
+            folder: tempfile::tempdir().expect("a folder"),
             _threads: threads,
         }
     }
@@ -119,9 +121,12 @@
         settings.entry_address = any_address();
         settings.fleet_address = any_address();
         settings.operator_address = any_address();
-        let options = DaemonOptions::new(settings).address_keep(Duration::ZERO);
+        settings.data_folder = Some(self.folder.path().join("a"));
+        let options = DaemonOptions::new(settings)
+            .address_keep(Duration::ZERO)
+            .claim_interval(Duration::from_millis(2));
         let daemon = RunningDaemon::start(options).expect("the daemon starts");
-        wait_until("the VM list is read", || self.vms.get_read_count() > 0);
+        wait_until("the daemon can take programs", || daemon.is_ready());
         daemon
     }
 
--- a/crates/fleet/src/links.rs
+++ b/crates/fleet/src/links.rs
@@ -6,17 +6,19 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, StreamExt, stream};
 use ibisdale_net::{ConnectOptions, GrpcChannel, TrafficExecutor};
 use snafu::ResultExt;
 use tonic::{Request, Response, Status};
 
 use crate::error::{FleetError, LinkSnafu};
+use crate::handlers::ReplyStream;
 use crate::proto::fleet_client::FleetClient;
 use crate::proto::{
     AppendHistoryReply, AppendHistoryRequest, BorrowCreditReply, BorrowCreditRequest,
-    FetchSettingsReply, FetchSettingsRequest, PingIndirectReply, PingIndirectRequest, PingReply,
-    PingRequest, SealHistoryReply, SealHistoryRequest,
+    FetchSettingsReply, FetchSettingsRequest, HistoryRecord, PingIndirectReply,
+    PingIndirectRequest, PingReply, PingRequest, ReadHistoryRequest, SealHistoryReply,
+    SealHistoryRequest,
 };
 
 /// Time in which a link must open.
@@ -81,6 +83,36 @@
         seal_history: SealHistoryRequest => SealHistoryReply;
     }
 
+    /// Reads history records from a holder.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no link opens or the holder refuses; the stream fails when it
+    /// is cut or takes longer than `limit` in all.
+    pub async fn read_history(
+        &self,
+        address: SocketAddr,
+        request: ReadHistoryRequest,
+        limit: Duration,
+    ) -> Result<ReplyStream<HistoryRecord>, FleetError> {
+        let exchange =
+            async |mut client: LinkClient| client.read_history(Request::new(request)).await;
+        let records = self.call(address, limit, exchange).await?;
+        let expire = stream::once_future(async move {
+            smol::Timer::after(limit).await;
+            Err(FleetError::Timeout { limit })
+        });
+        let records = records.map(|record| record.map_err(FleetError::from));
+        // The end of the records ends the stream; the timer alone never does.
+        let ended = records.map(Some).chain(stream::once(None));
+        let merged = ended.or(expire.map(Some));
+        Ok(Box::pin(
+            merged
+                .take_while(Option::is_some)
+                .filter_map(|record| record),
+        ))
+    }
+
     async fn call<R>(
         &self,
         address: SocketAddr,
--- a/crates/ibisdale/src/demo/bed.rs
+++ b/crates/ibisdale/src/demo/bed.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use http::HeaderValue;
@@ -18,6 +18,8 @@
 
 /// Key of the demonstration's operator.
 const OPERATOR_KEY: &str = "demo-operator";
+/// File of the daemon's spans.
+const TRACE_FILE: &str = "trace.jsonl";
 /// Threads that run the stand-ins.
 const STANDIN_THREADS: usize = 2;
 /// Engines of the demonstration.
@@ -82,19 +84,21 @@
 fn daemon_settings(
     kv: &KvServer,
     vms: &VmListServer,
-    trace_file: &std::path::Path,
+    folder: &Path,
 ) -> Result<DaemonSettings, CommandError> {
     // A file names fixed ports; the demonstration takes any free ones.
     let text = format!(
         "[/daemon]\nname = demo\nfailure_domain = demo\nregion = demo\n\
          entry_address = 127.0.0.1:1\nfleet_address = 127.0.0.1:2\n\
          operator_address = 127.0.0.1:3\noperator_key_hash = {}\ntraffic_threads = 2\n\
+         data_folder = {}\n\
          [/platform]\nkey_value_endpoints = {}\nvm_list_address = {}\n\
          [/trace]\ntrace_file = {}\n",
         KeyHash::of(OPERATOR_KEY.as_bytes()),
+        folder.display(),
         kv.get_address(),
         vms.get_address(),
-        trace_file.display(),
+        folder.join(TRACE_FILE).display(),
     );
     let settings = DaemonSettings::parse("demo.ini", &text);
     let settings = settings.map_err(|findings| CommandError::Findings { findings })?;
@@ -136,9 +140,11 @@
         let folder = std::env::temp_dir().join(format!("ibisdale-demo-{}", std::process::id()));
         std::fs::create_dir_all(&folder)
             .map_err(|error| failed("the demonstration's folder can't be made", &error))?;
-        let trace_file = folder.join("trace.jsonl");
-        let settings = daemon_settings(&kv, &vms, &trace_file)?;
-        let options = DaemonOptions::new(settings).address_keep(Duration::ZERO);
+        let trace_file = folder.join(TRACE_FILE);
+        let settings = daemon_settings(&kv, &vms, &folder)?;
+        let options = DaemonOptions::new(settings)
+            .address_keep(Duration::ZERO)
+            .claim_interval(Duration::from_millis(2));
         let daemon = RunningDaemon::start(options)
             .map_err(|error| failed("the daemon can't be started", &error))?;
         let bed = Self {
--- a/crates/ibisdale/src/demo/mod.rs
+++ b/crates/ibisdale/src/demo/mod.rs
@@ -54,9 +54,10 @@
 
 fn settings_request() -> ApplyRequest {
     // The stand-in of the order service asks for no credential.
-    let lines = SETTINGS
-        .lines()
-        .filter(|line| !line.starts_with("credential_file"));
+    let lines = SETTINGS.lines();
+    let text: Vec<&str> = lines
+        .filter(|line| !line.starts_with("credential_file"))
+        .collect();
     ApplyRequest {
         file: "examples/settings.ini".to_owned(),
         text: text.join("\n"),
