--- a/crates/ibisdale/tests/help.rs
+++ b/crates/ibisdale/tests/help.rs
@@ -26,6 +26,8 @@
       status       Shows a daemon and the members it knows
       drain        Starts a daemon's graceful shutdown
       run          Runs a program that is described in a JSON file, and shows its progress
+      demo         Runs a program on a daemon and stand-ins within this process; needs nothing
+                   else
       completions  Writes completions for a shell to standard output
       help         Print this message or the help of the given subcommand(s)
 
