Take "not run" from the refusals of an owner whose lease may have lapsed

Cause: a paused owner refused from memory and said "not run", although its successor may have run the same attempt since; the fuzz left such refusals out. Ruled out: asking the key-value service before each refusal. Change: the daemon says by set_certain when its lease may have lapsed, and the table then says "unknown"; the fuzz asks the paused owner too, and expects "not run" wherever the owner can prove it. Derives of libraries stand on their own lines.

--- a/crates/programs/src/account.rs
+++ b/crates/programs/src/account.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What a program and its sub-agents may spend together; `None` is unlimited.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields, default)]
 pub struct ProgramBudget {
     /// Prompt and answer tokens.
@@ -13,7 +14,8 @@
 }
 
 /// Limits that end a program that loops; `None` is unlimited.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields, default)]
 pub struct ProgramLimits {
     /// Steps that may run. A root program's limit counts its sub-agents, their
@@ -24,7 +26,8 @@
 }
 
 /// Use of one quantity of a budget.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct QuotaUsage {
     /// Most that may be spent; `None` is unlimited.
@@ -66,7 +69,8 @@
 }
 
 /// Use of a budget by a program and its sub-agents together.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct BudgetUsage {
     /// Prompt and answer tokens.
--- a/crates/programs/src/lib.rs
+++ b/crates/programs/src/lib.rs
@@ -18,6 +18,8 @@
 //! - When a holder or the journal refuses an append for its epoch, another owner
 //!   may have run the attempt: the caller is told that the outcome is unknown,
 //!   and the slot is released.
+//! - When the daemon's lease may have lapsed, it says so by
+//!   [`ProgramTable::set_certain`] before it asks the table anything.
 //!
 //! ```
 //! use bytes::Bytes;
--- a/crates/programs/src/record.rs
+++ b/crates/programs/src/record.rs
@@ -13,7 +13,8 @@
 pub const RECORD_VERSION: u16 = 1;
 
 /// Tells why a record's bytes can't be read.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum RecordError {
     /// The bytes are not a record.
     #[snafu(display("the record can't be decoded: {reason}"))]
@@ -30,7 +31,8 @@
 }
 
 /// Network address of an engine replica, as text.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct EngineAddress(Bytes);
 
@@ -48,7 +50,8 @@
 }
 
 /// Operators' name of the key that a program was started under.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct KeyLabel(Bytes);
 
@@ -66,7 +69,8 @@
 }
 
 /// Tells why a program ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EndReason {
     /// The caller ended it.
@@ -108,7 +112,8 @@
 }
 
 /// A program was started.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct ProgramStarted {
     /// The workspace that the program belongs to.
@@ -130,7 +135,8 @@
 }
 
 /// An attempt at a step was admitted: the intent to run it.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct StepStarted {
     /// The step.
@@ -146,7 +152,8 @@
 }
 
 /// The outcome of an attempt at a step.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct StepFinished {
     /// The step.
@@ -158,7 +165,8 @@
 }
 
 /// A session is about to be opened at an engine.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct SessionOpened {
     /// The engine.
@@ -166,7 +174,8 @@
 }
 
 /// The engine confirmed that it holds nothing of the program.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct SessionReleased {
     /// The engine.
@@ -174,7 +183,8 @@
 }
 
 /// A program ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct ProgramEnded {
     /// Why it ended.
@@ -184,7 +194,8 @@
 }
 
 /// One event in a program's history.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ProgramEvent {
     /// The program was started.
@@ -205,7 +216,8 @@
 ///
 /// Histories are stored by root program, so that order and budget of the whole
 /// tree are read back together.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct ProgramRecord {
     /// Version of the format.
--- a/crates/programs/src/replication/holders.rs
+++ b/crates/programs/src/replication/holders.rs
@@ -70,7 +70,8 @@
 }
 
 /// Tells why the wanted copies can't be had.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(display(
     "{} copies in {} failure domains are wanted, {holders} holders in {domains} are usable",
     wanted.copies,
--- a/crates/programs/src/request.rs
+++ b/crates/programs/src/request.rs
@@ -74,7 +74,8 @@
 }
 
 /// Kind of a step's call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum StepKind {
     /// A call to a model engine, which may be repeated.
--- a/crates/programs/src/result.rs
+++ b/crates/programs/src/result.rs
@@ -49,7 +49,8 @@
 }
 
 /// Recorded outcome of an attempt.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum StepResult {
     /// The whole answer.
@@ -246,7 +247,8 @@
 }
 
 /// Life of a program.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case", tag = "state")]
 pub enum ProgramStatus {
     /// Steps may run.
@@ -261,7 +263,8 @@
 }
 
 /// State of a program, for callers and operators.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct ProgramSummary {
     /// The program.
--- a/crates/programs/src/state.rs
+++ b/crates/programs/src/state.rs
@@ -16,7 +16,8 @@
 use crate::table::{ProgramKey, RunKey, TreeKey, WaiterKey};
 
 /// Tells what is wrong with a history, and where.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(display("history record {sequence}: {fault}"))]
 pub struct HistoryError {
     /// Position of the record in the history.
@@ -26,7 +27,8 @@
 }
 
 /// Tells what is wrong with a history record.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum HistoryFault {
     /// The history has no records.
     #[snafu(display("the history is empty"))]
--- a/crates/programs/src/store/error.rs
+++ b/crates/programs/src/store/error.rs
@@ -8,7 +8,8 @@
 use crate::store::disk::DiskOperation;
 
 /// Tells why the store can't work.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum StoreError {
     /// The disk refused an operation.
@@ -56,7 +57,8 @@
 }
 
 /// Damage found in a segment file, with its place.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(display("{} at byte {offset}: {kind:?}, {length} bytes", path.display()))]
 pub struct StoreFinding {
     /// The segment file.
--- a/crates/programs/src/table/admit.rs
+++ b/crates/programs/src/table/admit.rs
@@ -1,6 +1,6 @@
 //! Admission of steps: order, repeats, budget and limits.
 
-use ibisdale_core::{RequestRefusal, RunState as CallState, TimeStamp};
+use ibisdale_core::{RequestRefusal, RunState, TimeStamp};
 
 use crate::record::{EndReason, ProgramEvent, StepStarted};
 use crate::refusals;
@@ -10,7 +10,7 @@
 use crate::table::expiry::Timer;
 use crate::table::waiters::{WaitReason, WaiterState};
 use crate::table::{
-    ATTEMPTS_PER_STEP, EARLY_STEPS, ProgramKey, ProgramTable, RunState, WAITERS_PER_PROGRAM,
+    ATTEMPTS_PER_STEP, ActiveRun, EARLY_STEPS, ProgramKey, ProgramTable, WAITERS_PER_PROGRAM,
     WaiterKey,
 };
 
@@ -30,8 +30,9 @@
     ) -> Result<StepAdmission, RequestRefusal> {
         let key = self
             .find(request.program, &request.workspace)
-            .map_err(|refusal| refusal.run_state(CallState::Unknown))?;
+            .map_err(|refusal| refusal.run_state(RunState::Unknown))?;
         self.admit(key, request, now, None)
+            .map_err(|refusal| self.doubt(refusal))
     }
 
     /// Admits a request, which may have waited under `waiter`.
@@ -201,7 +202,7 @@
             at: now,
         };
         let record = self.commit(key, ProgramEvent::StepStarted(started))?;
-        let run = self.runs.insert(RunState { program: key });
+        let run = self.runs.insert(ActiveRun { program: key });
         let program = &mut self.programs[key];
         if let Some(attempt) = program
             .step_mut(request.step)
--- a/crates/programs/src/table/end.rs
+++ b/crates/programs/src/table/end.rs
@@ -159,7 +159,7 @@
             self.waiters.remove(key);
             woken.push(WokenWaiter {
                 key,
-                result: Err(refusal.clone()),
+                result: Err(self.doubt(refusal.clone())),
             });
         }
     }
--- a/crates/programs/src/table/expiry.rs
+++ b/crates/programs/src/table/expiry.rs
@@ -173,7 +173,7 @@
         self.drop_waiter(key);
         report.woken.push(WokenWaiter {
             key,
-            result: Err(refusal),
+            result: Err(self.doubt(refusal)),
         });
     }
 
--- a/crates/programs/src/table/mod.rs
+++ b/crates/programs/src/table/mod.rs
@@ -14,7 +14,7 @@
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
-use ibisdale_core::{ProgramId, RequestRefusal, SlotId, TimeStamp, WorkspaceName};
+use ibisdale_core::{ProgramId, RequestRefusal, RunState, SlotId, TimeStamp, WorkspaceName};
 use slotmap::{SlotMap, new_key_type};
 
 pub use cleanup::CleanupOrder;
@@ -101,7 +101,7 @@
 
 /// Where a running attempt is.
 #[derive(Clone, Copy, Debug)]
-struct RunState {
+struct ActiveRun {
     program: ProgramKey,
 }
 
@@ -115,12 +115,13 @@
     slots: HashMap<SlotId, SlotState>,
     trees: SlotMap<TreeKey, TreeState>,
     programs: SlotMap<ProgramKey, ProgramState>,
-    runs: SlotMap<RunKey, RunState>,
+    runs: SlotMap<RunKey, ActiveRun>,
     waiters: SlotMap<WaiterKey, WaiterState>,
     cleanups: SlotMap<CleanupKey, CleanupOrder>,
     by_id: HashMap<ProgramId, ProgramKey>,
     lost: HashSet<ProgramId>,
     timers: BTreeSet<TimerEntry>,
+    is_doubtful: bool,
 }
 
 impl ProgramTable {
@@ -133,6 +134,23 @@
         }
     }
 
+    /// Sets whether the daemon's ownership is certain, as it is at first.
+    ///
+    /// It is not once the daemon's lease may have lapsed. Until it is certain
+    /// again, refusals of steps say that the outcome is unknown: another owner
+    /// may have run the attempt.
+    pub const fn set_certain(&mut self, is_certain: bool) {
+        self.is_doubtful = !is_certain;
+    }
+
+    /// Takes "not run" from a step's refusal unless ownership is certain.
+    fn doubt(&self, refusal: RequestRefusal) -> RequestRefusal {
+        if self.is_doubtful && refusal.get_run_state() == RunState::NotRun {
+            return refusal.run_state(RunState::Unknown);
+        }
+        refusal
+    }
+
     /// Finds a program for a caller of `workspace`.
     fn find(&self, id: ProgramId, workspace: &WorkspaceName) -> Result<ProgramKey, RequestRefusal> {
         self.check_slot(id.slot())?;
--- a/crates/programs/src/table/waiters.rs
+++ b/crates/programs/src/table/waiters.rs
@@ -79,7 +79,9 @@
                 continue;
             }
             let request = (**request).clone();
-            let result = self.admit(key, request, now, Some(waiter));
+            let result = self
+                .admit(key, request, now, Some(waiter))
+                .map_err(|refusal| self.doubt(refusal));
             if let Ok(StepAdmission::Wait(_) | StepAdmission::Join(_)) = result {
                 continue;
             }
--- a/crates/programs/tests/owner_fuzz.rs
+++ b/crates/programs/tests/owner_fuzz.rs
@@ -45,6 +45,11 @@
         attempt: u8,
         digest: Option<bool>,
     },
+    StaleRequest {
+        program: usize,
+        ahead: i8,
+        attempt: u8,
+    },
     ForeignRequest {
         program: usize,
     },
@@ -107,6 +112,9 @@
                     Transition::Request { program, ahead, attempt, digest }
                 }
             ),
+            4 => (index.clone(), -1..=1_i8, 0..5_u8).prop_map(|(program, ahead, attempt)| {
+                Transition::StaleRequest { program, ahead, attempt }
+            }),
             1 => index.clone().prop_map(|program| Transition::ForeignRequest { program }),
             24 => index.clone().prop_map(|ticket| Transition::Advance { ticket }),
             20 => (index.clone(), reply, prop::bool::weighted(0.8)).prop_map(
@@ -150,6 +158,13 @@
             } => {
                 fixture.request(program, ahead, attempt, digest);
             }
+            Transition::StaleRequest {
+                program,
+                ahead,
+                attempt,
+            } => {
+                fixture.request_stale(program, ahead, attempt);
+            }
             Transition::ForeignRequest { program } => fixture.request_foreign(program),
             Transition::Advance { ticket } => fixture.advance(ticket),
             Transition::Finish {
--- a/crates/programs/tests/owner_fuzz/calls.rs
+++ b/crates/programs/tests/owner_fuzz/calls.rs
@@ -1,14 +1,41 @@
 //! Calls on their way to upstreams and back.
 
-use ibisdale_core::RunState;
-use ibisdale_programs::{StepOutcome, StepRecord};
+use ibisdale_core::{RequestRefusal, RunState};
+use ibisdale_programs::{StepAdmission, StepOutcome, StepRecord};
 
 use crate::Reply;
 use crate::oracle::{Call, Event, Outcome};
-use crate::owner::{CallState, Fixture, Stage, outcome_of, pick, refusal};
+use crate::owner::{CallState, Fixture, Stage, outcome_of, pick, refusal, request};
 use crate::world::{Delivered, answer, engine, program_id, workspace};
 
 impl Fixture {
+    /// Asks the owner that was paused and does not know of its successor.
+    pub(crate) fn request_stale(&mut self, program: usize, ahead: i8, attempt: u8) {
+        let (Some(program), Some(stale)) = (pick(program, self.tree_of.len()), &mut self.stale)
+        else {
+            return;
+        };
+        let Ok(summary) = stale.summary_any(program_id(program)) else {
+            return;
+        };
+        let next = summary.next_step.get().checked_add_signed(i32::from(ahead));
+        let Some(step) = next.filter(|step| *step > 0) else {
+            return;
+        };
+        let id = (program, step, attempt);
+        let result = stale.admit_step(request(id, "own"), self.now);
+        match result {
+            Ok(StepAdmission::Run(ticket)) => self.calls.push(CallState {
+                ticket,
+                id,
+                stage: Stage::Admitted,
+                is_stale: true,
+            }),
+            Ok(_) => {}
+            Err(refusal) => self.check_not_run(id, &refusal),
+        }
+    }
+
     /// Takes a call one stage further, up to its first byte.
     pub(crate) fn advance(&mut self, index: usize) {
         let Some(index) = pick(index, self.calls.len()) else {
@@ -98,9 +125,18 @@
             let stale = self.stale.as_mut().expect("a stale owner");
             let epoch = ticket.get_epoch();
             let finished = stale.finish_step(ticket, outcome, self.now);
-            let records = finished.expect("it does not know").records;
+            let finished = finished.expect("it does not know");
+            let refusals = finished
+                .woken
+                .iter()
+                .filter_map(|woken| woken.result.as_ref().err());
+            let mut states = refusals.map(RequestRefusal::get_run_state);
+            assert!(
+                states.all(|state| state != RunState::NotRun),
+                "it can't know"
+            );
             assert!(
-                !self.holder.append(epoch, &records),
+                !self.holder.append(epoch, &finished.records),
                 "a stale owner is fenced off"
             );
             return;
--- a/crates/programs/tests/owner_fuzz/ends.rs
+++ b/crates/programs/tests/owner_fuzz/ends.rs
@@ -18,9 +18,10 @@
         self.epoch += 1;
         self.holder.sealed = self.epoch;
         self.journal.sealed = self.epoch;
-        let old = std::mem::replace(&mut self.table, new_table(self.epoch));
+        let mut old = std::mem::replace(&mut self.table, new_table(self.epoch));
         self.calls.retain(|call| call.is_stale != is_paused);
         if is_paused {
+            old.set_certain(false);
             self.stale = Some(old);
             self.calls.iter_mut().for_each(|call| call.is_stale = true);
         }
--- a/crates/programs/tests/owner_fuzz/owner.rs
+++ b/crates/programs/tests/owner_fuzz/owner.rs
@@ -248,7 +248,11 @@
                 self.waiters.insert(key, (id, is_stale));
             }
             Ok(StepAdmission::Recorded(record)) => self.check_record(id, &record),
-            Err(refusal) => self.check_not_run(id, &refusal),
+            Err(refusal) => {
+                let is_proven = refusal.get_run_state() == RunState::NotRun;
+                assert!(is_proven || is_also, "{id:?} is proven not to have run");
+                self.check_not_run(id, &refusal);
+            }
         }
     }
 
