Avoid a replica at once when no connection to it can be opened

Cause: in an outage each daemon spent three calls on each replica before it closed it, and the retries of those emptied the budgets.

Ruled out: closing after the first failure of any kind; one broken answer says little about a replica.

Change: `FlightOutcome::Unreachable` closes the replica for its first time of avoidance. Its test was seen failing with the count of failures left as it is.

--- a/crates/policy/benches/support/world.rs
+++ b/crates/policy/benches/support/world.rs
@@ -1,7 +1,9 @@
 //! The event loop: programs, daemons and engines in virtual time.
 
 use ibisdale_core::TimeStamp;
-use ibisdale_policy::{LoadReport, PolicyProfile, PrefixClaim, ReplicaStatus, SessionId};
+use ibisdale_policy::{
+    FlightOutcome, LoadReport, PolicyProfile, PrefixClaim, ReplicaStatus, SessionId,
+};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -157,8 +159,8 @@
             EventKind::CallEnds {
                 call,
                 attempt,
-                is_whole,
-            } => self.call_ends(call, attempt, is_whole),
+                outcome,
+            } => self.call_ends(call, attempt, outcome),
             EventKind::RetryDue { call } => self.submit(call),
             EventKind::ReportDue { replica } => self.report_due(replica),
             EventKind::ReportArrives { replica, report } => self.report_arrives(replica, report),
@@ -323,7 +325,7 @@
             let event = EventKind::CallEnds {
                 call,
                 attempt,
-                is_whole: false,
+                outcome: FlightOutcome::Unreachable,
             };
             self.after(NETWORK_US, event);
             return;
@@ -364,7 +366,7 @@
             let event = EventKind::CallEnds {
                 call: ended.call,
                 attempt: ended.attempt,
-                is_whole: true,
+                outcome: FlightOutcome::Succeeded,
             };
             self.after(NETWORK_US, event);
         }
@@ -487,7 +489,7 @@
             let event = EventKind::CallEnds {
                 call,
                 attempt,
-                is_whole: false,
+                outcome: FlightOutcome::Failed,
             };
             self.after(NETWORK_US, event);
         }
--- a/crates/policy/benches/support/world/dispatch.rs
+++ b/crates/policy/benches/support/world/dispatch.rs
@@ -307,17 +307,17 @@
         }
     }
 
-    pub(super) fn call_ends(&mut self, call: usize, attempt: u32, is_whole: bool) {
+    pub(super) fn call_ends(&mut self, call: usize, attempt: u32, outcome: FlightOutcome) {
         if self.calls[call].attempt != attempt {
             return;
         }
         let daemon = self.daemon_of(call);
         if self.kind == PolicyKind::Ibisdale {
-            self.finish_flight(call, is_whole);
+            self.finish_flight(call, outcome);
         } else if let Some(replica) = self.calls[call].replica {
             self.daemons[daemon].baseline.own_flights[replica] -= 1;
         }
-        if is_whole {
+        if outcome == FlightOutcome::Succeeded {
             self.settle(call);
             self.turn_answered(call);
         } else {
@@ -327,19 +327,19 @@
         self.pump(daemon);
     }
 
-    fn finish_flight(&mut self, call: usize, is_whole: bool) {
+    fn finish_flight(&mut self, call: usize, outcome: FlightOutcome) {
         let now = self.now();
         let daemon = self.daemon_of(call);
         let run = &mut self.calls[call];
         let Some(flight) = run.flight.take() else {
             return;
         };
-        let report = if is_whole {
-            FlightReport::new(FlightOutcome::Succeeded)
+        let report = if outcome == FlightOutcome::Succeeded {
+            FlightReport::new(outcome)
                 .cached_tokens(run.cached_tokens)
                 .context_tokens(run.prompt_tokens + run.output_tokens)
         } else {
-            FlightReport::new(FlightOutcome::Failed)
+            FlightReport::new(outcome)
         };
         self.daemons[daemon].set.finish(flight, report, now);
     }
--- a/crates/policy/src/routing/flight.rs
+++ b/crates/policy/src/routing/flight.rs
@@ -22,6 +22,8 @@
     Succeeded,
     /// The replica failed, timed out or broke the connection.
     Failed,
+    /// No connection to the replica could be opened.
+    Unreachable,
     /// The caller gave up; says nothing about the replica.
     Cancelled,
 }
--- a/crates/policy/src/routing/outlier.rs
+++ b/crates/policy/src/routing/outlier.rs
@@ -69,6 +69,12 @@
         }
     }
 
+    /// Notes that no connection could be opened, which needs no second proof.
+    pub(crate) fn record_unreachable(&mut self, now: TimeStamp, weights: &RoutingWeights) {
+        self.failures_in_row = self.failures_in_row.max(weights.ejection_failures);
+        self.record_failure(now, weights);
+    }
+
     fn eject(&mut self, now: TimeStamp, weights: &RoutingWeights) {
         let doublings = self.ejections.min(EJECTION_DOUBLINGS_MAX);
         let millis = weights.ejection_ms.saturating_mul(1 << doublings);
--- a/crates/policy/src/routing/set.rs
+++ b/crates/policy/src/routing/set.rs
@@ -233,6 +233,7 @@
         match report.outcome {
             FlightOutcome::Succeeded => state.failures.record_success(),
             FlightOutcome::Failed => state.failures.record_failure(now, &self.weights),
+            FlightOutcome::Unreachable => state.failures.record_unreachable(now, &self.weights),
             FlightOutcome::Cancelled => state.failures.record_unproven(),
         }
         self.update_suspect(flight.replica, now);
--- a/crates/policy/tests/routing_choice.rs
+++ b/crates/policy/tests/routing_choice.rs
@@ -128,3 +128,16 @@
         set.get_own_flights(keys[0])
     );
 }
+
+#[test]
+fn replica_without_connections_is_avoided_at_once() {
+    let (mut set, keys) = replica_set(2);
+    let request = ChoiceRequest::new();
+    let mut random = Pcg64Mcg::seed_from_u64(SEED);
+    set.set_status(keys[1], ReplicaStatus::Leaving);
+    let decision = choose(&set, &request, at(0), &mut random).unwrap();
+    let flight = set.begin(&request, &decision, at(0));
+    set.finish(flight, FlightReport::new(FlightOutcome::Unreachable), at(0));
+    let refusal = choose(&set, &request, at(1), &mut random).unwrap_err();
+    assert_eq!(refusal.reason, RefusalReason::AllFailing);
+}
