Tell with each waiting call whether its workspace is over its share

Cause: a caller of `pop_first` could not ask the queue while it was looked through, and had to collect the workspaces over their share before.

Change: `pop_first` takes the time, and `PoppedCall` has `is_over_share`.

--- a/crates/policy/benches/support/world/dispatch.rs
+++ b/crates/policy/benches/support/world/dispatch.rs
@@ -6,7 +6,7 @@
 use ibisdale_policy::{
     AdmissionRequest, AttemptReport, CallKey, CallRequest, ChoiceRequest, FailureKind, FairQueue,
     FlightOutcome, FlightReport, PoppedCall, QueueWeights, RefusalReason, RetryDecision,
-    RoutingDecision, ShareKey, choose,
+    RoutingDecision, choose,
 };
 
 use super::World;
@@ -146,17 +146,14 @@
     /// Takes the first waiting call for which a replica is chosen.
     fn pop_sendable(&mut self, daemon: usize, verdict: &mut PumpVerdict) -> Option<PoppedCall> {
         let now = self.now();
-        let over_share = self.over_share(daemon);
         let mut queue = std::mem::replace(
             &mut self.daemons[daemon].queue,
             FairQueue::new(QueueWeights::default()),
         );
         let mut random = self.random.clone();
-        let popped = queue.pop_first(|popped| {
+        let popped = queue.pop_first(now, |popped| {
             let call = self.daemons[daemon].waiting[&popped.call];
-            let share = popped.request.get_share();
-            let is_over_share = over_share.contains(&share);
-            let request = self.choice_request(call).over_share(is_over_share);
+            let request = self.choice_request(call).over_share(popped.is_over_share);
             match choose(&self.daemons[daemon].set, &request, now, &mut random) {
                 Ok(decision) => {
                     verdict.sendable = Some(SendableCall {
@@ -182,15 +179,6 @@
         popped
     }
 
-    fn over_share(&self, daemon: usize) -> Vec<ShareKey> {
-        let now = self.now();
-        let state = &self.daemons[daemon];
-        let shares = state.shares.iter().copied();
-        shares
-            .filter(|share| state.queue.is_over_share(*share, now))
-            .collect()
-    }
-
     fn drop_hopeless(&mut self, daemon: usize, key: CallKey) {
         let state = &mut self.daemons[daemon];
         state.queue.cancel(key);
--- a/crates/policy/src/queue/call.rs
+++ b/crates/policy/src/queue/call.rs
@@ -142,4 +142,7 @@
     pub request: CallRequest,
     /// When it began to wait.
     pub queued_at: TimeStamp,
+    /// Whether its workspace is over its share, for
+    /// [`ChoiceRequest::over_share`](crate::ChoiceRequest::over_share).
+    pub is_over_share: bool,
 }
--- a/crates/policy/src/queue/fair.rs
+++ b/crates/policy/src/queue/fair.rs
@@ -110,14 +110,19 @@
     /// Takes the call whose turn it is and charges its workspace with the
     /// tokens expected of it.
     pub fn pop(&mut self) -> Option<PoppedCall> {
-        self.pop_first(|_| true)
+        self.pop_first(self.latest, |_| true)
     }
 
     /// Takes the first call, in order of turn, that `accept` says can be sent.
     ///
     /// Workspaces are asked in order of service; of each, the first few calls.
     /// A call that waits for one replica so does not hold up the others.
-    pub fn pop_first(&mut self, accept: impl FnMut(&PoppedCall) -> bool) -> Option<PoppedCall> {
+    pub fn pop_first(
+        &mut self,
+        now: TimeStamp,
+        accept: impl FnMut(&PoppedCall) -> bool,
+    ) -> Option<PoppedCall> {
+        self.latest = self.latest.max(now);
         let popped = self.find_first(accept)?;
         self.remove(popped.call);
         self.shares.raise_floor(popped.request.share);
@@ -197,6 +202,7 @@
             call,
             request: waiting.request,
             queued_at: waiting.queued_at,
+            is_over_share: self.is_over_share(waiting.request.get_share(), self.latest),
         })
     }
 
