Let waiting calls in the daemon pass one that waits for its replica

Cause: the daemon sent only the call at the head of the queue, so a call that waits for the replica with its cached prefix held up all others; it charged the prompt twice, once by taking the call and once itself; and calls of a workspace over its share were routed like any other.

Change: the daemon takes the first call that can be sent or must be refused, with `pop_first`, and passes on whether its workspace is over its share.

The daemon's tests pass.

--- a/crates/daemon/src/control/routing.rs
+++ b/crates/daemon/src/control/routing.rs
@@ -5,9 +5,9 @@
 
 use ibisdale_core::{ProgramId, RefusalCode, RequestRefusal, TimeStamp, WorkspaceName};
 use ibisdale_policy::{
-    CallKey, CallRequest, ChoiceRequest, DomainKey, FairQueue, FlightReport, LoadReport,
-    PolicyProfile, PrefixClaim, PushError, RefusalReason, ReplicaKey, ReplicaSet, ReplicaSpec,
-    ReplicaStatus, RoutingRefusal, SessionId, ShareKey, choose,
+    CallKey, CallRequest, ChoiceRequest, DomainKey, FairQueue, FlightOutcome, FlightReport,
+    LoadReport, PolicyProfile, PrefixClaim, PushError, RefusalReason, ReplicaKey, ReplicaSet,
+    ReplicaSpec, ReplicaStatus, RoutingDecision, RoutingRefusal, SessionId, ShareKey, choose,
 };
 use ibisdale_programs::{CleanupKey, CleanupOrder, EngineAddress};
 use ibisdale_telemetry::record_event;
@@ -28,6 +28,13 @@
     reply: RouteReply,
 }
 
+/// A call whose turn has come, and what was decided for it.
+struct DecidedCall {
+    call: WaitingCall,
+    choice: ChoiceRequest,
+    decision: Result<RoutingDecision, RoutingRefusal>,
+}
+
 /// Replicas of one group and the calls that wait for them.
 pub(super) struct UpstreamRouter {
     set: ReplicaSet,
@@ -109,48 +116,71 @@
         }
     }
 
-    /// Gives replicas to calls in their order until none is free.
+    /// Gives replicas to calls in their order until none can be sent.
     pub(super) fn drain(&mut self, now: TimeStamp, random: &mut SmallRng) {
-        while let Some(next) = self.queue.peek() {
-            let Some(waiting) = self.waiting.get(next.call) else {
-                self.queue.cancel(next.call);
-                continue;
+        while let Some(decided) = self.next_decided(now, random) {
+            self.answer_decided(decided, now);
+        }
+    }
+
+    /// Takes the first waiting call that can be sent or must be refused.
+    fn next_decided(&mut self, now: TimeStamp, random: &mut SmallRng) -> Option<DecidedCall> {
+        let mut decided = None;
+        let (set, waiting) = (&self.set, &self.waiting);
+        let (keys, domain) = (&self.keys, self.domain);
+        let popped = self.queue.pop_first(now, |popped| {
+            let Some(call) = waiting.get(popped.call) else {
+                return false;
             };
-            let choice = self.choice(&waiting.request);
-            let decision = match choose(&self.set, &choice, now, random) {
+            let choice = choice(&call.request, keys, domain).over_share(popped.is_over_share);
+            let decision = choose(set, &choice, now, random);
+            let is_busy = matches!(
+                decision,
                 Err(RoutingRefusal {
                     reason: RefusalReason::AllBusy | RefusalReason::PrefixBusy,
                     ..
-                }) => return,
-                decision => decision,
-            };
-            self.queue.pop();
-            let Some(waiting) = self.waiting.remove(next.call) else {
-                continue;
-            };
-            let result = match decision {
-                Err(refusal) => Err(routing_refusal(refusal)),
-                Ok(decision) => {
-                    let flight = self.set.begin(&choice, &decision, now);
-                    let tokens = f64::from(waiting.request.prompt_tokens);
-                    self.queue.charge(next.request.get_share(), tokens);
-                    let address = self.set.get_address(decision.replica);
-                    let group = waiting.request.group.clone();
-                    address
-                        .map(|address| RoutedCall {
-                            route: CallRoute { group, flight },
-                            address,
-                            priority: i32::from(choice.get_priority()),
-                        })
-                        .ok_or_else(|| overloaded("the replica is gone"))
-                }
-            };
-            if let Err(unsent) = waiting.reply.try_send(result)
-                && let Ok(routed) = unsent.into_inner()
-            {
-                let report = FlightReport::new(ibisdale_policy::FlightOutcome::Cancelled);
-                self.set.finish(routed.route.flight, report, now);
+                })
+            );
+            if !is_busy {
+                decided = Some((choice, decision));
+            }
+            !is_busy
+        })?;
+        let call = self.waiting.remove(popped.call)?;
+        let (choice, decision) = decided?;
+        Some(DecidedCall {
+            call,
+            choice,
+            decision,
+        })
+    }
+
+    fn answer_decided(&mut self, decided: DecidedCall, now: TimeStamp) {
+        let DecidedCall {
+            call,
+            choice,
+            decision,
+        } = decided;
+        let result = match decision {
+            Err(refusal) => Err(routing_refusal(refusal)),
+            Ok(decision) => {
+                let flight = self.set.begin(&choice, &decision, now);
+                let address = self.set.get_address(decision.replica);
+                let group = call.request.group;
+                address
+                    .map(|address| RoutedCall {
+                        route: CallRoute { group, flight },
+                        address,
+                        priority: i32::from(choice.get_priority()),
+                    })
+                    .ok_or_else(|| overloaded("the replica is gone"))
             }
+        };
+        if let Err(unsent) = call.reply.try_send(result)
+            && let Ok(routed) = unsent.into_inner()
+        {
+            let report = FlightReport::new(FlightOutcome::Cancelled);
+            self.set.finish(routed.route.flight, report, now);
         }
     }
 
@@ -175,26 +205,30 @@
             );
         }
     }
+}
 
-    fn choice(&self, request: &RouteRequest) -> ChoiceRequest {
-        let mut choice = ChoiceRequest::new()
-            .prompt_tokens(request.prompt_tokens)
-            .domain(self.domain);
-        if let Some(program) = request.program {
-            let session = SessionId::from_program(program);
-            let claim = PrefixClaim {
-                session,
-                tokens: request.known_tokens,
-            };
-            choice = choice.program(program).claim(claim);
-        }
-        if let Some(deadline) = request.deadline {
-            choice = choice.deadline(deadline);
-        }
-        match request.avoid.and_then(|address| self.keys.get(&address)) {
-            Some(key) => choice.avoid(*key),
-            None => choice,
-        }
+fn choice(
+    request: &RouteRequest,
+    keys: &HashMap<SocketAddr, ReplicaKey>,
+    domain: DomainKey,
+) -> ChoiceRequest {
+    let mut choice = ChoiceRequest::new()
+        .prompt_tokens(request.prompt_tokens)
+        .domain(domain);
+    if let Some(program) = request.program {
+        let session = SessionId::from_program(program);
+        let claim = PrefixClaim {
+            session,
+            tokens: request.known_tokens,
+        };
+        choice = choice.program(program).claim(claim);
+    }
+    if let Some(deadline) = request.deadline {
+        choice = choice.deadline(deadline);
+    }
+    match request.avoid.and_then(|address| keys.get(&address)) {
+        Some(key) => choice.avoid(*key),
+        None => choice,
     }
 }
 
