Bound a look at the queue when nothing can be sent

Cause: with every replica busy, each look tried up to eight calls of each waiting workspace, without bound at thousands of workspaces.

Change: a look ends after 64 tries. Its test was seen failing with 2,000 tries when they are not counted.

--- a/crates/policy/src/queue/fair.rs
+++ b/crates/policy/src/queue/fair.rs
@@ -23,6 +23,9 @@
     sequence: u64,
 }
 
+/// Calls tried at most before a look at the queue ends.
+const TRIES_MAX: usize = 64;
+
 /// Calls that wait for a replica of one model or service.
 #[derive(Clone, Debug)]
 pub struct FairQueue {
@@ -115,7 +118,8 @@
 
     /// Takes the first call, in order of turn, that `accept` says can be sent.
     ///
-    /// Workspaces are asked in order of service; of each, the first few calls.
+    /// Workspaces are asked in order of service; of each, the first few calls,
+    /// and a bounded number in all.
     /// A call that waits for one replica so does not hold up the others.
     pub fn pop_first(
         &mut self,
@@ -183,6 +187,7 @@
     }
 
     fn find_first(&self, mut accept: impl FnMut(&PoppedCall) -> bool) -> Option<PoppedCall> {
+        let mut tries = TRIES_MAX;
         for share in self.shares.in_order() {
             let Some(order) = self.order.get(&share) else {
                 continue;
@@ -192,6 +197,10 @@
                 if accept(&popped) {
                     return Some(popped);
                 }
+                tries -= 1;
+                if tries == 0 {
+                    return None;
+                }
             }
         }
         None
--- a/crates/policy/tests/fair_queue.rs
+++ b/crates/policy/tests/fair_queue.rs
@@ -119,3 +119,19 @@
     };
     assert!(gate.admit(&queue, &calm, NOW).is_ok());
 }
+
+#[test]
+fn look_at_a_long_queue_is_bounded() {
+    let mut queue = FairQueue::new(QueueWeights::default());
+    for _ in 0..1_000 {
+        let share = queue.insert_workspace(1.0);
+        push(&mut queue, share, 2);
+    }
+    let mut tries = 0;
+    let popped = queue.pop_first(NOW, |_| {
+        tries += 1;
+        false
+    });
+    assert!(popped.is_none());
+    assert!(tries <= 64, "{tries} tries");
+}
