--- a/crates/ibisdale/src/run/runner.rs
+++ b/crates/ibisdale/src/run/runner.rs
@@ -84,21 +84,34 @@
         };
         let cursor = ProgramCursor::new(&started);
         report.digest = self.run_steps(cursor, &file.steps, &mut report).await?;
-        self.client.end(started.id).await?;
+        self.until_run(async |client| client.end(started.id).await)
+            .await?;
         Ok(report)
     }
 
-    /// Starts the program at the first address that can be reached.
+    /// Starts the program, at the other addresses where one can't be reached.
     async fn start(&self, file: &ProgramFile) -> Result<StartedProgram, CommandError> {
+        self.until_run(async |client| client.start(&file.start).await)
+            .await
+    }
+
+    /// Sends a request until it has run; again only where it has not.
+    async fn until_run<T>(
+        &self,
+        send: impl AsyncFn(CallerClient) -> Result<T, CommandError>,
+    ) -> Result<T, CommandError> {
         let mut attempt = 0;
         loop {
-            let result = self.client_for(attempt).start(&file.start).await;
+            let error = match send(self.client_for(attempt)).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) => error,
+            };
+            let (Some(delay), true) = (not_run_delay(&error), attempt < RETRIES_MAX) else {
+                return Err(error);
+            };
             attempt += 1;
-            let is_last = attempt as usize >= self.addresses.len();
-            match result {
-                Err(CommandError::Unreachable { .. }) if !is_last => {}
-                result => return result,
-            }
+            self.progress(format_args!("{error}, again in {delay:?}"));
+            smol::Timer::after(delay).await;
         }
     }
 
@@ -133,11 +146,14 @@
         report: &mut RunReport,
     ) -> Result<(), CommandError> {
         let limits: LimitsBody = child.limits;
-        let started = self.client.start_child(parent, limits).await?;
+        let started = self
+            .until_run(async |client| client.start_child(parent, limits).await)
+            .await?;
         self.progress(format_args!("sub-agent {} started", started.id));
         let cursor = ProgramCursor::new(&started);
         Box::pin(self.run_steps(cursor, &child.steps, report)).await?;
-        self.client.end(started.id).await
+        self.until_run(async |client| client.end(started.id).await)
+            .await
     }
 
     async fn run_step(
@@ -262,12 +278,10 @@
     }
 }
 
-/// Returns when to send a step again, if that is proven to be harmless.
-fn retry_delay(error: &CommandError) -> Option<Duration> {
+/// Returns when to send a request again that is proven not to have run.
+fn not_run_delay(error: &CommandError) -> Option<Duration> {
     match error {
-        CommandError::Unreachable { .. }
-        | CommandError::AnswerLost { .. }
-        | CommandError::NoAnswer { .. } => Some(POLL_DELAY),
+        CommandError::Unreachable { .. } => Some(POLL_DELAY),
         CommandError::Refused { refusal } => {
             let refusal = &refusal.error.refusal;
             let delay = refusal.get_retry_after();
@@ -277,6 +291,15 @@
     }
 }
 
+/// Returns when to send a step again, as the same attempt; after a lost answer
+/// only where a look-up said that it has not run.
+fn retry_delay(error: &CommandError) -> Option<Duration> {
+    if error.is_answer_lost() {
+        return Some(POLL_DELAY);
+    }
+    not_run_delay(error)
+}
+
 fn step_failure(call: StepCall<'_>, error: CommandError) -> CommandError {
     if matches!(error, CommandError::OutcomeUnknown { .. }) {
         return error;
--- a/crates/ibisdale/src/run/stream.rs
+++ b/crates/ibisdale/src/run/stream.rs
@@ -35,7 +35,7 @@
         if event.get("error").is_some() {
             self.refusal = Some(event.clone());
         }
-        let digest = event.get("history_digest").and_then(Value::as_str);
+        let digest = event.pointer("/ibisdale/digest").and_then(Value::as_str);
         if let Some(digest) = digest.and_then(|text| text.parse().ok()) {
             self.digest = Some(digest);
         }
--- a/crates/ibisdale/tests/run.rs
+++ b/crates/ibisdale/tests/run.rs
@@ -58,7 +58,7 @@
     let stream = vec![
         json!({ "choices": [{ "delta": { "content": "Two " } }] }).to_string(),
         json!({ "choices": [{ "delta": { "content": "talks." } }] }).to_string(),
-        json!({ "history_digest": digest(2) }).to_string(),
+        json!({ "choices": [], "ibisdale": { "digest": digest(2) } }).to_string(),
         "[DONE]".to_owned(),
     ];
     let chat = |text: &str| json!({ "choices": [{ "message": { "content": text } }] });
@@ -136,6 +136,25 @@
     assert_eq!(seen[2].attempt, seen[3].attempt);
 }
 
+#[rstest]
+#[case::not_run("not_run", 0)]
+#[case::unknown("unknown", 3)]
+fn a_start_is_repeated_only_where_it_has_not_run(#[case] run_state: &str, #[case] exit: i32) {
+    let refused = refusal("owner_unavailable", run_state, Some(1));
+    let mut script = vec![addresses(), Reply::Json(503, None, refused)];
+    if exit == 0 {
+        script.extend([
+            started(PROGRAM),
+            ok(Some(2), json!({})),
+            ok(None, json!({})),
+        ]);
+    }
+    let daemon = ScriptedDaemon::start(script);
+    let output = run(daemon.address, &booking());
+    assert_eq!(output.status.code(), Some(exit), "{}", transcript(&output));
+    daemon.close();
+}
+
 #[test]
 fn a_lost_answer_is_looked_up() {
     let daemon = ScriptedDaemon::start(vec![
