--- /dev/null
+++ b/crates/policy/benches/ownership_scale.rs
@@ -0,0 +1,68 @@
+//! Counted calls and planning time of ownership in large fleets.
+//!
+//! `cargo bench -p ibisdale-policy --bench ownership_scale`
+
+#[path = "../tests/fleet/mod.rs"]
+mod fleet;
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use fleet::world::{World, name_of};
+use ibisdale_policy::ownership::{PlanDaemon, PlanOwner, plan_moves};
+
+const SLOTS: u16 = 1_024;
+const DAEMONS: usize = 360;
+/// Daemons in one of 19 failure domains.
+const DOMAIN_DAEMONS: usize = 19;
+const PLAN_ROUNDS: u32 = 20;
+
+fn report(what: &str, world: &World, before: (u64, u64)) {
+    let writes = world.store.write_count - before.0;
+    let reads = world.store.read_count - before.1;
+    println!("{what}: {writes} writes, {reads} reads");
+}
+
+fn counts(world: &World) -> (u64, u64) {
+    (world.store.write_count, world.store.read_count)
+}
+
+fn plan_time(owner: PlanOwner) -> Duration {
+    let daemons: Vec<PlanDaemon> = (0..DAEMONS)
+        .map(|daemon| PlanDaemon {
+            name: name_of(daemon),
+            is_draining: false,
+        })
+        .collect();
+    let mut owners = vec![owner; usize::from(SLOTS)];
+    if owner != PlanOwner::Nobody {
+        for (slot, owner) in owners.iter_mut().enumerate() {
+            *owner = PlanOwner::Daemon(slot % DAEMONS);
+        }
+    }
+    let started = Instant::now();
+    for _ in 0..PLAN_ROUNDS {
+        black_box(plan_moves(black_box(&daemons), black_box(&owners)));
+    }
+    started.elapsed() / PLAN_ROUNDS
+}
+
+fn main() {
+    println!("plan without orphans: {:?}", plan_time(PlanOwner::Fixed));
+    println!("plan of 1,024 orphans: {:?}", plan_time(PlanOwner::Nobody));
+    let mut world = World::new(DAEMONS, SLOTS, |options| options);
+    (0..DAEMONS).for_each(|daemon| world.start(daemon));
+    world.settle(Duration::from_secs(30));
+    world.check_all_owned();
+    report("start of 360", &world, (0, 0));
+    let before = counts(&world);
+    world.kill(0);
+    world.settle(Duration::from_secs(20));
+    world.check_all_owned();
+    report("death of 1 of 360", &world, before);
+    let before = counts(&world);
+    (1..=DOMAIN_DAEMONS).for_each(|daemon| world.kill(daemon));
+    world.settle(Duration::from_secs(25));
+    world.check_all_owned();
+    report("death of 19 of 359", &world, before);
+}
--- a/crates/policy/src/journal/book.rs
+++ b/crates/policy/src/journal/book.rs
@@ -15,7 +15,8 @@
     pub max_entries: usize,
     /// Most requests in a write.
     pub group_max: usize,
-    /// Least time between the starts of two writes.
+    /// Least time between the starts of two writes, for each live daemon: the
+    /// fleet as a whole writes no more often than once in this time.
     pub commit_interval: Duration,
     /// Time after which outcomes are written without a new request.
     pub outcome_delay: Duration,
@@ -95,6 +96,7 @@
     finished_since: Option<TimeStamp>,
     last_commit: Option<TimeStamp>,
     not_before: TimeStamp,
+    daemon_count: u32,
     next_ticket: u64,
     receipts: Vec<IntentReceipt>,
 }
@@ -113,6 +115,7 @@
             finished_since: None,
             last_commit: None,
             not_before: TimeStamp::default(),
+            daemon_count: 1,
             next_ticket: 0,
             receipts: Vec::new(),
         }
@@ -197,6 +200,11 @@
         self.queue.iter().map(QueuedIntent::slot).collect()
     }
 
+    /// Sets the number of live daemons, which share the pace of writes.
+    pub(crate) fn set_daemon_count(&mut self, count: usize) {
+        self.daemon_count = u32::try_from(count).unwrap_or(u32::MAX).max(1);
+    }
+
     /// Holds writes back until `until`.
     pub(crate) fn pause(&mut self, until: TimeStamp) {
         self.not_before = until;
@@ -205,7 +213,7 @@
     /// Returns when the next write is due, if one is wanted.
     pub(crate) fn commit_due(&self) -> Option<TimeStamp> {
         let paced = self.last_commit.map_or(TimeStamp::default(), |last| {
-            last.plus(self.limits.commit_interval)
+            last.plus(self.limits.commit_interval * self.daemon_count)
         });
         let earliest = paced.max(self.not_before);
         if !self.queue.is_empty() {
--- a/crates/policy/src/ownership/schedule.rs
+++ b/crates/policy/src/ownership/schedule.rs
@@ -15,6 +15,7 @@
         }
         self.is_plan_stale = false;
         let (daemons, owners) = self.view.plan_input();
+        self.book.set_daemon_count(daemons.len());
         let name = &self.options.profile.name;
         let own = daemons.iter().position(|daemon| daemon.name == *name);
         let moves = plan_moves(&daemons, &owners);
--- a/crates/policy/tests/ownership_calls.rs
+++ b/crates/policy/tests/ownership_calls.rs
@@ -112,6 +112,29 @@
     assert!(writes <= 1 + 2 + 2 * 2 * 3, "{writes} writes");
 }
 
+#[test]
+fn journal_writes_of_a_busy_fleet_keep_to_the_pace() {
+    const DAEMONS: usize = 4;
+    const ROUNDS: u32 = 400;
+    let mut world = settled_fleet(DAEMONS, 64);
+    let writes = world.store.write_count;
+    for round in 1..=ROUNDS {
+        for daemon in 0..DAEMONS {
+            (0..64).for_each(|slot| world.ask(daemon, slot, 0, round));
+        }
+        world.advance(5);
+        world.deliver_running(usize::MAX);
+        world.check();
+        for daemon in 0..DAEMONS {
+            (0..64).for_each(|slot| world.finish(daemon, slot, 0, round.saturating_sub(8)));
+        }
+    }
+    let writes = world.store.write_count - writes;
+    println!("{writes} journal writes in 2 s");
+    // One write in 5 ms for the fleet, and one for each daemon at the start.
+    assert!((100..=404).contains(&writes), "{writes} writes");
+}
+
 #[test]
 fn late_daemon_gets_its_share() {
     let mut world = World::new(4, 256, default);
