Give an unknown outcome its own exit code in every command

A refusal that says that the outcome is unknown ended with the code of a refusal (3), so that a script could take it for not done. It ends with 6 now; the test of starts, which held the old code, expects 6.

--- a/crates/ibisdale/src/error.rs
+++ b/crates/ibisdale/src/error.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use ibisdale_core::RunState;
 use ibisdale_core::admin::AdminRefusal;
 use ibisdale_net::NetError;
 use ibisdale_settings::{PathError, SettingsFindings};
@@ -88,6 +89,10 @@
     text
 }
 
+fn is_unknown(refusal: &AdminRefusal) -> bool {
+    refusal.error.refusal.get_run_state() == RunState::Unknown
+}
+
 impl CommandError {
     /// Returns the exit code.
     pub(crate) fn status(&self) -> ExitStatus {
@@ -96,6 +101,7 @@
             Self::BadFile { .. } | Self::Findings { .. } => ExitStatus::Findings,
             Self::Path { .. } | Self::Usage { .. } => ExitStatus::Usage,
             Self::Refused { refusal } if refusal.conflict.is_some() => ExitStatus::Conflict,
+            Self::Refused { refusal } if is_unknown(refusal) => ExitStatus::OutcomeUnknown,
             Self::Refused { .. } | Self::NotFound { .. } => ExitStatus::Refused,
             Self::Unreachable { .. } => ExitStatus::Unreachable,
             Self::AnswerLost { .. }
--- a/crates/ibisdale/tests/run.rs
+++ b/crates/ibisdale/tests/run.rs
@@ -138,7 +138,7 @@
 
 #[rstest]
 #[case::not_run("not_run", 0)]
-#[case::unknown("unknown", 3)]
+#[case::unknown("unknown", 6)]
 fn a_start_is_repeated_only_where_it_has_not_run(#[case] run_state: &str, #[case] exit: i32) {
     let refused = refusal("owner_unavailable", run_state, Some(1));
     let mut script = vec![addresses(), Reply::Json(503, None, refused)];
