Remember two replicas for each session instead of four

Cause: new programs of a workspace spread over four replicas and more, and each had to compute the workspace's system prompt and then kept less of the rest.

--- a/crates/policy/src/routing/prefix.rs
+++ b/crates/policy/src/routing/prefix.rs
@@ -7,7 +7,7 @@
 use super::replica::ReplicaKey;
 
 /// Replicas remembered for one session; the least recent one gives way.
-const PLACEMENTS_MAX: usize = 4;
+const PLACEMENTS_MAX: usize = 2;
 
 /// Part of the tokens that still counts when cache events were missed.
 const GAP_TRUST: f64 = 0.5;
