Test which replicas a daemon watches

Cause: size, stability and spread of the watched subset had no test.

Change: `tests/subset.rs`, at 360 daemons and 4,600 replicas. Seen failing with a hash of the last byte only (4,600 replicas at one daemon, mean 38), with a size that grows with the fleet, and with ranks that depend on the number of names.

--- /dev/null
+++ b/crates/policy/tests/subset.rs
@@ -0,0 +1,62 @@
+//! Which replicas a daemon watches.
+
+use std::collections::BTreeSet;
+
+use ibisdale_policy::{subset, watchers};
+
+const DAEMONS: usize = 360;
+const REPLICAS: usize = 4_600;
+const SUBSET_SIZE: usize = 24;
+const WATCHERS: usize = 3;
+
+fn names(prefix: &str, count: usize) -> Vec<Vec<u8>> {
+    (0..count)
+        .map(|index| format!("{prefix}-{index}").into_bytes())
+        .collect()
+}
+
+fn slices(names: &[Vec<u8>]) -> Vec<&[u8]> {
+    names.iter().map(Vec::as_slice).collect()
+}
+
+#[test]
+fn size_does_not_grow_with_the_fleet() {
+    let replicas = names("replica", REPLICAS);
+    for count in [10, 1_000, REPLICAS] {
+        let watched = subset(b"daemon-1", &slices(&replicas[..count]), SUBSET_SIZE);
+        assert_eq!(watched.len(), SUBSET_SIZE.min(count));
+    }
+}
+
+#[test]
+fn replica_that_leaves_moves_only_its_own_place() {
+    let replicas = names("replica", 1_000);
+    let before = subset(b"daemon-1", &slices(&replicas), SUBSET_SIZE);
+    let gone = *before.first().unwrap();
+    let mut fewer = replicas.clone();
+    fewer.remove(gone);
+    let after = subset(b"daemon-1", &slices(&fewer), SUBSET_SIZE);
+    let before: BTreeSet<&[u8]> = before.iter().map(|index| &replicas[*index][..]).collect();
+    let after: BTreeSet<&[u8]> = after.iter().map(|index| &fewer[*index][..]).collect();
+    assert_eq!(before.difference(&after).count(), 1);
+}
+
+#[test]
+fn replicas_are_spread_evenly_over_their_watchers() {
+    let daemons = names("daemon", DAEMONS);
+    let daemons = slices(&daemons);
+    let mut watched = vec![0; DAEMONS];
+    for replica in names("replica", REPLICAS) {
+        let chosen = watchers(&replica, &daemons, WATCHERS);
+        assert_eq!(chosen.len(), WATCHERS);
+        for daemon in chosen {
+            watched[daemon] += 1;
+        }
+    }
+    let mean = REPLICAS * WATCHERS / DAEMONS;
+    let most = *watched.iter().max().unwrap();
+    assert!(
+        most <= mean * 2,
+        "{most} replicas at one daemon, mean {mean}"
+    );
+}
