--- a/crates/policy/tests/ownership_fuzz.rs
+++ b/crates/policy/tests/ownership_fuzz.rs
@@ -4,7 +4,7 @@
 //! epochs rise, no slot is taken before its owner's journal is sealed, nothing
 //! is recorded after the seal or by another than the owner. At the end every
 //! slot must have an owner within a bounded time. `PROPTEST_CASES` sets the
-//! number of cases for longer runs.
+//! number of cases and `FUZZ_SEED` the seed for longer runs.
 
 mod fleet;
 
@@ -20,7 +20,7 @@
 const SLOTS: u16 = 6;
 const CASES: u32 = 1_000;
 const STEPS: std::ops::Range<usize> = 40..160;
-const SEED: [u8; 32] = [7; 32];
+const SEED: u8 = 7;
 /// Two lease times, the spread of takeovers and a batch for each daemon.
 const SETTLE_TIME: Duration = Duration::from_secs(40);
 
@@ -155,18 +155,20 @@
     }
 }
 
+fn number_from<T: std::str::FromStr>(variable: &str) -> Option<T> {
+    std::env::var(variable).ok()?.parse().ok()
+}
+
 #[test]
 fn one_owner_an_epoch_and_paid_actions_at_most_once() {
     let config = Config {
-        cases: std::env::var("PROPTEST_CASES")
-            .ok()
-            .and_then(|cases| cases.parse().ok())
-            .unwrap_or(CASES),
+        cases: number_from("PROPTEST_CASES").unwrap_or(CASES),
         failure_persistence: None,
         max_shrink_iters: 4_000,
         ..Config::default()
     };
-    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let seed = number_from("FUZZ_SEED").unwrap_or(SEED);
+    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
     let mut runner = TestRunner::new_with_rng(config.clone(), random);
     let sequences = Reference::sequential_strategy(STEPS);
     let result = runner.run(&sequences, |(state, transitions, seen)| {
