Take absurd load reports and weights without overflow

Cause: a load report with a queue length near the largest number overflowed an addition, which panics in builds that check it; so did an extreme weight of attained service.

Change: the sums saturate. Both tests were seen failing before the change.

--- a/crates/policy/src/queue/fair.rs
+++ b/crates/policy/src/queue/fair.rs
@@ -266,7 +266,7 @@
         let kilotokens = request.attained_tokens as f64 / 1_000.0;
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let attained_ms = (kilotokens * self.weights.attained_ms_per_kilotoken) as u64;
-        let priority_ms = u64::from(request.priority) * self.weights.priority_ms;
+        let priority_ms = u64::from(request.priority).saturating_mul(self.weights.priority_ms);
         let new_program_ms = if request.attained_tokens == 0 {
             self.weights.new_program_ms
         } else {
@@ -274,7 +274,9 @@
         };
         let due_ms = now
             .as_millis()
-            .saturating_add(attained_ms + priority_ms + new_program_ms);
+            .saturating_add(attained_ms)
+            .saturating_add(priority_ms)
+            .saturating_add(new_program_ms);
         request
             .latest_start
             .map_or(due_ms, |latest| due_ms.min(latest.as_millis()))
--- a/crates/policy/src/routing/cost.rs
+++ b/crates/policy/src/routing/cost.rs
@@ -86,7 +86,7 @@
     let cached_tokens = cached_tokens(set, key, state, request);
     let calls = state.expected_calls(now, weights.report_max_age_ms);
     let limit = state.spec.running_limit;
-    let waiting = (calls + 1).saturating_sub(limit);
+    let waiting = calls.saturating_add(1).saturating_sub(limit);
     let own_backlog = f64::from(u32::try_from(state.own_prefill_tokens).unwrap_or(u32::MAX));
     let uncached = f64::from(request.prompt_tokens - cached_tokens);
     let prefill_ms =
@@ -113,6 +113,6 @@
         cached_tokens,
         waiting,
         is_out_of_reach: request.is_over_share
-            && f64::from(calls + 1) > f64::from(limit) * weights.over_share_part,
+            && f64::from(calls.saturating_add(1)) > f64::from(limit) * weights.over_share_part,
     }
 }
--- a/crates/policy/src/routing/replica.rs
+++ b/crates/policy/src/routing/replica.rs
@@ -119,8 +119,10 @@
         if age > u128::from(report_max_age_ms) {
             return self.own_flights;
         }
-        let reported = self.report.queue_length + self.report.running;
-        let corrected = reported.saturating_sub(self.own_ended) + self.own_unreported;
+        let reported = self.report.queue_length.saturating_add(self.report.running);
+        let corrected = reported
+            .saturating_sub(self.own_ended)
+            .saturating_add(self.own_unreported);
         corrected.max(self.own_flights)
     }
 }
--- a/crates/policy/tests/fair_queue.rs
+++ b/crates/policy/tests/fair_queue.rs
@@ -135,3 +135,18 @@
     assert!(popped.is_none());
     assert!(tries <= 64, "{tries} tries");
 }
+
+#[test]
+fn absurd_figures_are_taken_without_overflow() {
+    let mut queue = FairQueue::new(QueueWeights {
+        attained_ms_per_kilotoken: f64::MAX,
+        ..QueueWeights::default()
+    });
+    let share = queue.insert_workspace(f64::NAN);
+    let request = CallRequest::new(share)
+        .expected_tokens(u32::MAX)
+        .attained_tokens(u64::MAX)
+        .priority(u8::MAX);
+    queue.push(request, NOW).unwrap();
+    assert!(queue.pop().is_some());
+}
--- a/crates/policy/tests/routing_choice.rs
+++ b/crates/policy/tests/routing_choice.rs
@@ -141,3 +141,20 @@
     let refusal = choose(&set, &request, at(1), &mut random).unwrap_err();
     assert_eq!(refusal.reason, RefusalReason::AllFailing);
 }
+
+#[test]
+fn absurd_load_report_only_makes_the_replica_look_busy() {
+    let (mut set, keys) = replica_set(2);
+    let report = LoadReport {
+        queue_length: u32::MAX,
+        running: u32::MAX,
+        kv_use_permille: u16::MAX,
+        at: at(1),
+    };
+    set.record_load(keys[0], report);
+    let request = ChoiceRequest::new().prompt_tokens(u32::MAX);
+    let mut random = Pcg64Mcg::seed_from_u64(SEED);
+    let decision = choose(&set, &request, at(2), &mut random).unwrap();
+    assert_eq!(decision.replica, keys[1]);
+    set.begin(&request, &decision, at(2));
+}
