--- a/crates/policy/benches/support/world.rs
+++ b/crates/policy/benches/support/world.rs
@@ -1,22 +1,21 @@
 //! The event loop: programs, daemons and engines in virtual time.
 
 use ibisdale_core::TimeStamp;
-use ibisdale_policy::{
-    FlightOutcome, LoadReport, PolicyProfile, PrefixClaim, ReplicaStatus, SessionId,
-};
+use ibisdale_policy::{PolicyProfile, PrefixClaim, SessionId};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use super::client::{AgentRun, COME_BACKS_MAX, CallRun, ProgramRun, ProgramState};
 use super::daemon::{DaemonState, PolicyKind};
-use super::engine::{EnginePool, StepOutcome};
+use super::engine::EnginePool;
 use super::event::{EventKind, EventQueue, MICROS_PER_MILLI, MICROS_PER_SECOND, stamp};
-use super::fault::FaultKind;
 use super::measure::{RunCounters, RunMeasure, count_second, is_over_rate};
 use super::scenario::{Scenario, WORKSPACE_PARTS};
 use super::workload::{Workload, shared_tokens};
 
 mod dispatch;
+mod engines;
+mod faults;
 
 /// Time after the last arrival at which a run ends.
 const DRAIN_SECONDS: u64 = 120;
@@ -316,212 +315,6 @@
         let delay_us = (retry_after_ms + jitter_ms) * MICROS_PER_MILLI;
         self.after(delay_us, EventKind::RetryDue { call });
     }
-
-    fn call_arrives(&mut self, call: usize, attempt: u32) {
-        let Some(replica) = self.calls[call].replica else {
-            return;
-        };
-        if self.engines[replica].is_dead {
-            let event = EventKind::CallEnds {
-                call,
-                attempt,
-                outcome: FlightOutcome::Unreachable,
-            };
-            self.after(NETWORK_US, event);
-            return;
-        }
-        let input = self.engine_call(call, attempt);
-        self.engines[replica].accept(input);
-        if !self.engines[replica].is_stepping {
-            self.begin_step(replica);
-        }
-    }
-
-    fn begin_step(&mut self, replica: usize) {
-        let mut outcome = StepOutcome::default();
-        let micros = self.engines[replica].begin_step(&mut outcome);
-        self.engines[replica].is_stepping = micros.is_some();
-        if let Some(micros) = micros {
-            let epoch = self.engines[replica].epoch;
-            self.after(micros, EventKind::StepEnds { replica, epoch });
-        }
-        self.publish(replica, &outcome);
-    }
-
-    fn step_ends(&mut self, replica: usize, epoch: u64) {
-        if self.engines[replica].epoch != epoch {
-            return;
-        }
-        let mut outcome = StepOutcome::default();
-        self.engines[replica].end_step(&mut outcome);
-        for (call, attempt) in &outcome.first_tokens {
-            let event = EventKind::FirstToken {
-                call: *call,
-                attempt: *attempt,
-            };
-            self.after(NETWORK_US, event);
-        }
-        for ended in &outcome.ended {
-            self.calls[ended.call].cached_tokens = ended.cached_tokens;
-            let event = EventKind::CallEnds {
-                call: ended.call,
-                attempt: ended.attempt,
-                outcome: FlightOutcome::Succeeded,
-            };
-            self.after(NETWORK_US, event);
-        }
-        self.publish(replica, &outcome);
-        self.begin_step(replica);
-    }
-
-    fn publish(&mut self, replica: usize, outcome: &StepOutcome) {
-        if self.kind != PolicyKind::Ibisdale {
-            return;
-        }
-        for ended in &outcome.ended {
-            self.publish_session(replica, ended.session, ended.context_tokens, false);
-        }
-        for session in &outcome.evicted {
-            self.publish_session(replica, *session, 0, true);
-        }
-    }
-
-    /// Sends a cache event to the daemons that may ask for the session.
-    fn publish_session(
-        &mut self,
-        replica: usize,
-        session: SessionId,
-        tokens: u32,
-        is_eviction: bool,
-    ) {
-        let owner = session_agent(session)
-            .map(|agent| self.programs[self.workload.agents[agent].program].daemon);
-        let daemons = owner.map_or(0..self.daemons.len(), |owner| owner..owner + 1);
-        for daemon in daemons {
-            let delay_us = self.random.random_range(CACHE_EVENT_LAG_US) + self.late_us;
-            if self.random.random_bool(self.scenario.lost_events) {
-                if self.random.random_bool(0.5) {
-                    self.after(delay_us, EventKind::CacheGap { daemon, replica });
-                }
-                continue;
-            }
-            let event = EventKind::CacheEvent {
-                daemon,
-                replica,
-                session,
-                tokens,
-                at: self.now(),
-                is_eviction,
-            };
-            self.after(delay_us, event);
-        }
-    }
-
-    fn report_due(&mut self, replica: usize) {
-        self.after(REPORT_INTERVAL_US, EventKind::ReportDue { replica });
-        let engine = &self.engines[replica];
-        if engine.is_dead {
-            return;
-        }
-        let report = LoadReport {
-            queue_length: engine.queue_length(),
-            running: engine.running(),
-            kv_use_permille: engine.kv_use_permille(),
-            at: self.now(),
-        };
-        let delay_us = REPORT_LAG_US + self.late_us;
-        self.after(delay_us, EventKind::ReportArrives { replica, report });
-    }
-
-    fn report_arrives(&mut self, replica: usize, report: LoadReport) {
-        for daemon in 0..self.daemons.len() {
-            let state = &mut self.daemons[daemon];
-            state.set.record_load(state.keys[replica], report);
-            self.pump(daemon);
-        }
-    }
-
-    fn fault_begins(&mut self, fault: usize) {
-        match self.scenario.faults[fault].kind {
-            FaultKind::SlowReplica { replica, factor } => {
-                self.engines[replica].slow_factor = factor;
-            }
-            FaultKind::DeadReplica { replica } => self.kill(replica, DEATH_LAG_US),
-            FaultKind::Outage => {
-                for replica in 0..self.engines.len() {
-                    self.kill(replica, DEATH_LAG_US);
-                }
-            }
-            FaultKind::LeavingReplica { replica } => {
-                self.leaving_since_us[replica] = Some(self.now_us);
-                let event = EventKind::StatusKnown {
-                    replica,
-                    is_live: false,
-                };
-                self.after(LIST_LAG_US, event);
-            }
-            FaultKind::BusyWorkspace { .. } => {}
-            FaultKind::LateReports { millis } => self.late_us = millis * MICROS_PER_MILLI,
-        }
-    }
-
-    fn fault_ends(&mut self, fault: usize) {
-        match self.scenario.faults[fault].kind {
-            FaultKind::SlowReplica { replica, .. } => self.engines[replica].slow_factor = 1.0,
-            FaultKind::DeadReplica { replica } => self.revive(replica),
-            FaultKind::Outage => {
-                for replica in 0..self.engines.len() {
-                    self.revive(replica);
-                }
-            }
-            FaultKind::LeavingReplica { replica } => {
-                self.kill(replica, LIST_LAG_US);
-                self.leaving_since_us[replica] = None;
-                self.revive(replica);
-            }
-            FaultKind::BusyWorkspace { .. } => {}
-            FaultKind::LateReports { .. } => self.late_us = 0,
-        }
-    }
-
-    fn kill(&mut self, replica: usize, lag_us: u64) {
-        for (call, attempt) in self.engines[replica].kill() {
-            let event = EventKind::CallEnds {
-                call,
-                attempt,
-                outcome: FlightOutcome::Failed,
-            };
-            self.after(NETWORK_US, event);
-        }
-        let event = EventKind::StatusKnown {
-            replica,
-            is_live: false,
-        };
-        self.after(lag_us, event);
-    }
-
-    fn revive(&mut self, replica: usize) {
-        self.engines[replica].is_dead = false;
-        let event = EventKind::StatusKnown {
-            replica,
-            is_live: true,
-        };
-        self.after(LIST_LAG_US, event);
-    }
-
-    fn status_known(&mut self, replica: usize, is_live: bool) {
-        let status = if is_live {
-            ReplicaStatus::Live
-        } else {
-            ReplicaStatus::Leaving
-        };
-        for daemon in 0..self.daemons.len() {
-            let state = &mut self.daemons[daemon];
-            state.baseline.is_live[replica] = is_live;
-            state.set.set_status(state.keys[replica], status);
-            self.pump(daemon);
-        }
-    }
 }
 
 fn agent_session(agent: usize) -> SessionId {
--- /dev/null
+++ b/crates/policy/benches/support/world/faults.rs
@@ -0,0 +1,91 @@
+//! Faults as they begin, end and become known.
+
+use ibisdale_policy::{FlightOutcome, ReplicaStatus};
+
+use super::{DEATH_LAG_US, LIST_LAG_US, NETWORK_US, World};
+use crate::support::event::{EventKind, MICROS_PER_MILLI};
+use crate::support::fault::FaultKind;
+
+impl World<'_> {
+    pub(super) fn fault_begins(&mut self, fault: usize) {
+        match self.scenario.faults[fault].kind {
+            FaultKind::SlowReplica { replica, factor } => {
+                self.engines[replica].slow_factor = factor;
+            }
+            FaultKind::DeadReplica { replica } => self.kill(replica, DEATH_LAG_US),
+            FaultKind::Outage => {
+                for replica in 0..self.engines.len() {
+                    self.kill(replica, DEATH_LAG_US);
+                }
+            }
+            FaultKind::LeavingReplica { replica } => {
+                self.leaving_since_us[replica] = Some(self.now_us);
+                let event = EventKind::StatusKnown {
+                    replica,
+                    is_live: false,
+                };
+                self.after(LIST_LAG_US, event);
+            }
+            FaultKind::BusyWorkspace { .. } => {}
+            FaultKind::LateReports { millis } => self.late_us = millis * MICROS_PER_MILLI,
+        }
+    }
+
+    pub(super) fn fault_ends(&mut self, fault: usize) {
+        match self.scenario.faults[fault].kind {
+            FaultKind::SlowReplica { replica, .. } => self.engines[replica].slow_factor = 1.0,
+            FaultKind::DeadReplica { replica } => self.revive(replica),
+            FaultKind::Outage => {
+                for replica in 0..self.engines.len() {
+                    self.revive(replica);
+                }
+            }
+            FaultKind::LeavingReplica { replica } => {
+                self.kill(replica, LIST_LAG_US);
+                self.leaving_since_us[replica] = None;
+                self.revive(replica);
+            }
+            FaultKind::BusyWorkspace { .. } => {}
+            FaultKind::LateReports { .. } => self.late_us = 0,
+        }
+    }
+
+    pub(super) fn kill(&mut self, replica: usize, lag_us: u64) {
+        for (call, attempt) in self.engines[replica].kill() {
+            let event = EventKind::CallEnds {
+                call,
+                attempt,
+                outcome: FlightOutcome::Failed,
+            };
+            self.after(NETWORK_US, event);
+        }
+        let event = EventKind::StatusKnown {
+            replica,
+            is_live: false,
+        };
+        self.after(lag_us, event);
+    }
+
+    pub(super) fn revive(&mut self, replica: usize) {
+        self.engines[replica].is_dead = false;
+        let event = EventKind::StatusKnown {
+            replica,
+            is_live: true,
+        };
+        self.after(LIST_LAG_US, event);
+    }
+
+    pub(super) fn status_known(&mut self, replica: usize, is_live: bool) {
+        let status = if is_live {
+            ReplicaStatus::Live
+        } else {
+            ReplicaStatus::Leaving
+        };
+        for daemon in 0..self.daemons.len() {
+            let state = &mut self.daemons[daemon];
+            state.baseline.is_live[replica] = is_live;
+            state.set.set_status(state.keys[replica], status);
+            self.pump(daemon);
+        }
+    }
+}
