--- a/crates/daemon/src/listeners.rs
+++ b/crates/daemon/src/listeners.rs
@@ -141,7 +141,8 @@
         Some(holder) => holder.add_handlers(handlers),
         None => handlers,
     };
-    let server = serve_fleet(listener, executor, signal, handlers);
+    let traffic = context.links.get_traffic().clone();
+    let server = serve_fleet(listener, executor, signal, handlers, traffic);
     context.executor.spawn(server).detach();
     guard
 }
--- a/crates/daemon/src/operators/dispatch.rs
+++ b/crates/daemon/src/operators/dispatch.rs
@@ -20,6 +20,8 @@
 
 /// Largest settings text that is taken, in bytes.
 const SETTINGS_MAX_BYTES: usize = 64 * 1_024 * 1_024;
+/// Label of all messages on links to other daemons.
+const FLEET_LINKS: &str = "all";
 
 /// What operators must present.
 #[derive(Clone, Debug)]
@@ -60,6 +62,10 @@
 ) -> Result<Response<BoxBody>, RequestRefusal> {
     let route = parse_operator_route(request.method(), request.uri())?;
     if route == OperatorRoute::Metrics {
+        let sent = context.links.get_traffic().take();
+        context
+            .metrics
+            .count_fleet_messages(FLEET_LINKS, sent.messages, sent.bytes);
         return Ok(text_answer(AnswerHead::new(id), context.metrics.render()));
     }
     authenticate(access, &request)?;
--- a/crates/fleet/src/links.rs
+++ b/crates/fleet/src/links.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use futures_lite::{FutureExt, StreamExt, stream};
-use ibisdale_net::{ConnectOptions, GrpcChannel, TrafficExecutor};
+use ibisdale_net::{ConnectOptions, GrpcChannel, LinkTraffic, TrafficExecutor};
 use snafu::ResultExt;
 use tonic::{Request, Response, Status};
 
@@ -33,6 +33,7 @@
 pub struct FleetLinks {
     executor: TrafficExecutor,
     channels: Arc<Mutex<HashMap<SocketAddr, GrpcChannel>>>,
+    traffic: LinkTraffic,
 }
 
 macro_rules! unary_calls {
@@ -65,9 +66,16 @@
         Self {
             executor,
             channels: Arc::default(),
+            traffic: LinkTraffic::default(),
         }
     }
 
+    /// Returns the counts of what the links send.
+    #[must_use]
+    pub fn get_traffic(&self) -> &LinkTraffic {
+        &self.traffic
+    }
+
     unary_calls! {
         /// Probes a daemon.
         ping: PingRequest => PingReply;
@@ -142,7 +150,8 @@
             return Ok(FleetClient::new(channel));
         }
         let options = ConnectOptions::new().timeout(LINK_TIMEOUT);
-        let opened = GrpcChannel::open(address, &self.executor, options).await;
+        let traffic = self.traffic.clone();
+        let opened = GrpcChannel::open(address, &self.executor, options, traffic).await;
         let channel = opened.context(LinkSnafu)?;
         self.lock_channels().insert(address, channel.clone());
         Ok(FleetClient::new(channel))
--- a/crates/fleet/src/service.rs
+++ b/crates/fleet/src/service.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 
 use futures_lite::{Stream, StreamExt};
-use ibisdale_net::{ShutdownSignal, TrafficExecutor, serve_grpc};
+use ibisdale_net::{LinkTraffic, ShutdownSignal, TrafficExecutor, serve_grpc};
 use smol::Async;
 use tonic::{Request, Response, Status};
 
@@ -105,15 +105,17 @@
     }
 }
 
-/// Serves the calls of other daemons until shutdown.
+/// Serves the calls of other daemons until shutdown; `traffic` counts what is
+/// sent to them.
 pub async fn serve_fleet(
     listener: Async<TcpListener>,
     executor: TrafficExecutor,
     shutdown: ShutdownSignal,
     handlers: FleetHandlers,
+    traffic: LinkTraffic,
 ) {
     let server = FleetServer::new(FleetService { handlers })
         .max_decoding_message_size(MESSAGE_MAX_BYTES)
         .max_encoding_message_size(MESSAGE_MAX_BYTES);
-    serve_grpc(listener, executor, shutdown, server).await;
+    serve_grpc(listener, executor, shutdown, server, traffic).await;
 }
--- a/crates/net/src/grpc.rs
+++ b/crates/net/src/grpc.rs
@@ -24,6 +24,7 @@
 use crate::server::accept_until_shutdown;
 use crate::shutdown::ShutdownSignal;
 use crate::socket::connect_stream;
+use crate::traffic::{CountedStream, LinkTraffic};
 
 /// Time between pings on a link that is otherwise silent.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(5);
@@ -35,10 +36,11 @@
 pub struct GrpcChannel {
     address: SocketAddr,
     sender: client::SendRequest<GrpcBody>,
+    traffic: LinkTraffic,
 }
 
 impl GrpcChannel {
-    /// Opens a link to `address`.
+    /// Opens a link to `address`, whose sent bytes `traffic` counts.
     ///
     /// A link that goes silent is noticed by HTTP/2 pings and closed.
     ///
@@ -49,15 +51,20 @@
         address: SocketAddr,
         executor: &TrafficExecutor,
         options: ConnectOptions,
+        traffic: LinkTraffic,
     ) -> Result<Self, NetError> {
         let limit = options.get_timeout();
-        let connect = open_sender(address, executor);
+        let connect = open_sender(address, executor, traffic.clone());
         let sender = with_timeout(connect, limit, || NetError::ConnectTimeout {
             address,
             limit,
         })
         .await?;
-        Ok(Self { address, sender })
+        Ok(Self {
+            address,
+            sender,
+            traffic,
+        })
     }
 
     /// Tells whether the link is closed and must be replaced.
@@ -70,6 +77,7 @@
 async fn open_sender(
     address: SocketAddr,
     executor: &TrafficExecutor,
+    traffic: LinkTraffic,
 ) -> Result<client::SendRequest<GrpcBody>, NetError> {
     let stream = connect_stream(address).await?;
     let builder_executor = SmolExecutor::new(TrafficExecutor::clone(executor));
@@ -77,7 +85,7 @@
         .timer(SmolTimer::new())
         .keep_alive_interval(KEEP_ALIVE_INTERVAL)
         .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
-        .handshake(FuturesIo::new(stream))
+        .handshake(FuturesIo::new(CountedStream::new(stream, traffic)))
         .await
         .map_err(|source| NetError::Exchange { source })?;
     let task = async move {
@@ -100,6 +108,7 @@
 
     fn call(&mut self, mut request: Request<GrpcBody>) -> Self::Future {
         *request.uri_mut() = absolute_uri(request.uri(), self.address);
+        self.traffic.count_message();
         Box::pin(self.sender.send_request(request))
     }
 }
@@ -111,7 +120,8 @@
     Uri::from_parts(parts).unwrap_or_else(|_| uri.clone())
 }
 
-/// Accepts links and serves `service` on each until shutdown.
+/// Accepts links and serves `service` on each until shutdown; `traffic` counts
+/// what is sent on them.
 ///
 /// Returns when shutdown has started; links in service go on until their calls
 /// are answered and hold the signal until then.
@@ -120,6 +130,7 @@
     executor: TrafficExecutor,
     shutdown: ShutdownSignal,
     service: S,
+    traffic: LinkTraffic,
 ) where
     S: Service<Request<GrpcBody>, Response = Response<GrpcBody>, Error = Infallible>
         + Clone
@@ -136,6 +147,7 @@
             link_executor,
             shutdown.clone(),
             service.clone(),
+            traffic.clone(),
         );
         executor.spawn(task).detach();
     })
@@ -148,6 +160,7 @@
     executor: TrafficExecutor,
     shutdown: ShutdownSignal,
     service: S,
+    traffic: LinkTraffic,
 ) where
     S: Service<Request<GrpcBody>, Response = Response<GrpcBody>, Error = Infallible>
         + Clone
@@ -156,8 +169,11 @@
         + 'static,
     S::Future: Send,
 {
+    let stream = CountedStream::new(stream, traffic.clone());
     let call_service = hyper::service::service_fn(move |request: Request<Incoming>| {
         let mut service = service.clone();
+        // Each request gets one reply.
+        traffic.count_message();
         let request = request.map(|body| GrpcBody::new(body.map_err(tonic_status)));
         async move { service.call(request).await }
     });
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,6 +11,7 @@
 mod server;
 mod shutdown;
 mod socket;
+mod traffic;
 
 pub use body::{BodySender, BoxBody, body_channel, empty_body, full_body, read_limited};
 pub use client::{CheckedBody, ClientConnection, ConnectOptions};
@@ -20,6 +21,7 @@
 pub use shutdown::{ShutdownGuard, ShutdownSignal, shutdown_pair};
 pub use smol_hyper::rt::SmolTimer;
 pub use socket::bind_listener;
+pub use traffic::{LinkTraffic, SentTraffic};
 
 /// The executor that connections run on.
 pub type TrafficExecutor = std::sync::Arc<async_executor::Executor<'static>>;
--- /dev/null
+++ b/crates/net/src/traffic.rs
@@ -0,0 +1,107 @@
+//! Counts what links between daemons send.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+
+use futures_lite::{AsyncRead, AsyncWrite};
+
+/// What was sent since the last look.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SentTraffic {
+    /// Requests and replies.
+    pub messages: u64,
+    /// Bytes on the wire with all framing, in bytes.
+    pub bytes: u64,
+}
+
+#[derive(Debug, Default)]
+struct TrafficCounters {
+    messages: AtomicU64,
+    bytes: AtomicU64,
+}
+
+/// Counts what the links of one daemon send; clones share the counts.
+#[derive(Clone, Debug, Default)]
+pub struct LinkTraffic {
+    counters: Arc<TrafficCounters>,
+}
+
+impl LinkTraffic {
+    /// Returns what was sent since the last call and starts again from zero.
+    #[must_use]
+    pub fn take(&self) -> SentTraffic {
+        SentTraffic {
+            messages: self.counters.messages.swap(0, Ordering::Relaxed),
+            bytes: self.counters.bytes.swap(0, Ordering::Relaxed),
+        }
+    }
+
+    pub(crate) fn count_message(&self) {
+        self.counters.messages.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn count_bytes(&self, count: usize) {
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        self.counters.bytes.fetch_add(count, Ordering::Relaxed);
+    }
+}
+
+/// A stream whose written bytes are counted.
+#[derive(Debug)]
+pub(crate) struct CountedStream<S> {
+    stream: S,
+    traffic: LinkTraffic,
+}
+
+impl<S> CountedStream<S> {
+    pub(crate) fn new(stream: S, traffic: LinkTraffic) -> Self {
+        Self { stream, traffic }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for CountedStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for CountedStream<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(context, buffer);
+        if let Poll::Ready(Ok(count)) = &result {
+            self.traffic.count_bytes(*count);
+        }
+        result
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        if let Poll::Ready(Ok(count)) = &result {
+            self.traffic.count_bytes(*count);
+        }
+        result
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(context)
+    }
+}
--- a/crates/telemetry/src/registry.rs
+++ b/crates/telemetry/src/registry.rs
@@ -206,7 +206,13 @@
 
     /// Counts a message of `bytes` bytes sent to another daemon.
     pub fn count_fleet_message(&self, message: &'static str, bytes: u64) {
-        self.fleet_messages.with_label_values(&[message]).inc();
+        self.count_fleet_messages(message, 1, bytes);
+    }
+
+    /// Counts messages that have `bytes` bytes together, sent to other daemons.
+    pub fn count_fleet_messages(&self, message: &'static str, messages: u64, bytes: u64) {
+        let counter = self.fleet_messages.with_label_values(&[message]);
+        counter.inc_by(messages);
         self.fleet_bytes.with_label_values(&[message]).inc_by(bytes);
     }
 
