Split the platform's calls by kind in the bench of fleet sizes

Settings confirmations and claims are transactions and lease renewals are neither reads nor transactions; one column of writes hid that. The calls until every slot has an owner are shown as well.

--- a/crates/ibisdaled/benches/fleet_slopes.rs
+++ b/crates/ibisdaled/benches/fleet_slopes.rs
@@ -22,17 +22,19 @@
 /// slots are levelled.
 const SETTLE_TIME: Duration = Duration::from_secs(15);
 
-const COLUMNS: [&str; 10] = [
+const COLUMNS: [&str; 12] = [
     "CPU, % of a core",
     "resident, MB",
     "fleet bytes/s",
     "fleet messages/s",
-    "KV writes/s",
+    "KV lease renewals/s",
+    "KV transactions/s",
     "KV reads/s",
     "KV watch starts/s",
     "VM list reads/s",
     "settings everywhere, s",
     "all slots owned, s",
+    "KV calls until owned",
 ];
 
 /// The figures of one size, in the order of [`COLUMNS`].
@@ -59,14 +61,15 @@
     let fleet = TestFleet::start(size);
     fleet.wait_slots();
     let owned_after = started.elapsed().as_secs_f64();
+    let calls_until_owned = difference(fleet.kv.get_counts().total(), 0);
     let spread_after = fleet.apply_settings().as_secs_f64();
     std::thread::sleep(SETTLE_TIME);
-    let row = observe(&fleet, spread_after, owned_after);
+    let row = observe(&fleet, [spread_after, owned_after, calls_until_owned]);
     fleet.close();
     row
 }
 
-fn observe(fleet: &TestFleet, spread_after: f64, owned_after: f64) -> FleetRow {
+fn observe(fleet: &TestFleet, start: [f64; 3]) -> FleetRow {
     let uses: Vec<ProcessUse> = fleet.read_uses();
     let sent = fleet.read_sent();
     let calls = fleet.kv.get_counts();
@@ -86,20 +89,20 @@
         .sum();
     let resident: f64 = new_uses.iter().map(|each| each.resident_bytes).sum();
     let rate = |kind: KvCallKind| per_second(&new_calls, &calls, kind, seconds);
-    let watches = rate(KvCallKind::Watch);
-    let reads_rate = rate(KvCallKind::Range);
-    let all: f64 = KvCallKind::ALL.iter().map(|kind| rate(*kind)).sum();
+    let [spread_after, owned_after, calls_until_owned] = start;
     [
         cpu / seconds / daemons * 100.0,
         resident / daemons / 1e6,
         (new_sent.bytes - sent.bytes) / seconds / daemons,
         (new_sent.messages - sent.messages) / seconds / daemons,
-        all - watches - reads_rate,
-        reads_rate,
-        watches,
+        rate(KvCallKind::LeaseKeepAlive),
+        rate(KvCallKind::Txn),
+        rate(KvCallKind::Range),
+        rate(KvCallKind::Watch),
         difference(new_reads, reads) / seconds,
         spread_after,
         owned_after,
+        calls_until_owned,
     ]
 }
 
