--- a/crates/ibisdaled/benches/fleet_slopes.rs
+++ b/crates/ibisdaled/benches/fleet_slopes.rs
@@ -33,8 +33,8 @@
     "KV watch starts/s",
     "VM list reads/s",
     "settings everywhere, s",
-    "all slots owned, s",
-    "KV calls until owned",
+    "slots owned and members known, s",
+    "KV calls until then",
 ];
 
 /// The figures of one size, in the order of [`COLUMNS`].
