--- a/crates/daemon/src/callers/call.rs
+++ b/crates/daemon/src/callers/call.rs
@@ -26,6 +26,7 @@
 use crate::history::StoreResult;
 use crate::observe::start_span;
 use crate::ownership::{IntentError, PaidIntent};
+use crate::slot_pin::SlotPin;
 
 /// A route of a service with its settings.
 struct ServiceRoute {
@@ -77,6 +78,7 @@
         digest: request.step.digest,
         deadline: None,
     };
+    let pin = SlotPin::new(context, path.program).await?;
     match context.control.admit(step).await? {
         AdmittedStep::Recorded(record) => answer_record(request.id, *record),
         AdmittedStep::Run {
@@ -92,6 +94,7 @@
                 ticket,
                 cancel,
                 stored,
+                pin,
                 body: Bytes::from(serde_json::to_vec(&body.body).unwrap_or_default()),
             };
             // The run goes on when the caller goes away, so that its outcome is
@@ -139,6 +142,7 @@
     ticket: Box<StepTicket>,
     cancel: Receiver<()>,
     stored: Receiver<StoreResult>,
+    pin: SlotPin,
     body: Bytes,
 }
 
@@ -155,6 +159,7 @@
         } else if is_paid && result.is_ok() {
             ownership.finish_intent(program, step);
         }
+        drop(self.pin);
         result
     }
 
--- a/crates/daemon/src/callers/chat.rs
+++ b/crates/daemon/src/callers/chat.rs
@@ -24,6 +24,7 @@
 use super::prompt::{DEFAULT_MAX_TOKENS, added_tokens_max, render_engine_body, render_payload};
 use crate::context::DaemonContext;
 use crate::control::{AdmittedStep, RunningStep};
+use crate::slot_pin::SlotPin;
 
 /// Program that a request without a program runs as.
 const COMPLETION_PROGRAM: &[u8] = b"chat";
@@ -127,6 +128,7 @@
         digest: request.step.digest,
         deadline: None,
     };
+    let pin = SlotPin::new(context, path.program).await?;
     match context.control.admit(step).await? {
         AdmittedStep::Recorded(record) => answer_record(request, path.program, &body, *record),
         AdmittedStep::Run {
@@ -146,6 +148,7 @@
                 }
             };
             let run = ChatRun::new(context, request, model, ticket, cancel)
+                .pin(pin)
                 .engine_body(engine_body)
                 .known_tokens(crate::control::known_tokens(&history))
                 .added_tokens(added_tokens_max(&body.messages))
--- a/crates/daemon/src/callers/chat_run.rs
+++ b/crates/daemon/src/callers/chat_run.rs
@@ -26,6 +26,7 @@
 use crate::context::{DaemonContext, read_credential};
 use crate::control::{RouteRequest, RoutedCall, UpstreamGroup};
 use crate::observe::start_span;
+use crate::slot_pin::SlotPin;
 
 /// Attempts at engines for one step, the first included.
 const ENGINE_ATTEMPTS_MAX: u32 = 3;
@@ -92,6 +93,7 @@
     added_tokens: u64,
     is_last: bool,
     started: Instant,
+    pin: Option<SlotPin>,
 }
 
 fn clamp_tokens(tokens: u64) -> u32 {
@@ -119,9 +121,16 @@
             added_tokens: 0,
             is_last: false,
             started: Instant::now(),
+            pin: None,
         }
     }
 
+    /// Keeps the program's slot here until the step is finished.
+    pub(super) fn pin(mut self, pin: SlotPin) -> Self {
+        self.pin = Some(pin);
+        self
+    }
+
     /// Sets the engine's request.
     pub(super) fn engine_body(mut self, body: Bytes) -> Self {
         self.engine_body = body;
@@ -364,6 +373,7 @@
         if self.is_last {
             let _ = self.context.control.end(program, self.workspace).await;
         }
+        drop(self.pin);
         let result = result.and_then(completed);
         match sink {
             AnswerSink::Whole { sender } => {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 mod running;
 mod settings_feed;
 mod settings_watch;
+mod slot_pin;
 mod slot_watch;
 mod threads;
 mod upstream_watch;
