--- a/crates/ibisdaled/benches/fleet_slopes.rs
+++ b/crates/ibisdaled/benches/fleet_slopes.rs
@@ -4,8 +4,10 @@
 //! Prints a table with a row for each size, and the slope of each column per
 //! added daemon by least squares.
 
+#[allow(dead_code, reason = "each bench calls a part")]
 #[path = "support/fleet.rs"]
 mod fleet;
+#[allow(dead_code, reason = "each bench calls a part")]
 #[path = "support/process.rs"]
 mod process;
 
@@ -15,6 +17,9 @@
 use ibisdale_platform::{KvCallCounts, KvCallKind};
 use process::ProcessUse;
 
+const SETTINGS: &str = "[/models/small]\nvm_group = engines\n\
+     [/workspaces/kermesse]\nmodels = small\n\
+     [/workspaces/kermesse/programs/planner]\n";
 const FLEET_SIZES: [u16; 5] = [4, 8, 16, 32, 64];
 /// Time over which the idle fleet is observed.
 const OBSERVE_TIME: Duration = Duration::from_secs(20);
@@ -62,7 +67,7 @@
     fleet.wait_slots();
     let owned_after = started.elapsed().as_secs_f64();
     let calls_until_owned = difference(fleet.kv.get_counts().total(), 0);
-    let spread_after = fleet.apply_settings().as_secs_f64();
+    let spread_after = fleet.apply_settings(SETTINGS).as_secs_f64();
     std::thread::sleep(SETTLE_TIME);
     let row = observe(&fleet, [spread_after, owned_after, calls_until_owned]);
     fleet.close();
--- a/crates/ibisdaled/benches/support/fleet.rs
+++ b/crates/ibisdaled/benches/support/fleet.rs
@@ -18,7 +18,7 @@
 const OPERATOR_KEY: &str = "operator-key";
 const DOMAIN_COUNT: u16 = 4;
 const STANDIN_THREADS: usize = 2;
-const ENTRY_PORT: u16 = 7_101;
+pub(crate) const ENTRY_PORT: u16 = 7_101;
 const FLEET_PORT: u16 = 7_201;
 const OPERATOR_PORT: u16 = 7_301;
 const ANSWER_MAX_BYTES: usize = 4 * 1_024 * 1_024;
@@ -28,10 +28,6 @@
 /// take their slots.
 const END_TIME: Duration = Duration::from_secs(8);
 const LOOK_INTERVAL: Duration = Duration::from_millis(20);
-const SETTINGS: &str = "[/models/small]\nvm_group = engines\n\
-     [/workspaces/kermesse]\nmodels = small\n\
-     [/workspaces/kermesse/programs/planner]\n";
-
 /// What all daemons sent to one another.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FleetSent {
@@ -81,6 +77,11 @@
         }
     }
 
+    /// Returns the executor of the stand-ins and of the calls.
+    pub(crate) fn get_executor(&self) -> &TrafficExecutor {
+        &self.executor
+    }
+
     /// Returns the number of daemons.
     pub(crate) fn size(&self) -> u32 {
         u32::try_from(self.daemons.len()).unwrap_or(u32::MAX)
@@ -102,8 +103,8 @@
     }
 
     /// Applies settings at one daemon; returns the time until all have them.
-    pub(crate) fn apply_settings(&self) -> Duration {
-        let body = serde_json::json!({"file": "settings.ini", "text": SETTINGS, "author": "bench"});
+    pub(crate) fn apply_settings(&self, settings: &str) -> Duration {
+        let body = serde_json::json!({"file": "settings.ini", "text": settings, "author": "bench"});
         let started = Instant::now();
         let path = "/admin/v1/settings";
         let (status, text) = self
@@ -220,7 +221,7 @@
 }
 
 /// Returns the host of a daemon: each has its own, so that no port is taken.
-fn host(number: u16) -> Ipv4Addr {
+pub(crate) fn host(number: u16) -> Ipv4Addr {
     let [high, low] = number.to_be_bytes();
     Ipv4Addr::new(127, 77, high, low + 1)
 }
