--- a/crates/daemon/src/callers/access.rs
+++ b/crates/daemon/src/callers/access.rs
@@ -9,6 +9,11 @@
     KeyMatch, ModelSettings, ProgramSettings, SettingsSnapshot, WorkspaceSettings,
 };
 
+use crate::context::DaemonContext;
+
+/// Least share of a workspace.
+const WEIGHT_MIN: f64 = 0.001;
+
 /// The workspace and the key that a request came with.
 #[derive(Clone, Debug)]
 pub(crate) struct CallerIdentity {
@@ -87,3 +92,15 @@
         workspace.name
     )))
 }
+
+/// Returns the share of the upstreams that a workspace has: its rate, times the
+/// weight that the settings give it.
+pub(crate) fn upstream_weight(context: &DaemonContext, name: &WorkspaceName) -> f64 {
+    let settings = context.settings();
+    let share =
+        |found: &Arc<WorkspaceSettings>| found.rate_limit.rate.as_f64() * found.weight.as_f64();
+    settings
+        .workspace(name)
+        .map_or(WEIGHT_MIN, share)
+        .max(WEIGHT_MIN)
+}
--- a/crates/daemon/src/callers/call.rs
+++ b/crates/daemon/src/callers/call.rs
@@ -16,7 +16,7 @@
 use ibisdale_upstreams::{ServiceCall, ServiceClient, ServiceReply, UpstreamError};
 use serde_json::{Value, json};
 
-use super::access::workspace_settings;
+use super::access::{upstream_weight, workspace_settings};
 use super::chat::attempt_key;
 use super::chat_run::upstream_refusal;
 use super::dispatch::CallerRequest;
@@ -214,6 +214,7 @@
             known_tokens: 0,
             deadline,
             avoid: None,
+            weight: upstream_weight(&self.context, workspace),
         };
         let traceparent = self.request.traceparent.as_deref();
         match send_call(&self.context, &self.route, route, call, traceparent).await {
@@ -344,6 +345,7 @@
         known_tokens: 0,
         deadline: None,
         avoid: None,
+        weight: OPEN_WEIGHT,
     };
     let reply = send_call(context, &route, request, call, None).await?;
     match reply_outcome(&reply) {
@@ -352,5 +354,7 @@
     }
 }
 
+/// Weight of calls of open routes against those of workspaces.
+const OPEN_WEIGHT: f64 = 1.0;
 /// Share of the upstreams that calls of open routes have together.
 const OPEN_WORKSPACE: &[u8] = b"open-routes";
--- a/crates/daemon/src/callers/chat_run.rs
+++ b/crates/daemon/src/callers/chat_run.rs
@@ -19,6 +19,7 @@
 use ibisdale_telemetry::{SpanKind, TokenKind, TraceSpan, record_event};
 use ibisdale_upstreams::{ChatCall, ChatEvent, EngineClient, UpstreamError, UpstreamErrorKind};
 
+use super::access::upstream_weight;
 use super::answer_builder::{AnswerBuilder, TokenUsage};
 use super::chat::stream_end;
 use super::dispatch::CallerRequest;
@@ -75,6 +76,8 @@
     Whole,
     Stopped(StopCause),
     Failed(UpstreamError),
+    /// The call was not sent.
+    Refused(RequestRefusal),
     /// The stream ended without saying that the answer is whole.
     Ended,
 }
@@ -181,6 +184,7 @@
             match self.run_attempt(routed, answer, sink).await {
                 AttemptEnd::Whole => return Ok(()),
                 AttemptEnd::Stopped(cause) => return Err(stop_refusal(cause, answer.is_begun())),
+                AttemptEnd::Refused(refusal) => return Err(refusal),
                 AttemptEnd::Ended => return Err(ended_refusal(answer.is_begun())),
                 AttemptEnd::Failed(error) => {
                     let is_final = attempt >= ENGINE_ATTEMPTS_MAX
@@ -210,6 +214,7 @@
             known_tokens: clamp_tokens(self.known_tokens),
             deadline: self.deadline(),
             avoid,
+            weight: upstream_weight(&self.context, &self.workspace),
         };
         let routed = async { Ok(self.context.control.route(request).await) };
         let stopped = async { Err(self.stopped(sink).await) };
@@ -243,7 +248,16 @@
         sink: &AnswerSink,
     ) -> AttemptEnd {
         let program = self.ticket.get_program();
-        self.context.control.open_session(program, routed.address);
+        let noted = self
+            .context
+            .control
+            .open_session(program, routed.address)
+            .await;
+        if let Err(refusal) = noted {
+            let report = FlightReport::new(FlightOutcome::Cancelled);
+            self.context.control.call_ended(routed.route, report);
+            return AttemptEnd::Refused(refusal);
+        }
         self.context.metrics.count_upstream_call("engine");
         let span = self.start_span(&routed);
         let traceparent = span.get_context().to_string();
@@ -253,7 +267,10 @@
         self.record_end(&end, span);
         let outcome = match &end {
             AttemptEnd::Whole => FlightOutcome::Succeeded,
-            AttemptEnd::Stopped(_) => FlightOutcome::Cancelled,
+            AttemptEnd::Stopped(_) | AttemptEnd::Refused(_) => FlightOutcome::Cancelled,
+            AttemptEnd::Failed(error) if error.get_kind() == UpstreamErrorKind::Connect => {
+                FlightOutcome::Unreachable
+            }
             AttemptEnd::Failed(_) | AttemptEnd::Ended => FlightOutcome::Failed,
         };
         let usage = answer.get_usage();
--- a/crates/daemon/src/control/handle.rs
+++ b/crates/daemon/src/control/handle.rs
@@ -141,9 +141,20 @@
             .await
     }
 
-    /// Notes that an engine is about to hold a session of a program.
-    pub(crate) fn open_session(&self, program: ProgramId, address: SocketAddr) {
-        self.notify(ControlMessage::SessionOpened(program, address));
+    /// Notes that an engine is about to hold a session of a program; answers
+    /// when that is stored.
+    pub(crate) async fn open_session(
+        &self,
+        program: ProgramId,
+        address: SocketAddr,
+    ) -> Result<(), RequestRefusal> {
+        self.request(|reply| ControlMessage::OpenSession(program, address, reply))
+            .await
+    }
+
+    /// Sets whether this daemon surely holds its lease.
+    pub(crate) fn set_certain(&self, is_certain: bool) {
+        self.notify(ControlMessage::Certain(is_certain));
     }
 
     /// Notes the first token of a call.
--- a/crates/daemon/src/control/message.rs
+++ b/crates/daemon/src/control/message.rs
@@ -79,6 +79,8 @@
     pub(crate) known_tokens: u32,
     pub(crate) deadline: Option<TimeStamp>,
     pub(crate) avoid: Option<SocketAddr>,
+    /// Share of the upstreams that the workspace has, against the others.
+    pub(crate) weight: f64,
 }
 
 /// A call's place at a replica.
@@ -163,7 +165,12 @@
         Box<RouteRequest>,
         ReplySender<Result<RoutedCall, RequestRefusal>>,
     ),
-    SessionOpened(ProgramId, SocketAddr),
+    OpenSession(
+        ProgramId,
+        SocketAddr,
+        ReplySender<Result<(), RequestRefusal>>,
+    ),
+    Certain(bool),
     FirstToken(CallRoute),
     CallEnded(CallRoute, FlightReport),
     Upstreams(Vec<UpstreamVm>),
--- a/crates/daemon/src/control/programs.rs
+++ b/crates/daemon/src/control/programs.rs
@@ -44,6 +44,21 @@
     tasks.spawn(task).detach();
 }
 
+/// Answers once records are stored.
+pub(super) fn answer_stored(
+    tasks: &ControlTasks,
+    pending: Result<async_channel::Receiver<StoreResult>, RequestRefusal>,
+    reply: ReplySender<Result<(), RequestRefusal>>,
+) {
+    match pending {
+        Ok(result) => {
+            let task = async move { answer(&reply, stored(result).await) };
+            tasks.spawn(task).detach();
+        }
+        Err(refusal) => answer(&reply, Err(refusal)),
+    }
+}
+
 /// Answers, and wakes who waits, once the records are stored.
 pub(super) fn answer_finished(
     tasks: &ControlTasks,
--- a/crates/daemon/src/control/routing.rs
+++ b/crates/daemon/src/control/routing.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use async_channel::Receiver;
 use ibisdale_core::{ProgramId, RefusalCode, RequestRefusal, TimeStamp, WorkspaceName};
 use ibisdale_policy::{
     CallKey, CallRequest, ChoiceRequest, DomainKey, FairQueue, FlightOutcome, FlightReport,
@@ -17,9 +18,7 @@
 use super::message::{CallRoute, ReplySender, RouteRequest, RoutedCall, UpstreamGroup, UpstreamVm};
 use super::state::{ControlState, answer};
 use crate::clock::unix_now;
-
-/// Weight of a workspace whose settings name none.
-const DEFAULT_WEIGHT: f64 = 1.0;
+use crate::history::StoreResult;
 
 type RouteReply = ReplySender<Result<RoutedCall, RequestRefusal>>;
 
@@ -88,13 +87,22 @@
     }
 
     /// Lets a call wait for its turn.
-    fn push(&mut self, request: RouteRequest, reply: RouteReply, now: TimeStamp) {
+    fn push(
+        &mut self,
+        request: RouteRequest,
+        attained_tokens: u64,
+        reply: RouteReply,
+        now: TimeStamp,
+    ) {
         let queue = &mut self.queue;
         let share = *self
             .shares
             .entry(request.workspace.clone())
-            .or_insert_with(|| queue.insert_workspace(DEFAULT_WEIGHT));
-        let mut call = CallRequest::new(share).expected_tokens(request.prompt_tokens);
+            .or_insert_with(|| queue.insert_workspace(request.weight));
+        self.queue.set_weight(share, request.weight);
+        let mut call = CallRequest::new(share)
+            .expected_tokens(request.prompt_tokens)
+            .attained_tokens(attained_tokens);
         if let Some(deadline) = request.deadline {
             call = call.latest_start(deadline);
         }
@@ -289,23 +297,34 @@
 
     pub(super) fn route_call(&mut self, request: RouteRequest, reply: RouteReply) {
         let now = unix_now();
+        let attained_tokens = request
+            .program
+            .map_or(0, |program| self.attained_tokens(program));
         let Some(router) = self.routers.get_mut(&request.group) else {
             let message = "no upstream VM is listed for this model or service";
             let refusal = RequestRefusal::new(RefusalCode::NoUpstream, message);
             return answer(&reply, Err(refusal.retry_after(OVERLOAD_RETRY_DELAY)));
         };
-        router.push(request, reply, now);
+        router.push(request, attained_tokens, reply, now);
         router.drain(now, &mut self.random);
     }
 
-    /// Notes that an engine holds a session of a program.
-    pub(super) fn open_session(&mut self, program: ProgramId, address: SocketAddr) {
+    /// Returns the tokens that a program and its sub-agents have used.
+    fn attained_tokens(&self, program: ProgramId) -> u64 {
+        let summary = self.table.summary_any(program);
+        summary.map_or(0, |summary| summary.budget.tokens.spent)
+    }
+
+    /// Notes that an engine is about to hold a session of a program; the
+    /// receiver yields when that is stored.
+    pub(super) fn open_session(
+        &mut self,
+        program: ProgramId,
+        address: SocketAddr,
+    ) -> Result<Receiver<StoreResult>, RequestRefusal> {
         let engine = EngineAddress::new(address.to_string());
-        match self.table.open_session(program, engine) {
-            Ok(Some(record)) => drop(self.append(vec![record])),
-            Ok(None) => {}
-            Err(refusal) => log::warn!("session not noted: {}", refusal.get_message()),
-        }
+        let record = self.table.open_session(program, engine)?;
+        Ok(self.append(record.into_iter().collect()))
     }
 
     pub(super) fn cleanups(&self) -> Vec<(CleanupKey, CleanupOrder)> {
--- a/crates/daemon/src/control/run.rs
+++ b/crates/daemon/src/control/run.rs
@@ -110,7 +110,11 @@
         }
         ControlMessage::Programs(reply) => answer(&reply, state.table.all_programs()),
         ControlMessage::Route(request, reply) => state.route_call(*request, reply),
-        ControlMessage::SessionOpened(program, address) => state.open_session(program, address),
+        ControlMessage::OpenSession(program, address, reply) => {
+            let pending = state.open_session(program, address);
+            programs::answer_stored(tasks, pending, reply);
+        }
+        ControlMessage::Certain(is_certain) => state.table.set_certain(is_certain),
         ControlMessage::FirstToken(route) => state.note_first_token(&route),
         ControlMessage::CallEnded(route, report) => state.end_call(&route, report),
         ControlMessage::Upstreams(vms) => state.set_upstreams(vms),
--- a/crates/daemon/src/members/driver.rs
+++ b/crates/daemon/src/members/driver.rs
@@ -149,10 +149,7 @@
                 self.table.suspect(key, now);
             }
             MemberMessage::Proposed(addresses) => self.table.propose(&addresses),
-            MemberMessage::Revision(revision) => {
-                self.table
-                    .update_own(|facts| facts.settings_revision = revision);
-            }
+            MemberMessage::Revision(revision) => self.table.set_revision(revision),
             MemberMessage::Drain => self.table.start_drain(),
         }
     }
--- a/crates/daemon/src/slot_watch.rs
+++ b/crates/daemon/src/slot_watch.rs
@@ -54,7 +54,13 @@
 async fn follow_slots(context: Arc<DaemonContext>, queue: Sender<OwnedSlot>) {
     let mut held: BTreeMap<SlotId, u64> = BTreeMap::new();
     let mut known: Option<Arc<OwnershipSnapshot>> = None;
+    let mut is_certain = true;
     loop {
+        let is_held = is_lease_held(&context);
+        if is_certain != is_held {
+            is_certain = is_held;
+            context.control.set_certain(is_held);
+        }
         let snapshot = context.ownership.get_snapshot();
         if known
             .as_ref()
--- a/crates/policy/src/membership/table.rs
+++ b/crates/policy/src/membership/table.rs
@@ -142,6 +142,14 @@
         }
     }
 
+    /// Sets the settings revision that this daemon has in force.
+    ///
+    /// It goes with this daemon's own messages only and makes no news that the
+    /// others pass on: a change of settings would be news of every member.
+    pub fn set_revision(&mut self, revision: u64) {
+        self.own.facts.settings_revision = revision;
+    }
+
     /// Says from now on that this daemon leaves.
     pub fn start_drain(&mut self) {
         self.own.state = MemberState::Draining;
@@ -201,6 +209,10 @@
         let Some(record) = self.members.get_mut(key) else {
             return;
         };
+        if update.version == record.update.version {
+            let known = &mut record.update.facts.settings_revision;
+            *known = update.facts.settings_revision.max(*known);
+        }
         if update.is_newer_than(&record.update) {
             if update.state != record.update.state {
                 record.since = now;
