--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -18,7 +18,7 @@
 
 /// The owner's answer to a forwarded request.
 ///
-/// The body must be driven by [`ForwardAnswer::copy_body`].
+/// The body is copied by the task that [`ForwardAnswer::into_response`] returns.
 #[derive(Debug)]
 pub struct ForwardAnswer {
     head: ForwardHead,
