Say not run only if no earlier attempt of the call may have run

Cause: a model call is tried at up to three replicas, and its refusal told of the last attempt only: after one that may have run, a replica that could not be connected, or none that could be chosen, was told as not_run. Change: the state of earlier attempts goes into the refusal. Upstreams' words no longer go to callers, only the kind of failure. The run of a model call is split into its run, its end and its sink.

--- a/crates/daemon/src/callers/call.rs
+++ b/crates/daemon/src/callers/call.rs
@@ -18,7 +18,7 @@
 
 use super::access::{upstream_weight, workspace_settings};
 use super::chat::attempt_key;
-use super::chat_run::upstream_refusal;
+use super::chat_end::upstream_refusal;
 use super::dispatch::CallerRequest;
 use crate::clock::{instant_of, unix_now};
 use crate::context::{DaemonContext, read_credential};
@@ -282,10 +282,8 @@
     if refusal.get_run_state() != RunState::Unknown {
         return refusal;
     }
-    let message = format!(
-        "what became of the call is not known: {}",
-        error.get_message()
-    );
+    let kind = error.get_kind().as_str();
+    let message = format!("what became of the call is not known: {kind}");
     RequestRefusal::new(RefusalCode::OutcomeUnknown, message).run_state(RunState::Unknown)
 }
 
--- a/crates/daemon/src/callers/chat.rs
+++ b/crates/daemon/src/callers/chat.rs
@@ -18,7 +18,8 @@
 
 use super::access::{model_settings, program_settings, workspace_settings};
 use super::answer_builder::{answer_chunk, digest_event};
-use super::chat_run::{AnswerSink, ChatRun};
+use super::chat_run::ChatRun;
+use super::chat_sink::AnswerSink;
 use super::dispatch::CallerRequest;
 use super::programs::{new_program, take_program_credit};
 use super::prompt::{DEFAULT_MAX_TOKENS, added_tokens_max, render_engine_body, render_payload};
--- a/crates/daemon/src/callers/chat_run.rs
+++ b/crates/daemon/src/callers/chat_run.rs
@@ -4,24 +4,20 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use async_channel::{Receiver, Sender};
+use async_channel::Receiver;
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use ibisdale_core::{
-    ProgramId, RefusalCode, RequestId, RequestRefusal, RunState, StepNumber, TimeStamp,
-    WorkspaceName,
-};
-use ibisdale_entry::{event_bytes, refusal_event};
-use ibisdale_net::BodySender;
+use ibisdale_core::{RequestId, RequestRefusal, TimeStamp, WorkspaceName};
 use ibisdale_policy::{FlightOutcome, FlightReport};
 use ibisdale_programs::{StepOutcome, StepRecord, StepTicket};
 use ibisdale_settings::ModelSettings;
 use ibisdale_telemetry::{SpanKind, TokenKind, TraceSpan, record_event};
-use ibisdale_upstreams::{ChatCall, ChatEvent, EngineClient, UpstreamError, UpstreamErrorKind};
+use ibisdale_upstreams::{ChatCall, ChatEvent, EngineClient};
 
 use super::access::upstream_weight;
 use super::answer_builder::{AnswerBuilder, TokenUsage};
-use super::chat::stream_end;
+use super::chat_end::{AttemptEnd, StopCause, after_attempts, stop_refusal};
+use super::chat_sink::AnswerSink;
 use super::dispatch::CallerRequest;
 use crate::clock::instant_of;
 use crate::context::{DaemonContext, read_credential};
@@ -32,56 +28,6 @@
 /// Attempts at engines for one step, the first included.
 const ENGINE_ATTEMPTS_MAX: u32 = 3;
 
-/// Where the answer goes.
-pub(super) enum AnswerSink {
-    /// To the caller while it comes in; `begin` tells that it has begun, or the
-    /// refusal.
-    Stream {
-        begin: Sender<Result<(), RequestRefusal>>,
-        sender: BodySender,
-    },
-    /// To the caller when it is whole.
-    Whole {
-        sender: Sender<Result<StepRecord, RequestRefusal>>,
-    },
-}
-
-impl AnswerSink {
-    /// Waits until the caller is gone.
-    async fn caller_gone(&self) {
-        match self {
-            Self::Stream { sender, .. } => sender.closed().await,
-            Self::Whole { sender } => sender.closed().await,
-        }
-    }
-
-    async fn send_chunk(&self, chunk: &Bytes) {
-        if let Self::Stream { begin, sender } = self {
-            let _ = begin.try_send(Ok(()));
-            // A caller that is gone is noticed by the run.
-            let _ = sender.send(event_bytes(chunk)).await;
-        }
-    }
-}
-
-/// Why a call was stopped from this side.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum StopCause {
-    CallerGone,
-    ProgramEnded,
-}
-
-/// How one attempt at an engine ended.
-enum AttemptEnd {
-    Whole,
-    Stopped(StopCause),
-    Failed(UpstreamError),
-    /// The call was not sent.
-    Refused(RequestRefusal),
-    /// The stream ended without saying that the answer is whole.
-    Ended,
-}
-
 /// One model call of a step.
 pub(super) struct ChatRun {
     context: Arc<DaemonContext>,
@@ -177,28 +123,22 @@
         sink: &AnswerSink,
     ) -> Result<(), RequestRefusal> {
         let mut avoid = None;
-        let mut attempt = 1;
-        loop {
-            let routed = self.route(avoid, sink).await?;
+        let mut may_have_run = false;
+        for attempt in 1.. {
+            let routed = self.route(avoid, sink).await;
+            let routed = routed.map_err(|refusal| after_attempts(refusal, may_have_run))?;
             let address = routed.address;
-            match self.run_attempt(routed, answer, sink).await {
-                AttemptEnd::Whole => return Ok(()),
-                AttemptEnd::Stopped(cause) => return Err(stop_refusal(cause, answer.is_begun())),
-                AttemptEnd::Refused(refusal) => return Err(refusal),
-                AttemptEnd::Ended => return Err(ended_refusal(answer.is_begun())),
-                AttemptEnd::Failed(error) => {
-                    let is_final = attempt >= ENGINE_ATTEMPTS_MAX
-                        || answer.is_begun()
-                        || !is_retryable(error.get_kind());
-                    if is_final {
-                        return Err(upstream_refusal(&error, answer.is_begun()));
-                    }
-                    self.context.metrics.count_upstream_retry();
-                    avoid = Some(address);
-                    attempt += 1;
-                }
+            let end = self.run_attempt(routed, answer, sink).await;
+            let is_last = attempt >= ENGINE_ATTEMPTS_MAX || answer.is_begun();
+            if is_last || !end.is_retryable() {
+                let result = end.into_result(answer.is_begun());
+                return result.map_err(|refusal| after_attempts(refusal, may_have_run));
             }
+            may_have_run |= end.may_have_run();
+            self.context.metrics.count_upstream_retry();
+            avoid = Some(address);
         }
+        Ok(())
     }
 
     async fn route(
@@ -265,14 +205,7 @@
         let stopped = async { AttemptEnd::Stopped(self.stopped(sink).await) };
         let end = stopped.or(exchange).await;
         self.record_end(&end, span);
-        let outcome = match &end {
-            AttemptEnd::Whole => FlightOutcome::Succeeded,
-            AttemptEnd::Stopped(_) | AttemptEnd::Refused(_) => FlightOutcome::Cancelled,
-            AttemptEnd::Failed(error) if error.get_kind() == UpstreamErrorKind::Connect => {
-                FlightOutcome::Unreachable
-            }
-            AttemptEnd::Failed(_) | AttemptEnd::Ended => FlightOutcome::Failed,
-        };
+        let outcome = end.flight_outcome();
         let usage = answer.get_usage();
         let mut report = FlightReport::new(outcome);
         if outcome == FlightOutcome::Succeeded {
@@ -385,21 +318,13 @@
 
     async fn finish(self, outcome: StepOutcome, sink: AnswerSink) {
         let program = self.ticket.get_program();
-        let step = self.ticket.get_step();
         let result = self.context.control.finish(self.ticket, outcome).await;
         if self.is_last {
             let _ = self.context.control.end(program, self.workspace).await;
         }
         drop(self.pin);
-        let result = result.and_then(completed);
-        match sink {
-            AnswerSink::Whole { sender } => {
-                let _ = sender.try_send(result);
-            }
-            AnswerSink::Stream { begin, sender } => {
-                end_stream(self.request, program, step, result, begin, sender).await;
-            }
-        }
+        sink.finish(self.request, program, result.and_then(completed))
+            .await;
     }
 }
 
@@ -409,76 +334,3 @@
         ibisdale_programs::StepResult::Completed { .. } => Ok(record),
     }
 }
-
-async fn end_stream(
-    request: RequestId,
-    program: ProgramId,
-    step: StepNumber,
-    result: Result<StepRecord, RequestRefusal>,
-    begin: Sender<Result<(), RequestRefusal>>,
-    sender: BodySender,
-) {
-    let record = match result {
-        Ok(record) => record,
-        Err(refusal) => {
-            // Before the first chunk the refusal is the whole answer; after it,
-            // the last event of a stream that has no end mark.
-            if begin.try_send(Err(refusal.clone())).is_err() {
-                let _ = sender.send(refusal_event(request, &refusal)).await;
-                let _ = sender.close().await;
-            }
-            return;
-        }
-    };
-    let _ = begin.try_send(Ok(()));
-    let _ = sender.send(stream_end(program, step, record.digest)).await;
-    let _ = sender.close().await;
-}
-
-fn is_retryable(kind: UpstreamErrorKind) -> bool {
-    !matches!(
-        kind,
-        UpstreamErrorKind::DeadlineExceeded | UpstreamErrorKind::InvalidCall
-    )
-}
-
-fn run_state(is_begun: bool) -> RunState {
-    if is_begun {
-        RunState::Ran
-    } else {
-        RunState::Unknown
-    }
-}
-
-fn ended_refusal(is_begun: bool) -> RequestRefusal {
-    let message = "the engine ended its answer without saying that it is whole";
-    RequestRefusal::new(RefusalCode::UpstreamFailed, message).run_state(run_state(is_begun))
-}
-
-fn stop_refusal(cause: StopCause, is_begun: bool) -> RequestRefusal {
-    let (code, message) = match cause {
-        StopCause::CallerGone => (RefusalCode::UpstreamFailed, "the caller went away"),
-        StopCause::ProgramEnded => (RefusalCode::ProgramEnded, "the program has ended"),
-    };
-    RequestRefusal::new(code, message).run_state(run_state(is_begun))
-}
-
-/// Renders an upstream's failure; says `not_run` only where that is proven.
-pub(super) fn upstream_refusal(error: &UpstreamError, is_begun: bool) -> RequestRefusal {
-    let code = match error.get_kind() {
-        UpstreamErrorKind::Connect => RefusalCode::NoUpstream,
-        UpstreamErrorKind::DeadlineExceeded => RefusalCode::DeadlineExceeded,
-        UpstreamErrorKind::Refused => RefusalCode::Overloaded,
-        _ => RefusalCode::UpstreamFailed,
-    };
-    let state = if is_begun {
-        RunState::Ran
-    } else {
-        error.get_run_state()
-    };
-    let refusal = RequestRefusal::new(code, error.get_message()).run_state(state);
-    match error.get_retry_after() {
-        Some(delay) => refusal.retry_after(delay),
-        None => refusal,
-    }
-}
--- a/crates/daemon/tests/support/bed.rs
+++ b/crates/daemon/tests/support/bed.rs
@@ -108,6 +108,12 @@
         }
     }
 
+    /// Lists another engine of the model.
+    pub(crate) fn add_engine(&self, name: &str, address: &str) {
+        let address = address.parse().expect("an address");
+        self.vms.add_vm(vm(name, "small-engines", address));
+    }
+
     /// Returns the folder that the test's daemons may use.
     pub(crate) fn folder(&self) -> &Path {
         self.folder.path()
--- a/crates/daemon/tests/whole_path.rs
+++ b/crates/daemon/tests/whole_path.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use ibisdale_daemon::RunningDaemon;
+use ibisdale_standins::EngineFault;
 use insta::assert_snapshot;
 use rstest::rstest;
 use support::{Caller, KERMESSE_KEY, NORRFROST_KEY, TestBed, WITHDRAWN_KEY, wait_until};
@@ -157,3 +158,21 @@
     });
     daemon.close();
 }
+
+#[test]
+fn a_refusal_never_says_not_run_after_an_attempt_that_may_have_run() {
+    let bed = TestBed::start();
+    // Nothing listens there: attempts at it are proven not to have run.
+    bed.add_engine("engine-2", "127.0.0.1:1");
+    let daemon = bed.start_daemon();
+    bed.engine.set_fault(EngineFault::CloseBeforeAnswer);
+    let caller = caller(&bed, &daemon, KERMESSE_KEY);
+    for _ in 0..8 {
+        let before = bed.engine.get_counters().chats;
+        let answer = caller.post("/v1/chat/completions", CHAT);
+        let is_reached = bed.engine.get_counters().chats > before;
+        let is_not_run = answer.json()["error"]["run_state"] == "not_run";
+        assert!(!(is_reached && is_not_run), "{}", answer.text());
+    }
+    daemon.close();
+}
