--- a/crates/core/src/digest.rs
+++ b/crates/core/src/digest.rs
@@ -13,7 +13,8 @@
 ///
 /// In text form it is `LENGTH-HASH`: the number of records in decimal, a dash
 /// and 64 hexadecimal digits.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Deserialize, Serialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Deserialize, Serialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct HistoryDigest {
     length: u64,
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -15,7 +15,8 @@
 const ID_BYTES: usize = 16;
 
 /// Tells why an identifier is not accepted.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum IdError {
     /// The text is not 32 lower-case hexadecimal digits.
     #[snafu(display("an identifier is 32 hexadecimal digits"))]
@@ -29,7 +30,8 @@
 }
 
 /// Names one of the [`SLOT_COUNT`] slots that programs are spread over.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Deserialize, Serialize)]
 #[serde(try_from = "u16", into = "u16")]
 pub struct SlotId(u16);
 
@@ -87,7 +89,8 @@
 ///
 /// The first two bytes are the slot, the other fourteen are random. In text
 /// form it is 32 lower-case hexadecimal digits.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize, Serialize)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Deserialize, Serialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct ProgramId([u8; ID_BYTES]);
 
@@ -164,7 +167,8 @@
 }
 
 /// Numbers a step within its program, from 1.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct StepNumber(u32);
 
@@ -198,7 +202,8 @@
 }
 
 /// Identifies one request in answers, logs and traces.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Deserialize, Serialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Deserialize, Serialize)]
 #[serde(into = "String", try_from = "String")]
 pub struct RequestId([u8; ID_BYTES]);
 
--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -11,7 +11,8 @@
 pub const NAME_MAX_BYTES: usize = 128;
 
 /// Tells why a name is not accepted.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum NameError {
     /// The name has no characters.
     #[snafu(display("the name is empty"))]
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Tells whether the refused request had an effect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RunState {
     /// Proven not to have run at any upstream.
@@ -144,7 +145,8 @@
 ///
 /// A new refusal says `not_run`; [`RequestRefusal::run_state`] changes it where
 /// that is not proven.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct RequestRefusal {
     code: RefusalCode,
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -23,7 +23,8 @@
 }
 
 /// A program's budget as the caller wishes it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct BudgetBody {
     /// Tokens, prompt and answer together.
@@ -33,7 +34,8 @@
 }
 
 /// A program's limits as the caller wishes them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct LimitsBody {
     /// Steps, those of sub-agents not counted.
@@ -43,7 +45,8 @@
 }
 
 /// Body of a request that starts a program.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct StartBody {
     /// Name of the program among those declared for the workspace.
@@ -59,7 +62,8 @@
 }
 
 /// Body of a request that starts a sub-agent.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ChildBody {
     /// The sub-agent's limits.
@@ -70,7 +74,8 @@
 /// Body of a model call in the shape of OpenAI chat completions.
 ///
 /// Fields that are not read here go to the engine unchanged.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ChatBody {
     /// Name of the model.
     pub model: String,
@@ -88,7 +93,8 @@
 }
 
 /// Body of a call to a plain service.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct CallBody {
     /// Name of the service.
@@ -101,7 +107,8 @@
 }
 
 /// Answer to a request for addresses.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct AddressesReply {
     /// Addresses in the order in which to try them.
     pub addresses: Vec<String>,
@@ -110,7 +117,8 @@
 }
 
 /// A program's state.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct ProgramReply {
     /// The program.
     pub id: ProgramId,
@@ -129,7 +137,8 @@
 }
 
 /// What became of a step.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct StepReply {
     /// The program.
     pub program: ProgramId,
--- a/crates/fleet/src/error.rs
+++ b/crates/fleet/src/error.rs
@@ -7,7 +7,8 @@
 use tonic::{Code, Status};
 
 /// Tells what went wrong with a call to another daemon.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum FleetError {
     /// No link could be opened; the call was not sent.
--- a/crates/ibisdale/src/error.rs
+++ b/crates/ibisdale/src/error.rs
@@ -15,7 +15,8 @@
 use crate::exit::ExitStatus;
 
 /// Tells why a command failed.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub(crate) enum CommandError {
     #[snafu(display("cannot read {}: {source}", path.display()))]
--- a/crates/net/src/error.rs
+++ b/crates/net/src/error.rs
@@ -6,7 +6,8 @@
 use snafu::Snafu;
 
 /// Tells what went wrong on a connection.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum NetError {
     /// The listener could not be opened.
--- a/crates/policy/benches/decisions/output.rs
+++ b/crates/policy/benches/decisions/output.rs
@@ -10,7 +10,8 @@
 use crate::timing::TimingResult;
 
 /// Figures of one policy in one scenario.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 struct ResultRow {
     p50_ms: u64,
@@ -35,7 +36,8 @@
 }
 
 /// Time of a decision.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 struct TimingRow {
     replicas: u32,
@@ -44,7 +46,8 @@
 }
 
 /// All figures of a run of the bench, by scenario and policy.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) struct ResultTable {
     rows: BTreeMap<String, BTreeMap<String, ResultRow>>,
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -14,7 +14,8 @@
 const RATE_WINDOW_MIN: Duration = Duration::from_millis(500);
 
 /// Tunes admission.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields, rename_all = "snake_case")]
 pub struct AdmissionLimits {
     /// Part of the expected wait that must fit before the deadline; below one,
@@ -45,7 +46,8 @@
 }
 
 /// Says that a call cannot meet its deadline; it has not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(display("the call would wait {} ms and miss its deadline", expected_wait.as_millis()))]
 pub struct AdmissionRefusal {
     /// The wait that was expected.
--- a/crates/policy/src/profile.rs
+++ b/crates/policy/src/profile.rs
@@ -11,7 +11,8 @@
 use crate::routing::RoutingWeights;
 
 /// Says that a profile name is not known.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(display("there is no profile {name:?}; there are \"fairness\" and \"latency\""))]
 pub struct ProfileError {
     /// The rejected name.
@@ -27,7 +28,8 @@
 /// assert_eq!(profile, PolicyProfile::latency());
 /// # Ok::<(), ibisdale_policy::ProfileError>(())
 /// ```
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields, rename_all = "snake_case")]
 pub struct PolicyProfile {
     /// Choice of a replica.
--- a/crates/policy/src/queue/call.rs
+++ b/crates/policy/src/queue/call.rs
@@ -13,7 +13,8 @@
 }
 
 /// Tunes the order and the bounds of a queue.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields, rename_all = "snake_case")]
 pub struct QueueWeights {
     /// Calls that wait at most.
@@ -110,7 +111,8 @@
 }
 
 /// Tells why a call may not wait.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum PushError {
     /// The workspace has as many calls waiting as it may.
     #[snafu(display("the workspace has as many calls waiting as it may"))]
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -10,7 +10,8 @@
 const BACKOFF_DOUBLINGS_MAX: u32 = 16;
 
 /// Tells what kind of failure ended an attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FailureKind {
     /// The connection could not be opened.
@@ -45,7 +46,8 @@
 }
 
 /// Tells why there is no further attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum StopReason {
     /// The attempt may have run and the request is not idempotent.
@@ -72,7 +74,8 @@
 }
 
 /// Bounds how many attempts follow a failure, and how fast.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields, rename_all = "snake_case")]
 pub struct RetryPolicy {
     /// Attempts at most, the first included.
@@ -147,7 +150,8 @@
 }
 
 /// Bounds of a retry budget.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields, rename_all = "snake_case")]
 pub struct BudgetLimits {
     /// Retries earned by each first attempt.
--- a/crates/policy/src/routing/flight.rs
+++ b/crates/policy/src/routing/flight.rs
@@ -15,7 +15,8 @@
 }
 
 /// How a call at a replica ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FlightOutcome {
     /// The whole answer came.
--- a/crates/policy/src/routing/replica.rs
+++ b/crates/policy/src/routing/replica.rs
@@ -18,7 +18,8 @@
 const DEFAULT_RUNNING_LIMIT: u32 = 32;
 
 /// Tells whether a replica takes new work.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ReplicaStatus {
     /// Takes new work.
@@ -56,7 +57,8 @@
 }
 
 /// Load that a replica reported.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct LoadReport {
     /// Calls waiting in the engine.
--- a/crates/policy/src/routing/request.rs
+++ b/crates/policy/src/routing/request.rs
@@ -115,7 +115,8 @@
 }
 
 /// Tells why no replica was chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalReason {
     /// The set holds no live replica.
@@ -131,7 +132,8 @@
 }
 
 /// Says that no replica was chosen; the call has not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(display("no replica was chosen: {reason:?}"))]
 pub struct RoutingRefusal {
     /// Why none was chosen.
--- a/crates/policy/src/routing/weights.rs
+++ b/crates/policy/src/routing/weights.rs
@@ -6,7 +6,8 @@
 ///
 /// The cost figures describe the engines in general; what a replica's own
 /// answers show is learned beside them.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields, rename_all = "snake_case")]
 pub struct RoutingWeights {
     /// Time to compute 1,000 prompt tokens that are not cached, in milliseconds.
--- a/crates/settings/src/edit.rs
+++ b/crates/settings/src/edit.rs
@@ -10,7 +10,8 @@
 const WITHDRAWN_LINE: &str = "withdrawn = yes\n";
 
 /// Tells why the settings are not changed.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum EditError {
     /// The workspace does not exist.
     #[snafu(display("workspace '{workspace}' does not exist"))]
--- a/crates/settings/src/store/chunks.rs
+++ b/crates/settings/src/store/chunks.rs
@@ -66,7 +66,8 @@
 }
 
 /// Tells why chunks do not make the text of a record.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum JoinError {
     /// There are more or fewer chunks than the record says.
     #[snafu(display("{found} chunks were read of {expected}"))]
--- a/crates/settings/src/store/record.rs
+++ b/crates/settings/src/store/record.rs
@@ -11,7 +11,8 @@
 const DIGEST_BYTES: usize = 32;
 
 /// Tells why a record is not accepted.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum RecordError {
     /// The record is not the JSON of a record.
     #[snafu(display("not a record of a revision: {message}"))]
--- a/crates/settings/src/table/value.rs
+++ b/crates/settings/src/table/value.rs
@@ -17,7 +17,8 @@
 const NO: &str = "no";
 
 /// A number with three decimals, counted in thousandths.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct FixedDecimal(u64);
 
@@ -79,7 +80,8 @@
 }
 
 /// Tells why a value is not accepted.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum ValueError {
     /// Not a whole number.
     #[snafu(display("a whole number is expected"))]
--- a/crates/settings/src/tree/path.rs
+++ b/crates/settings/src/tree/path.rs
@@ -9,7 +9,8 @@
 use crate::tree::kind::{SectionKind, SettingsGrammar};
 
 /// Tells why a path is not accepted.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum PathError {
     /// The path does not start with `/`.
     #[snafu(display("section '{path}' does not start with '/'"))]
