Split the daemon's assembly, and drive connections to their end in one place

Change: options, platform links and watches have modules of their own; net has one function that drives a connection until shutdown. No behaviour changes.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,7 +19,9 @@
 mod members;
 mod observe;
 mod operators;
+mod options;
 pub mod ownership;
+mod platform_links;
 mod running;
 mod settings_feed;
 mod settings_watch;
@@ -27,10 +29,12 @@
 mod slot_watch;
 mod threads;
 mod upstream_watch;
+mod watches;
 
 pub use drain::DrainSwitch;
 pub use error::StartError;
-pub use running::{DaemonOptions, RunningDaemon};
+pub use options::DaemonOptions;
+pub use running::RunningDaemon;
 pub use settings_feed::{
     AppliedSettings, FeedError, FeedOptions, FeedTask, SettingsFeed, StoredText,
 };
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -2,24 +2,19 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
-use futures_lite::FutureExt;
 use ibisdale_core::SlotId;
 use ibisdale_fleet::FleetLinks;
 use ibisdale_net::TrafficExecutor;
-use ibisdale_platform::{KvClient, KvOptions};
-use ibisdale_policy::ownership::{DaemonProfile, OwnershipOptions};
 use ibisdale_policy::{MemberFacts, PolicyProfile};
 use ibisdale_settings::DaemonSettings;
 use ibisdale_telemetry::{SpanOptions, SpanWriter};
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 use snafu::ResultExt;
 
-use crate::cleanup::CleanupTask;
 use crate::clock::unix_now;
 use crate::context::{ContextParts, DaemonContext, DaemonIdentity};
 use crate::control::{ControlOptions, ControlThread};
@@ -28,63 +23,13 @@
 use crate::error::{HistorySnafu, SpansSnafu, StartError, ThreadSnafu};
 use crate::history::{AppendJob, HistoryHolder, HistoryWriter};
 use crate::listeners::{DaemonAddresses, DaemonListeners, ServeGuards, serve};
-use crate::load_watch::LoadWatch;
 use crate::members::{MemberSettings, start_members};
 use crate::operators::OperatorAccess;
-use crate::ownership::{OwnershipDriver, ProcessClock};
-use crate::settings_feed::{FeedOptions, FeedTask, SettingsFeed};
-use crate::settings_watch::SettingsWatch;
-use crate::slot_watch::SlotWatch;
+use crate::options::DaemonOptions;
+use crate::platform_links::{PlatformLinks, start_platform};
+use crate::settings_feed::SettingsFeed;
 use crate::threads::TrafficThreads;
-use crate::upstream_watch::UpstreamWatch;
-
-/// Time between two writes by which slots are claimed.
-const CLAIM_INTERVAL: Duration = Duration::from_millis(200);
-/// Time in which a leaving daemon's slots must be handed over.
-const HANDOVER_LIMIT: Duration = Duration::from_secs(20);
-/// Time for which callers keep an answer with addresses.
-const ADDRESS_KEEP: Duration = Duration::from_secs(5);
-
-/// How a daemon is started.
-#[derive(Clone, Debug)]
-pub struct DaemonOptions {
-    settings: DaemonSettings,
-    address_keep: Duration,
-    claim_interval: Duration,
-}
-
-impl DaemonOptions {
-    /// Creates the options from the daemon's own file.
-    #[must_use]
-    pub fn new(settings: DaemonSettings) -> Self {
-        Self {
-            settings,
-            address_keep: ADDRESS_KEEP,
-            claim_interval: CLAIM_INTERVAL,
-        }
-    }
-
-    /// Sets how long callers keep an answer with addresses, and so how long a
-    /// leaving daemon still serves those who hold an old one.
-    #[must_use]
-    pub fn address_keep(mut self, keep: Duration) -> Self {
-        self.address_keep = keep;
-        self
-    }
-
-    /// Sets the time between two writes by which slots are claimed.
-    #[must_use]
-    pub fn claim_interval(mut self, interval: Duration) -> Self {
-        self.claim_interval = interval;
-        self
-    }
-
-    /// Returns the daemon's own settings.
-    #[must_use]
-    pub fn get_settings(&self) -> &DaemonSettings {
-        &self.settings
-    }
-}
+use crate::watches::DaemonWatches;
 
 /// A daemon that serves callers and other daemons.
 #[derive(Debug)]
@@ -219,58 +164,6 @@
     }
 }
 
-/// What the daemon shares with the platform.
-#[derive(Debug)]
-struct PlatformLinks {
-    feed: SettingsFeed,
-    feed_task: FeedTask,
-    driver: OwnershipDriver,
-    clock: ProcessClock,
-}
-
-impl PlatformLinks {
-    /// Hands all slots over, or gives that up after a while.
-    async fn drain(&self) {
-        let give_up = async {
-            smol::Timer::after(HANDOVER_LIMIT).await;
-        };
-        self.driver.drain().or(give_up).await;
-    }
-
-    async fn close(self) {
-        self.feed_task.close().await;
-        self.driver.close().await;
-    }
-}
-
-fn start_platform(
-    settings: &DaemonSettings,
-    addresses: DaemonAddresses,
-    claim_interval: Duration,
-    executor: &TrafficExecutor,
-) -> PlatformLinks {
-    let endpoints = settings.key_value_endpoints.iter().copied();
-    let options = endpoints.fold(KvOptions::new(), KvOptions::endpoint);
-    let client = KvClient::new(options, executor);
-    let (feed, feed_task) = SettingsFeed::start(client.clone(), FeedOptions::new(), executor);
-    let profile = DaemonProfile {
-        name: settings.name.clone(),
-        fleet_address: addresses.fleet,
-        entry_address: addresses.entry,
-        failure_domain: settings.failure_domain.clone(),
-    };
-    let clock = ProcessClock::start();
-    let options =
-        OwnershipOptions::new(profile, rand::rng().random()).batch_interval(claim_interval);
-    let driver = OwnershipDriver::start(options, client, clock, executor);
-    PlatformLinks {
-        feed,
-        feed_task,
-        driver,
-        clock,
-    }
-}
-
 fn start_holder(settings: &DaemonSettings) -> Result<Option<HistoryHolder>, StartError> {
     let folder = settings.data_folder.as_deref();
     folder
@@ -335,40 +228,6 @@
     }
 }
 
-/// The tasks that watch the platform, upstreams and settings.
-#[derive(Debug)]
-struct DaemonWatches {
-    upstreams: UpstreamWatch,
-    load: LoadWatch,
-    cleanup: CleanupTask,
-    settings: SettingsWatch,
-    slots: SlotWatch,
-}
-
-impl DaemonWatches {
-    fn start(
-        settings: &DaemonSettings,
-        context: &Arc<DaemonContext>,
-        revisions: Receiver<u64>,
-    ) -> Self {
-        Self {
-            upstreams: UpstreamWatch::start(settings.vm_list_address, context),
-            load: LoadWatch::start(context),
-            cleanup: CleanupTask::start(context),
-            settings: SettingsWatch::start(context, revisions),
-            slots: SlotWatch::start(context),
-        }
-    }
-
-    async fn close(self) {
-        self.upstreams.close().await;
-        self.cleanup.close().await;
-        self.load.close().await;
-        self.settings.close().await;
-        self.slots.close().await;
-    }
-}
-
 fn start_spans(settings: &DaemonSettings) -> Result<Option<SpanWriter>, StartError> {
     let Some(path) = &settings.trace_file else {
         return Ok(None);
--- a/crates/net/src/grpc.rs
+++ b/crates/net/src/grpc.rs
@@ -6,7 +6,6 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use futures_lite::FutureExt;
 use http::uri::{Authority, Scheme};
 use http::{Request, Response, Uri};
 use http_body_util::BodyExt;
@@ -22,7 +21,7 @@
 use crate::client::{ConnectOptions, with_timeout};
 use crate::error::NetError;
 use crate::server::accept_until_shutdown;
-use crate::shutdown::ShutdownSignal;
+use crate::shutdown::{ShutdownSignal, serve_until_shutdown};
 use crate::socket::connect_stream;
 use crate::traffic::{CountedStream, LinkTraffic};
 
@@ -182,21 +181,11 @@
         .keep_alive_interval(KEEP_ALIVE_INTERVAL)
         .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
         .serve_connection(FuturesIo::new(stream), call_service);
-    let mut connection = std::pin::pin!(connection);
-    let finished = {
-        let stop = async {
-            shutdown.wait().await;
-            None
-        };
-        let run = async { Some(connection.as_mut().await) };
-        run.or(stop).await
-    };
-    let result = if let Some(result) = finished {
-        result
-    } else {
-        connection.as_mut().graceful_shutdown();
-        connection.await
-    };
+    let connection = std::pin::pin!(connection);
+    let result = serve_until_shutdown(connection, &shutdown, |connection| {
+        connection.graceful_shutdown();
+    })
+    .await;
     if let Err(error) = result {
         log::debug!("link from {peer} ended: {error}");
     }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -16,7 +16,7 @@
 use crate::TrafficExecutor;
 use crate::body::BoxBody;
 use crate::error::NetError;
-use crate::shutdown::ShutdownSignal;
+use crate::shutdown::{ShutdownSignal, serve_until_shutdown};
 
 /// Largest request head by default, in bytes.
 const HEAD_MAX_BYTES: usize = 16 * 1_024;
@@ -148,21 +148,11 @@
         .header_read_timeout(options.head_timeout)
         .max_buf_size(options.head_max_bytes)
         .serve_connection(FuturesIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let finished = {
-        let stop = async {
-            shutdown.wait().await;
-            None
-        };
-        let run = async { Some(connection.as_mut().await) };
-        run.or(stop).await
-    };
-    let result = if let Some(result) = finished {
-        result
-    } else {
-        connection.as_mut().graceful_shutdown();
-        connection.await
-    };
+    let connection = std::pin::pin!(connection);
+    let result = serve_until_shutdown(connection, &shutdown, |connection| {
+        connection.graceful_shutdown();
+    })
+    .await;
     if let Err(error) = result {
         log::debug!("connection from {peer} ended: {error}");
     }
--- a/crates/net/src/shutdown.rs
+++ b/crates/net/src/shutdown.rs
@@ -1,5 +1,8 @@
 //! Graceful shutdown: a signal to all connections, and a count of those left.
 
+use std::pin::Pin;
+
+use futures_lite::FutureExt;
 use smol::channel::{Receiver, Sender, bounded};
 
 /// Tells connections that the process is leaving.
@@ -52,3 +55,22 @@
         },
     )
 }
+
+/// Drives a connection to its end; when shutdown starts, `start_close` asks it
+/// to finish what is in flight.
+pub(crate) async fn serve_until_shutdown<C: Future>(
+    mut connection: Pin<&mut C>,
+    shutdown: &ShutdownSignal,
+    start_close: impl FnOnce(Pin<&mut C>),
+) -> C::Output {
+    let stop = async {
+        shutdown.wait().await;
+        None
+    };
+    let run = async { Some(connection.as_mut().await) };
+    if let Some(output) = run.or(stop).await {
+        return output;
+    }
+    start_close(connection.as_mut());
+    connection.await
+}
