Remember dead members for as long as the VM list names them

Cause: dead members were forgotten after two minutes. A daemon that was cut off for longer then knew of no other, no longer counted as cut off, and served closed routes with keys that may have been withdrawn; as a home it lent a whole rate. Found by reading. Change: a member is forgotten only when the VM list does not name it any more. Proof: a new test, seen to fail before the change; the membership fuzz passes.

--- a/crates/policy/src/membership/table.rs
+++ b/crates/policy/src/membership/table.rs
@@ -48,8 +48,8 @@
         self
     }
 
-    /// Sets how long a dead member is remembered, so that late updates do not
-    /// bring it back.
+    /// Sets how long a dead member is remembered at least, so that late updates
+    /// do not bring it back.
     #[must_use]
     pub const fn forget_after(mut self, time: Duration) -> Self {
         self.forget_after = time;
@@ -363,7 +363,9 @@
         }
     }
 
-    /// Takes suspected members for dead whose time is up, and forgets dead ones.
+    /// Takes suspected members for dead whose time is up, and forgets dead ones
+    /// that the VM list does not name any more: a daemon that is cut off must
+    /// know how much of the fleet it does not see.
     ///
     /// Returns the names of members that are now taken for dead.
     pub fn expire(&mut self, now: TimeStamp) -> Vec<DaemonName> {
@@ -378,8 +380,11 @@
             }
         }
         let forget_after = self.options.forget_after;
+        let proposed = &self.proposed;
         self.members.retain(|_, record| {
-            record.update.state != MemberState::Dead || now.since(record.since) < forget_after
+            record.update.state != MemberState::Dead
+                || now.since(record.since) < forget_after
+                || proposed.contains(&record.update.facts.fleet_address)
         });
         self.names.retain(|_, key| self.members.contains_key(*key));
         dead
