Wait until both survivors know the new owner of a slot

Cause: the takeover test failed once on a busy machine: it waited until the takers owned all slots and then asked the other one, which learns of a taker by its watch a moment later. Ruled out: a slot taken without a higher epoch, since the taker itself showed one. Change: the test waits until both show the higher epoch, which must still come.

--- a/crates/daemon/tests/ownership.rs
+++ b/crates/daemon/tests/ownership.rs
@@ -142,11 +142,20 @@
         // Two takers, each with one read and one write, and one repeat.
         assert!(calls.get(KvCallKind::Txn) <= 4, "{calls:?}");
         assert!(calls.get(KvCallKind::Range) <= 4, "{calls:?}");
+        // The one that did not take the slot learns of it by its watch.
+        let knows_taker = |driver: &OwnershipDriver| {
+            let snapshot = driver.handle().get_snapshot();
+            snapshot.owner(slot).map(|owner| owner.epoch) > epoch
+        };
+        fleet
+            .wait("both know the new owner", || {
+                knows_taker(&second) && knows_taker(&third)
+            })
+            .await;
         for driver in [&second, &third] {
             let handle = driver.handle();
             let snapshot = handle.get_snapshot();
             let owner = snapshot.owner(slot).expect("an owner");
-            assert!(Some(owner.epoch) > epoch);
             if owner.is_own {
                 assert_eq!(state_of(&handle, &intent).await, Some(EntryState::Intent));
                 let repeated = handle.commit_intent(intent.clone()).await;
