Ask the control thread with the table's own step requests

Cause: the daemon had a second type with the fields of the table's request and a function that copied one into the other; its name told of a step that runs, though it asks to. Change: callers build the table's request. No behaviour changes.

--- a/crates/daemon/src/callers/call.rs
+++ b/crates/daemon/src/callers/call.rs
@@ -17,12 +17,12 @@
 use serde_json::{Value, json};
 
 use super::access::{upstream_weight, workspace_settings};
-use super::chat::attempt_key;
+use super::chat::step_request;
 use super::chat_end::upstream_refusal;
 use super::dispatch::CallerRequest;
 use crate::clock::{instant_of, unix_now};
 use crate::context::{DaemonContext, read_credential};
-use crate::control::{AdmittedStep, RouteRequest, RunningStep, UpstreamGroup};
+use crate::control::{AdmittedStep, RouteRequest, UpstreamGroup};
 use crate::history::StoreResult;
 use crate::observe::start_span;
 use crate::ownership::{IntentError, PaidIntent};
@@ -65,19 +65,10 @@
         return Err(RequestRefusal::new(RefusalCode::NotAllowed, message));
     }
     let route = find_route(&snapshot, &body.service, &body.route)?;
-    let attempt = attempt_key(request)?;
-    let step = RunningStep {
-        program: path.program,
-        workspace: request.caller.workspace.clone(),
-        step: path.step,
-        attempt,
-        kind: StepKind::Call {
-            idempotent: route.route.is_idempotent,
-        },
-        payload: request.body.clone(),
-        digest: request.step.digest,
-        deadline: None,
+    let kind = StepKind::Call {
+        idempotent: route.route.is_idempotent,
     };
+    let step = step_request(request, path, kind, request.body.clone())?;
     let pin = SlotPin::new(context, path.program).await?;
     match context.control.admit(step).await? {
         AdmittedStep::Recorded(record) => answer_record(request.id, *record),
--- a/crates/daemon/src/callers/chat.rs
+++ b/crates/daemon/src/callers/chat.rs
@@ -13,7 +13,7 @@
     stream_answer,
 };
 use ibisdale_net::{BoxBody, body_channel, full_body};
-use ibisdale_programs::{StepKind, StepOutcome, StepRecord, StepResult};
+use ibisdale_programs::{StepKind, StepOutcome, StepRecord, StepRequest, StepResult};
 use ibisdale_settings::ModelSettings;
 
 use super::access::{model_settings, program_settings, workspace_settings};
@@ -24,7 +24,7 @@
 use super::programs::{new_program, take_program_credit};
 use super::prompt::{DEFAULT_MAX_TOKENS, added_tokens_max, render_engine_body, render_payload};
 use crate::context::DaemonContext;
-use crate::control::{AdmittedStep, RunningStep};
+use crate::control::AdmittedStep;
 use crate::slot_pin::SlotPin;
 
 /// Program that a request without a program runs as.
@@ -98,8 +98,24 @@
     model_settings(&snapshot, workspace, &body.model).cloned()
 }
 
+/// Builds the request that the control thread admits.
+pub(super) fn step_request(
+    request: &CallerRequest,
+    path: StepPath,
+    kind: StepKind,
+    payload: Bytes,
+) -> Result<StepRequest, RequestRefusal> {
+    let workspace = request.caller.workspace.clone();
+    let attempt = attempt_key(request)?;
+    let step = StepRequest::new(path.program, workspace, path.step, attempt, kind, payload);
+    Ok(match request.step.digest {
+        Some(digest) => step.expect_digest(digest),
+        None => step,
+    })
+}
+
 /// Returns the attempt's key; without one each request is an attempt of its own.
-pub(super) fn attempt_key(request: &CallerRequest) -> Result<AttemptKey, RequestRefusal> {
+fn attempt_key(request: &CallerRequest) -> Result<AttemptKey, RequestRefusal> {
     if let Some(key) = &request.step.attempt {
         return Ok(key.clone());
     }
@@ -116,19 +132,11 @@
     is_last: bool,
 ) -> Result<Response<BoxBody>, RequestRefusal> {
     let max_tokens = body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
-    let step = RunningStep {
-        program: path.program,
-        workspace: request.caller.workspace.clone(),
-        step: path.step,
-        attempt: attempt_key(request)?,
-        kind: StepKind::Model {
-            prompt_tokens: added_tokens_max(&body.messages),
-            max_tokens: u64::from(max_tokens),
-        },
-        payload: render_payload(&body.messages),
-        digest: request.step.digest,
-        deadline: None,
+    let kind = StepKind::Model {
+        prompt_tokens: added_tokens_max(&body.messages),
+        max_tokens: u64::from(max_tokens),
     };
+    let step = step_request(request, path, kind, render_payload(&body.messages))?;
     let pin = SlotPin::new(context, path.program).await?;
     match context.control.admit(step).await? {
         AdmittedStep::Recorded(record) => answer_record(request, path.program, &body, *record),
--- a/crates/daemon/src/control/handle.rs
+++ b/crates/daemon/src/control/handle.rs
@@ -9,12 +9,12 @@
 use ibisdale_policy::{FlightReport, LoadReport};
 use ibisdale_programs::{
     CleanupKey, CleanupOrder, KeyLabel, OpenAttempt, ProgramRecord, ProgramSummary, StartedProgram,
-    StepOutcome, StepRecord, StepTicket, StepView,
+    StepOutcome, StepRecord, StepRequest, StepTicket, StepView,
 };
 
 use super::message::{
     AdmittedStep, CallRoute, ControlClosed, ControlMessage, ControlTask, NewProgram, OwnedSlot,
-    ReplySender, RouteRequest, RoutedCall, RunningStep, UpstreamVm,
+    ReplySender, RouteRequest, RoutedCall, UpstreamVm,
 };
 
 use crate::history::SlotRecovery;
@@ -68,8 +68,8 @@
     }
 
     /// Asks for a step to run; waits for its turn.
-    pub(crate) async fn admit(&self, step: RunningStep) -> Result<AdmittedStep, RequestRefusal> {
-        self.request(|reply| ControlMessage::Admit(Box::new(step), reply))
+    pub(crate) async fn admit(&self, request: StepRequest) -> Result<AdmittedStep, RequestRefusal> {
+        self.request(|reply| ControlMessage::Admit(Box::new(request), reply))
             .await
     }
 
--- a/crates/daemon/src/control/message.rs
+++ b/crates/daemon/src/control/message.rs
@@ -6,14 +6,11 @@
 
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
-use ibisdale_core::{
-    AttemptKey, HistoryDigest, ProgramId, RequestRefusal, SlotId, StepNumber, TimeStamp,
-    WorkspaceName,
-};
+use ibisdale_core::{ProgramId, RequestRefusal, SlotId, StepNumber, TimeStamp, WorkspaceName};
 use ibisdale_policy::{FlightKey, FlightReport, LoadReport};
 use ibisdale_programs::{
     CleanupKey, CleanupOrder, KeyLabel, OpenAttempt, ProgramBudget, ProgramLimits, ProgramRecord,
-    ProgramSummary, StartedProgram, StepExchange, StepKind, StepOutcome, StepRecord, StepTicket,
+    ProgramSummary, StartedProgram, StepExchange, StepOutcome, StepRecord, StepRequest, StepTicket,
     StepView,
 };
 
@@ -38,19 +35,6 @@
     pub(crate) limits: ProgramLimits,
 }
 
-/// A step that asks to run.
-#[derive(Clone, Debug)]
-pub(crate) struct RunningStep {
-    pub(crate) program: ProgramId,
-    pub(crate) workspace: WorkspaceName,
-    pub(crate) step: StepNumber,
-    pub(crate) attempt: AttemptKey,
-    pub(crate) kind: StepKind,
-    pub(crate) payload: Bytes,
-    pub(crate) digest: Option<HistoryDigest>,
-    pub(crate) deadline: Option<TimeStamp>,
-}
-
 /// Answer to a step that asks to run.
 #[derive(Debug)]
 pub(crate) enum AdmittedStep {
@@ -131,7 +115,7 @@
         ReplySender<Result<StartedProgram, RequestRefusal>>,
     ),
     Admit(
-        Box<RunningStep>,
+        Box<StepRequest>,
         ReplySender<Result<AdmittedStep, RequestRefusal>>,
     ),
     Finish(
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -10,8 +10,7 @@
 
 pub(crate) use handle::ControlHandle;
 pub(crate) use message::{
-    AdmittedStep, NewProgram, OwnedSlot, RouteRequest, RoutedCall, RunningStep, UpstreamGroup,
-    UpstreamVm,
+    AdmittedStep, NewProgram, OwnedSlot, RouteRequest, RoutedCall, UpstreamGroup, UpstreamVm,
 };
 pub(crate) use programs::known_tokens;
 pub(crate) use run::ControlThread;
--- a/crates/daemon/src/control/programs.rs
+++ b/crates/daemon/src/control/programs.rs
@@ -9,7 +9,7 @@
 };
 
 use super::history::stored;
-use super::message::{AdmittedStep, NewProgram, ReplySender, RunningStep};
+use super::message::{AdmittedStep, NewProgram, ReplySender};
 use super::run::{ControlTasks, SharedState};
 use super::state::{ControlState, WaitingStep, answer};
 use crate::clock::unix_now;
@@ -117,21 +117,25 @@
 
     pub(super) fn admit_step(
         &mut self,
-        step: RunningStep,
+        request: StepRequest,
         reply: ReplySender<Result<AdmittedStep, RequestRefusal>>,
     ) {
-        match self.table.admit_step(build_request(&step), unix_now()) {
-            Ok(admission) => self.answer_admission(admission, WaitingStep { step, reply }),
-            Err(refusal) => answer(&reply, Err(refusal)),
+        let waiting = WaitingStep {
+            program: request.get_program(),
+            workspace: request.get_workspace().clone(),
+            reply,
+        };
+        match self.table.admit_step(request, unix_now()) {
+            Ok(admission) => self.answer_admission(admission, waiting),
+            Err(refusal) => answer(&waiting.reply, Err(refusal)),
         }
     }
 
     /// Lets an admitted step run.
     pub(super) fn run_step(&mut self, ticket: StepTicket, waiting: &WaitingStep) {
-        let step = &waiting.step;
         let history = self
             .table
-            .history(step.program, &step.workspace)
+            .history(waiting.program, &waiting.workspace)
             .unwrap_or_default();
         let (sender, cancel) = async_channel::bounded(1);
         self.runs.insert(ticket.get_run(), sender);
@@ -214,27 +218,6 @@
     }
 }
 
-fn build_request(step: &RunningStep) -> StepRequest {
-    let workspace = step.workspace.clone();
-    let attempt = step.attempt.clone();
-    let payload = step.payload.clone();
-    let mut request = StepRequest::new(
-        step.program,
-        workspace,
-        step.step,
-        attempt,
-        step.kind,
-        payload,
-    );
-    if let Some(digest) = step.digest {
-        request = request.expect_digest(digest);
-    }
-    if let Some(deadline) = step.deadline {
-        request = request.deadline(deadline);
-    }
-    request
-}
-
 /// Returns the tokens of prompt and answer that the last model call used.
 pub(crate) fn known_tokens(history: &[StepExchange]) -> u64 {
     let is_model = |exchange: &&StepExchange| matches!(exchange.kind, StepKind::Model { .. });
--- a/crates/daemon/src/control/run.rs
+++ b/crates/daemon/src/control/run.rs
@@ -91,7 +91,7 @@
             let started = state.start_program(*new);
             programs::answer_started(tasks, started, reply);
         }
-        ControlMessage::Admit(step, reply) => state.admit_step(*step, reply),
+        ControlMessage::Admit(request, reply) => state.admit_step(*request, reply),
         ControlMessage::Finish(ticket, outcome, reply) => {
             let finished = state.finish_step(*ticket, outcome);
             programs::answer_finished(tasks, shared, finished, reply);
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
-use ibisdale_core::{RefusalCode, RequestRefusal, SlotId, TimeStamp};
+use ibisdale_core::{ProgramId, RefusalCode, RequestRefusal, SlotId, TimeStamp, WorkspaceName};
 use ibisdale_policy::PolicyProfile;
 use ibisdale_programs::{
     EndedProgram, LostSlot, OpenAttempt, ProgramRecord, ProgramTable, RunKey, StepAdmission,
@@ -19,7 +19,7 @@
 use slotmap::SecondaryMap;
 
 use super::history::HistorySink;
-use super::message::{AdmittedStep, OwnedSlot, ReplySender, RunningStep, UpstreamGroup};
+use super::message::{AdmittedStep, OwnedSlot, ReplySender, UpstreamGroup};
 use super::routing::UpstreamRouter;
 use crate::clock::unix_now;
 use crate::history::{AppendJob, SlotRecovery, StoreResult};
@@ -39,7 +39,8 @@
 
 /// A step that waits for its turn or for a running attempt.
 pub(super) struct WaitingStep {
-    pub(super) step: RunningStep,
+    pub(super) program: ProgramId,
+    pub(super) workspace: WorkspaceName,
     pub(super) reply: ReplySender<Result<AdmittedStep, RequestRefusal>>,
 }
 
--- a/crates/programs/src/request.rs
+++ b/crates/programs/src/request.rs
@@ -198,6 +198,18 @@
         self
     }
 
+    /// Returns the program.
+    #[must_use]
+    pub const fn get_program(&self) -> ProgramId {
+        self.program
+    }
+
+    /// Returns the workspace whose key came with the request.
+    #[must_use]
+    pub const fn get_workspace(&self) -> &WorkspaceName {
+        &self.workspace
+    }
+
     pub(crate) fn wait_until(&self, now: TimeStamp, limit: Duration) -> TimeStamp {
         let bound = now.plus(limit);
         self.deadline.map_or(bound, |deadline| deadline.min(bound))
