--- a/crates/daemon/src/cleanup.rs
+++ b/crates/daemon/src/cleanup.rs
@@ -15,7 +15,7 @@
 use crate::context::DaemonContext;
 
 /// Time between two looks at the orders that are not confirmed.
-const ORDER_INTERVAL: Duration = Duration::from_millis(200);
+const ORDER_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two sweeps of an engine for sessions of no living program.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
 /// Orders under way at most.
--- a/crates/daemon/src/credit/borrowing.rs
+++ b/crates/daemon/src/credit/borrowing.rs
@@ -164,6 +164,13 @@
             .collect()
     }
 
+    /// Tells whether requests wait for credit.
+    pub(super) fn is_waiting(&self) -> bool {
+        self.borrowers
+            .values()
+            .any(|state| !state.waiting.is_empty())
+    }
+
     /// Lets time pass: late waiters are refused, quiet subjects forgotten.
     pub(super) fn expire(&mut self, now: TimeStamp) -> Vec<SubjectOrder> {
         self.borrowers
--- a/crates/daemon/src/credit/driver.rs
+++ b/crates/daemon/src/credit/driver.rs
@@ -18,8 +18,10 @@
 use crate::settings_watch::is_in_doubt;
 use crate::slot_watch::is_lease_held;
 
-/// Time between two looks at who has waited too long.
+/// Time between two looks at who has waited too long, while requests wait.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two looks at what may be forgotten, while none wait.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time in which a home must answer.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -70,10 +72,15 @@
     }
 
     async fn run(mut self, receiver: Receiver<CreditMessage>) {
-        let mut next_expiry = Instant::now() + EXPIRY_INTERVAL;
+        let mut last_expiry = Instant::now();
         loop {
+            let interval = if self.book.is_waiting() {
+                EXPIRY_INTERVAL
+            } else {
+                IDLE_INTERVAL
+            };
             let timer = async {
-                smol::Timer::at(next_expiry).await;
+                smol::Timer::at(last_expiry + interval).await;
                 None
             };
             let message = async { Some(receiver.recv().await) };
@@ -81,7 +88,7 @@
                 Some(Ok(message)) => self.handle(message),
                 Some(Err(_)) => return,
                 None => {
-                    next_expiry = Instant::now() + EXPIRY_INTERVAL;
+                    last_expiry = Instant::now();
                     self.expire()
                 }
             };
--- a/crates/daemon/src/slot_watch.rs
+++ b/crates/daemon/src/slot_watch.rs
@@ -19,7 +19,7 @@
 use crate::history::{SlotRecovery, recover_slot};
 
 /// Time between two looks at the ownership.
-const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// Slots read back at the same time.
 const RECOVERIES_MAX: usize = 16;
 /// First epoch of a slot, whose owner had none before it.
--- a/crates/daemon/src/upstream_watch.rs
+++ b/crates/daemon/src/upstream_watch.rs
@@ -15,7 +15,7 @@
 use crate::control::{UpstreamGroup, UpstreamVm};
 
 /// Time between two looks at the VM list.
-const LIST_INTERVAL: Duration = Duration::from_secs(1);
+const LIST_INTERVAL: Duration = Duration::from_secs(3);
 /// Replicas of a group that a daemon watches in any fleet.
 const SUBSET_SIZE: usize = 24;
 /// Daemons that watch a replica whatever else they watch.
