Give the order service of the readme the credential that the settings name

Cause: following the readme by hand, the paid order was answered with 401: the stand-in asks for a credential by default and its process could not be told one.

--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -44,7 +44,14 @@
         );
     let service = Command::new("service")
         .about("Runs an order service")
-        .arg(address_arg("address", "Address of the service"));
+        .arg(address_arg("address", "Address of the service"))
+        .arg(
+            Arg::new("credential-file")
+                .long("credential-file")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("File with the credential that callers must present"),
+        );
     Command::new("ibisdale-standins")
         .about("Small stand-ins for what ibisdale meets, for trials on one machine")
         .subcommand_required(true)
@@ -74,7 +81,11 @@
         }
         Some(("service", matches)) => {
             let address = get_address(matches, "address")?;
-            let service = ServiceServer::start(address, executor, ServiceOptions::new())?;
+            let mut options = ServiceOptions::new();
+            if let Some(path) = matches.get_one::<PathBuf>("credential-file") {
+                options = options.credential(std::fs::read_to_string(path)?.trim());
+            }
+            let service = ServiceServer::start(address, executor, options)?;
             println!("order service at {}", service.get_address());
             std::future::pending().await
         }
