Give a recorded outcome to a repeat only when it is stored

Cause: a repeat of an attempt got its outcome from the owner's table also when the holders had not stored it; after the owner's death it would have been gone, and a paid action's answer with it. Named by the program table's rules, not met by the daemon. Change: before a recorded answer leaves, the program's history is appended again, which holders confirm where they have it. Proof: a new test with one of two holders gone, seen to fail (200 for the repeat of a refused step) with the wait taken out.

--- a/crates/daemon/src/callers/call.rs
+++ b/crates/daemon/src/callers/call.rs
@@ -71,7 +71,7 @@
     let step = step_request(request, path, kind, request.body.clone())?;
     let pin = SlotPin::new(context, path.program).await?;
     match context.control.admit(step).await? {
-        AdmittedStep::Recorded(record) => answer_record(request.id, *record),
+        AdmittedStep::Recorded { record, .. } => answer_record(request.id, *record),
         AdmittedStep::Run {
             ticket,
             cancel,
--- a/crates/daemon/src/callers/chat.rs
+++ b/crates/daemon/src/callers/chat.rs
@@ -139,7 +139,9 @@
     let step = step_request(request, path, kind, render_payload(&body.messages))?;
     let pin = SlotPin::new(context, path.program).await?;
     match context.control.admit(step).await? {
-        AdmittedStep::Recorded(record) => answer_record(request, path.program, &body, *record),
+        AdmittedStep::Recorded { record, .. } => {
+            answer_record(request, path.program, &body, *record)
+        }
         AdmittedStep::Run {
             ticket,
             cancel,
--- a/crates/daemon/src/control/handle.rs
+++ b/crates/daemon/src/control/handle.rs
@@ -67,10 +67,16 @@
             .await
     }
 
-    /// Asks for a step to run; waits for its turn.
+    /// Asks for a step to run; waits for its turn, and for a recorded outcome
+    /// until it is stored.
     pub(crate) async fn admit(&self, request: StepRequest) -> Result<AdmittedStep, RequestRefusal> {
-        self.request(|reply| ControlMessage::Admit(Box::new(request), reply))
-            .await
+        let admitted = self
+            .request(|reply| ControlMessage::Admit(Box::new(request), reply))
+            .await?;
+        if let AdmittedStep::Recorded { stored, .. } = &admitted {
+            stored.recv().await.unwrap_or(Ok(()))?;
+        }
+        Ok(admitted)
     }
 
     /// Finishes a step; answers when the outcome is stored.
--- a/crates/daemon/src/control/message.rs
+++ b/crates/daemon/src/control/message.rs
@@ -46,7 +46,11 @@
         history: Vec<StepExchange>,
     },
     /// It has run already.
-    Recorded(Box<StepRecord>),
+    Recorded {
+        record: Box<StepRecord>,
+        /// Yields when the program's history is stored.
+        stored: Receiver<StoreResult>,
+    },
 }
 
 /// Names the replicas that serve a model or a service, as in the VM list.
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -85,6 +85,16 @@
         self.history.append(workspace, records)
     }
 
+    /// Appends the whole history of a program, since an answer from it may leave
+    /// only when it is stored; holders confirm what they have already.
+    fn store_again(&self, program: ProgramId) -> Receiver<StoreResult> {
+        let mut root = program;
+        while let Ok(Some(parent)) = self.table.summary_any(root).map(|found| found.parent) {
+            root = parent;
+        }
+        self.append(self.table.export(root).unwrap_or_default())
+    }
+
     /// Returns the time until something expires.
     pub(super) fn next_delay(&self, now: TimeStamp) -> Duration {
         let expiry = self.table.next_expiry().map(|time| time.since(now));
@@ -204,7 +214,12 @@
         match admission {
             StepAdmission::Run(ticket) => self.run_step(ticket, &waiting),
             StepAdmission::Recorded(record) => {
-                answer(&waiting.reply, Ok(AdmittedStep::Recorded(Box::new(record))));
+                let stored = self.store_again(waiting.program);
+                let record = Box::new(record);
+                answer(
+                    &waiting.reply,
+                    Ok(AdmittedStep::Recorded { record, stored }),
+                );
             }
             StepAdmission::Wait(key) | StepAdmission::Join(key) => {
                 self.waiting.insert(key, waiting);
--- a/crates/ibisdaled/tests/failures.rs
+++ b/crates/ibisdaled/tests/failures.rs
@@ -205,3 +205,17 @@
     assert_eq!(third.status, 200, "{}", third.text());
     assert!(prompt_tokens(&third) > prompt_tokens(&first));
 }
+
+#[test]
+fn an_outcome_that_is_not_stored_is_not_given_to_a_repeat() {
+    let mut fleet = TestFleet::start();
+    let program = start_program(&fleet.caller(2));
+    // Two copies are wanted, and one of the two holders is gone.
+    fleet.daemons[1].kill();
+    let path = format!("/v1/programs/{program}/steps/1/call");
+    let attempt = [("attempt-key", "quote-1")];
+    let first = fleet.caller(2).send(Method::POST, &path, &attempt, QUOTE);
+    assert_eq!(first.status, 503, "{}", first.text());
+    let again = fleet.caller(2).send(Method::POST, &path, &attempt, QUOTE);
+    assert_eq!(again.status, 503, "{}", again.text());
+}
--- a/crates/telemetry/src/logger.rs
+++ b/crates/telemetry/src/logger.rs
@@ -159,9 +159,9 @@
 impl RecordLine {
     fn push_field(&mut self, key: &str, value: &str) {
         let is_plain = !value.is_empty()
-            && value
-                .chars()
-                .all(|letter| !letter.is_whitespace() && !letter.is_control() && letter != '"');
+            && value.chars().all(|character| {
+                !character.is_whitespace() && !character.is_control() && character != '"'
+            });
         // Writing to a string never fails.
         let _ = if is_plain {
             write!(self.fields, " {key}={value}")
@@ -184,11 +184,11 @@
 
 impl Write for EscapingWriter<'_, '_> {
     fn write_str(&mut self, text: &str) -> fmt::Result {
-        for letter in text.chars() {
-            if letter.is_control() {
-                write!(self.0, "{}", letter.escape_default())?;
+        for character in text.chars() {
+            if character.is_control() {
+                write!(self.0, "{}", character.escape_default())?;
             } else {
-                self.0.write_char(letter)?;
+                self.0.write_char(character)?;
             }
         }
         Ok(())
