Append older records under the epoch of the owner who appends them

Cause: records were sent to holders under the epoch of the owner who wrote them. After a takeover the whole history, sent again to a holder that missed records or before a repeat's answer, was refused as stale for good: the paid-action test failed with the change before (the repeat was never served). Ruled out: a slow takeover; the step was refused with owner_unavailable from the holders' answer. Change: an append carries the epoch of its owner, the record keeps its own.

--- a/crates/daemon/src/control/history.rs
+++ b/crates/daemon/src/control/history.rs
@@ -27,6 +27,7 @@
     pub(super) fn append(
         &self,
         workspace: Option<&WorkspaceName>,
+        epoch: u64,
         records: Vec<ProgramRecord>,
     ) -> Receiver<StoreResult> {
         let (reply, result) = async_channel::bounded(1);
@@ -37,6 +38,7 @@
         }
         let job = AppendJob {
             records,
+            epoch,
             copies,
             reply,
         };
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -82,7 +82,8 @@
         let root = records.first().map(|record| record.root);
         let summary = root.and_then(|root| self.table.summary_any(root).ok());
         let workspace = summary.as_ref().map(|summary| &summary.workspace);
-        self.history.append(workspace, records)
+        let epoch = root.and_then(|root| self.table.slot_epoch(root.slot()));
+        self.history.append(workspace, epoch.unwrap_or(0), records)
     }
 
     /// Appends the whole history of a program, since an answer from it may leave
--- a/crates/daemon/src/history/convert.rs
+++ b/crates/daemon/src/history/convert.rs
@@ -4,12 +4,16 @@
 use ibisdale_fleet::proto;
 use ibisdale_programs::{AppendStatus, ProgramRecord, RecordError, StoredRecord};
 
-/// Renders a program's record for its holders.
-pub(super) fn render_record(record: &ProgramRecord) -> Result<proto::HistoryRecord, RecordError> {
+/// Renders a program's record for its holders; `epoch` is that of the owner who
+/// appends it, which for an older record is not the one who wrote it.
+pub(super) fn render_record(
+    record: &ProgramRecord,
+    epoch: u64,
+) -> Result<proto::HistoryRecord, RecordError> {
     Ok(proto::HistoryRecord {
         program: bytes::Bytes::copy_from_slice(record.root.as_bytes()),
         slot: record.root.slot().get().into(),
-        epoch: record.epoch,
+        epoch,
         sequence: record.sequence,
         payload: record.to_bytes()?,
     })
--- a/crates/daemon/src/history/writer.rs
+++ b/crates/daemon/src/history/writer.rs
@@ -35,6 +35,8 @@
 pub(crate) struct AppendJob {
     /// The records, in order.
     pub(crate) records: Vec<ProgramRecord>,
+    /// Epoch of the owner that appends them.
+    pub(crate) epoch: u64,
     /// Copies that the workspace wants.
     pub(crate) copies: usize,
     /// Where the result goes.
@@ -180,15 +182,16 @@
     jobs: Arc<Vec<AppendJob>>,
     batch: HolderBatch,
 ) -> Vec<(usize, StoreResult)> {
-    let select = |index: &usize| jobs[*index].records.as_slice();
+    let select = |index: &usize| (jobs[*index].epoch, jobs[*index].records.as_slice());
     let statuses = send(&links, batch.address, batch.jobs.iter().map(select)).await;
     let mut results = Vec::with_capacity(batch.jobs.len());
     for (index, status) in batch.jobs.iter().zip(statuses) {
         let status = match status {
             Some(AppendStatus::Gap) => {
-                let root = jobs[*index].records[0].root;
-                let whole = control.export(root).await;
-                let again = send(&links, batch.address, std::iter::once(whole.as_slice())).await;
+                let job = &jobs[*index];
+                let whole = control.export(job.records[0].root).await;
+                let whole = (job.epoch, whole.as_slice());
+                let again = send(&links, batch.address, std::iter::once(whole)).await;
                 again.into_iter().next().flatten()
             }
             status => status,
@@ -198,19 +201,21 @@
     results
 }
 
-/// Sends groups of records; returns for each group its first status that is not
+/// Sends groups of records, each under the epoch of its owner; returns for each group its first status that is not
 /// "stored", or nothing when the answer is lost.
 async fn send(
     links: &FleetLinks,
     address: SocketAddr,
-    groups: impl Iterator<Item = &[ProgramRecord]>,
+    groups: impl Iterator<Item = (u64, &[ProgramRecord])>,
 ) -> Vec<Option<AppendStatus>> {
-    let groups: Vec<&[ProgramRecord]> = groups.collect();
-    let encoded: Result<Vec<HistoryRecord>, _> = groups
-        .iter()
-        .flat_map(|group| group.iter())
-        .map(render_record)
-        .collect();
+    let groups: Vec<(u64, &[ProgramRecord])> = groups.collect();
+    let render = |(epoch, group): &(u64, &[ProgramRecord])| -> Vec<_> {
+        let records = group.iter();
+        records
+            .map(|record| render_record(record, *epoch))
+            .collect()
+    };
+    let encoded: Result<Vec<HistoryRecord>, _> = groups.iter().flat_map(render).collect();
     let Ok(records) = encoded else {
         return vec![None; groups.len()];
     };
@@ -224,7 +229,7 @@
     let mut statuses = reply.statuses.into_iter().map(parse_status);
     groups
         .iter()
-        .map(|group| {
+        .map(|(_, group)| {
             let own: Vec<AppendStatus> = statuses.by_ref().take(group.len()).collect();
             if own.len() < group.len() {
                 return None;
