Give waiting tests more time before they are taken for hung

Cause: a takeover needs up to 16 s by its lease, and a busy machine more; the limit that ends a test which would wait for ever was 30 s. Change: 90 s; no assertion depends on it.

--- a/crates/daemon/tests/support/bed.rs
+++ b/crates/daemon/tests/support/bed.rs
@@ -27,7 +27,7 @@
 
 const ANSWER_MAX_BYTES: usize = 1_024 * 1_024;
 /// Time after which a test that waits has failed.
-const GIVE_UP_TIME: Duration = Duration::from_secs(30);
+const GIVE_UP_TIME: Duration = Duration::from_secs(90);
 const READY_WAIT: Duration = Duration::from_millis(20);
 
 pub(crate) fn any_address() -> SocketAddr {
