--- a/crates/relay/src/decide/budget.rs
+++ b/crates/relay/src/decide/budget.rs
@@ -162,6 +162,12 @@
         }
     }
 
+    /// Returns the tokens spent and reserved, as far as this VM knows.
+    #[must_use]
+    pub fn total(&self, program: ProgramKey) -> u64 {
+        self.programs.get(&program).map_or(0, ProgramAccount::total)
+    }
+
     /// Returns all shares known of a program.
     #[must_use]
     pub fn shares(&self, program: ProgramKey) -> Vec<BudgetShare> {
@@ -207,7 +213,9 @@
             None if is_uncertain => budget * FREE_PERCENT / 100,
             _ => 0,
         };
-        account.lost = assumed.saturating_sub(account.total());
+        // Shares of processes that started after the loss are no part of it, so
+        // none is taken off.
+        account.lost = assumed;
     }
 
     /// Gives up being the home, so that a later return asks the peers again.
--- a/crates/relay/src/gateway/budget.rs
+++ b/crates/relay/src/gateway/budget.rs
@@ -7,11 +7,13 @@
 use super::call::BudgetNeed;
 use super::message::PeerMessage;
 use super::peers;
-use super::state::Gateway;
+use super::state::{Gateway, LOSS_MEMORY_MS};
 use crate::decide::{BudgetShare, BudgetVerdict, MemberFacts, ProgramKey};
 
 /// Homes that are asked in turn before a call is refused.
 const HOMES_MAX: usize = 2;
+/// VMs next in rank that are asked for what they know of a program.
+const EARLIER_HOMES: usize = 2;
 /// Times that storing a ceiling is tried for one call.
 const CEILING_TRIES: u32 = 2;
 
@@ -88,12 +90,14 @@
                 decide_as_home(gateway, need.program, need.budget, need.tokens, share).await
             }
             Some(home) => {
+                let shares = gateway.state.budgets.borrow().shares(need.program);
                 let question = |ask| PeerMessage::Reserve {
                     ask,
                     program: need.program,
                     budget: need.budget,
                     tokens: need.tokens,
                     share,
+                    known: shares.clone(),
                 };
                 match peers::ask(gateway, home.peer_address(), question).await {
                     Some(PeerMessage::Reserved {
@@ -108,6 +112,14 @@
                 }
             }
         };
+        record_event!(
+            BudgetDecided,
+            program = format!("{:x}", need.program),
+            budget = need.budget,
+            tokens = need.tokens,
+            verdict = format!("{verdict:?}"),
+            total = gateway.state.budgets.borrow().total(need.program),
+        );
         return match verdict {
             Some(BudgetVerdict::Granted) => (BudgetAnswer::Granted, Some(hold)),
             Some(BudgetVerdict::Spent { total }) => (BudgetAnswer::Spent { total }, None),
@@ -148,33 +160,27 @@
 
 /// Learns what the other VMs know of a program before counting it.
 async fn take_over(gateway: &Gateway, program: ProgramKey, budget: u64) {
-    let is_uncertain = gateway.is_count_uncertain(program);
-    let has_changed = {
+    let may_be_lost = gateway.is_count_uncertain(program);
+    let peers = if may_be_lost {
         let members = gateway.state.members.borrow();
-        let age_ms = gateway.now_ms().saturating_sub(members.changed_ms());
-        is_uncertain || age_ms < super::state::LOSS_MEMORY_MS
+        members.live(gateway.now_ms()).cloned().collect()
+    } else {
+        earlier_homes(gateway, program)
     };
-    if has_changed {
-        let peers: Vec<MemberFacts> = {
-            let members = gateway.state.members.borrow();
-            members.live(gateway.now_ms()).cloned().collect()
-        };
-        let asks = peers.iter().map(|peer| {
-            peers::ask(gateway, peer.peer_address(), move |ask| {
-                PeerMessage::Gather { ask, program }
-            })
-        });
-        let answers = join_all(asks).await;
-        let now_ms = gateway.now_ms();
-        let mut budgets = gateway.state.budgets.borrow_mut();
-        for answer in answers.into_iter().flatten() {
-            if let PeerMessage::Gathered { shares, .. } = answer {
-                budgets.merge(program, &shares, now_ms);
-            }
-        }
-    }
+    let asks = peers.iter().map(|peer| {
+        peers::ask(gateway, peer.peer_address(), move |ask| {
+            PeerMessage::Gather { ask, program }
+        })
+    });
+    let answers = join_all(asks).await;
+    let is_uncertain = may_be_lost || answers.iter().any(Option::is_none);
     let now_ms = gateway.now_ms();
     let mut budgets = gateway.state.budgets.borrow_mut();
+    for answer in answers.into_iter().flatten() {
+        if let PeerMessage::Gathered { shares, .. } = answer {
+            budgets.merge(program, &shares, now_ms);
+        }
+    }
     budgets.take_over(program, budget, is_uncertain, now_ms);
     if is_uncertain {
         let shares = budgets.shares(program).len();
@@ -187,6 +193,19 @@
     }
 }
 
+/// Returns the VMs that were a program's home before this one joined.
+fn earlier_homes(gateway: &Gateway, program: ProgramKey) -> Vec<MemberFacts> {
+    let age_ms = {
+        let members = gateway.state.members.borrow();
+        gateway.now_ms().saturating_sub(members.changed_ms())
+    };
+    if age_ms >= LOSS_MEMORY_MS {
+        return Vec::new();
+    }
+    let others = homes(gateway, program).into_iter().flatten();
+    others.take(EARLIER_HOMES).collect()
+}
+
 /// Waits for all futures, which run at the same time.
 async fn join_all<T>(futures: impl Iterator<Item = impl Future<Output = T>>) -> Vec<T> {
     let executor = smol::LocalExecutor::new();
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -15,6 +15,8 @@
         facts: MemberFacts,
         /// Version of the configuration in force; 0 where none is known.
         plan_version: u64,
+        /// Time since the key-value service last answered, in milliseconds.
+        feed_age_ms: Option<u64>,
         quota: Vec<QuotaReport>,
     },
     /// Other VMs, told to one that was unknown.
@@ -26,6 +28,8 @@
         budget: u64,
         tokens: u64,
         share: BudgetShare,
+        /// Shares of other VMs that the asker knows.
+        known: Vec<BudgetShare>,
     },
     /// The home's answer; `None` where it could not store a ceiling.
     Reserved {
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -1,17 +1,18 @@
 //! Exchange of messages with the other daemons.
 
 use std::net::{SocketAddr, SocketAddrV4};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
 use ibisdale_telemetry::record_event;
 use smol::Timer;
 use smol::channel::bounded;
 
+use super::call::millis;
 use super::message::PeerMessage;
 use super::plan_link;
 use super::state::{Gateway, text};
-use crate::decide::{MemberFacts, QuotaReport};
+use crate::decide::{BudgetShare, MemberFacts, ProgramKey, QuotaReport};
 
 /// Time between rounds in a small fleet.
 const ROUND: Duration = Duration::from_millis(250);
@@ -125,6 +126,7 @@
     let message = PeerMessage::State {
         facts: gateway.own_facts(),
         plan_version,
+        feed_age_ms: gateway.feed_age().map(millis),
         quota: gateway
             .state
             .quota
@@ -221,8 +223,12 @@
         PeerMessage::State {
             facts,
             plan_version,
+            feed_age_ms,
             quota,
-        } => hear_state(gateway, facts, plan_version, &quota, sender),
+        } => {
+            note_feed(gateway, feed_age_ms);
+            hear_state(gateway, facts, plan_version, &quota, sender);
+        }
         PeerMessage::Known { peers } => {
             let introducer = gateway.clone();
             gateway.spawn(async move {
@@ -257,7 +263,9 @@
             budget,
             tokens,
             share,
+            known,
         } => {
+            merge_known(gateway, program, &share, &known);
             let gateway_clone = gateway.clone();
             gateway.spawn(async move {
                 let gateway = gateway_clone;
@@ -278,11 +286,43 @@
     }
 }
 
+/// Takes what an asker knows of the other VMs' shares.
+///
+/// Its own share counts only once it is granted.
+fn merge_known(
+    gateway: &Gateway,
+    program: ProgramKey,
+    own: &BudgetShare,
+    known: &[BudgetShare],
+) {
+    let others = known.iter().filter(|share| share.vm != own.vm);
+    let others: Vec<_> = others.copied().collect();
+    if !others.is_empty() {
+        let now_ms = gateway.now_ms();
+        let mut budgets = gateway.state.budgets.borrow_mut();
+        budgets.merge(program, &others, now_ms);
+    }
+}
+
 fn reply(gateway: &Gateway, message: PeerMessage, peer: SocketAddrV4) {
     let sender = gateway.clone();
     gateway.spawn(async move { send(&sender, &message, peer).await });
 }
 
+/// Notes when the key-value service has last answered any peer.
+fn note_feed(gateway: &Gateway, age_ms: Option<u64>) {
+    let Some(age_ms) = age_ms else {
+        return;
+    };
+    let Some(at) = Instant::now().checked_sub(Duration::from_millis(age_ms)) else {
+        return;
+    };
+    let latest = &gateway.state.peers_confirmed;
+    if latest.get().is_none_or(|known| known < at) {
+        latest.set(Some(at));
+    }
+}
+
 fn hear_state(
     gateway: &Gateway,
     facts: MemberFacts,
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -73,6 +73,7 @@
     pub(crate) is_planned: Cell<bool>,
     pub(crate) plan_revision: Cell<u64>,
     pub(crate) feed_confirmed: Cell<Option<Instant>>,
+    pub(crate) peers_confirmed: Cell<Option<Instant>>,
     pub(crate) replicas: RefCell<ReplicaTable>,
     pub(crate) members: RefCell<MemberTable>,
     pub(crate) losses: RefCell<Vec<(VmKey, u64)>>,
@@ -126,6 +127,7 @@
             is_planned: Cell::new(false),
             plan_revision: Cell::new(0),
             feed_confirmed: Cell::new(None),
+            peers_confirmed: Cell::new(None),
             replicas: RefCell::default(),
             members: RefCell::default(),
             losses: RefCell::new(losses),
@@ -199,6 +201,12 @@
         self.state.feed_confirmed.get().map(|at| at.elapsed())
     }
 
+    /// Returns when the key-value service has last answered any other VM.
+    #[must_use]
+    pub fn peers_confirmed(&self) -> Option<Instant> {
+        self.state.peers_confirmed.get()
+    }
+
     /// Tells whether an unknown key or route certainly does not exist.
     pub(crate) fn is_feed_trusted(&self) -> bool {
         let limit = self.state.options.feed_trust;
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -241,7 +241,7 @@
     AttemptFailed = 2202, Info, "attempt_failed",
         ["request", "replica", "end", "next", "left_ms", "in_flight", "error"], "A replica did not answer a request.";
     BudgetDecided = 2203, Debug, "budget_decided",
-        ["request", "program", "budget", "tokens", "verdict", "home"], "The home of a program decided on a call.";
+        ["program", "budget", "tokens", "verdict", "total"], "The home of a program decided on a call.";
     BudgetSpent = 2204, Info, "budget_spent",
         ["request", "program", "budget", "tokens", "total"], "A program's budget does not hold a further call.";
     BudgetTakenOver = 2205, Info, "budget_taken_over",
