Hold rates over the operators' window; programs under way go first

Cause: a token bucket admits rate x window once the burst is used; the operators allow rate x window + burst in any window, and a refused call loses its program. Ruled out: uneven spread over VMs alone (refusals stay with an overdraft only).

--- a/crates/relay/src/decide/budget.rs
+++ b/crates/relay/src/decide/budget.rs
@@ -51,7 +51,10 @@
 #[derive(Deserialize, Serialize)]
 pub enum BudgetVerdict {
     /// The call may run.
-    Granted,
+    Granted {
+        /// No call of the program is known before.
+        is_first: bool,
+    },
     /// The budget does not hold the call.
     Spent {
         /// Tokens spent or reserved.
@@ -252,7 +255,9 @@
             };
         }
         if total <= free || total <= account.ceiling {
-            return BudgetVerdict::Granted;
+            return BudgetVerdict::Granted {
+                is_first: total <= tokens,
+            };
         }
         restore(account, key, previous);
         let step = budget * CEILING_STEP_PERCENT / 100;
--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -15,6 +15,6 @@
 pub use hash::{rendezvous_rank, stable_hash};
 pub use members::{MemberFacts, MemberTable, VmKey};
 pub use placing::{PlacingRequest, choose_replica};
-pub use quota::{QuotaLedger, QuotaReport, WorkspaceKey};
+pub use quota::{ProgramStage, QuotaLedger, QuotaReport, QuotaTolerance, WorkspaceKey};
 pub use replicas::{CallOutcome, ReplicaFact, ReplicaKey, ReplicaLoad, ReplicaTable};
 pub use retry::{AttemptEnd, NextStep, RetryRule, next_step};
--- a/crates/relay/src/decide/quota.rs
+++ b/crates/relay/src/decide/quota.rs
@@ -1,21 +1,59 @@
 //! Rates of workspaces, held across all VMs without a home.
 //!
-//! Each VM keeps the workspace's whole token bucket from its own admissions and
-//! the counters that its peers tell. In each round it may use its equal part of
-//! what is left, so that all VMs together never use more than the bucket holds,
-//! however old their news of each other is. A VM that is not heard from is taken
-//! to use its part of the rate.
+//! A workspace may send its rate times the window plus its burst in any window.
+//! Each VM counts what all VMs have admitted in the last window, from its own
+//! admissions and the counters that its peers tell. In each round it may use its
+//! equal part of what is left, so that all VMs together never use more, however
+//! old their news of each other is. A VM that is not heard from is taken to use
+//! its part.
+//!
+//! Load answered: a workspace that sends more than its rate. A program that loses
+//! one of its calls is lost as a whole with all that it has used, so calls of
+//! programs under way may use the whole limit, and programs that begin only what
+//! is above a reserve.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
 /// Hash of a workspace's name.
 pub type WorkspaceKey = u64;
 
-/// Longest time without a new round after which no further part accrues, in
-/// milliseconds.
-const ROUND_MAX_MS: u64 = 2_000;
+/// Part of the burst that is kept for programs under way, in percent.
+const RESERVE_PERCENT: f64 = 50.0;
+/// Part of the tolerated excess that may be used, in percent; the rest is for
+/// requests that reach a replica later than they were admitted.
+const TOLERANCE_USED_PERCENT: f64 = 50.0;
+/// Part of the burst that is free at the start of a process, whose earlier
+/// admissions are not known, in percent.
+const START_BURST_PERCENT: f64 = 50.0;
+/// Time after the start in which a peer's counter is only taken as a base, in
+/// milliseconds; the steady use that is assumed then includes it.
+const BASE_TIME_MS: u64 = 2_000;
+/// Length of the spans that admissions are counted in, in milliseconds.
+const SPAN_MS: u64 = 250;
+/// Window where the deployment names none, in milliseconds.
+const WINDOW_DEFAULT_MS: u64 = 5_000;
+
+/// What a request is to its program.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProgramStage {
+    /// The request begins a program.
+    Begins,
+    /// The program has run before, or the request belongs to none.
+    UnderWay,
+}
+
+/// By how much the limit of a span of time may be exceeded.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct QuotaTolerance {
+    /// Length of the span, in seconds.
+    pub window_s: f64,
+    /// Part of the limit.
+    pub excess: f64,
+    /// Requests beyond that part.
+    pub slack: f64,
+}
 
 /// Admissions of one VM, counted since its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,48 +65,120 @@
     pub admitted: u64,
 }
 
+/// Admissions of all VMs in the last window.
 #[derive(Clone, Debug, Default)]
-struct WorkspaceBucket {
-    rate_per_ms: f64,
+struct WorkspaceWindow {
+    rate_per_s: f64,
     burst: f64,
-    /// What is left of the bucket, as far as this VM knows.
-    level: f64,
+    /// Requests in a window, the tolerated excess included.
+    limit: f64,
+    /// Ends of spans with the requests admitted in them.
+    spans: VecDeque<(u64, f64)>,
+    /// Requests in all spans.
+    used: f64,
     /// What this VM may still use in this round.
     allowance: f64,
-    refilled_ms: u64,
-    round_ms: u64,
     admitted: u64,
     admitted_ms: u64,
     peers: HashMap<(u64, u64), u64>,
 }
 
+impl WorkspaceWindow {
+    fn count(&mut self, requests: f64, now_ms: u64) {
+        self.used += requests;
+        match self.spans.back_mut() {
+            Some((end_ms, count)) if *end_ms > now_ms => *count += requests,
+            _ => self.spans.push_back((now_ms + SPAN_MS, requests)),
+        }
+    }
+
+    fn expire(&mut self, now_ms: u64, window_ms: u64) {
+        while let Some((end_ms, count)) = self.spans.front().copied() {
+            if end_ms + window_ms > now_ms {
+                break;
+            }
+            self.used -= count;
+            self.spans.pop_front();
+        }
+    }
+
+    /// Assumes steady use up to the start of the process.
+    fn assume_use(&mut self, now_ms: u64, window_ms: u64) {
+        let spans = (window_ms / SPAN_MS).max(1);
+        let free = self.burst * START_BURST_PERCENT / 100.0;
+        #[expect(clippy::cast_precision_loss, reason = "a few spans")]
+        let count = (self.limit - free).max(0.0) / spans as f64;
+        for span in 0..spans {
+            // Ends lie in the past as far as the clock reaches back.
+            let age_ms = (spans - 1 - span) * SPAN_MS;
+            let end_ms = now_ms.saturating_sub(age_ms);
+            self.used += count;
+            self.spans.push_back((end_ms, count));
+        }
+    }
+}
+
 /// The rates of all workspaces, as one VM sees them.
 #[derive(Clone, Debug, Default)]
 pub struct QuotaLedger {
-    buckets: HashMap<WorkspaceKey, WorkspaceBucket>,
+    windows: HashMap<WorkspaceKey, WorkspaceWindow>,
     /// VMs that may admit requests, this one included.
     sharers: u32,
     /// VMs among them that are not heard from.
     silent: u32,
+    tolerance: QuotaTolerance,
+    is_first_start: bool,
 }
 
 impl QuotaLedger {
-    /// Sets the rates; a bucket that is new starts empty.
+    /// Creates a ledger without workspaces.
     ///
-    /// `rates` holds workspaces with requests a second and burst.
-    pub fn set_rates(&mut self, rates: impl Iterator<Item = (WorkspaceKey, f64, f64)>, now_ms: u64) {
-        let mut old = std::mem::take(&mut self.buckets);
+    /// `is_first_start` tells whether nothing was admitted before.
+    #[must_use]
+    pub fn new(tolerance: QuotaTolerance, is_first_start: bool) -> Self {
+        Self {
+            tolerance,
+            is_first_start,
+            ..Self::default()
+        }
+    }
+
+    fn window_ms(&self) -> u64 {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a few seconds"
+        )]
+        let window_ms = (self.tolerance.window_s * 1_000.0) as u64;
+        if window_ms == 0 {
+            WINDOW_DEFAULT_MS
+        } else {
+            window_ms
+        }
+    }
+
+    /// Sets the rates: workspaces with requests a second and burst.
+    pub fn set_rates(
+        &mut self,
+        rates: impl Iterator<Item = (WorkspaceKey, f64, f64)>,
+        now_ms: u64,
+    ) {
+        let window_ms = self.window_ms();
+        let mut old = std::mem::take(&mut self.windows);
         for (workspace, rate_per_s, burst) in rates {
-            let mut bucket = old.remove(&workspace).unwrap_or_default();
-            if bucket.refilled_ms == 0 {
-                bucket.refilled_ms = now_ms;
-                bucket.round_ms = now_ms;
+            let known = old.remove(&workspace);
+            let is_new = known.is_none();
+            let mut window = known.unwrap_or_default();
+            #[expect(clippy::cast_precision_loss, reason = "a few seconds")]
+            let limit = rate_per_s * window_ms as f64 / 1_000.0 + burst;
+            let tolerated = self.tolerance.slack + self.tolerance.excess * limit;
+            window.rate_per_s = rate_per_s;
+            window.burst = burst.max(1.0);
+            window.limit = limit.max(1.0) + tolerated * TOLERANCE_USED_PERCENT / 100.0;
+            if is_new && !self.is_first_start && now_ms < BASE_TIME_MS {
+                window.assume_use(now_ms, window_ms);
             }
-            bucket.rate_per_ms = rate_per_s / 1_000.0;
-            bucket.burst = burst.max(1.0);
-            bucket.level = bucket.level.min(bucket.burst);
-            bucket.allowance = bucket.allowance.min(bucket.burst);
-            self.buckets.insert(workspace, bucket);
+            self.windows.insert(workspace, window);
         }
     }
 
@@ -83,63 +193,76 @@
     /// # Errors
     ///
     /// Fails when the workspace is over its rate.
-    pub fn admit(&mut self, workspace: WorkspaceKey, now_ms: u64) -> Result<(), u64> {
+    pub fn admit(
+        &mut self,
+        workspace: WorkspaceKey,
+        stage: ProgramStage,
+        now_ms: u64,
+    ) -> Result<(), u64> {
         let sharers = f64::from(self.sharers.max(1));
-        let Some(bucket) = self.buckets.get_mut(&workspace) else {
+        let window_ms = self.window_ms();
+        let Some(window) = self.windows.get_mut(&workspace) else {
             return Ok(());
         };
-        if bucket.rate_per_ms <= 0.0 {
+        if window.rate_per_s <= 0.0 {
             return Ok(());
         }
-        bucket.refill(now_ms, sharers, f64::from(self.silent));
-        if bucket.allowance < 1.0 {
-            let missing = (1.0 - bucket.allowance) * sharers / bucket.rate_per_ms;
+        let reserve = match stage {
+            ProgramStage::Begins => window.burst * RESERVE_PERCENT / 100.0,
+            ProgramStage::UnderWay => 0.0,
+        };
+        let missing = (1.0 + reserve / sharers) - window.allowance;
+        if missing > 0.0 {
+            // The whole limit becomes free again within one window.
             #[expect(
                 clippy::cast_possible_truncation,
+                clippy::cast_precision_loss,
                 clippy::cast_sign_loss,
                 reason = "bounded and not negative"
             )]
-            return Err(missing.clamp(1.0, 60_000.0) as u64);
+            let wait_ms = (missing * sharers / window.limit * window_ms as f64) as u64;
+            return Err(wait_ms.clamp(SPAN_MS / 2, window_ms));
         }
-        bucket.allowance -= 1.0;
-        bucket.level -= 1.0;
-        bucket.admitted += 1;
-        bucket.admitted_ms = now_ms;
+        window.allowance -= 1.0;
+        window.admitted += 1;
+        window.admitted_ms = now_ms;
+        window.count(1.0, now_ms);
         Ok(())
     }
 
-    /// Gives back a request that never reached a replica.
-    pub fn give_back(&mut self, workspace: WorkspaceKey) {
-        if let Some(bucket) = self.buckets.get_mut(&workspace)
-            && bucket.admitted > 0
-        {
-            bucket.allowance += 1.0;
-            bucket.level += 1.0;
-        }
-    }
-
     /// Takes a peer's counters; `peer` and `incarnation` name one of its starts.
-    pub fn record(&mut self, peer: u64, incarnation: u64, reports: &[QuotaReport]) {
+    pub fn record(
+        &mut self,
+        peer: u64,
+        incarnation: u64,
+        reports: &[QuotaReport],
+        now_ms: u64,
+    ) {
+        let is_base = !self.is_first_start && now_ms < BASE_TIME_MS;
         for report in reports {
-            let Some(bucket) = self.buckets.get_mut(&report.workspace) else {
+            let Some(window) = self.windows.get_mut(&report.workspace) else {
                 continue;
             };
-            let seen = bucket.peers.entry((peer, incarnation)).or_insert(0);
+            let seen = window.peers.entry((peer, incarnation)).or_insert(0);
             let news = report.admitted.saturating_sub(*seen);
             *seen = report.admitted.max(*seen);
-            #[expect(clippy::cast_precision_loss, reason = "small counts")]
-            let used = news as f64;
-            bucket.level -= used;
+            if !is_base && news > 0 {
+                #[expect(clippy::cast_precision_loss, reason = "small counts")]
+                window.count(news as f64, now_ms);
+            }
         }
     }
 
-    /// Starts a round: what is left of each bucket is parted anew.
+    /// Starts a round: what is left of each window is parted anew.
     pub fn start_round(&mut self, now_ms: u64) {
         let sharers = f64::from(self.sharers.max(1));
-        for bucket in self.buckets.values_mut() {
-            bucket.refill(now_ms, sharers, f64::from(self.silent));
-            bucket.round_ms = now_ms;
-            bucket.allowance = (bucket.level / sharers).max(0.0);
+        let silent = f64::from(self.silent);
+        let window_ms = self.window_ms();
+        for window in self.windows.values_mut() {
+            window.expire(now_ms, window_ms);
+            let heard = window.limit * (sharers - silent) / sharers;
+            let left = (heard - window.used).max(0.0);
+            window.allowance = left / (sharers - silent).max(1.0);
         }
     }
 
@@ -147,27 +270,13 @@
     #[must_use]
     pub fn reports(&self, since_ms: u64) -> Vec<QuotaReport> {
         let used = self
-            .buckets
+            .windows
             .iter()
-            .filter(|(_, bucket)| bucket.admitted > 0 && bucket.admitted_ms >= since_ms);
-        used.map(|(workspace, bucket)| QuotaReport {
+            .filter(|(_, window)| window.admitted > 0 && window.admitted_ms >= since_ms);
+        used.map(|(workspace, window)| QuotaReport {
             workspace: *workspace,
-            admitted: bucket.admitted,
+            admitted: window.admitted,
         })
         .collect()
     }
 }
-
-impl WorkspaceBucket {
-    fn refill(&mut self, now_ms: u64, sharers: f64, silent: f64) {
-        let elapsed_ms = now_ms.saturating_sub(self.refilled_ms);
-        self.refilled_ms = self.refilled_ms.max(now_ms);
-        #[expect(clippy::cast_precision_loss, reason = "milliseconds of one process")]
-        let accrued = self.rate_per_ms * elapsed_ms as f64;
-        let heard = accrued * (sharers - silent) / sharers;
-        self.level = (self.level + heard).min(self.burst);
-        if now_ms.saturating_sub(self.round_ms) <= ROUND_MAX_MS {
-            self.allowance = (self.allowance + accrued / sharers).min(self.burst);
-        }
-    }
-}
--- a/crates/relay/src/gateway/admit.rs
+++ b/crates/relay/src/gateway/admit.rs
@@ -14,7 +14,7 @@
 use super::body::AnswerBody;
 use super::call::{CallerCall, bearer_key, decode_call, field};
 use super::state::Gateway;
-use crate::decide::stable_hash;
+use crate::decide::{ProgramStage, stable_hash};
 
 /// Pause after which a request is worth sending again when this VM can't serve
 /// it at the moment, in milliseconds; another VM may serve it at once.
@@ -149,12 +149,16 @@
 }
 
 /// Takes a request from its workspace's rate.
-pub(crate) fn admit_rate(gateway: &Gateway, call: &CallerCall) -> Result<(), GatewayRefusal> {
+pub(crate) fn admit_rate(
+    gateway: &Gateway,
+    call: &CallerCall,
+    stage: ProgramStage,
+) -> Result<(), GatewayRefusal> {
     let Some(workspace) = &call.workspace else {
         return Ok(());
     };
     let mut quota = gateway.state.quota.borrow_mut();
-    let admitted = quota.admit(stable_hash(workspace), gateway.now_ms());
+    let admitted = quota.admit(stable_hash(workspace), stage, gateway.now_ms());
     admitted.map_err(|after_ms| GatewayRefusal {
         status: StatusCode::TOO_MANY_REQUESTS,
         reason: "the workspace is over its rate",
--- a/crates/relay/src/gateway/budget.rs
+++ b/crates/relay/src/gateway/budget.rs
@@ -20,7 +20,7 @@
 /// What became of a request for tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BudgetAnswer {
-    Granted,
+    Granted { is_first: bool },
     Spent { total: u64 },
     Unknown,
 }
@@ -121,7 +121,9 @@
             total = gateway.state.budgets.borrow().total(need.program),
         );
         return match verdict {
-            Some(BudgetVerdict::Granted) => (BudgetAnswer::Granted, Some(hold)),
+            Some(BudgetVerdict::Granted { is_first }) => {
+                (BudgetAnswer::Granted { is_first }, Some(hold))
+            }
             Some(BudgetVerdict::Spent { total }) => (BudgetAnswer::Spent { total }, None),
             Some(BudgetVerdict::NeedsCeiling { .. }) | None => (BudgetAnswer::Unknown, None),
         };
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -26,6 +26,7 @@
 use super::forward::{AttemptTrail, forward};
 use super::state::{Gateway, text};
 use super::{peers, plan_link};
+use crate::decide::ProgramStage;
 use crate::plan::RepeatRule;
 
 /// Pause after a failed accept, for example when descriptors run out.
@@ -214,10 +215,16 @@
     record: RequestRecord,
 ) -> Response<AnswerBody> {
     let mut hold = None;
+    let mut stage = ProgramStage::UnderWay;
     if let Some(need) = call.budget {
         let (answer, held) = reserve(gateway, need).await;
         match answer {
-            BudgetAnswer::Granted => hold = held,
+            BudgetAnswer::Granted { is_first } => {
+                hold = held;
+                if is_first {
+                    stage = ProgramStage::Begins;
+                }
+            }
             BudgetAnswer::Spent { total } => {
                 record_event!(
                     BudgetSpent,
@@ -239,7 +246,7 @@
             }
         }
     }
-    if let Err(refusal) = admit_rate(gateway, &call) {
+    if let Err(refusal) = admit_rate(gateway, &call, stage) {
         return record.refuse(&call.id, Some(&call), refusal);
     }
     let mut trail = AttemptTrail::default();
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -340,7 +340,7 @@
     let earlier = gateway.state.members.borrow().incarnation(peer);
     let is_news = gateway.state.members.borrow_mut().hear(facts, now_ms);
     let mut ledger = gateway.state.quota.borrow_mut();
-    ledger.record(peer, incarnation, quota);
+    ledger.record(peer, incarnation, quota, now_ms);
     drop(ledger);
     if is_news {
         record_event!(VmHeard, vm = name, incarnation = incarnation, serving = is_serving);
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -20,7 +20,7 @@
 use super::metrics::GatewayMetrics;
 use super::pool::ConnectionPool;
 use crate::decide::{
-    BudgetBook, MemberFacts, MemberTable, ProgramKey, QuotaLedger, ReplicaFact, ReplicaTable,
+    BudgetBook, MemberFacts, MemberTable, ProgramKey, QuotaLedger, QuotaTolerance, ReplicaFact, ReplicaTable,
     VmKey, rendezvous_rank, stable_hash,
 };
 use crate::plan::DeploymentPlan;
@@ -62,6 +62,8 @@
     /// Age of the configuration after which it no longer proves that a key or a
     /// route does not exist.
     pub feed_trust: Duration,
+    /// By how much workspaces' rates may be exceeded.
+    pub quota_tolerance: QuotaTolerance,
 }
 
 pub(crate) struct GatewayState {
@@ -112,6 +114,7 @@
     ) -> Self {
         let (close_sender, closing) = bounded(1);
         let book = BudgetBook::new(options.facts.key(), options.facts.incarnation);
+        let quota = QuotaLedger::new(options.quota_tolerance, options.is_first_start);
         let losses = if options.is_first_start {
             Vec::new()
         } else {
@@ -131,7 +134,7 @@
             replicas: RefCell::default(),
             members: RefCell::default(),
             losses: RefCell::new(losses),
-            quota: RefCell::default(),
+            quota: RefCell::new(quota),
             budgets: RefCell::new(book),
             pool: ConnectionPool::default(),
             asks: RefCell::default(),
@@ -182,6 +185,16 @@
             routes = plan.get_routes().len(),
             workspaces = plan.get_workspaces().len(),
         );
+        for grant in plan.get_workspaces() {
+            record_event!(
+                WorkspaceRate,
+                workspace = text(&grant.name),
+                version = version,
+                rate_per_s = grant.rate_per_s,
+                burst = grant.burst,
+                keys = grant.keys.len(),
+            );
+        }
         let rates = plan.get_workspaces().iter();
         let rates = rates.map(|grant| (stable_hash(&grant.name), grant.rate_per_s, grant.burst));
         self.state.quota.borrow_mut().set_rates(rates, self.now_ms());
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -234,6 +234,9 @@
     RetireAnswered = 2114, Info, "retire_answered",
         ["vm", "state"], "An order to empty a VM is answered.";
 
+    WorkspaceRate = 2115, Debug, "workspace_rate",
+        ["workspace", "version", "rate_per_s", "burst", "keys"], "A workspace's rate is in force.";
+
     RequestEnded = 2201, Info, "request_ended",
         ["request", "program", "route", "workspace", "status", "reason", "replica", "sends",
             "plan", "feed_age_ms", "first_ms", "elapsed_ms"],
