--- a/crates/relay/src/decide/budget.rs
+++ b/crates/relay/src/decide/budget.rs
@@ -5,7 +5,9 @@
 //! adds the shares up and grants further calls. Every reply of the home carries
 //! all shares, so that what a dead home knew is known wherever the program has
 //! been. Beyond a free part of the budget the home stores a ceiling before it
-//! grants, which bounds what may be handed out after all VMs have died.
+//! grants, which bounds what may be handed out after all VMs have died. One call
+//! beyond the free part or the ceiling needs none: a program may exceed its budget
+//! by one call at most.
 
 use std::collections::HashMap;
 
@@ -17,12 +19,13 @@
 pub type ProgramKey = u64;
 
 /// Part of a budget that is granted without a stored ceiling, in percent; a
-/// program whose count may be lost is taken to have spent it.
-const FREE_PERCENT: u64 = 50;
+/// program whose count may be lost is taken to have spent it. Most programs end
+/// below it.
+const FREE_PERCENT: u64 = 33;
 /// Part of a budget by which a stored ceiling exceeds the present use, in percent.
-const CEILING_STEP_PERCENT: u64 = 25;
-/// Time after its last call for which a program is remembered, in milliseconds.
-const REMEMBER_MS: u64 = 90_000;
+const CEILING_STEP_PERCENT: u64 = 33;
+/// Factor by which a program with open reservations is remembered longer.
+const OPEN_FACTOR: u64 = 4;
 
 /// What one start of a VM has handed out for a program.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -178,6 +181,13 @@
         account.map_or_else(Vec::new, |account| account.shares.values().copied().collect())
     }
 
+    /// Returns all accounts with what is known of them.
+    pub fn accounts(&self) -> impl Iterator<Item = (ProgramKey, Vec<BudgetShare>)> {
+        self.programs.iter().map(|(program, account)| {
+            (*program, account.shares.values().copied().collect())
+        })
+    }
+
     /// Takes a ceiling that is stored.
     pub fn record_ceiling(&mut self, program: ProgramKey, ceiling: u64) {
         self.ceilings.insert(program, ceiling);
@@ -201,7 +211,7 @@
 
     /// Makes this VM the program's home, after its peers' shares were merged.
     ///
-    /// `is_uncertain` tells whether a VM that may have known more has died.
+    /// `is_uncertain` tells whether what the VMs had counted may be lost.
     pub fn take_over(&mut self, program: ProgramKey, budget: u64, is_uncertain: bool, now_ms: u64) {
         let stored = self.ceilings.get(&program).copied();
         let account = self.programs.entry(program).or_default();
@@ -211,14 +221,13 @@
         }
         account.is_home = true;
         account.ceiling = stored.unwrap_or(0);
-        let assumed = match stored {
-            Some(ceiling) if is_uncertain => ceiling,
-            None if is_uncertain => budget * FREE_PERCENT / 100,
-            _ => 0,
+        // Shares of processes that started after a loss are no part of it, so none
+        // is taken off.
+        account.lost = match stored {
+            _ if !is_uncertain => 0,
+            Some(ceiling) => ceiling,
+            None => budget * FREE_PERCENT / 100,
         };
-        // Shares of processes that started after the loss are no part of it, so
-        // none is taken off.
-        account.lost = assumed;
     }
 
     /// Gives up being the home, so that a later return asks the peers again.
@@ -254,7 +263,7 @@
                 total: total.saturating_sub(tokens),
             };
         }
-        if total <= free || total <= account.ceiling {
+        if total <= free.max(account.ceiling) + tokens {
             return BudgetVerdict::Granted {
                 is_first: total <= tokens,
             };
@@ -266,12 +275,12 @@
         }
     }
 
-    /// Forgets programs that have not been heard of for long.
-    pub fn forget(&mut self, now_ms: u64) {
+    /// Forgets programs that have not been heard of for `remember_ms`.
+    pub fn forget(&mut self, remember_ms: u64, now_ms: u64) {
         self.programs.retain(|_, account| {
             let reserved: u64 = account.shares.values().map(|share| share.reserved).sum();
             let age_ms = now_ms.saturating_sub(account.touched_ms);
-            age_ms < REMEMBER_MS || (reserved > 0 && age_ms < 4 * REMEMBER_MS)
+            age_ms < remember_ms || (reserved > 0 && age_ms < OPEN_FACTOR * remember_ms)
         });
     }
 }
--- a/crates/relay/src/decide/members.rs
+++ b/crates/relay/src/decide/members.rs
@@ -125,6 +125,16 @@
         }
     }
 
+    /// Removes a VM that has left in good order.
+    pub fn remove(&mut self, vm: VmKey, incarnation: u64, now_ms: u64) -> bool {
+        let is_same = self.incarnation(vm) == Some(incarnation);
+        if is_same {
+            self.members.remove(&vm);
+            self.changed_ms = now_ms;
+        }
+        is_same
+    }
+
     /// Forgets VMs that are neither registered nor heard from.
     pub fn forget(&mut self, now_ms: u64) {
         let before = self.members.len();
--- a/crates/relay/src/decide/quota.rs
+++ b/crates/relay/src/decide/quota.rs
@@ -4,8 +4,8 @@
 //! Each VM counts what all VMs have admitted in the last window, from its own
 //! admissions and the counters that its peers tell. In each round it may use its
 //! equal part of what is left, so that all VMs together never use more, however
-//! old their news of each other is. A VM that is not heard from is taken to use
-//! its part.
+//! old their news of each other is. A VM that is not heard from is taken to go on
+//! as before.
 //!
 //! Load answered: a workspace that sends more than its rate. A program that loses
 //! one of its calls is lost as a whole with all that it has used, so calls of
@@ -24,12 +24,11 @@
 /// Part of the tolerated excess that may be used, in percent; the rest is for
 /// requests that reach a replica later than they were admitted.
 const TOLERANCE_USED_PERCENT: f64 = 50.0;
-/// Part of the burst that is free at the start of a process, whose earlier
-/// admissions are not known, in percent.
-const START_BURST_PERCENT: f64 = 50.0;
-/// Time after the start in which a peer's counter is only taken as a base, in
-/// milliseconds; the steady use that is assumed then includes it.
-const BASE_TIME_MS: u64 = 2_000;
+/// Use that a silent VM is taken to go on with, relative to the mean of all VMs.
+const SILENT_USE_FACTOR: f64 = 1.25;
+/// Time after the start in which use before it is assumed for workspaces that
+/// become known, in milliseconds.
+const START_TIME_MS: u64 = 2_000;
 /// Length of the spans that admissions are counted in, in milliseconds.
 const SPAN_MS: u64 = 250;
 /// Window where the deployment names none, in milliseconds.
@@ -80,6 +79,8 @@
     allowance: f64,
     admitted: u64,
     admitted_ms: u64,
+    /// Use before the start is assumed, not known.
+    is_assumed: bool,
     peers: HashMap<(u64, u64), u64>,
 }
 
@@ -104,10 +105,16 @@
 
     /// Assumes steady use up to the start of the process.
     fn assume_use(&mut self, now_ms: u64, window_ms: u64) {
+        let steady = (self.limit - self.burst).max(0.0);
+        self.spread(steady, now_ms, window_ms);
+        self.is_assumed = true;
+    }
+
+    /// Spreads requests evenly over the last window.
+    fn spread(&mut self, requests: f64, now_ms: u64, window_ms: u64) {
         let spans = (window_ms / SPAN_MS).max(1);
-        let free = self.burst * START_BURST_PERCENT / 100.0;
         #[expect(clippy::cast_precision_loss, reason = "a few spans")]
-        let count = (self.limit - free).max(0.0) / spans as f64;
+        let count = requests / spans as f64;
         for span in 0..spans {
             // Ends lie in the past as far as the clock reaches back.
             let age_ms = (spans - 1 - span) * SPAN_MS;
@@ -128,6 +135,8 @@
     silent: u32,
     tolerance: QuotaTolerance,
     is_first_start: bool,
+    /// What peers have told of the last window before the rates were known.
+    inherited: HashMap<WorkspaceKey, u64>,
 }
 
 impl QuotaLedger {
@@ -175,8 +184,12 @@
             window.rate_per_s = rate_per_s;
             window.burst = burst.max(1.0);
             window.limit = limit.max(1.0) + tolerated * TOLERANCE_USED_PERCENT / 100.0;
-            if is_new && !self.is_first_start && now_ms < BASE_TIME_MS {
-                window.assume_use(now_ms, window_ms);
+            if is_new && !self.is_first_start && now_ms < START_TIME_MS {
+                match self.inherited.remove(&workspace) {
+                    #[expect(clippy::cast_precision_loss, reason = "small counts")]
+                    Some(used) => window.spread(used as f64, now_ms, window_ms),
+                    None => window.assume_use(now_ms, window_ms),
+                }
             }
             self.windows.insert(workspace, window);
         }
@@ -230,23 +243,62 @@
         Ok(())
     }
 
+    /// Returns the requests of all VMs in the last window, where they are known.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<QuotaReport> {
+        let known = self.windows.iter().filter(|(_, window)| !window.is_assumed);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "counts are small and not negative"
+        )]
+        let reports = known.map(|(workspace, window)| QuotaReport {
+            workspace: *workspace,
+            admitted: window.used.max(0.0).ceil() as u64,
+        });
+        reports.collect()
+    }
+
+    /// Takes what a peer knows of the last window in place of assumptions.
+    pub fn adopt(&mut self, snapshot: &[QuotaReport], now_ms: u64) {
+        let window_ms = self.window_ms();
+        for report in snapshot {
+            let Some(window) = self.windows.get_mut(&report.workspace) else {
+                if now_ms < START_TIME_MS {
+                    self.inherited.insert(report.workspace, report.admitted);
+                }
+                continue;
+            };
+            if std::mem::take(&mut window.is_assumed) {
+                window.spans.clear();
+                window.used = 0.0;
+                #[expect(clippy::cast_precision_loss, reason = "small counts")]
+                window.spread(report.admitted as f64, now_ms, window_ms);
+            }
+        }
+    }
+
     /// Takes a peer's counters; `peer` and `incarnation` name one of its starts.
+    ///
+    /// The first counter of a peer that `is_older` than this process is only a
+    /// base: what it holds is part of the window that was adopted or assumed.
     pub fn record(
         &mut self,
         peer: u64,
         incarnation: u64,
+        is_older: bool,
         reports: &[QuotaReport],
         now_ms: u64,
     ) {
-        let is_base = !self.is_first_start && now_ms < BASE_TIME_MS;
         for report in reports {
             let Some(window) = self.windows.get_mut(&report.workspace) else {
                 continue;
             };
-            let seen = window.peers.entry((peer, incarnation)).or_insert(0);
+            let base = if is_older { report.admitted } else { 0 };
+            let seen = window.peers.entry((peer, incarnation)).or_insert(base);
             let news = report.admitted.saturating_sub(*seen);
             *seen = report.admitted.max(*seen);
-            if !is_base && news > 0 {
+            if news > 0 {
                 #[expect(clippy::cast_precision_loss, reason = "small counts")]
                 window.count(news as f64, now_ms);
             }
@@ -260,8 +312,11 @@
         let window_ms = self.window_ms();
         for window in self.windows.values_mut() {
             window.expire(now_ms, window_ms);
-            let heard = window.limit * (sharers - silent) / sharers;
-            let left = (heard - window.used).max(0.0);
+            window.is_assumed &= now_ms < window_ms + START_TIME_MS;
+            // A silent VM mostly is dead; one that is cut off goes on as before.
+            let usual = window.used * SILENT_USE_FACTOR / sharers;
+            let kept = silent * usual.min(window.limit / sharers);
+            let left = (window.limit - kept - window.used).max(0.0);
             window.allowance = left / (sharers - silent).max(1.0);
         }
     }
--- a/crates/relay/src/gateway/budget.rs
+++ b/crates/relay/src/gateway/budget.rs
@@ -1,17 +1,21 @@
 //! Asking the home of a program for tokens, and answering as home.
 
 use std::cell::Cell;
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
 
 use ibisdale_telemetry::record_event;
 
 use super::call::BudgetNeed;
 use super::message::PeerMessage;
 use super::peers;
-use super::state::{Gateway, LOSS_MEMORY_MS};
+use super::state::Gateway;
 use crate::decide::{BudgetShare, BudgetVerdict, MemberFacts, ProgramKey};
 
 /// Homes that are asked in turn before a call is refused.
 const HOMES_MAX: usize = 2;
+/// Accounts handed over in one message; keeps it below the size of a packet.
+const HANDOVER_ACCOUNTS: usize = 12;
 /// VMs next in rank that are asked for what they know of a program.
 const EARLIER_HOMES: usize = 2;
 /// Times that storing a ceiling is tried for one call.
@@ -140,6 +144,9 @@
     share: BudgetShare,
 ) -> Option<BudgetVerdict> {
     if !gateway.state.budgets.borrow().is_home(program) {
+        if gateway.needs_ceilings() && gateway.is_count_lost() {
+            return None;
+        }
         take_over(gateway, program, budget).await;
     }
     for _ in 0..CEILING_TRIES {
@@ -155,15 +162,15 @@
         if !stored {
             return None;
         }
-        gateway.record_ceiling(program, Some(ceiling));
+        gateway.record_ceiling(program, ceiling);
     }
     None
 }
 
 /// Learns what the other VMs know of a program before counting it.
 async fn take_over(gateway: &Gateway, program: ProgramKey, budget: u64) {
-    let may_be_lost = gateway.is_count_uncertain(program);
-    let peers = if may_be_lost {
+    let is_lost = gateway.is_count_lost();
+    let peers = if is_lost || gateway.has_lost_home(program) {
         let members = gateway.state.members.borrow();
         members.live(gateway.now_ms()).cloned().collect()
     } else {
@@ -175,7 +182,7 @@
         })
     });
     let answers = join_all(asks).await;
-    let is_uncertain = may_be_lost || answers.iter().any(Option::is_none);
+    let is_uncertain = is_lost || answers.iter().any(Option::is_none);
     let now_ms = gateway.now_ms();
     let mut budgets = gateway.state.budgets.borrow_mut();
     for answer in answers.into_iter().flatten() {
@@ -201,13 +208,32 @@
         let members = gateway.state.members.borrow();
         gateway.now_ms().saturating_sub(members.changed_ms())
     };
-    if age_ms >= LOSS_MEMORY_MS {
+    if age_ms >= gateway.remember_ms() {
         return Vec::new();
     }
     let others = homes(gateway, program).into_iter().flatten();
     others.take(EARLIER_HOMES).collect()
 }
 
+/// Hands what this VM has counted to the programs' next homes.
+pub(crate) async fn hand_over(gateway: &Gateway) {
+    let mut by_home: HashMap<SocketAddrV4, Vec<(ProgramKey, Vec<BudgetShare>)>> = HashMap::new();
+    let accounts: Vec<_> = gateway.state.budgets.borrow().accounts().collect();
+    for (program, shares) in accounts {
+        let next = homes(gateway, program).into_iter().flatten().next();
+        if let Some(home) = next {
+            let accounts = by_home.entry(home.peer_address()).or_default();
+            accounts.push((program, shares));
+        }
+    }
+    for (home, accounts) in by_home {
+        for part in accounts.chunks(HANDOVER_ACCOUNTS) {
+            let accounts = part.to_vec();
+            peers::send(gateway, &PeerMessage::Handover { accounts }, home).await;
+        }
+    }
+}
+
 /// Waits for all futures, which run at the same time.
 async fn join_all<T>(futures: impl Iterator<Item = impl Future<Output = T>>) -> Vec<T> {
     let executor = smol::LocalExecutor::new();
--- a/crates/relay/src/gateway/drain.rs
+++ b/crates/relay/src/gateway/drain.rs
@@ -5,6 +5,7 @@
 use ibisdale_telemetry::record_event;
 use smol::Timer;
 
+use super::budget;
 use super::call::millis;
 use super::peers;
 use super::state::{Gateway, text};
@@ -38,6 +39,8 @@
     while gateway.state.in_flight.get() > 0 && started.elapsed() < last {
         Timer::after(LOOK_INTERVAL).await;
     }
+    budget::hand_over(gateway).await;
+    peers::say_goodbye(gateway).await;
     // Lets the last bytes of answers leave.
     Timer::after(LOOK_INTERVAL).await;
     record_event!(
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -169,7 +169,8 @@
         Timer::after(SWEEP_INTERVAL).await;
         gateway.state.pool.sweep();
         let now_ms = gateway.now_ms();
-        gateway.state.budgets.borrow_mut().forget(now_ms);
+        let remember_ms = gateway.remember_ms();
+        gateway.state.budgets.borrow_mut().forget(remember_ms, now_ms);
     }
 }
 
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::decide::{BudgetShare, BudgetVerdict, MemberFacts, ProgramKey, QuotaReport};
+use crate::decide::{BudgetShare, BudgetVerdict, MemberFacts, ProgramKey, QuotaReport, VmKey};
 
 /// A message between daemons.
 #[derive(Clone, Debug)]
@@ -18,9 +18,22 @@
         /// Time since the key-value service last answered, in milliseconds.
         feed_age_ms: Option<u64>,
         quota: Vec<QuotaReport>,
+        /// When the VMs last lost what they had counted, in milliseconds since
+        /// the Unix epoch; 0 for never, absent where it is not known yet.
+        counted_since: Option<u64>,
     },
     /// Other VMs, told to one that was unknown.
-    Known { peers: Vec<SocketAddrV4> },
+    Known {
+        peers: Vec<SocketAddrV4>,
+        /// Requests of all VMs in the last window, by workspace.
+        window: Vec<QuotaReport>,
+    },
+    /// What a VM that leaves has counted of programs, for their next home.
+    Handover {
+        accounts: Vec<(ProgramKey, Vec<BudgetShare>)>,
+    },
+    /// A VM has left and has handed over all it counted.
+    Left { vm: VmKey, incarnation: u64 },
     /// Asks a program's home for tokens.
     Reserve {
         ask: u64,
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -24,6 +24,8 @@
 const ASK_AGAIN: Duration = Duration::from_millis(40);
 /// Times a question is asked.
 const ASK_TIMES: u32 = 3;
+/// Time in which VMs count as started together, in milliseconds.
+const SAME_START_MS: u64 = 3_000;
 /// Age of counters that are still told, in milliseconds; several full turns.
 const REPORT_AGE_MS: u64 = 10_000;
 
@@ -59,6 +61,18 @@
     send_state(gateway, &peers).await;
 }
 
+/// Tells all peers that this VM leaves with nothing left to count.
+pub(crate) async fn say_goodbye(gateway: &Gateway) {
+    let facts = &gateway.state.options.facts;
+    let message = PeerMessage::Left {
+        vm: facts.key(),
+        incarnation: facts.incarnation,
+    };
+    for peer in peer_addresses(gateway) {
+        send(gateway, &message, peer).await;
+    }
+}
+
 async fn round(gateway: &Gateway, turn: &mut usize) {
     let now_ms = gateway.now_ms();
     let (known, silent) = {
@@ -73,6 +87,7 @@
         quota.start_round(now_ms);
     }
     note_silent(gateway, now_ms);
+    gateway.settle_counted_since();
     let peers = peer_addresses(gateway);
     if peers.is_empty() {
         return;
@@ -132,6 +147,7 @@
             .quota
             .borrow()
             .reports(now_ms.saturating_sub(REPORT_AGE_MS)),
+        counted_since: gateway.state.counted_since.get(),
     };
     let Some(data) = encode(&message) else {
         return;
@@ -158,7 +174,7 @@
     }
 }
 
-async fn send(gateway: &Gateway, message: &PeerMessage, peer: SocketAddrV4) {
+pub(crate) async fn send(gateway: &Gateway, message: &PeerMessage, peer: SocketAddrV4) {
     if let Some(data) = encode(message) {
         send_data(gateway, &data, peer).await;
     }
@@ -225,11 +241,29 @@
             plan_version,
             feed_age_ms,
             quota,
+            counted_since,
         } => {
             note_feed(gateway, feed_age_ms);
+            gateway.hear_counted_since(counted_since);
             hear_state(gateway, facts, plan_version, &quota, sender);
         }
-        PeerMessage::Known { peers } => {
+        PeerMessage::Handover { accounts } => {
+            let now_ms = gateway.now_ms();
+            let mut budgets = gateway.state.budgets.borrow_mut();
+            for (program, shares) in accounts {
+                budgets.merge(program, &shares, now_ms);
+            }
+        }
+        PeerMessage::Left { vm, incarnation } => {
+            let now_ms = gateway.now_ms();
+            let mut members = gateway.state.members.borrow_mut();
+            if members.remove(vm, incarnation, now_ms) {
+                record_event!(VmLeft, incarnation = incarnation);
+            }
+        }
+        PeerMessage::Known { peers, window } => {
+            let now_ms = gateway.now_ms();
+            gateway.state.quota.borrow_mut().adopt(&window, now_ms);
             let introducer = gateway.clone();
             gateway.spawn(async move {
                 let gateway = introducer;
@@ -340,7 +374,8 @@
     let earlier = gateway.state.members.borrow().incarnation(peer);
     let is_news = gateway.state.members.borrow_mut().hear(facts, now_ms);
     let mut ledger = gateway.state.quota.borrow_mut();
-    ledger.record(peer, incarnation, quota, now_ms);
+    let is_older = incarnation + SAME_START_MS < gateway.state.options.facts.incarnation;
+    ledger.record(peer, incarnation, is_older, quota, now_ms);
     drop(ledger);
     if is_news {
         record_event!(VmHeard, vm = name, incarnation = incarnation, serving = is_serving);
@@ -349,7 +384,8 @@
         }
         resign_homes(gateway);
         let peers = peer_addresses(gateway);
-        reply(gateway, PeerMessage::Known { peers }, sender);
+        let window = gateway.state.quota.borrow().snapshot();
+        reply(gateway, PeerMessage::Known { peers, window }, sender);
     }
     let own_version = gateway.plan().map_or(0, |plan| plan.get_version());
     if plan_version > own_version {
--- a/crates/relay/src/plan/route.rs
+++ b/crates/relay/src/plan/route.rs
@@ -63,6 +63,8 @@
     pub attempts: u32,
     /// Urgency; 0 comes first.
     pub priority: u8,
+    /// Time after its last call in which a program may return, in milliseconds.
+    pub retention_ms: u64,
     /// Tells whether a replica that served the same object is faster.
     pub is_sticky: bool,
     /// Tells whether no key is needed.
--- a/crates/relay/src/plan/table.rs
+++ b/crates/relay/src/plan/table.rs
@@ -10,6 +10,10 @@
 use super::service::ServiceSpec;
 use super::workspace::WorkspaceGrant;
 
+/// Least time in which programs may return, in milliseconds; where no route names
+/// one, their calls may still be on their way.
+const RETENTION_MIN_MS: u64 = 30_000;
+
 /// A version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -88,6 +92,13 @@
         &self.routes
     }
 
+    /// Returns the longest time in which programs may return, in milliseconds.
+    #[must_use]
+    pub fn get_retention_ms(&self) -> u64 {
+        let times = self.routes.iter().map(|route| route.retention_ms);
+        times.max().unwrap_or_default().max(RETENTION_MIN_MS)
+    }
+
     /// Returns all workspaces.
     #[must_use]
     pub fn get_workspaces(&self) -> &[WorkspaceGrant] {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -218,9 +218,9 @@
     EntryUnreadable = 2106, Warn, "entry_unreadable",
         ["key", "error"], "An entry can't be read and is passed over.";
     FeedLost = 2107, Warn, "feed_lost",
-        ["call", "error", "revision"], "The key-value service does not answer.";
+        ["prefix", "call", "error", "revision"], "The key-value service does not answer.";
     FeedRegained = 2108, Info, "feed_regained",
-        ["revision", "outage_ms"], "The key-value service answers again.";
+        ["prefix", "revision", "outage_ms"], "The key-value service answers again.";
     FeedGap = 2109, Warn, "feed_gap",
         ["revision"], "Changes may have been missed; all keys are read again.";
     VmHeard = 2110, Info, "vm_heard",
@@ -236,6 +236,8 @@
 
     WorkspaceRate = 2115, Debug, "workspace_rate",
         ["workspace", "version", "rate_per_s", "burst", "keys"], "A workspace's rate is in force.";
+    VmLeft = 2116, Info, "vm_left",
+        ["incarnation"], "Another VM has left in good order.";
 
     RequestEnded = 2201, Info, "request_ended",
         ["request", "program", "route", "workspace", "status", "reason", "replica", "sends",
