--- a/crates/relay/src/decide/quota.rs
+++ b/crates/relay/src/decide/quota.rs
@@ -29,6 +29,9 @@
 /// Time after the start in which use before it is assumed for workspaces that
 /// become known, in milliseconds.
 const START_TIME_MS: u64 = 2_000;
+/// VMs that a rate is parted among at least before the first full round; few
+/// enough that a VM which just started can serve.
+const START_SHARERS: u32 = 8;
 /// Length of the spans that admissions are counted in, in milliseconds.
 const SPAN_MS: u64 = 250;
 /// Window where the deployment names none, in milliseconds.
@@ -72,7 +75,9 @@
     /// Requests in a window, the tolerated excess included.
     limit: f64,
     /// Ends of spans with the requests admitted in them.
-    spans: VecDeque<(u64, f64)>,
+    ///
+    /// Ends before the start of the process are negative.
+    spans: VecDeque<(i64, f64)>,
     /// Requests in all spans.
     used: f64,
     /// What this VM may still use in this round.
@@ -87,15 +92,16 @@
 impl WorkspaceWindow {
     fn count(&mut self, requests: f64, now_ms: u64) {
         self.used += requests;
+        let now_ms = signed(now_ms);
         match self.spans.back_mut() {
             Some((end_ms, count)) if *end_ms > now_ms => *count += requests,
-            _ => self.spans.push_back((now_ms + SPAN_MS, requests)),
+            _ => self.spans.push_back((now_ms + signed(SPAN_MS), requests)),
         }
     }
 
     fn expire(&mut self, now_ms: u64, window_ms: u64) {
         while let Some((end_ms, count)) = self.spans.front().copied() {
-            if end_ms + window_ms > now_ms {
+            if end_ms + signed(window_ms) > signed(now_ms) {
                 break;
             }
             self.used -= count;
@@ -116,9 +122,8 @@
         #[expect(clippy::cast_precision_loss, reason = "a few spans")]
         let count = requests / spans as f64;
         for span in 0..spans {
-            // Ends lie in the past as far as the clock reaches back.
             let age_ms = (spans - 1 - span) * SPAN_MS;
-            let end_ms = now_ms.saturating_sub(age_ms);
+            let end_ms = signed(now_ms) - signed(age_ms);
             self.used += count;
             self.spans.push_back((end_ms, count));
         }
@@ -166,6 +171,14 @@
         }
     }
 
+    fn known_sharers(&self) -> u32 {
+        if self.sharers == 0 {
+            START_SHARERS
+        } else {
+            self.sharers
+        }
+    }
+
     /// Sets the rates: workspaces with requests a second and burst.
     pub fn set_rates(
         &mut self,
@@ -173,6 +186,7 @@
         now_ms: u64,
     ) {
         let window_ms = self.window_ms();
+        let sharers = self.known_sharers();
         let mut old = std::mem::take(&mut self.windows);
         for (workspace, rate_per_s, burst) in rates {
             let known = old.remove(&workspace);
@@ -191,6 +205,10 @@
                     None => window.assume_use(now_ms, window_ms),
                 }
             }
+            if is_new {
+                let sharers = f64::from(sharers);
+                window.allowance = (window.limit - window.used).max(0.0) / sharers;
+            }
             self.windows.insert(workspace, window);
         }
     }
@@ -212,7 +230,7 @@
         stage: ProgramStage,
         now_ms: u64,
     ) -> Result<(), u64> {
-        let sharers = f64::from(self.sharers.max(1));
+        let sharers = f64::from(self.known_sharers());
         let window_ms = self.window_ms();
         let Some(window) = self.windows.get_mut(&workspace) else {
             return Ok(());
@@ -262,6 +280,7 @@
     /// Takes what a peer knows of the last window in place of assumptions.
     pub fn adopt(&mut self, snapshot: &[QuotaReport], now_ms: u64) {
         let window_ms = self.window_ms();
+        let sharers = f64::from(self.known_sharers());
         for report in snapshot {
             let Some(window) = self.windows.get_mut(&report.workspace) else {
                 if now_ms < START_TIME_MS {
@@ -274,6 +293,7 @@
                 window.used = 0.0;
                 #[expect(clippy::cast_precision_loss, reason = "small counts")]
                 window.spread(report.admitted as f64, now_ms, window_ms);
+                window.allowance = (window.limit - window.used).max(0.0) / sharers;
             }
         }
     }
@@ -335,3 +355,7 @@
         .collect()
     }
 }
+
+fn signed(time_ms: u64) -> i64 {
+    i64::try_from(time_ms).unwrap_or(i64::MAX)
+}
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -80,7 +80,8 @@
         members.forget(now_ms);
         members.count(now_ms)
     };
-    {
+    // Before the first full round no peer can have been heard.
+    if now_ms >= millis(ROUND) {
         let mut quota = gateway.state.quota.borrow_mut();
         let sharers = u32::try_from(known + 1).unwrap_or(u32::MAX);
         quota.set_sharers(sharers, u32::try_from(silent).unwrap_or(u32::MAX));
