--- /dev/null
+++ b/crates/relay/tests/support/mod.rs
@@ -0,0 +1,332 @@
+//! A gateway on loopback between a caller and scripted replicas.
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderName;
+use http::request::Parts;
+use ibisdale_relay::decide::{MemberFacts, QuotaTolerance, ReplicaFact};
+use ibisdale_relay::gateway::{
+    DirectoryQuery, DirectoryRule, DurableStore, Gateway, GatewayOptions, HeaderDialect,
+    ListenAddresses, drain,
+};
+use ibisdale_relay::plan::{
+    DeploymentPlan, RepeatRule, RouteRule, ServiceShare, ServiceSpec, TrafficLimits,
+    WorkspaceGrant,
+};
+use smol::channel::{Receiver, Sender, bounded};
+use smol::{Async, LocalExecutor};
+
+/// Time in which anything in these tests must happen.
+const READ_TIMEOUT: Duration = Duration::from_secs(20);
+
+const fn name(text: &'static str) -> HeaderName {
+    HeaderName::from_static(text)
+}
+
+fn dialect() -> HeaderDialect {
+    HeaderDialect {
+        attempt: name("t-attempt"),
+        deadline_ms: name("t-deadline"),
+        affinity_cookie: "object".to_owned(),
+        prompt_parts: name("t-parts"),
+        token_usage: name("t-usage"),
+        last_event: name("last-event-id"),
+        answer_seal: name("t-seal"),
+        workspace: name("t-workspace"),
+        target_replica: name("t-target"),
+        replica_load: name("t-load"),
+        not_run: name("t-not-run"),
+        engine_priority: name("t-priority"),
+        program: name("t-program"),
+        session: name("t-session"),
+        finish_ms: name("t-finish"),
+        token_budget: name("t-budget"),
+        reserved: vec![name("t-hold")],
+    }
+}
+
+fn read_query(_: &Parts) -> DirectoryQuery {
+    DirectoryQuery::default()
+}
+
+fn write_answer(addresses: &[SocketAddrV4], keep_s: u64) -> Bytes {
+    Bytes::from(format!("{} {keep_s}", addresses.len()))
+}
+
+fn route(path: &'static str, repeat: RepeatRule, attempts: u32) -> RouteRule {
+    RouteRule {
+        name: Bytes::from_static(path.as_bytes()),
+        host: Bytes::from_static(b"host.test"),
+        path_prefix: Bytes::from_static(path.as_bytes()),
+        repeat,
+        timeout_ms: 10_000,
+        objective_ms: 200,
+        attempts,
+        priority: 1,
+        retention_ms: 60_000,
+        is_sticky: false,
+        is_open: false,
+        services: vec![ServiceShare {
+            service: Bytes::from_static(b"service"),
+            weight: 1,
+        }],
+    }
+}
+
+fn plan() -> DeploymentPlan {
+    let routes = vec![
+        route("/read/", RepeatRule::Repeatable, 2),
+        route("/act/", RepeatRule::Once, 3),
+        route("/stream/", RepeatRule::StreamResumable, 1),
+    ];
+    let service = ServiceSpec {
+        name: Bytes::from_static(b"service"),
+        connections_max: 100,
+        engine: None,
+    };
+    let workspace = WorkspaceGrant {
+        name: Bytes::from_static(b"workspace"),
+        keys: vec![Bytes::from_static(b"secret")],
+        priority: None,
+        rate_per_s: 1_000.0,
+        burst: 1_000.0,
+    };
+    let limits = TrafficLimits {
+        body_max_bytes: 1_000,
+        ..TrafficLimits::default()
+    };
+    DeploymentPlan::new(1, limits, routes, vec![service], Some(vec![workspace]))
+}
+
+/// A replica that answers each request by a script.
+pub(crate) struct ScriptReplica {
+    pub(crate) address: SocketAddr,
+    requests: Arc<Mutex<Vec<String>>>,
+}
+
+impl ScriptReplica {
+    /// Starts a replica; `script` gets the number and the text of a request and
+    /// returns the bytes to send and whether the connection stays open.
+    pub(crate) fn start(script: impl Fn(usize, &str) -> (Vec<u8>, bool) + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        let address = listener.local_addr().unwrap();
+        let requests: Arc<Mutex<Vec<String>>> = Arc::default();
+        let seen = Arc::clone(&requests);
+        let script = Arc::new(script);
+        thread::spawn(move || {
+            while let Ok((stream, _)) = listener.accept() {
+                let (seen, script) = (Arc::clone(&seen), Arc::clone(&script));
+                thread::spawn(move || serve(stream, &seen, script.as_ref()));
+            }
+        });
+        Self { address, requests }
+    }
+
+    /// Returns the requests received so far.
+    pub(crate) fn requests(&self) -> Vec<String> {
+        self.requests.lock().unwrap().clone()
+    }
+}
+
+fn serve(
+    mut stream: TcpStream,
+    seen: &Mutex<Vec<String>>,
+    script: &dyn Fn(usize, &str) -> (Vec<u8>, bool),
+) {
+    let mut buffer = Vec::new();
+    while let Some(request) = read_message(&mut stream, &mut buffer) {
+        let number = {
+            let mut seen = seen.lock().unwrap();
+            seen.push(request.clone());
+            seen.len()
+        };
+        let (answer, stays) = script(number, &request);
+        if stream.write_all(&answer).is_err() || !stays {
+            return;
+        }
+    }
+}
+
+/// Reads a head and the body of the length that it tells.
+fn read_message(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
+    loop {
+        let text = String::from_utf8_lossy(buffer).into_owned();
+        if let Some(end) = text.find("\r\n\r\n") {
+            let length = text
+                .lines()
+                .find_map(|line| line.to_lowercase().strip_prefix("content-length: ")?.parse().ok())
+                .unwrap_or(0_usize);
+            if buffer.len() >= end + 4 + length {
+                let message = buffer.drain(..end + 4 + length).collect();
+                return String::from_utf8(message).ok();
+            }
+        }
+        let mut part = [0_u8; 4_096];
+        match stream.read(&mut part) {
+            Ok(size) if size > 0 => buffer.extend_from_slice(&part[..size]),
+            _ => return None,
+        }
+    }
+}
+
+/// Returns the value of a header field of a request.
+pub(crate) fn header<'a>(request: &'a str, name: &str) -> Option<&'a str> {
+    request.lines().find_map(|line| {
+        let (field, value) = line.split_once(": ")?;
+        field.eq_ignore_ascii_case(name).then_some(value)
+    })
+}
+
+/// A running gateway; dropping it stops it.
+pub(crate) struct GatewayBed {
+    pub(crate) entry: SocketAddr,
+    pub(crate) directory: SocketAddr,
+    stop: Option<Sender<()>>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+/// What a test changes of the gateway.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct BedOptions {
+    /// The configuration was never confirmed.
+    pub(crate) is_unconfirmed: bool,
+    /// There is no configuration.
+    pub(crate) is_unplanned: bool,
+}
+
+impl GatewayBed {
+    pub(crate) fn start(replicas: &[&ScriptReplica]) -> Self {
+        Self::start_with(replicas, BedOptions::default())
+    }
+
+    pub(crate) fn start_with(replicas: &[&ScriptReplica], options: BedOptions) -> Self {
+        let facts: Vec<ReplicaFact> = replicas
+            .iter()
+            .enumerate()
+            .map(|(index, replica)| ReplicaFact {
+                id: Bytes::from(format!("replica-{index}")),
+                started_ms: 1,
+                service: Bytes::from_static(b"service"),
+                address: replica.address,
+                domain: Bytes::from_static(b"east"),
+                slots: 4,
+                is_draining: false,
+            })
+            .collect();
+        let (stop, stopped) = bounded(1);
+        let (entry, directory) = (free_address(), free_address());
+        let (started, is_started) = std::sync::mpsc::channel();
+        let thread = thread::spawn(move || {
+            let executor = Rc::new(LocalExecutor::new());
+            let run = run(Rc::clone(&executor), facts, entry, directory, options, stopped, started);
+            smol::block_on(executor.run(run));
+        });
+        is_started.recv().unwrap();
+        Self {
+            entry: entry.into(),
+            directory: directory.into(),
+            stop: Some(stop),
+            thread: Some(thread),
+        }
+    }
+
+    /// Sends a request on a connection of its own and reads to its end.
+    pub(crate) fn call(&self, text: &str) -> String {
+        let mut stream = TcpStream::connect(self.entry).unwrap();
+        stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+        stream.write_all(text.as_bytes()).unwrap();
+        let mut answer = Vec::new();
+        // A broken connection leaves what came before it.
+        let _ = stream.read_to_end(&mut answer);
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+
+    /// Begins a graceful stop.
+    pub(crate) fn begin_stop(&mut self) {
+        self.stop.take();
+    }
+}
+
+impl Drop for GatewayBed {
+    fn drop(&mut self) {
+        self.stop.take();
+        if let Some(thread) = self.thread.take() {
+            let ended = thread.join();
+            assert!(ended.is_ok() || thread::panicking(), "the gateway panicked");
+        }
+    }
+}
+
+fn free_address() -> SocketAddrV4 {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    match listener.local_addr().unwrap() {
+        SocketAddr::V4(address) => address,
+        SocketAddr::V6(_) => unreachable!("bound to an IPv4 address"),
+    }
+}
+
+async fn run(
+    executor: Rc<LocalExecutor<'static>>,
+    replicas: Vec<ReplicaFact>,
+    entry: SocketAddrV4,
+    directory: SocketAddrV4,
+    bed: BedOptions,
+    stopped: Receiver<()>,
+    started: std::sync::mpsc::Sender<()>,
+) {
+    let peers = free_address();
+    let facts = MemberFacts {
+        name: Bytes::from_static(b"vm-1"),
+        incarnation: 1,
+        ip: Ipv4Addr::LOCALHOST,
+        peer_port: peers.port(),
+        entry_port: entry.port(),
+        domain: Bytes::from_static(b"east"),
+        region: Bytes::from_static(b"north"),
+        is_serving: false,
+    };
+    let options = GatewayOptions {
+        facts,
+        dialect: dialect(),
+        directory: DirectoryRule {
+            path: "/addresses",
+            ready_path: "/ready",
+            read_query,
+            write_answer,
+            keep_s: 0,
+        },
+        store: DurableStore {
+            save_ceiling: Box::new(|_, _| Box::pin(async { true })),
+        },
+        seeds: Vec::new(),
+        is_first_start: true,
+        feed_trust: Duration::from_hours(1),
+        quota_tolerance: QuotaTolerance::default(),
+    };
+    let socket = Async::<UdpSocket>::bind(peers).unwrap();
+    let gateway = Gateway::new(options, executor, socket);
+    if !bed.is_unplanned {
+        gateway.apply_plan(plan(), 1, "test");
+    }
+    gateway.set_replicas(replicas);
+    if !bed.is_unconfirmed {
+        gateway.confirm_feed();
+    }
+    let addresses = ListenAddresses {
+        entry,
+        ready: None,
+        directory: Some(directory),
+        metrics: None,
+    };
+    gateway.listen(&addresses).unwrap();
+    started.send(()).unwrap();
+    // The sender is dropped to stop the gateway.
+    let _ = stopped.recv().await;
+    drain(&gateway, Duration::from_secs(5)).await;
+}
