--- a/crates/relay/src/decide/budget.rs
+++ b/crates/relay/src/decide/budget.rs
@@ -178,14 +178,16 @@
     #[must_use]
     pub fn shares(&self, program: ProgramKey) -> Vec<BudgetShare> {
         let account = self.programs.get(&program);
-        account.map_or_else(Vec::new, |account| account.shares.values().copied().collect())
+        account.map_or_else(Vec::new, |account| {
+            account.shares.values().copied().collect()
+        })
     }
 
     /// Returns all accounts with what is known of them.
     pub fn accounts(&self) -> impl Iterator<Item = (ProgramKey, Vec<BudgetShare>)> {
-        self.programs.iter().map(|(program, account)| {
-            (*program, account.shares.values().copied().collect())
-        })
+        self.programs
+            .iter()
+            .map(|(program, account)| (*program, account.shares.values().copied().collect()))
     }
 
     /// Takes a ceiling that is stored.
--- a/crates/relay/src/decide/placing.rs
+++ b/crates/relay/src/decide/placing.rs
@@ -96,9 +96,7 @@
     let size = pool.len() as u64;
     let pick = |draw: u64| pool[usize::try_from(draw % size).unwrap_or(0)];
     let (first, second) = (pick(request.draw), pick(request.draw >> 32));
-    let fill = |state: &ReplicaState| {
-        f64::from(state.estimate(now_ms)) / f64::from(state.slots())
-    };
+    let fill = |state: &ReplicaState| f64::from(state.estimate(now_ms)) / f64::from(state.slots());
     let is_second = fill(second.1) < fill(first.1);
     Some(if is_second { second.0 } else { first.0 })
 }
--- a/crates/relay/src/decide/replicas.rs
+++ b/crates/relay/src/decide/replicas.rs
@@ -133,18 +133,15 @@
             .map(|(key, state)| ((state.fact.id.clone(), state.fact.started_ms), key))
             .collect();
         for fact in facts {
-            match known.remove(&(fact.id.clone(), fact.started_ms)) {
-                Some(key) => {
-                    let state = &mut self.replicas[key];
-                    if state.fact != fact {
-                        changes.changed.push(fact.clone());
-                        state.fact = fact;
-                    }
-                }
-                None => {
-                    changes.added.push(fact.clone());
-                    self.replicas.insert(ReplicaState::new(fact));
+            if let Some(key) = known.remove(&(fact.id.clone(), fact.started_ms)) {
+                let state = &mut self.replicas[key];
+                if state.fact != fact {
+                    changes.changed.push(fact.clone());
+                    state.fact = fact;
                 }
+            } else {
+                changes.added.push(fact.clone());
+                self.replicas.insert(ReplicaState::new(fact));
             }
         }
         for key in known.into_values() {
--- a/crates/relay/src/gateway/admit.rs
+++ b/crates/relay/src/gateway/admit.rs
@@ -101,10 +101,19 @@
             "the body is too large",
         ));
     }
-    let workspace = grant.map(|grant| grant.name.clone());
-    let mut call = decode_call(parts, dialect, route, plan.get_version(), workspace, started);
+    let workspace = grant.map(|grant| &grant.name);
+    let mut call = decode_call(
+        parts,
+        dialect,
+        route,
+        plan.get_version(),
+        workspace,
+        started,
+    );
     if route.repeat.is_stream() {
-        let priority = grant.and_then(|grant| grant.priority).unwrap_or(route.priority);
+        let priority = grant
+            .and_then(|grant| grant.priority)
+            .unwrap_or(route.priority);
         let value = HeaderValue::from(u16::from(priority.min(9)));
         call.headers.insert(dialect.engine_priority.clone(), value);
     }
@@ -121,10 +130,7 @@
 }
 
 /// Reads the body of a request.
-pub(crate) async fn read_body(
-    gateway: &Gateway,
-    body: Incoming,
-) -> Result<Bytes, GatewayRefusal> {
+pub(crate) async fn read_body(gateway: &Gateway, body: Incoming) -> Result<Bytes, GatewayRefusal> {
     let plan = gateway.plan();
     let limit = plan.map_or(0, |plan| plan.get_limits().body_max_bytes);
     let read = async {
@@ -143,7 +149,10 @@
     let expire = async {
         Timer::after(BODY_TIMEOUT).await;
         let status = StatusCode::REQUEST_TIMEOUT;
-        Err(GatewayRefusal::new(status, "the body did not arrive in time"))
+        Err(GatewayRefusal::new(
+            status,
+            "the body did not arrive in time",
+        ))
     };
     read.or(expire).await
 }
--- a/crates/relay/src/gateway/budget.rs
+++ b/crates/relay/src/gateway/budget.rs
@@ -65,7 +65,10 @@
             program,
             share,
         };
-        if peers::ask(gateway, home.peer_address(), question).await.is_none() {
+        if peers::ask(gateway, home.peer_address(), question)
+            .await
+            .is_none()
+        {
             log::debug!("the home of a program did not confirm a settlement");
         }
     }
@@ -78,11 +81,15 @@
 }
 
 /// Reserves tokens for a call.
-pub(crate) async fn reserve(gateway: &Gateway, need: BudgetNeed) -> (BudgetAnswer, Option<BudgetHold>) {
+pub(crate) async fn reserve(
+    gateway: &Gateway,
+    need: BudgetNeed,
+) -> (BudgetAnswer, Option<BudgetHold>) {
     let now_ms = gateway.now_ms();
-    let mut budgets = gateway.state.budgets.borrow_mut();
-    let share = budgets.reserve(need.program, need.tokens, now_ms);
-    drop(budgets);
+    let share = {
+        let mut budgets = gateway.state.budgets.borrow_mut();
+        budgets.reserve(need.program, need.tokens, now_ms)
+    };
     let hold = BudgetHold {
         gateway: gateway.clone(),
         need,
@@ -90,9 +97,7 @@
     };
     for home in homes(gateway, need.program).into_iter().take(HOMES_MAX) {
         let verdict = match home {
-            None => {
-                decide_as_home(gateway, need.program, need.budget, need.tokens, share).await
-            }
+            None => decide_as_home(gateway, need.program, need.budget, need.tokens, share).await,
             Some(home) => {
                 let shares = gateway.state.budgets.borrow().shares(need.program);
                 let question = |ask| PeerMessage::Reserve {
@@ -151,14 +156,20 @@
     }
     for _ in 0..CEILING_TRIES {
         let now_ms = gateway.now_ms();
-        let mut budgets = gateway.state.budgets.borrow_mut();
-        let verdict = budgets.decide(program, budget, tokens, share, now_ms);
-        drop(budgets);
+        let verdict = {
+            let mut budgets = gateway.state.budgets.borrow_mut();
+            budgets.decide(program, budget, tokens, share, now_ms)
+        };
         let BudgetVerdict::NeedsCeiling { ceiling } = verdict else {
             return Some(verdict);
         };
         let stored = (gateway.state.options.store.save_ceiling)(program, ceiling).await;
-        record_event!(CeilingStored, program = format!("{program:x}"), ceiling = ceiling, stored = stored);
+        record_event!(
+            CeilingStored,
+            program = format!("{program:x}"),
+            ceiling = ceiling,
+            stored = stored
+        );
         if !stored {
             return None;
         }
--- a/crates/relay/src/gateway/call.rs
+++ b/crates/relay/src/gateway/call.rs
@@ -87,7 +87,9 @@
 pub(crate) fn bearer_key(headers: &HeaderMap) -> Option<&[u8]> {
     let value = headers.get(AUTHORIZATION)?.as_bytes();
     let (scheme, key) = value.split_at_checked(7)?;
-    scheme.eq_ignore_ascii_case(b"bearer ").then(|| key.trim_ascii())
+    scheme
+        .eq_ignore_ascii_case(b"bearer ")
+        .then(|| key.trim_ascii())
 }
 
 /// Decodes a request whose route and workspace are known.
@@ -96,7 +98,7 @@
     dialect: &HeaderDialect,
     route: &RouteRule,
     plan_version: u64,
-    workspace: Option<Bytes>,
+    workspace: Option<&Bytes>,
     started: Instant,
 ) -> CallerCall {
     let headers = &parts.headers;
@@ -111,10 +113,10 @@
         id: field(headers, &dialect.attempt).to_owned(),
         route: route.clone(),
         plan_version,
-        workspace: workspace.clone(),
+        workspace: workspace.cloned(),
         method: parts.method.clone(),
         target: target.to_owned(),
-        headers: forwarded_headers(headers, dialect, workspace.as_deref()),
+        headers: forwarded_headers(headers, dialect, workspace.map(Bytes::as_ref)),
         body: Bytes::new(),
         started,
         ends: started + deadline.map_or(timeout, |deadline| deadline.min(timeout)),
--- a/crates/relay/src/gateway/drain.rs
+++ b/crates/relay/src/gateway/drain.rs
@@ -25,7 +25,11 @@
     let started = Instant::now();
     let name = text(&gateway.state.options.facts.name);
     gateway.state.is_draining.set(true);
-    record_event!(GatewayDraining, vm = name, in_flight = gateway.state.in_flight.get());
+    record_event!(
+        GatewayDraining,
+        vm = name,
+        in_flight = gateway.state.in_flight.get()
+    );
     peers::announce(gateway).await;
     let last = grace * GRACE_USED_PERCENT / 100;
     let keep = Duration::from_secs(gateway.state.options.directory.keep_s * KEEP_FACTOR);
--- a/crates/relay/src/gateway/forward.rs
+++ b/crates/relay/src/gateway/forward.rs
@@ -47,19 +47,19 @@
     pub(crate) end: AttemptEnd,
     pub(crate) error: String,
     /// An answer of the replica itself that can be passed on as it is.
-    pub(crate) answer: Option<Response<AnswerBody>>,
+    pub(crate) answer: Option<Box<Response<AnswerBody>>>,
 }
 
 impl FailedAttempt {
-    fn new(end: AttemptEnd, error: impl ToString) -> Self {
+    fn new(end: AttemptEnd, error: impl Into<String>) -> Self {
         Self {
             end,
-            error: error.to_string(),
+            error: error.into(),
             answer: None,
         }
     }
 
-    pub(crate) fn broken(error: impl ToString) -> Self {
+    pub(crate) fn broken(error: impl Into<String>) -> Self {
         Self::new(AttemptEnd::MayHaveRun, error)
     }
 }
@@ -142,7 +142,7 @@
             step => {
                 if let Some(answer) = failed.answer {
                     return ForwardEnd {
-                        answer,
+                        answer: *answer,
                         reason: "replica failed",
                         is_streaming: false,
                     };
@@ -238,7 +238,9 @@
     let replicas = gateway.state.replicas.borrow();
     if stays
         && let Some(replica) = trail.replica
-        && replicas.get_fact(replica).is_some_and(|fact| !fact.is_draining)
+        && replicas
+            .get_fact(replica)
+            .is_some_and(|fact| !fact.is_draining)
     {
         return Some(replica);
     }
@@ -262,30 +264,40 @@
 ) -> Result<OpenAnswer, FailedAttempt> {
     let fact = gateway.state.replicas.borrow().get_fact(replica).cloned();
     let Some(fact) = fact else {
-        return Err(FailedAttempt::new(AttemptEnd::NotReached, "no longer listed"));
+        return Err(FailedAttempt::new(
+            AttemptEnd::NotReached,
+            "no longer listed",
+        ));
     };
     trail.sends += 1;
     trail.replica = Some(replica);
     trail.replica_name = text(&fact.id);
     let flight = ReplicaFlight::begin(gateway, replica, call.usage.prompt);
     let kept = gateway.state.pool.take(replica);
-    let opened = match kept {
-        Some(connection) => Ok(connection),
-        None => {
-            gateway.state.metrics.count_connection();
-            let limit = CONNECT_TIMEOUT.min(call.left());
-            Http1Connection::open(fact.address, limit).await
-        }
+    let opened = if let Some(connection) = kept {
+        Ok(connection)
+    } else {
+        gateway.state.metrics.count_connection();
+        let limit = CONNECT_TIMEOUT.min(call.left());
+        Http1Connection::open(fact.address, limit).await
     };
     let mut connection = match opened {
         Ok(connection) => connection,
         Err(error) => {
             flight.close(CallOutcome::Failed);
-            return Err(FailedAttempt::new(AttemptEnd::NotReached, error));
+            return Err(FailedAttempt::new(
+                AttemptEnd::NotReached,
+                error.to_string(),
+            ));
         }
     };
     // The list may have changed while the connection was opened.
-    let is_listed = gateway.state.replicas.borrow().get_fact(replica).is_some_and(|fact| !fact.is_draining);
+    let is_listed = gateway
+        .state
+        .replicas
+        .borrow()
+        .get_fact(replica)
+        .is_some_and(|fact| !fact.is_draining);
     if !is_listed {
         flight.close(CallOutcome::Unknown);
         return Err(FailedAttempt::new(AttemptEnd::NotReached, "leaving"));
@@ -315,7 +327,7 @@
                 CallOutcome::Failed
             };
             flight.close(outcome);
-            return Err(FailedAttempt::broken(error));
+            return Err(FailedAttempt::broken(error.to_string()));
         }
     };
     record_load(gateway, replica, &head.headers);
@@ -352,7 +364,9 @@
                 reason: "no identifier of the attempt",
             });
         }
-        connection.read_body(&mut head.framing, ANSWER_MAX_BYTES).await?;
+        connection
+            .read_body(&mut head.framing, ANSWER_MAX_BYTES)
+            .await?;
     }
     Err(ExchangeError::Unreadable {
         reason: "answers of other requests",
@@ -360,7 +374,8 @@
 }
 
 fn patience(call: &CallerCall, trail: &AttemptTrail, left: Duration) -> Duration {
-    let may_move = call.route.repeat == RepeatRule::Repeatable && trail.used + 1 < call.route.attempts;
+    let may_move =
+        call.route.repeat == RepeatRule::Repeatable && trail.used + 1 < call.route.attempts;
     if may_move {
         left * PATIENCE_PERCENT / 100
     } else {
@@ -409,7 +424,9 @@
     mut head: ResponseHead,
 ) {
     let read = async {
-        let body = connection.read_body(&mut head.framing, ANSWER_MAX_BYTES).await;
+        let body = connection
+            .read_body(&mut head.framing, ANSWER_MAX_BYTES)
+            .await;
         body.is_ok()
     };
     let expire = async {
@@ -428,7 +445,9 @@
 /// Checks that a success bears what only the replica itself can give.
 pub(crate) fn check_success(gateway: &Gateway, head: &ResponseHead) -> Result<(), FailedAttempt> {
     let is_success = (200..300).contains(&head.status);
-    let has_seal = head.headers.contains_key(&gateway.state.options.dialect.answer_seal);
+    let has_seal = head
+        .headers
+        .contains_key(&gateway.state.options.dialect.answer_seal);
     if is_success && !has_seal {
         return Err(FailedAttempt::broken("success without a seal"));
     }
@@ -464,7 +483,7 @@
         }
         (_, Err(error)) => {
             flight.close(CallOutcome::Failed);
-            return Err(FailedAttempt::broken(error));
+            return Err(FailedAttempt::broken(error.to_string()));
         }
     };
     flight.close(CallOutcome::Answered);
@@ -477,7 +496,7 @@
     let is_failure = head.status >= 500;
     if is_failure && call.route.repeat == RepeatRule::Repeatable {
         let mut failed = FailedAttempt::broken(format!("replica answered {}", head.status));
-        failed.answer = Some(answer);
+        failed.answer = Some(Box::new(answer));
         return Err(failed);
     }
     Ok(answer)
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -126,7 +126,10 @@
     peer: SocketAddr,
     handler: RequestHandler,
 ) {
-    let limits = gateway.plan().map(|plan| plan.get_limits()).unwrap_or_default();
+    let limits = gateway
+        .plan()
+        .map(|plan| plan.get_limits())
+        .unwrap_or_default();
     let service_gateway = gateway.clone();
     let service = service_fn(move |request| {
         let answer = handler(service_gateway.clone(), request);
@@ -152,12 +155,11 @@
         None
     };
     let ended = async { Some(connection.as_mut().await) };
-    let result = match ended.or(close).await {
-        Some(result) => result,
-        None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
+    let result = if let Some(result) = ended.or(close).await {
+        result
+    } else {
+        connection.as_mut().graceful_shutdown();
+        connection.await
     };
     if let Err(error) = result {
         record_event!(ConnectionFailed, peer = peer, error = error);
@@ -170,7 +172,11 @@
         gateway.state.pool.sweep();
         let now_ms = gateway.now_ms();
         let remember_ms = gateway.remember_ms();
-        gateway.state.budgets.borrow_mut().forget(remember_ms, now_ms);
+        gateway
+            .state
+            .budgets
+            .borrow_mut()
+            .forget(remember_ms, now_ms);
     }
 }
 
@@ -218,10 +224,10 @@
     let mut hold = None;
     let mut stage = ProgramStage::UnderWay;
     if let Some(need) = call.budget {
-        let (answer, held) = reserve(gateway, need).await;
+        let (answer, granted) = reserve(gateway, need).await;
         match answer {
             BudgetAnswer::Granted { is_first } => {
-                hold = held;
+                hold = granted;
                 if is_first {
                     stage = ProgramStage::Begins;
                 }
@@ -235,7 +241,8 @@
                     tokens = need.tokens,
                     total = total,
                 );
-                let refusal = GatewayRefusal::new(StatusCode::PAYMENT_REQUIRED, "the budget is spent");
+                let refusal =
+                    GatewayRefusal::new(StatusCode::PAYMENT_REQUIRED, "the budget is spent");
                 return record.refuse(&call.id, Some(&call), refusal);
             }
             BudgetAnswer::Unknown => {
@@ -330,9 +337,10 @@
         let metrics = &self.gateway.state.metrics;
         metrics.count_request(status, reason, kind, elapsed);
         let (replica, sends) = self.trail.borrow().clone();
-        let feed_age_ms = self.gateway.feed_age().map_or(-1, |age| {
-            i64::try_from(age.as_millis()).unwrap_or(i64::MAX)
-        });
+        let feed_age_ms = self
+            .gateway
+            .feed_age()
+            .map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
         record_event!(
             RequestEnded,
             request = id,
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -61,10 +61,7 @@
     /// Asks for all shares of a program.
     Gather { ask: u64, program: ProgramKey },
     /// All shares that a VM knows.
-    Gathered {
-        ask: u64,
-        shares: Vec<BudgetShare>,
-    },
+    Gathered { ask: u64, shares: Vec<BudgetShare> },
 }
 
 impl PeerMessage {
--- a/crates/relay/src/gateway/metrics.rs
+++ b/crates/relay/src/gateway/metrics.rs
@@ -61,7 +61,11 @@
                     "Connections opened to replicas.",
                 ),
             ),
-            in_flight: gauge(&registry, "ibisdale_gateway_requests_in_flight", "Requests in service."),
+            in_flight: gauge(
+                &registry,
+                "ibisdale_gateway_requests_in_flight",
+                "Requests in service.",
+            ),
             feed_age_seconds: gauge(
                 &registry,
                 "ibisdale_gateway_feed_age_seconds",
@@ -127,7 +131,10 @@
 /// # Panics
 ///
 /// Panics when two metrics of this file have one name.
-fn register<C: Collector + Clone + 'static>(registry: &Registry, metric: prometheus::Result<C>) -> C {
+fn register<C: Collector + Clone + 'static>(
+    registry: &Registry,
+    metric: prometheus::Result<C>,
+) -> C {
     let metric = metric.expect("the options are constant");
     let registered = registry.register(Box::new(metric.clone()));
     registered.expect("the names differ");
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -94,7 +94,9 @@
         return;
     }
     let size = peers.len().min(ROUND_PEERS_MAX);
-    let chosen: Vec<_> = (0..size).map(|step| peers[(*turn + step) % peers.len()]).collect();
+    let chosen: Vec<_> = (0..size)
+        .map(|step| peers[(*turn + step) % peers.len()])
+        .collect();
     *turn = (*turn + size) % peers.len();
     send_state(gateway, &chosen).await;
 }
@@ -107,7 +109,12 @@
     let (known, silent) = gateway.state.members.borrow().count(now_ms);
     for facts in fallen {
         gateway.note_loss(facts.key());
-        record_event!(VmSilent, vm = text(&facts.name), known = known, silent = silent);
+        record_event!(
+            VmSilent,
+            vm = text(&facts.name),
+            known = known,
+            silent = silent
+        );
     }
     resign_homes(gateway);
 }
@@ -191,7 +198,7 @@
     gateway.state.next_ask.set(number + 1);
     let (sender, receiver) = bounded(1);
     gateway.state.asks.borrow_mut().insert(number, sender);
-    let entry = AskEntry { gateway, number };
+    let _entry = AskEntry { gateway, number };
     let message = question(number);
     for _ in 0..ASK_TIMES {
         send(gateway, &message, peer).await;
@@ -201,11 +208,9 @@
             None
         };
         if let Some(answer) = answer.or(expire).await {
-            entry.close();
             return Some(answer);
         }
     }
-    entry.close();
     None
 }
 
@@ -215,10 +220,6 @@
     number: u64,
 }
 
-impl AskEntry<'_> {
-    fn close(self) {}
-}
-
 impl Drop for AskEntry<'_> {
     fn drop(&mut self) {
         self.gateway.state.asks.borrow_mut().remove(&self.number);
@@ -324,12 +325,7 @@
 /// Takes what an asker knows of the other VMs' shares.
 ///
 /// Its own share counts only once it is granted.
-fn merge_known(
-    gateway: &Gateway,
-    program: ProgramKey,
-    own: &BudgetShare,
-    known: &[BudgetShare],
-) {
+fn merge_known(gateway: &Gateway, program: ProgramKey, own: &BudgetShare, known: &[BudgetShare]) {
     let others = known.iter().filter(|share| share.vm != own.vm);
     let others: Vec<_> = others.copied().collect();
     if !others.is_empty() {
@@ -379,7 +375,12 @@
     ledger.record(peer, incarnation, is_older, quota, now_ms);
     drop(ledger);
     if is_news {
-        record_event!(VmHeard, vm = name, incarnation = incarnation, serving = is_serving);
+        record_event!(
+            VmHeard,
+            vm = name,
+            incarnation = incarnation,
+            serving = is_serving
+        );
         if earlier.is_some_and(|earlier| earlier < incarnation) {
             gateway.note_loss(peer);
         }
--- a/crates/relay/src/gateway/pool.rs
+++ b/crates/relay/src/gateway/pool.rs
@@ -77,7 +77,9 @@
 
 fn keep_alive(head: &HeaderMap) -> Option<Duration> {
     let value = head.get("keep-alive")?.to_str().ok()?;
-    let mut pairs = value.split(',').filter_map(|pair| pair.trim().split_once('='));
+    let mut pairs = value
+        .split(',')
+        .filter_map(|pair| pair.trim().split_once('='));
     let (_, seconds) = pairs.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?;
     Some(Duration::from_secs(seconds.parse().ok()?))
 }
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -20,8 +20,8 @@
 use super::metrics::GatewayMetrics;
 use super::pool::ConnectionPool;
 use crate::decide::{
-    BudgetBook, MemberFacts, MemberTable, ProgramKey, QuotaLedger, QuotaTolerance, ReplicaFact, ReplicaTable,
-    VmKey, rendezvous_rank, stable_hash,
+    BudgetBook, MemberFacts, MemberTable, ProgramKey, QuotaLedger, QuotaTolerance, ReplicaFact,
+    ReplicaTable, VmKey, rendezvous_rank, stable_hash,
 };
 use crate::plan::DeploymentPlan;
 
@@ -184,7 +184,12 @@
         let version = plan.get_version();
         if self.state.is_planned.get() && version <= in_force {
             if version < in_force {
-                record_event!(PlanIgnored, version = version, in_force = in_force, source = source);
+                record_event!(
+                    PlanIgnored,
+                    version = version,
+                    in_force = in_force,
+                    source = source
+                );
             }
             return;
         }
@@ -208,7 +213,10 @@
         }
         let rates = plan.get_workspaces().iter();
         let rates = rates.map(|grant| (stable_hash(&grant.name), grant.rate_per_s, grant.burst));
-        self.state.quota.borrow_mut().set_rates(rates, self.now_ms());
+        self.state
+            .quota
+            .borrow_mut()
+            .set_rates(rates, self.now_ms());
         *self.state.plan.borrow_mut() = Rc::new(plan);
         self.state.is_planned.set(true);
         self.state.plan_revision.set(revision);
@@ -300,9 +308,7 @@
         let known = self.state.members.borrow().count(now_ms).0 + 1;
         let mut losses = self.state.losses.borrow_mut();
         let memory_ms = self.remember_ms();
-        losses.retain(|(lost, at_ms)| {
-            *lost != vm && now_ms.saturating_sub(*at_ms) < memory_ms
-        });
+        losses.retain(|(lost, at_ms)| *lost != vm && now_ms.saturating_sub(*at_ms) < memory_ms);
         losses.push((vm, now_ms));
         let recent = losses
             .iter()
@@ -351,8 +357,7 @@
         let own_rank = rendezvous_rank(program, self.state.options.facts.key());
         let losses = self.state.losses.borrow();
         losses.iter().any(|(vm, at_ms)| {
-            now_ms.saturating_sub(*at_ms) < memory_ms
-                && rendezvous_rank(program, *vm) >= own_rank
+            now_ms.saturating_sub(*at_ms) < memory_ms && rendezvous_rank(program, *vm) >= own_rank
         })
     }
 
--- a/crates/relay/src/gateway/stream.rs
+++ b/crates/relay/src/gateway/stream.rs
@@ -55,7 +55,11 @@
             open.flight.close(CallOutcome::Failed);
             return Err(failed);
         }
-        let event_tokens = if is_counted { event_tokens(gateway, call) } else { 0 };
+        let event_tokens = if is_counted {
+            event_tokens(gateway, call)
+        } else {
+            0
+        };
         let mut relay = Self {
             gateway: gateway.clone(),
             call: Rc::clone(call),
@@ -80,7 +84,7 @@
             Ok(None) => Ok(relay),
             Err(error) => {
                 relay.close_source(CallOutcome::Failed);
-                Err(FailedAttempt::broken(error))
+                Err(FailedAttempt::broken(error.to_string()))
             }
         }
     }
@@ -131,11 +135,16 @@
                 Err(error) => error,
             };
             let is_late = self.call.left().is_zero();
-            self.close_source(if is_late { CallOutcome::Unknown } else { CallOutcome::Failed });
+            self.close_source(if is_late {
+                CallOutcome::Unknown
+            } else {
+                CallOutcome::Failed
+            });
             if is_late {
                 return Err("cut at the time limit");
             }
-            self.resume(FailedAttempt::broken(error)).await?;
+            self.resume(FailedAttempt::broken(error.to_string()))
+                .await?;
         }
     }
 
@@ -206,8 +215,7 @@
             let Some(replica) = self.trail.replica else {
                 return Err("the replica broke off");
             };
-            let step =
-                settle_failure(&self.gateway, &self.call, &mut self.trail, replica, &failed);
+            let step = settle_failure(&self.gateway, &self.call, &mut self.trail, replica, &failed);
             let next = match step {
                 NextStep::SameReplica => Some(replica),
                 NextStep::Elsewhere => self.other_replica(),
@@ -218,7 +226,10 @@
             };
             let last = self.last_event;
             match attempt(&self.gateway, &self.call, &mut self.trail, next, last).await {
-                Ok(open) if open.head.status == 200 && check_success(&self.gateway, &open.head).is_ok() => {
+                Ok(open)
+                    if open.head.status == 200
+                        && check_success(&self.gateway, &open.head).is_ok() =>
+                {
                     self.source = Some(EventSource {
                         framing: open.head.framing,
                         connection: open.connection,
--- a/crates/relay/src/http1/connection.rs
+++ b/crates/relay/src/http1/connection.rs
@@ -128,7 +128,9 @@
         let mut body = BytesMut::new();
         while let Some(data) = self.read_data(framing).await? {
             if body.len() + data.len() > limit {
-                return Err(ExchangeError::Unreadable { reason: "large body" });
+                return Err(ExchangeError::Unreadable {
+                    reason: "large body",
+                });
             }
             if body.is_empty() && *framing == BodyFraming::Done {
                 return Ok(data);
--- a/crates/relay/src/http1/framing.rs
+++ b/crates/relay/src/http1/framing.rs
@@ -97,14 +97,20 @@
                     Ok(httparse::Status::Partial) if buffer.len() <= CHUNK_LINE_MAX_BYTES => {
                         return Ok(None);
                     }
-                    _ => return Err(ExchangeError::Unreadable { reason: "chunk size" }),
+                    _ => {
+                        return Err(ExchangeError::Unreadable {
+                            reason: "chunk size",
+                        });
+                    }
                 },
                 Self::ChunkEnd => {
                     if buffer.len() < 2 {
                         return Ok(None);
                     }
                     if &buffer[..2] != b"\r\n" {
-                        return Err(ExchangeError::Unreadable { reason: "chunk end" });
+                        return Err(ExchangeError::Unreadable {
+                            reason: "chunk end",
+                        });
                     }
                     buffer.advance(2);
                     *self = Self::ChunkSize;
--- a/crates/relay/src/http1/head.rs
+++ b/crates/relay/src/http1/head.rs
@@ -32,7 +32,9 @@
         Ok(httparse::Status::Complete(length)) => length,
         Ok(httparse::Status::Partial) if buffer.len() <= HEAD_MAX_BYTES => return Ok(None),
         Ok(httparse::Status::Partial) => {
-            return Err(ExchangeError::Unreadable { reason: "large head" });
+            return Err(ExchangeError::Unreadable {
+                reason: "large head",
+            });
         }
         Err(_) => return Err(ExchangeError::Unreadable { reason: "head" }),
     };
--- a/crates/relay/src/plan/table.rs
+++ b/crates/relay/src/plan/table.rs
@@ -62,9 +62,7 @@
             routes.push(index);
         }
         for routes in self.routes_by_host.values_mut() {
-            routes.sort_by_key(|index| {
-                std::cmp::Reverse(self.routes[*index].path_prefix.len())
-            });
+            routes.sort_by_key(|index| std::cmp::Reverse(self.routes[*index].path_prefix.len()));
         }
         for (index, workspace) in self.workspaces.iter().flatten().enumerate() {
             for key in &workspace.keys {
@@ -118,7 +116,9 @@
             Some(colon) => &host[..colon],
             None => host,
         };
-        let routes = self.routes_by_host.get(host.to_ascii_lowercase().as_slice())?;
+        let routes = self
+            .routes_by_host
+            .get(host.to_ascii_lowercase().as_slice())?;
         let mut routes = routes.iter().map(|index| &self.routes[*index]);
         routes.find(|route| path.starts_with(&route.path_prefix))
     }
--- a/crates/relay/tests/budget.rs
+++ b/crates/relay/tests/budget.rs
@@ -47,7 +47,10 @@
     let mut book = home();
     book.take_over(PROGRAM, BUDGET, false, 1);
     assert_eq!(ask(&mut book, 1), BudgetVerdict::Granted { is_first: true });
-    assert_eq!(ask(&mut book, 2), BudgetVerdict::Granted { is_first: false });
+    assert_eq!(
+        ask(&mut book, 2),
+        BudgetVerdict::Granted { is_first: false }
+    );
 }
 
 #[test]
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -31,5 +31,8 @@
 
 #[test]
 fn part_of_an_event_is_kept_back() {
-    assert_eq!(ids(b"id: 1\ndata: a\n\nid: 2\nda", 4), (vec![Some(1)], true));
+    assert_eq!(
+        ids(b"id: 1\ndata: a\n\nid: 2\nda", 4),
+        (vec![Some(1)], true)
+    );
 }
--- a/crates/relay/tests/gateway.rs
+++ b/crates/relay/tests/gateway.rs
@@ -63,7 +63,11 @@
 ) {
     let replica = ScriptReplica::start(|_, _| (answer("a1", "hello"), true));
     let bed = GatewayBed::start(&[&replica]);
-    let attempt = if more.contains("t-attempt") { "" } else { "t-attempt: a1\r\n" };
+    let attempt = if more.contains("t-attempt") {
+        ""
+    } else {
+        "t-attempt: a1\r\n"
+    };
     let text = format!(
         "GET {path} HTTP/1.1\r\nHost: host.test\r\nConnection: close\r\n{attempt}{more}\r\n"
     );
@@ -168,7 +172,8 @@
 
 #[test]
 fn refused_request_is_offered_elsewhere_and_then_truly_refused() {
-    let refusal = b"HTTP/1.1 503 Full\r\nt-attempt: a1\r\nt-not-run: 1\r\nContent-Length: 0\r\n\r\n";
+    let refusal =
+        b"HTTP/1.1 503 Full\r\nt-attempt: a1\r\nt-not-run: 1\r\nContent-Length: 0\r\n\r\n";
     let one = ScriptReplica::start(|_, _| (refusal.to_vec(), true));
     let other = ScriptReplica::start(|_, _| (refusal.to_vec(), true));
     let bed = GatewayBed::start(&[&one, &other]);
@@ -180,7 +185,8 @@
 
 #[test]
 fn failure_of_the_replica_itself_is_passed_on() {
-    let failure = b"HTTP/1.1 500 Broken\r\nt-attempt: a1\r\nt-seal: s\r\nContent-Length: 3\r\n\r\nbad";
+    let failure =
+        b"HTTP/1.1 500 Broken\r\nt-attempt: a1\r\nt-seal: s\r\nContent-Length: 3\r\n\r\nbad";
     let replica = ScriptReplica::start(|_, _| (failure.to_vec(), true));
     let bed = GatewayBed::start(&[&replica]);
     let got = bed.call(&request("POST", "/act/x", "Content-Length: 0\r\n"));
@@ -189,7 +195,9 @@
 }
 
 fn events(range: std::ops::RangeInclusive<u64>) -> String {
-    range.map(|id| format!("id: {id}\ndata: e{id}\n\n")).collect()
+    range.fold(String::new(), |text, id| {
+        text + &format!("id: {id}\ndata: e{id}\n\n")
+    })
 }
 
 fn stream_head() -> String {
@@ -217,7 +225,10 @@
     });
     let bed = GatewayBed::start(&[&replica]);
     let got = bed.call(&request("POST", "/stream/x", "Content-Length: 0\r\n"));
-    let ids: Vec<&str> = got.lines().filter_map(|line| line.strip_prefix("id: ")).collect();
+    let ids: Vec<&str> = got
+        .lines()
+        .filter_map(|line| line.strip_prefix("id: "))
+        .collect();
     assert_eq!(ids, ["1", "2", "3", "4"]);
     assert!(got.ends_with("0\r\n\r\n"));
     assert_eq!(replica.requests().len(), 2);
@@ -231,7 +242,10 @@
     });
     let bed = GatewayBed::start(&[&replica]);
     let got = bed.call(&request("POST", "/stream/x", "Content-Length: 0\r\n"));
-    assert!(!got.ends_with("0\r\n\r\n") || status(&got) == "502", "{got}");
+    assert!(
+        !got.ends_with("0\r\n\r\n") || status(&got) == "502",
+        "{got}"
+    );
 }
 
 #[test]
--- a/crates/relay/tests/placing.rs
+++ b/crates/relay/tests/placing.rs
@@ -2,8 +2,7 @@
 
 use bytes::Bytes;
 use ibisdale_relay::decide::{
-    CallOutcome, PlacingRequest, ReplicaFact, ReplicaKey, ReplicaLoad, ReplicaTable,
-    choose_replica,
+    CallOutcome, PlacingRequest, ReplicaFact, ReplicaKey, ReplicaLoad, ReplicaTable, choose_replica,
 };
 
 const SLOTS: u32 = 16;
@@ -14,7 +13,11 @@
         started_ms: 1,
         service: Bytes::from(service),
         address: ([127, 0, 0, 1], 1_000 + index).into(),
-        domain: Bytes::from(if index % 2 == 0 { "east" } else { "west" }),
+        domain: Bytes::from(if index.is_multiple_of(2) {
+            "east"
+        } else {
+            "west"
+        }),
         slots: SLOTS,
         is_draining: false,
     }
--- a/crates/relay/tests/quota.rs
+++ b/crates/relay/tests/quota.rs
@@ -77,7 +77,9 @@
     }
 
     fn round(&mut self) {
-        let up: Vec<usize> = (0..self.vms.len()).filter(|vm| self.vms[*vm].is_up).collect();
+        let up: Vec<usize> = (0..self.vms.len())
+            .filter(|vm| self.vms[*vm].is_up)
+            .collect();
         for &vm in &up {
             let side = self.vms[vm].side;
             let heard: Vec<usize> = up
@@ -112,8 +114,9 @@
             self.credit += per_s * 0.01;
             while self.credit >= 1.0 {
                 self.credit -= 1.0;
-                let up: Vec<usize> =
-                    (0..self.vms.len()).filter(|vm| self.vms[*vm].is_up).collect();
+                let up: Vec<usize> = (0..self.vms.len())
+                    .filter(|vm| self.vms[*vm].is_up)
+                    .collect();
                 turn = (turn + 1) % up.len();
                 let vm = up[turn];
                 let now_ms = self.own_ms(vm);
@@ -160,7 +163,10 @@
     fleet.play(3_000, 60.0, ProgramStage::UnderWay);
     fleet.play(15_000, 750.0, ProgramStage::UnderWay);
     let worst = fleet.worst_window();
-    assert!(worst <= BOUND, "{worst} requests in a window, bound {BOUND}");
+    assert!(
+        worst <= BOUND,
+        "{worst} requests in a window, bound {BOUND}"
+    );
 }
 
 #[test]
@@ -215,7 +221,10 @@
     }
     fleet.play(12_000, 100.0, ProgramStage::UnderWay);
     let worst = fleet.worst_window();
-    assert!(worst <= BOUND, "{worst} requests in a window, bound {BOUND}");
+    assert!(
+        worst <= BOUND,
+        "{worst} requests in a window, bound {BOUND}"
+    );
 }
 
 #[test]
@@ -224,7 +233,8 @@
     fleet.play(6_000, 90.0, ProgramStage::UnderWay);
     let now_ms = fleet.now_ms;
     for vm in &mut fleet.vms {
-        vm.ledger.set_rates([(WORKSPACE, 10.0, 10.0)].into_iter(), now_ms);
+        vm.ledger
+            .set_rates([(WORKSPACE, 10.0, 10.0)].into_iter(), now_ms);
     }
     fleet.play(300, 90.0, ProgramStage::UnderWay);
     fleet.admitted.clear();
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -16,8 +16,7 @@
     ListenAddresses, drain,
 };
 use ibisdale_relay::plan::{
-    DeploymentPlan, RepeatRule, RouteRule, ServiceShare, ServiceSpec, TrafficLimits,
-    WorkspaceGrant,
+    DeploymentPlan, RepeatRule, RouteRule, ServiceShare, ServiceSpec, TrafficLimits, WorkspaceGrant,
 };
 use smol::channel::{Receiver, Sender, bounded};
 use smol::{Async, LocalExecutor};
@@ -113,7 +112,9 @@
 impl ScriptReplica {
     /// Starts a replica; `script` gets the number and the text of a request and
     /// returns the bytes to send and whether the connection stays open.
-    pub(crate) fn start(script: impl Fn(usize, &str) -> (Vec<u8>, bool) + Send + Sync + 'static) -> Self {
+    pub(crate) fn start(
+        script: impl Fn(usize, &str) -> (Vec<u8>, bool) + Send + Sync + 'static,
+    ) -> Self {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
         let address = listener.local_addr().unwrap();
         let requests: Arc<Mutex<Vec<String>>> = Arc::default();
@@ -134,11 +135,9 @@
     }
 }
 
-fn serve(
-    mut stream: TcpStream,
-    seen: &Mutex<Vec<String>>,
-    script: &dyn Fn(usize, &str) -> (Vec<u8>, bool),
-) {
+type ReplicaScript = dyn Fn(usize, &str) -> (Vec<u8>, bool);
+
+fn serve(mut stream: TcpStream, seen: &Mutex<Vec<String>>, script: &ReplicaScript) {
     let mut buffer = Vec::new();
     while let Some(request) = read_message(&mut stream, &mut buffer) {
         let number = {
@@ -160,7 +159,12 @@
         if let Some(end) = text.find("\r\n\r\n") {
             let length = text
                 .lines()
-                .find_map(|line| line.to_lowercase().strip_prefix("content-length: ")?.parse().ok())
+                .find_map(|line| {
+                    line.to_lowercase()
+                        .strip_prefix("content-length: ")?
+                        .parse()
+                        .ok()
+                })
                 .unwrap_or(0_usize);
             if buffer.len() >= end + 4 + length {
                 let message = buffer.drain(..end + 4 + length).collect();
@@ -224,7 +228,15 @@
         let (started, is_started) = std::sync::mpsc::channel();
         let thread = thread::spawn(move || {
             let executor = Rc::new(LocalExecutor::new());
-            let run = run(Rc::clone(&executor), facts, entry, directory, options, stopped, started);
+            let run = run(
+                Rc::clone(&executor),
+                facts,
+                entry,
+                directory,
+                options,
+                stopped,
+                started,
+            );
             smol::block_on(executor.run(run));
         });
         is_started.recv().unwrap();
