Let three VMs follow the key-value service for all

Three VMs watch and tell the others, who take over when these have no contact for 1.6 s. Ruled out: longer waits alone (most calls are woken by changes).

--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -8,6 +8,7 @@
 mod members;
 mod placing;
 mod quota;
+mod readers;
 mod replicas;
 mod retry;
 
@@ -16,5 +17,6 @@
 pub use members::{MemberFacts, MemberTable, VmKey};
 pub use placing::{PlacingRequest, choose_replica};
 pub use quota::{ProgramStage, QuotaLedger, QuotaReport, QuotaTolerance, WorkspaceKey};
+pub use readers::{is_reader, reader_rank};
 pub use replicas::{CallOutcome, ReplicaFact, ReplicaKey, ReplicaLoad, ReplicaTable};
 pub use retry::{AttemptEnd, NextStep, RetryRule, next_step};
--- a/crates/relay/src/decide/replicas.rs
+++ b/crates/relay/src/decide/replicas.rs
@@ -169,6 +169,11 @@
         self.replicas.get(key).map(|state| &state.fact)
     }
 
+    /// Returns the facts of all replicas.
+    pub fn facts(&self) -> impl Iterator<Item = &ReplicaFact> {
+        self.replicas.values().map(|state| &state.fact)
+    }
+
     /// Returns the number of replicas.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -15,6 +15,8 @@
         facts: MemberFacts,
         /// Version of the configuration in force; 0 where none is known.
         plan_version: u64,
+        /// Version of the list of replicas; 0 where none is known.
+        replicas_version: u64,
         /// Time since the key-value service last answered, in milliseconds.
         feed_age_ms: Option<u64>,
         quota: Vec<QuotaReport>,
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -10,7 +10,7 @@
 
 use super::call::millis;
 use super::message::PeerMessage;
-use super::plan_link;
+use super::plan_link::{self, LinkSubject};
 use super::state::{Gateway, text};
 use crate::decide::{BudgetShare, MemberFacts, ProgramKey, QuotaReport};
 
@@ -149,6 +149,7 @@
     let message = PeerMessage::State {
         facts: gateway.own_facts(),
         plan_version,
+        replicas_version: gateway.state.replicas_version.get(),
         feed_age_ms: gateway.feed_age().map(millis),
         quota: gateway
             .state
@@ -241,13 +242,15 @@
         PeerMessage::State {
             facts,
             plan_version,
+            replicas_version,
             feed_age_ms,
             quota,
             counted_since,
         } => {
             note_feed(gateway, feed_age_ms);
             gateway.hear_counted_since(counted_since);
-            hear_state(gateway, facts, plan_version, &quota, sender);
+            let versions = (plan_version, replicas_version);
+            hear_state(gateway, facts, versions, &quota, sender);
         }
         PeerMessage::Handover { accounts } => {
             let now_ms = gateway.now_ms();
@@ -357,7 +360,7 @@
 fn hear_state(
     gateway: &Gateway,
     facts: MemberFacts,
-    plan_version: u64,
+    (plan_version, replicas_version): (u64, u64),
     quota: &[QuotaReport],
     sender: SocketAddrV4,
 ) {
@@ -391,6 +394,9 @@
     }
     let own_version = gateway.plan().map_or(0, |plan| plan.get_version());
     if plan_version > own_version {
-        plan_link::fetch_soon(gateway, sender, plan_version);
+        plan_link::fetch_soon(gateway, sender, LinkSubject::Plan, plan_version);
+    }
+    if replicas_version > gateway.state.replicas_version.get() {
+        plan_link::fetch_soon(gateway, sender, LinkSubject::Replicas, replicas_version);
     }
 }
--- a/crates/relay/src/gateway/plan_link.rs
+++ b/crates/relay/src/gateway/plan_link.rs
@@ -1,8 +1,10 @@
-//! Passing the configuration on between daemons.
+//! Passing the configuration and the list of replicas on between daemons.
 //!
-//! A VM that the key-value service turns away learns a new version from any
-//! other VM, and one that starts during an outage gets the version in force.
+//! Only a few VMs follow the key-value service; the others get what is new from
+//! them. A VM that the service turns away, or that starts during an outage, gets
+//! the state in force in the same way.
 
+use std::io;
 use std::net::{SocketAddrV4, TcpListener, TcpStream};
 use std::time::Duration;
 
@@ -10,79 +12,137 @@
 use smol::{Async, Timer};
 
 use super::state::Gateway;
+use crate::decide::ReplicaFact;
 use crate::plan::DeploymentPlan;
 
 /// Time in which a transfer must be over.
-const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
-/// Largest configuration that is taken, in bytes.
-const PLAN_MAX_BYTES: u64 = 16 * 1_024 * 1_024;
-/// Time that the key-value service has to tell of a version itself.
-const FETCH_DELAY: Duration = Duration::from_millis(150);
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest transfer that is taken, in bytes.
+const TRANSFER_MAX_BYTES: u64 = 16 * 1_024 * 1_024;
+/// Time in which a VM that follows the service itself sees a change there.
+const OWN_WATCH_DELAY: Duration = Duration::from_millis(150);
+/// Pause after a failed accept.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Hands the configuration in force to each daemon that connects.
+/// What is passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LinkSubject {
+    Plan,
+    Replicas,
+}
+
+impl LinkSubject {
+    /// The byte by which a daemon asks for it.
+    const fn code(self) -> u8 {
+        match self {
+            Self::Plan => b'p',
+            Self::Replicas => b'r',
+        }
+    }
+
+    fn known_version(self, gateway: &Gateway) -> u64 {
+        match self {
+            Self::Plan => gateway.plan().map_or(0, |plan| plan.get_version()),
+            Self::Replicas => gateway.state.replicas_version.get(),
+        }
+    }
+}
+
+/// Hands what is in force to each daemon that asks.
 pub(crate) async fn serve(gateway: Gateway, listener: Async<TcpListener>) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
                 let sender = gateway.clone();
-                gateway.spawn(async move { send_plan(sender, stream).await });
+                gateway.spawn(async move {
+                    if let Err(error) = within(answer(&sender, stream)).await {
+                        log::debug!("passing state on to {peer} failed: {error}");
+                    }
+                });
             }
             Err(error) => {
                 log::debug!("accepting a peer failed: {error}");
-                Timer::after(Duration::from_millis(50)).await;
+                Timer::after(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
 }
 
-async fn send_plan(gateway: Gateway, mut stream: Async<TcpStream>) {
-    let Some(plan) = gateway.plan() else {
-        return;
-    };
-    let data = match postcard::to_stdvec(&(gateway.state.plan_revision.get(), plan.as_ref())) {
-        Ok(data) => data,
-        Err(error) => {
-            log::error!("the configuration can't be written for a peer: {error}");
-            return;
-        }
+async fn answer(gateway: &Gateway, mut stream: Async<TcpStream>) -> io::Result<()> {
+    let mut code = [0_u8];
+    stream.read_exact(&mut code).await?;
+    let data = if code[0] == LinkSubject::Replicas.code() {
+        let version = gateway.state.replicas_version.get();
+        postcard::to_stdvec(&(version, gateway.replica_facts()))
+    } else {
+        let Some(plan) = gateway.plan() else {
+            return Ok(());
+        };
+        postcard::to_stdvec(&(gateway.state.plan_revision.get(), plan.as_ref()))
     };
-    let write = async { stream.write_all(&data).await };
+    let data = data.map_err(io::Error::other)?;
+    stream.write_all(&data).await
+}
+
+async fn within<T>(transfer: impl Future<Output = io::Result<T>>) -> io::Result<T> {
     let expire = async {
         Timer::after(TRANSFER_TIMEOUT).await;
-        Err(std::io::ErrorKind::TimedOut.into())
+        Err(io::ErrorKind::TimedOut.into())
     };
-    if let Err(error) = write.or(expire).await {
-        log::debug!("passing the configuration on failed: {error}");
-    }
+    transfer.or(expire).await
 }
 
 /// Fetches a newer version from a peer unless it arrives otherwise.
-pub(crate) fn fetch_soon(gateway: &Gateway, peer: SocketAddrV4, version: u64) {
-    let fetcher = gateway.clone();
-    if fetcher.state.is_fetching.replace(true) {
+pub(crate) fn fetch_soon(
+    gateway: &Gateway,
+    peer: SocketAddrV4,
+    subject: LinkSubject,
+    version: u64,
+) {
+    let fetching = match subject {
+        LinkSubject::Plan => &gateway.state.is_fetching_plan,
+        LinkSubject::Replicas => &gateway.state.is_fetching_replicas,
+    };
+    if fetching.replace(true) {
         return;
     }
+    let fetcher = gateway.clone();
     gateway.spawn(async move {
-        Timer::after(FETCH_DELAY).await;
-        let known = fetcher.plan().map_or(0, |plan| plan.get_version());
-        if known < version {
-            let fetch = fetch(peer);
-            let expire = async {
-                Timer::after(TRANSFER_TIMEOUT).await;
-                Err(std::io::ErrorKind::TimedOut.into())
-            };
-            match fetch.or(expire).await {
-                Ok((revision, plan)) => fetcher.apply_plan(plan.indexed(), revision, "peer"),
-                Err(error) => log::info!("the configuration of {peer} can't be had: {error}"),
-            }
+        if fetcher.is_reader() {
+            Timer::after(OWN_WATCH_DELAY).await;
+        }
+        if subject.known_version(&fetcher) < version
+            && let Err(error) = within(fetch(&fetcher, peer, subject)).await
+        {
+            log::info!("the state of {peer} can't be had: {error}");
         }
-        fetcher.state.is_fetching.set(false);
+        let fetching = match subject {
+            LinkSubject::Plan => &fetcher.state.is_fetching_plan,
+            LinkSubject::Replicas => &fetcher.state.is_fetching_replicas,
+        };
+        fetching.set(false);
     });
 }
 
-async fn fetch(peer: SocketAddrV4) -> std::io::Result<(u64, DeploymentPlan)> {
-    let stream = Async::<TcpStream>::connect(peer).await?;
+async fn fetch(gateway: &Gateway, peer: SocketAddrV4, subject: LinkSubject) -> io::Result<()> {
+    let mut stream = Async::<TcpStream>::connect(peer).await?;
+    stream.write_all(&[subject.code()]).await?;
     let mut data = Vec::new();
-    stream.take(PLAN_MAX_BYTES).read_to_end(&mut data).await?;
-    postcard::from_bytes(&data).map_err(std::io::Error::other)
+    stream
+        .take(TRANSFER_MAX_BYTES)
+        .read_to_end(&mut data)
+        .await?;
+    match subject {
+        LinkSubject::Plan => {
+            let (revision, plan): (u64, DeploymentPlan) =
+                postcard::from_bytes(&data).map_err(io::Error::other)?;
+            gateway.apply_plan(plan.indexed(), revision, "peer");
+        }
+        LinkSubject::Replicas => {
+            let (version, facts): (u64, Vec<ReplicaFact>) =
+                postcard::from_bytes(&data).map_err(io::Error::other)?;
+            gateway.set_replicas(facts, version);
+        }
+    }
+    Ok(())
 }
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -18,10 +18,11 @@
 use super::directory::DirectoryRule;
 use super::message::PeerMessage;
 use super::metrics::GatewayMetrics;
+use super::peers;
 use super::pool::ConnectionPool;
 use crate::decide::{
     BudgetBook, MemberFacts, MemberTable, ProgramKey, QuotaLedger, QuotaTolerance, ReplicaFact,
-    ReplicaTable, VmKey, rendezvous_rank, stable_hash,
+    ReplicaTable, VmKey, is_reader, reader_rank, rendezvous_rank, stable_hash,
 };
 use crate::plan::DeploymentPlan;
 
@@ -82,6 +83,7 @@
     pub(crate) plan_revision: Cell<u64>,
     pub(crate) feed_confirmed: Cell<Option<Instant>>,
     pub(crate) peers_confirmed: Cell<Option<Instant>>,
+    pub(crate) replicas_version: Cell<u64>,
     pub(crate) replicas: RefCell<ReplicaTable>,
     pub(crate) members: RefCell<MemberTable>,
     pub(crate) losses: RefCell<Vec<(VmKey, u64)>>,
@@ -92,7 +94,8 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) asks: RefCell<HashMap<u64, Sender<PeerMessage>>>,
     pub(crate) next_ask: Cell<u64>,
-    pub(crate) is_fetching: Cell<bool>,
+    pub(crate) is_fetching_plan: Cell<bool>,
+    pub(crate) is_fetching_replicas: Cell<bool>,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) in_flight: Cell<u32>,
     pub(crate) is_draining: Cell<bool>,
@@ -140,6 +143,7 @@
             plan_revision: Cell::new(0),
             feed_confirmed: Cell::new(None),
             peers_confirmed: Cell::new(None),
+            replicas_version: Cell::new(0),
             replicas: RefCell::default(),
             members: RefCell::default(),
             losses: RefCell::new(losses),
@@ -150,7 +154,8 @@
             pool: ConnectionPool::default(),
             asks: RefCell::default(),
             next_ask: Cell::new(0),
-            is_fetching: Cell::new(false),
+            is_fetching_plan: Cell::new(false),
+            is_fetching_replicas: Cell::new(false),
             metrics: GatewayMetrics::new(),
             in_flight: Cell::new(0),
             is_draining: Cell::new(false),
@@ -227,10 +232,33 @@
         self.state.feed_confirmed.set(Some(Instant::now()));
     }
 
-    /// Returns the age of the last confirmation.
+    /// Returns the age of the last contact of any VM with the key-value service.
     #[must_use]
     pub fn feed_age(&self) -> Option<Duration> {
-        self.state.feed_confirmed.get().map(|at| at.elapsed())
+        let own = self.state.feed_confirmed.get();
+        let latest = own.max(self.state.peers_confirmed.get());
+        latest.map(|at| at.elapsed())
+    }
+
+    /// Tells whether this VM follows the key-value service itself.
+    #[must_use]
+    pub fn is_reader(&self) -> bool {
+        let members = self.state.members.borrow();
+        let own = self.state.options.facts.key();
+        let others = members.live(self.now_ms()).map(MemberFacts::key);
+        is_reader(reader_rank(own, others), self.feed_age().map(millis))
+    }
+
+    /// Tells the other VMs of a change at once.
+    pub fn announce(&self) {
+        let teller = self.clone();
+        self.spawn(async move { peers::announce(&teller).await });
+    }
+
+    /// Returns the replicas that are known.
+    #[must_use]
+    pub fn replica_facts(&self) -> Vec<ReplicaFact> {
+        self.state.replicas.borrow().facts().cloned().collect()
     }
 
     /// Returns when the key-value service has last answered any other VM.
@@ -245,8 +273,12 @@
         self.feed_age().is_some_and(|age| age <= limit)
     }
 
-    /// Replaces the list of replicas.
-    pub fn set_replicas(&self, facts: Vec<ReplicaFact>) {
+    /// Replaces the list of replicas unless it is older than the present one.
+    pub fn set_replicas(&self, facts: Vec<ReplicaFact>, version: u64) {
+        if version < self.state.replicas_version.get() {
+            return;
+        }
+        self.state.replicas_version.set(version);
         let changes = self.state.replicas.borrow_mut().replace(facts);
         for fact in changes.added.iter().chain(&changes.changed) {
             record_event!(
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -326,7 +326,7 @@
     if !bed.is_unplanned {
         gateway.apply_plan(plan(), 1, "test");
     }
-    gateway.set_replicas(replicas);
+    gateway.set_replicas(replicas, 1);
     if !bed.is_unconfirmed {
         gateway.confirm_feed();
     }
