--- a/crates/relay/src/decide/quota.rs
+++ b/crates/relay/src/decide/quota.rs
@@ -29,6 +29,11 @@
 /// Time after the start in which use before it is assumed for workspaces that
 /// become known, in milliseconds.
 const START_TIME_MS: u64 = 2_000;
+/// Requests that each VM may admit in a round while much of the limit is free; in
+/// a large fleet the equal part of a small workspace is below one request.
+const FREE_ALLOWANCE: f64 = 2.0;
+/// Use of the limit up to which it counts as free, in percent.
+const FREE_USE_PERCENT: f64 = 75.0;
 /// VMs that a rate is parted among at least before the first full round; few
 /// enough that a VM which just started can serve.
 const START_SHARERS: u32 = 8;
@@ -338,6 +343,9 @@
             let kept = silent * usual.min(window.limit / sharers);
             let left = (window.limit - kept - window.used).max(0.0);
             window.allowance = left / (sharers - silent).max(1.0);
+            if window.used + kept < window.limit * FREE_USE_PERCENT / 100.0 {
+                window.allowance = window.allowance.max(FREE_ALLOWANCE.min(left));
+            }
         }
     }
 
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -17,7 +17,7 @@
 /// Time between rounds in a small fleet.
 const ROUND: Duration = Duration::from_millis(250);
 /// Peers that are told in each round; larger fleets take turns.
-const ROUND_PEERS_MAX: usize = 24;
+const ROUND_PEERS_MAX: usize = 64;
 /// Largest datagram, in bytes.
 const MESSAGE_MAX_BYTES: usize = 60_000;
 /// Time after which an unanswered question is asked again.
--- a/crates/relay/tests/quota.rs
+++ b/crates/relay/tests/quota.rs
@@ -35,6 +35,7 @@
     admitted: Vec<u64>,
     refused: u64,
     credit: f64,
+    seed: u64,
 }
 
 impl QuotaFleet {
@@ -52,6 +53,16 @@
             admitted: Vec::new(),
             refused: 0,
             credit: 0.0,
+            seed: 20_261_203,
+        }
+    }
+
+    /// Sets rate and burst of the workspace on all VMs.
+    fn set_rate(&mut self, rate: f64) {
+        for vm in 0..self.vms.len() {
+            let now_ms = self.own_ms(vm);
+            let rates = [(WORKSPACE, rate, rate)].into_iter();
+            self.vms[vm].ledger.set_rates(rates, now_ms);
         }
     }
 
@@ -106,7 +117,6 @@
     /// Sends `per_s` requests a second, spread over the VMs that are up.
     fn play(&mut self, span_ms: u64, per_s: f64, stage: ProgramStage) {
         let end_ms = self.now_ms + span_ms;
-        let mut turn = 0_usize;
         while self.now_ms < end_ms {
             if self.now_ms % ROUND_MS < STEP_MS {
                 self.round();
@@ -117,8 +127,7 @@
                 let up: Vec<usize> = (0..self.vms.len())
                     .filter(|vm| self.vms[*vm].is_up)
                     .collect();
-                turn = (turn + 1) % up.len();
-                let vm = up[turn];
+                let vm = up[self.draw() % up.len()];
                 let now_ms = self.own_ms(vm);
                 match self.vms[vm].ledger.admit(WORKSPACE, stage, now_ms) {
                     Ok(()) => self.admitted.push(self.now_ms),
@@ -129,6 +138,15 @@
         }
     }
 
+    /// Draws the VM that a caller has chosen.
+    fn draw(&mut self) -> usize {
+        self.seed = self
+            .seed
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        usize::try_from(self.seed >> 40).unwrap()
+    }
+
     fn worst_window(&self) -> u64 {
         let counts = self.admitted.iter().enumerate().map(|(index, start)| {
             let end = self.admitted.partition_point(|at| *at < start + WINDOW_MS);
@@ -169,6 +187,19 @@
     );
 }
 
+/// The equal part of a small workspace among many VMs is below one request.
+#[test]
+fn small_workspace_in_a_large_fleet_is_served_below_its_limit() {
+    let mut fleet = QuotaFleet::new(54);
+    fleet.set_rate(10.0);
+    fleet.play(20_000, 5.5, ProgramStage::Begins);
+    assert_eq!(fleet.refused, 0);
+    fleet.play(10_000, 75.0, ProgramStage::UnderWay);
+    // (10 x 5 + 10) x 1.1 + 20.
+    let worst = fleet.worst_window();
+    assert!(worst <= 86, "{worst} requests in a window, bound 86");
+}
+
 #[test]
 fn programs_under_way_are_admitted_when_new_ones_no_longer_are() {
     let mut fleet = QuotaFleet::new(7);
