--- a/crates/relay/src/decide/budget.rs
+++ b/crates/relay/src/decide/budget.rs
@@ -198,11 +198,6 @@
         }
     }
 
-    /// Forgets a ceiling that is no longer stored.
-    pub fn drop_ceiling(&mut self, program: ProgramKey) {
-        self.ceilings.remove(&program);
-    }
-
     /// Tells whether this VM acts as the program's home already.
     #[must_use]
     pub fn is_home(&self, program: ProgramKey) -> bool {
--- a/crates/relay/src/gateway/dialect.rs
+++ b/crates/relay/src/gateway/dialect.rs
@@ -31,10 +31,6 @@
     pub engine_priority: HeaderName,
     /// Program that the request belongs to.
     pub program: HeaderName,
-    /// Line of calls within a program.
-    pub session: HeaderName,
-    /// Time until the program should be finished, in milliseconds.
-    pub finish_ms: HeaderName,
     /// Tokens that all calls of the program may generate.
     pub token_budget: HeaderName,
     /// Fields that only the gateway may set; callers' own are removed.
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -43,8 +43,6 @@
         not_run: name("t-not-run"),
         engine_priority: name("t-priority"),
         program: name("t-program"),
-        session: name("t-session"),
-        finish_ms: name("t-finish"),
         token_budget: name("t-budget"),
         reserved: vec![name("t-hold")],
     }
