End connections to silent replicas; test two gateways together

The kernel now ends it when nothing is acknowledged for a second. Ruled out: a timeout of ours on the answer, which would cut slow but living replicas.

--- a/crates/relay/src/http1/connection.rs
+++ b/crates/relay/src/http1/connection.rs
@@ -6,12 +6,16 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_lite::{AsyncWriteExt, FutureExt};
+use rustix::net::sockopt;
 use smol::{Async, Timer};
 
 use super::error::ExchangeError;
 use super::framing::BodyFraming;
 use super::head::{ResponseHead, take_head};
 
+/// Time after which a peer that acknowledges nothing counts as lost; far above the
+/// way between regions and back.
+const PEER_SILENCE: Duration = Duration::from_secs(1);
 /// Bytes read from the socket at once.
 const READ_BYTES: usize = 8 * 1_024;
 
@@ -35,6 +39,7 @@
             let stream = Async::<TcpStream>::connect(address).await;
             let stream = stream.and_then(|stream| {
                 stream.get_ref().set_nodelay(true)?;
+                bound_silence(stream.get_ref())?;
                 Ok(stream)
             });
             stream.map_err(|source| ExchangeError::Connect { source })
@@ -162,3 +167,14 @@
         Ok(size)
     }
 }
+
+/// Ends a connection whose peer has gone silent, also while nothing is sent.
+fn bound_silence(stream: &TcpStream) -> io::Result<()> {
+    let millis = u32::try_from(PEER_SILENCE.as_millis()).unwrap_or(u32::MAX);
+    sockopt::set_tcp_user_timeout(stream, millis)?;
+    sockopt::set_socket_keepalive(stream, true)?;
+    sockopt::set_tcp_keepidle(stream, PEER_SILENCE)?;
+    sockopt::set_tcp_keepintvl(stream, PEER_SILENCE)?;
+    sockopt::set_tcp_keepcnt(stream, 1)?;
+    Ok(())
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -24,6 +24,11 @@
 /// Time in which anything in these tests must happen.
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time between two looks at the directory.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// Looks until a test counts as hung.
+const LOOKS: u32 = 600;
+
 const fn name(text: &'static str) -> HeaderName {
     HeaderName::from_static(text)
 }
@@ -189,6 +194,7 @@
 pub(crate) struct GatewayBed {
     pub(crate) entry: SocketAddr,
     pub(crate) directory: SocketAddr,
+    pub(crate) peers: SocketAddrV4,
     stop: Option<Sender<()>>,
     thread: Option<thread::JoinHandle<()>>,
 }
@@ -200,6 +206,8 @@
     pub(crate) is_unconfirmed: bool,
     /// There is no configuration.
     pub(crate) is_unplanned: bool,
+    /// Another VM to begin with.
+    pub(crate) seed: Option<SocketAddrV4>,
 }
 
 impl GatewayBed {
@@ -222,15 +230,15 @@
             })
             .collect();
         let (stop, stopped) = bounded(1);
-        let (entry, directory) = (free_address(), free_address());
+        let (entry, directory, peers) = (free_address(), free_address(), free_address());
         let (started, is_started) = std::sync::mpsc::channel();
         let thread = thread::spawn(move || {
             let executor = Rc::new(LocalExecutor::new());
+            let addresses = (entry, directory, peers);
             let run = run(
                 Rc::clone(&executor),
                 facts,
-                entry,
-                directory,
+                addresses,
                 options,
                 stopped,
                 started,
@@ -241,6 +249,7 @@
         Self {
             entry: entry.into(),
             directory: directory.into(),
+            peers,
             stop: Some(stop),
             thread: Some(thread),
         }
@@ -257,6 +266,22 @@
         String::from_utf8_lossy(&answer).into_owned()
     }
 
+    /// Asks how many VMs callers are told of, until there are `count`.
+    pub(crate) fn await_vms(&self, count: usize) {
+        let text = "GET /addresses HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        for _ in 0..LOOKS {
+            let mut stream = TcpStream::connect(self.directory).unwrap();
+            stream.write_all(text.as_bytes()).unwrap();
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer).unwrap();
+            if answer.ends_with(&format!("\r\n\r\n{count} 0")) {
+                return;
+            }
+            thread::sleep(LOOK_INTERVAL);
+        }
+        panic!("the directory never told of {count} VMs");
+    }
+
     /// Begins a graceful stop.
     pub(crate) fn begin_stop(&mut self) {
         self.stop.take();
@@ -284,15 +309,13 @@
 async fn run(
     executor: Rc<LocalExecutor<'static>>,
     replicas: Vec<ReplicaFact>,
-    entry: SocketAddrV4,
-    directory: SocketAddrV4,
+    (entry, directory, peers): (SocketAddrV4, SocketAddrV4, SocketAddrV4),
     bed: BedOptions,
     stopped: Receiver<()>,
     started: std::sync::mpsc::Sender<()>,
 ) {
-    let peers = free_address();
     let facts = MemberFacts {
-        name: Bytes::from_static(b"vm-1"),
+        name: Bytes::from(peers.to_string()),
         incarnation: 1,
         ip: Ipv4Addr::LOCALHOST,
         peer_port: peers.port(),
@@ -314,7 +337,7 @@
         store: DurableStore {
             save_ceiling: Box::new(|_, _| Box::pin(async { true })),
         },
-        seeds: Vec::new(),
+        seeds: bed.seed.into_iter().collect(),
         is_first_start: true,
         feed_trust: Duration::from_hours(1),
         quota_tolerance: QuotaTolerance::default(),
@@ -324,7 +347,9 @@
     if !bed.is_unplanned {
         gateway.apply_plan(plan(), 1, "test");
     }
-    gateway.set_replicas(replicas, 1);
+    if !replicas.is_empty() {
+        gateway.set_replicas(replicas, 1);
+    }
     if !bed.is_unconfirmed {
         gateway.confirm_feed();
     }
