--- a/crates/relay/src/gateway/budget.rs
+++ b/crates/relay/src/gateway/budget.rs
@@ -6,6 +6,7 @@
 
 use ibisdale_telemetry::record_event;
 
+use super::ask::ask;
 use super::call::BudgetNeed;
 use super::message::PeerMessage;
 use super::peers;
@@ -65,10 +66,7 @@
             program,
             share,
         };
-        if peers::ask(gateway, home.peer_address(), question)
-            .await
-            .is_none()
-        {
+        if ask(gateway, home.peer_address(), question).await.is_none() {
             log::debug!("the home of a program did not confirm a settlement");
         }
     }
@@ -108,7 +106,7 @@
                     share,
                     known: shares.clone(),
                 };
-                match peers::ask(gateway, home.peer_address(), question).await {
+                match ask(gateway, home.peer_address(), question).await {
                     Some(PeerMessage::Reserved {
                         verdict, shares, ..
                     }) => {
@@ -188,7 +186,7 @@
         earlier_homes(gateway, program)
     };
     let asks = peers.iter().map(|peer| {
-        peers::ask(gateway, peer.peer_address(), move |ask| {
+        ask(gateway, peer.peer_address(), move |ask| {
             PeerMessage::Gather { ask, program }
         })
     });
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -18,12 +18,13 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use super::admit::{GatewayRefusal, admit_head, admit_rate, read_body};
+use super::attempt::AttemptTrail;
 use super::body::{AbortedAnswer, AnswerBody};
 use super::budget::{BudgetAnswer, reserve};
 use super::call::{CallerCall, field, millis};
 use super::directory::{answer_directory, answer_ready};
 use super::flight::RequestCount;
-use super::forward::{AttemptTrail, forward};
+use super::forward::forward;
 use super::state::{Gateway, text};
 use super::{peers, plan_link};
 use crate::decide::ProgramStage;
--- a/crates/relay/src/gateway/mod.rs
+++ b/crates/relay/src/gateway/mod.rs
@@ -1,6 +1,8 @@
 //! The gateway: sockets around the decisions, on one thread.
 
 mod admit;
+mod ask;
+mod attempt;
 mod body;
 mod budget;
 mod call;
@@ -11,6 +13,7 @@
 mod flight;
 mod forward;
 mod listen;
+mod losses;
 mod message;
 mod metrics;
 mod peers;
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -3,10 +3,8 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
-use futures_lite::FutureExt;
 use ibisdale_telemetry::record_event;
 use smol::Timer;
-use smol::channel::bounded;
 
 use super::call::millis;
 use super::message::PeerMessage;
@@ -20,10 +18,6 @@
 const ROUND_PEERS_MAX: usize = 64;
 /// Largest datagram, in bytes.
 const MESSAGE_MAX_BYTES: usize = 60_000;
-/// Time after which an unanswered question is asked again.
-const ASK_AGAIN: Duration = Duration::from_millis(40);
-/// Times a question is asked.
-const ASK_TIMES: u32 = 3;
 /// Time in which VMs count as started together, in milliseconds.
 const SAME_START_MS: u64 = 3_000;
 /// Age of counters that are still told, in milliseconds; several full turns.
@@ -189,44 +183,6 @@
     }
 }
 
-/// Asks a peer until it answers; `None` when it does not.
-pub(crate) async fn ask(
-    gateway: &Gateway,
-    peer: SocketAddrV4,
-    question: impl Fn(u64) -> PeerMessage,
-) -> Option<PeerMessage> {
-    let number = gateway.state.next_ask.get();
-    gateway.state.next_ask.set(number + 1);
-    let (sender, receiver) = bounded(1);
-    gateway.state.asks.borrow_mut().insert(number, sender);
-    let _entry = AskEntry { gateway, number };
-    let message = question(number);
-    for _ in 0..ASK_TIMES {
-        send(gateway, &message, peer).await;
-        let answer = async { receiver.recv().await.ok() };
-        let expire = async {
-            Timer::after(ASK_AGAIN).await;
-            None
-        };
-        if let Some(answer) = answer.or(expire).await {
-            return Some(answer);
-        }
-    }
-    None
-}
-
-/// An open question; a caller that leaves must not leave it behind.
-struct AskEntry<'a> {
-    gateway: &'a Gateway,
-    number: u64,
-}
-
-impl Drop for AskEntry<'_> {
-    fn drop(&mut self) {
-        self.gateway.state.asks.borrow_mut().remove(&self.number);
-    }
-}
-
 fn handle(gateway: &Gateway, message: PeerMessage, sender: SocketAddr) {
     let SocketAddr::V4(sender) = sender else {
         return;
--- a/crates/relay/src/gateway/stream.rs
+++ b/crates/relay/src/gateway/stream.rs
@@ -7,14 +7,13 @@
 use http::{HeaderMap, Response, StatusCode};
 use smol::Timer;
 
+use super::attempt::{AttemptTrail, FailedAttempt, OpenAnswer, attempt, check_success};
 use super::body::{AbortedAnswer, AnswerBody};
 use super::budget::BudgetHold;
 use super::call::{CallerCall, answer_headers};
 use super::events::EventSplitter;
 use super::flight::ReplicaFlight;
-use super::forward::{
-    AttemptTrail, FailedAttempt, OpenAnswer, attempt, check_success, settle_failure,
-};
+use super::forward::{choose_other, settle_failure};
 use super::state::Gateway;
 use crate::decide::{CallOutcome, NextStep, ReplicaKey};
 use crate::http1::{BodyFraming, ExchangeError, Http1Connection, ResponseHead};
@@ -248,7 +247,7 @@
     }
 
     fn other_replica(&self) -> Option<ReplicaKey> {
-        super::forward::choose_other(&self.gateway, &self.call, &self.trail)
+        choose_other(&self.gateway, &self.call, &self.trail)
     }
 }
 
--- a/crates/relay/tests/gateway.rs
+++ b/crates/relay/tests/gateway/answers.rs
@@ -1,12 +1,10 @@
 //! Answers of a gateway between a caller and scripted replicas.
 
-mod support;
-
 use std::io::{Read, Write};
 use std::net::TcpStream;
 
+use crate::support::{BedOptions, GatewayBed, ScriptReplica, header};
 use rstest::rstest;
-use support::{BedOptions, GatewayBed, ScriptReplica, header};
 
 fn request(method: &str, path: &str, more: &str) -> String {
     format!(
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/gateway/fleet.rs
@@ -1,8 +1,6 @@
 //! Two gateways that exchange what they know.
 
-mod support;
-
-use support::{BedOptions, GatewayBed, ScriptReplica};
+use crate::support::{BedOptions, GatewayBed, ScriptReplica, header};
 
 fn turn(more: &str) -> String {
     format!(
@@ -39,6 +37,7 @@
     let (_first, second) = pair(&replica);
     let answer = second.call(&turn(""));
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(header(&answer, "t-seal"), Some("s"));
 }
 
 #[test]
