Let calls that need the same ceiling wait for one write

Cause: a program that runs away calls from several sub-agents at once; each call beyond the free part wrote the same ceiling, and took a lease for it. Ruled out: normal programs (95% end below 45% of their budget, and one call beyond the free part needs no ceiling); registrations (59 writes). Change: a call that finds a write of its program under way waits for it and is decided anew; a write whose caller has left counts as ended. Test: calls_that_need_the_same_ceiling_wait_for_one_write failed with two writes before.

--- a/crates/relay/src/gateway/budget.rs
+++ b/crates/relay/src/gateway/budget.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddrV4;
 
 use ibisdale_telemetry::record_event;
+use smol::channel::bounded;
 
 use super::ask::ask;
 use super::call::BudgetNeed;
@@ -19,8 +20,8 @@
 const HANDOVER_ACCOUNTS: usize = 12;
 /// VMs next in rank that are asked for what they know of a program.
 const EARLIER_HOMES: usize = 2;
-/// Times that storing a ceiling is tried for one call.
-const CEILING_TRIES: u32 = 2;
+/// Ceilings that one call stores or waits for before it is refused.
+const CEILING_TRIES: u32 = 3;
 
 /// What became of a request for tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -161,21 +162,38 @@
         let BudgetVerdict::NeedsCeiling { ceiling } = verdict else {
             return Some(verdict);
         };
-        let stored = (gateway.state.options.store.save_ceiling)(program, ceiling).await;
-        record_event!(
-            CeilingStored,
-            program = format!("{program:x}"),
-            ceiling = ceiling,
-            stored = stored
-        );
-        if !stored {
+        let pending = gateway.state.ceiling_writes.borrow().get(&program).cloned();
+        // A write whose caller has left is closed before its end.
+        if let Some(pending) = pending.filter(|pending| !pending.is_closed()) {
+            // Nothing is ever sent; the receiver wakes when the write has ended.
+            let _ = pending.recv().await;
+        } else if !store_ceiling(gateway, program, ceiling).await {
             return None;
         }
-        gateway.record_ceiling(program, ceiling);
     }
     None
 }
 
+/// Stores a ceiling; other calls of the program wait for it meanwhile.
+async fn store_ceiling(gateway: &Gateway, program: ProgramKey, ceiling: u64) -> bool {
+    let (ended, pending) = bounded(1);
+    let writes = &gateway.state.ceiling_writes;
+    writes.borrow_mut().insert(program, pending);
+    let stored = (gateway.state.options.store.save_ceiling)(program, ceiling).await;
+    record_event!(
+        CeilingStored,
+        program = format!("{program:x}"),
+        ceiling = ceiling,
+        stored = stored
+    );
+    if stored {
+        gateway.record_ceiling(program, ceiling);
+    }
+    writes.borrow_mut().remove(&program);
+    drop(ended);
+    stored
+}
+
 /// Learns what the other VMs know of a program before counting it.
 async fn take_over(gateway: &Gateway, program: ProgramKey, budget: u64) {
     let is_lost = gateway.is_count_lost();
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -85,6 +85,8 @@
     pub(crate) ceilings_read_ms: Cell<Option<u64>>,
     pub(crate) quota: RefCell<QuotaLedger>,
     pub(crate) budgets: RefCell<BudgetBook>,
+    /// Ceilings that are being stored; closed when the write has ended.
+    pub(crate) ceiling_writes: RefCell<HashMap<ProgramKey, Receiver<()>>>,
     pub(crate) pool: ConnectionPool,
     pub(crate) asks: RefCell<HashMap<u64, Sender<PeerMessage>>>,
     pub(crate) next_ask: Cell<u64>,
@@ -145,6 +147,7 @@
             ceilings_read_ms: Cell::new(first_start.then_some(1)),
             quota: RefCell::new(quota),
             budgets: RefCell::new(book),
+            ceiling_writes: RefCell::default(),
             pool: ConnectionPool::default(),
             asks: RefCell::default(),
             next_ask: Cell::new(0),
--- a/crates/relay/tests/gateway/answers.rs
+++ b/crates/relay/tests/gateway/answers.rs
@@ -306,3 +306,23 @@
     stream.read_to_string(&mut got).unwrap();
     assert_eq!((status(&got), body(&got)), ("200", "1 0"));
 }
+
+/// Sub-agents of a program that ran away once wrote the same ceiling up to 16 times.
+#[test]
+fn calls_that_need_the_same_ceiling_wait_for_one_write() {
+    let replica = ScriptReplica::start(|_, _| {
+        std::thread::sleep(std::time::Duration::from_millis(500));
+        (answer("a1", "id: 1\ndata: e1\n\n"), true)
+    });
+    let bed = GatewayBed::start(&[&replica]);
+    let more = "t-program: p\r\nt-budget: 100\r\nt-usage: 5,20\r\nContent-Length: 0\r\n";
+    let text = request("POST", "/stream/x", more);
+    let answers = std::thread::scope(|scope| {
+        let calls: Vec<_> = (0..4).map(|_| scope.spawn(|| bed.call(&text))).collect();
+        let answers = calls.into_iter().map(|call| call.join().unwrap());
+        answers.collect::<Vec<_>>()
+    });
+    let statuses: Vec<_> = answers.iter().map(|answer| status(answer)).collect();
+    assert_eq!(statuses, ["200"; 4]);
+    assert_eq!(bed.ceilings(), [93]);
+}
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -19,11 +19,13 @@
     DeploymentPlan, RepeatRule, RouteRule, ServiceShare, ServiceSpec, TrafficLimits, WorkspaceGrant,
 };
 use smol::channel::{Receiver, Sender, bounded};
-use smol::{Async, LocalExecutor};
+use smol::{Async, LocalExecutor, Timer};
 
 /// Time in which anything in these tests must happen.
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time that a write of a ceiling takes.
+const WRITE_TIME: Duration = Duration::from_millis(200);
 /// Time between two looks at the directory.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Looks until a test counts as hung.
@@ -195,6 +197,7 @@
     pub(crate) entry: SocketAddr,
     pub(crate) directory: SocketAddr,
     pub(crate) peers: SocketAddrV4,
+    ceilings: Arc<Mutex<Vec<u64>>>,
     stop: Option<Sender<()>>,
     thread: Option<thread::JoinHandle<()>>,
 }
@@ -232,6 +235,8 @@
         let (stop, stopped) = bounded(1);
         let (entry, directory, peers) = (free_address(), free_address(), free_address());
         let (started, is_started) = std::sync::mpsc::channel();
+        let ceilings: Arc<Mutex<Vec<u64>>> = Arc::default();
+        let seen = Arc::clone(&ceilings);
         let thread = thread::spawn(move || {
             let executor = Rc::new(LocalExecutor::new());
             let addresses = (entry, directory, peers);
@@ -242,6 +247,7 @@
                 options,
                 stopped,
                 started,
+                seen,
             );
             smol::block_on(executor.run(run));
         });
@@ -250,6 +256,7 @@
             entry: entry.into(),
             directory: directory.into(),
             peers,
+            ceilings,
             stop: Some(stop),
             thread: Some(thread),
         }
@@ -282,6 +289,11 @@
         panic!("the directory never told of {count} VMs");
     }
 
+    /// Returns the ceilings that were written so far.
+    pub(crate) fn ceilings(&self) -> Vec<u64> {
+        self.ceilings.lock().unwrap().clone()
+    }
+
     /// Begins a graceful stop.
     pub(crate) fn begin_stop(&mut self) {
         self.stop.take();
@@ -313,6 +325,7 @@
     bed: BedOptions,
     stopped: Receiver<()>,
     started: std::sync::mpsc::Sender<()>,
+    saved: Arc<Mutex<Vec<u64>>>,
 ) {
     let facts = MemberFacts {
         name: Bytes::from(peers.to_string()),
@@ -335,7 +348,13 @@
             keep_s: 0,
         },
         store: DurableStore {
-            save_ceiling: Box::new(|_, _| Box::pin(async { true })),
+            save_ceiling: Box::new(move |_, ceiling| {
+                saved.lock().unwrap().push(ceiling);
+                Box::pin(async {
+                    Timer::after(WRITE_TIME).await;
+                    true
+                })
+            }),
         },
         seeds: bed.seed.into_iter().collect(),
         is_first_start: true,
