Ask only VMs that are heard for counts after a loss of all; tell why rates refuse

Cause: after a start of all VMs each program that came back made its home ask all 58 other VMs for their counts, three times 40 ms each where one was not up yet; the ceilings were read at the next look, up to 100 ms after the start. Ruled out: reading the configuration (in force 40 to 90 ms after the start). Event 2207 tells home, cause, use and limit of a refused request.

--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -16,7 +16,10 @@
 pub use hash::{rendezvous_rank, stable_hash};
 pub use members::{MemberFacts, MemberTable, VmKey};
 pub use placing::{PlacingRequest, choose_replica};
-pub use quota::{ProgramStage, QuotaLedger, QuotaReport, QuotaTolerance, WorkspaceKey};
+pub use quota::{
+    ProgramStage, QuotaLedger, QuotaReport, QuotaTolerance, RateShortage, ShortageCause,
+    WorkspaceKey,
+};
 pub use readers::{is_reader, reader_rank};
 pub use replicas::{CallOutcome, ReplicaFact, ReplicaKey, ReplicaLoad, ReplicaTable};
 pub use retry::{AttemptEnd, NextStep, RetryRule, next_step};
--- a/crates/relay/src/decide/quota.rs
+++ b/crates/relay/src/decide/quota.rs
@@ -64,6 +64,45 @@
     UnderWay,
 }
 
+/// What a workspace lacks for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub enum ShortageCause {
+    /// Requests in the window.
+    Requests,
+    /// Programs in the window; those under way need the rest.
+    Programs,
+    /// The workspace's home did not answer.
+    SilentHome,
+}
+
+/// Why a workspace's request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct RateShortage {
+    /// What is missing.
+    pub cause: ShortageCause,
+    /// Requests or programs in the last window.
+    pub used: u64,
+    /// Requests or programs that the window holds.
+    pub limit: u64,
+    /// Time after which to come again, in milliseconds.
+    pub after_ms: u64,
+}
+
+impl RateShortage {
+    /// Creates the shortage of a request whose workspace's home is silent.
+    #[must_use]
+    pub fn silent_home(after_ms: u64) -> Self {
+        Self {
+            cause: ShortageCause::SilentHome,
+            used: 0,
+            limit: 0,
+            after_ms,
+        }
+    }
+}
+
 /// By how much the limit of a span of time may be exceeded.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct QuotaTolerance {
@@ -243,19 +282,40 @@
         (begun - recent >= PROGRAMS_KNOWN).then(|| self.limit * ended / admitted.max(ended))
     }
 
-    /// Returns when a refused caller finds room after those told before, in
-    /// milliseconds from now.
-    fn promise(&mut self, wait_ms: impl Fn(&Self, f64) -> u64, now_ms: u64, window_ms: u64) -> u64 {
+    /// Refuses a request that lacks `missing` requests or programs; callers refused
+    /// before come first.
+    fn refuse(
+        &mut self,
+        cause: ShortageCause,
+        missing: f64,
+        now_ms: u64,
+        window_ms: u64,
+    ) -> RateShortage {
         while self.promised.front().is_some_and(|at_ms| *at_ms <= now_ms) {
             self.promised.pop_front();
         }
-        #[expect(clippy::cast_precision_loss, reason = "at most a few hundred")]
-        let before = self.promised.len() as f64;
-        let wait_ms = wait_ms(self, before).clamp(SPAN_MS / 2, window_ms);
+        let limit = match cause {
+            ShortageCause::Programs => self.programs_max().unwrap_or(self.limit),
+            ShortageCause::Requests | ShortageCause::SilentHome => self.limit,
+        };
+        let spans = match cause {
+            ShortageCause::Programs => &self.begun,
+            ShortageCause::Requests | ShortageCause::SilentHome => &self.used,
+        };
+        #[expect(clippy::cast_precision_loss, reason = "at most PROMISES_MAX")]
+        let needed = missing + self.promised.len() as f64;
+        let wait_ms = spans.time_to_free(needed, now_ms, window_ms);
+        let after_ms = wait_ms.clamp(SPAN_MS / 2, window_ms);
+        let shortage = RateShortage {
+            cause,
+            used: whole(spans.total),
+            limit: whole(limit),
+            after_ms,
+        };
         if self.promised.len() < PROMISES_MAX {
-            self.promised.push_back(now_ms + wait_ms);
+            self.promised.push_back(now_ms + after_ms);
         }
-        wait_ms
+        shortage
     }
 }
 
@@ -378,8 +438,7 @@
         true
     }
 
-    /// Admits a request as the workspace's home, or returns the milliseconds after
-    /// which to come again.
+    /// Admits a request as the workspace's home.
     ///
     /// # Errors
     ///
@@ -389,7 +448,7 @@
         workspace: WorkspaceKey,
         stage: ProgramStage,
         now_ms: u64,
-    ) -> Result<(), u64> {
+    ) -> Result<(), RateShortage> {
         let window_ms = self.window_ms();
         let Some(window) = self.windows.get_mut(&workspace) else {
             return Ok(());
@@ -403,20 +462,12 @@
         };
         let missing = 1.0 + reserve - window.requests.home;
         if missing > 0.0 {
-            let wait_ms = |window: &WorkspaceWindow, before| {
-                let requests = missing + before;
-                window.used.time_to_free(requests, now_ms, window_ms)
-            };
-            return Err(window.promise(wait_ms, now_ms, window_ms));
+            return Err(window.refuse(ShortageCause::Requests, missing, now_ms, window_ms));
         }
         if stage == ProgramStage::Begins {
             let missing = 1.0 - window.programs.home;
             if missing > 0.0 {
-                let wait_ms = |window: &WorkspaceWindow, before| {
-                    let programs = missing + before;
-                    window.begun.time_to_free(programs, now_ms, window_ms)
-                };
-                return Err(window.promise(wait_ms, now_ms, window_ms));
+                return Err(window.refuse(ShortageCause::Programs, missing, now_ms, window_ms));
             }
             window.programs.home -= 1.0;
         }
@@ -429,15 +480,10 @@
     #[must_use]
     pub fn snapshot(&self) -> Vec<QuotaReport> {
         let known = self.windows.iter().filter(|(_, window)| !window.is_assumed);
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "counts are small and not negative"
-        )]
         let reports = known.map(|(workspace, window)| QuotaReport {
             workspace: *workspace,
-            admitted: window.used.total.max(0.0).ceil() as u64,
-            begun: window.begun.total.max(0.0).ceil() as u64,
+            admitted: whole(window.used.total),
+            begun: whole(window.begun.total),
         });
         reports.collect()
     }
@@ -555,6 +601,16 @@
     }
 }
 
+/// Rounds a count up.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "counts are small and not negative"
+)]
+fn whole(count: f64) -> u64 {
+    count.max(0.0).ceil() as u64
+}
+
 fn signed(time_ms: u64) -> i64 {
     i64::try_from(time_ms).unwrap_or(i64::MAX)
 }
--- a/crates/relay/src/gateway/admit.rs
+++ b/crates/relay/src/gateway/admit.rs
@@ -9,14 +9,15 @@
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use ibisdale_telemetry::record_event;
 use smol::Timer;
 
 use super::ask::ask;
 use super::body::AnswerBody;
 use super::call::{CallerCall, bearer_key, decode_call, field};
 use super::message::PeerMessage;
-use super::state::Gateway;
-use crate::decide::{ProgramStage, stable_hash};
+use super::state::{Gateway, text};
+use crate::decide::{ProgramStage, RateShortage, stable_hash};
 
 /// Pause after which a request is worth sending again when this VM can't serve
 /// it at the moment, in milliseconds; another VM may serve it at once.
@@ -186,7 +187,11 @@
         let members = gateway.state.members.borrow();
         members.homes(own, workspace, now_ms)
     };
-    let wait_ms = match homes.into_iter().next().flatten() {
+    let home = homes.into_iter().next().flatten();
+    let home_name = home
+        .as_ref()
+        .map_or_else(String::new, |home| text(&home.name));
+    let shortage = match home {
         None => {
             let mut quota = gateway.state.quota.borrow_mut();
             quota.admit_as_home(workspace, stage, now_ms).err()
@@ -198,17 +203,27 @@
                 stage,
             };
             match ask(gateway, home.peer_address(), question).await {
-                Some(PeerMessage::Admitted { wait_ms, .. }) => wait_ms,
-                _ => Some(HOME_RETRY_MS),
+                Some(PeerMessage::Admitted { shortage, .. }) => shortage,
+                _ => Some(RateShortage::silent_home(HOME_RETRY_MS)),
             }
         }
     };
-    match wait_ms {
-        None => Ok(()),
-        Some(wait_ms) => Err(GatewayRefusal {
-            status: StatusCode::TOO_MANY_REQUESTS,
-            reason: "the workspace is over its rate",
-            retry_after_ms: Some(wait_ms),
-        }),
-    }
+    let Some(shortage) = shortage else {
+        return Ok(());
+    };
+    record_event!(
+        RateRefused,
+        request = call.id,
+        home = home_name,
+        stage = format!("{stage:?}"),
+        cause = format!("{:?}", shortage.cause),
+        used = shortage.used,
+        limit = shortage.limit,
+        after_ms = shortage.after_ms,
+    );
+    Err(GatewayRefusal {
+        status: StatusCode::TOO_MANY_REQUESTS,
+        reason: "the workspace is over its rate",
+        retry_after_ms: Some(shortage.after_ms),
+    })
 }
--- a/crates/relay/src/gateway/budget.rs
+++ b/crates/relay/src/gateway/budget.rs
@@ -18,6 +18,9 @@
 const HOMES_MAX: usize = 2;
 /// Accounts handed over in one message; keeps it below the size of a packet.
 const HANDOVER_ACCOUNTS: usize = 12;
+/// VMs next in rank that may have been a program's home since all counts were lost;
+/// callers ask the first [`HOMES_MAX`], and VMs may differ by one on who lives.
+const HOMES_SINCE_LOSS: usize = HOMES_MAX + 1;
 /// VMs next in rank that are asked for what they know of a program.
 const EARLIER_HOMES: usize = 2;
 /// Ceilings that one call stores or waits for before it is refused.
@@ -197,7 +200,12 @@
 /// Learns what the other VMs know of a program before counting it.
 async fn take_over(gateway: &Gateway, program: ProgramKey, budget: u64) {
     let is_lost = gateway.is_count_lost();
-    let peers = if is_lost || gateway.has_lost_home(program) {
+    let peers = if is_lost {
+        // What was spent before the loss is bounded without the peers' counts.
+        let members = gateway.state.members.borrow();
+        let own = gateway.state.options.facts.key();
+        members.heard_homes(own, program, gateway.now_ms(), HOMES_SINCE_LOSS)
+    } else if gateway.has_lost_home(program) {
         let members = gateway.state.members.borrow();
         members.live(gateway.now_ms()).cloned().collect()
     } else {
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decide::{
-    BudgetShare, BudgetVerdict, MemberFacts, ProgramKey, ProgramStage, QuotaReport, VmKey,
-    WorkspaceKey,
+    BudgetShare, BudgetVerdict, MemberFacts, ProgramKey, ProgramStage, QuotaReport, RateShortage,
+    VmKey, WorkspaceKey,
 };
 
 /// A message between daemons.
@@ -73,8 +73,11 @@
         workspace: WorkspaceKey,
         stage: ProgramStage,
     },
-    /// The home's answer: the time after which to come again, if it refuses.
-    Admitted { ask: u64, wait_ms: Option<u64> },
+    /// The home's answer: why, if it refuses.
+    Admitted {
+        ask: u64,
+        shortage: Option<RateShortage>,
+    },
 }
 
 impl PeerMessage {
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -6,6 +6,7 @@
 use ibisdale_telemetry::record_event;
 use smol::Timer;
 
+use super::budget::decide_as_home;
 use super::call::millis;
 use super::message::PeerMessage;
 use super::plan_link::{self, LinkSubject};
@@ -261,19 +262,7 @@
             known,
         } => {
             merge_known(gateway, program, &share, &known);
-            let gateway_clone = gateway.clone();
-            gateway.spawn(async move {
-                let gateway = gateway_clone;
-                let verdict =
-                    super::budget::decide_as_home(&gateway, program, budget, tokens, share).await;
-                let shares = gateway.state.budgets.borrow().shares(program);
-                let message = PeerMessage::Reserved {
-                    ask,
-                    verdict,
-                    shares,
-                };
-                send(&gateway, &message, sender).await;
-            });
+            answer_reserve(gateway, ask, (program, budget, tokens), share, sender);
         }
         PeerMessage::Admit {
             ask,
@@ -282,9 +271,9 @@
         } => {
             let now_ms = gateway.now_ms();
             let mut quota = gateway.state.quota.borrow_mut();
-            let wait_ms = quota.admit_as_home(workspace, stage, now_ms).err();
+            let shortage = quota.admit_as_home(workspace, stage, now_ms).err();
             drop(quota);
-            reply(gateway, PeerMessage::Admitted { ask, wait_ms }, sender);
+            reply(gateway, PeerMessage::Admitted { ask, shortage }, sender);
         }
         PeerMessage::Reserved { .. }
         | PeerMessage::Settled { .. }
@@ -293,6 +282,26 @@
     }
 }
 
+fn answer_reserve(
+    gateway: &Gateway,
+    ask: u64,
+    (program, budget, tokens): (ProgramKey, u64, u64),
+    share: BudgetShare,
+    sender: SocketAddrV4,
+) {
+    let home = gateway.clone();
+    gateway.spawn(async move {
+        let verdict = decide_as_home(&home, program, budget, tokens, share).await;
+        let shares = home.state.budgets.borrow().shares(program);
+        let message = PeerMessage::Reserved {
+            ask,
+            verdict,
+            shares,
+        };
+        send(&home, &message, sender).await;
+    });
+}
+
 /// Takes what an asker knows of the other VMs' shares.
 ///
 /// Its own share counts only once it is granted.
--- a/crates/relay/tests/quota.rs
+++ b/crates/relay/tests/quota.rs
@@ -161,7 +161,8 @@
         let home = home.unwrap();
         let now_ms = self.own_ms(home);
         let ledger = &mut self.vms[home].ledger;
-        ledger.admit_as_home(WORKSPACE, stage, now_ms)
+        let admitted = ledger.admit_as_home(WORKSPACE, stage, now_ms);
+        admitted.map_err(|shortage| shortage.after_ms)
     }
 
     /// Draws the VM that a caller has chosen.
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -253,6 +253,9 @@
         ["program", "shares", "uncertain"], "The VM counts the budget of a program that another VM may have counted.";
     CeilingStored = 2206, Info, "ceiling_stored",
         ["program", "ceiling", "stored"], "A ceiling for a program's tokens was to be stored.";
+    RateRefused = 2207, Info, "rate_refused",
+        ["request", "home", "stage", "cause", "used", "limit", "after_ms"],
+        "A workspace's rate does not hold a further request or program.";
 }
 
 impl LogEvent {
