Write the ceilings of all homes at one VM, together

Ruled out: a larger free part after a loss, kept by a mark in the store (a second loss would take two thirds as spent and end programs that need 45%). Change: homes hand their ceilings to one VM, which gathers them for 15 ms and writes up to 16 in one transaction; a home writes itself when that VM does not answer or can't.

--- a/crates/relay/src/gateway/budget.rs
+++ b/crates/relay/src/gateway/budget.rs
@@ -5,10 +5,10 @@
 use std::net::SocketAddrV4;
 
 use ibisdale_telemetry::record_event;
-use smol::channel::bounded;
 
 use super::ask::ask;
 use super::call::BudgetNeed;
+use super::ceilings::store_ceiling;
 use super::message::PeerMessage;
 use super::peers;
 use super::state::Gateway;
@@ -177,26 +177,6 @@
     None
 }
 
-/// Stores a ceiling; other calls of the program wait for it meanwhile.
-async fn store_ceiling(gateway: &Gateway, program: ProgramKey, ceiling: u64) -> bool {
-    let (ended, pending) = bounded(1);
-    let writes = &gateway.state.ceiling_writes;
-    writes.borrow_mut().insert(program, pending);
-    let stored = (gateway.state.options.store.save_ceiling)(program, ceiling).await;
-    record_event!(
-        CeilingStored,
-        program = format!("{program:x}"),
-        ceiling = ceiling,
-        stored = stored
-    );
-    if stored {
-        gateway.record_ceiling(program, ceiling);
-    }
-    writes.borrow_mut().remove(&program);
-    drop(ended);
-    stored
-}
-
 /// Learns what the other VMs know of a program before counting it.
 async fn take_over(gateway: &Gateway, program: ProgramKey, budget: u64) {
     let is_lost = gateway.is_count_lost();
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -67,6 +67,14 @@
     Gather { ask: u64, program: ProgramKey },
     /// All shares that a VM knows.
     Gathered { ask: u64, shares: Vec<BudgetShare> },
+    /// Asks the VM that writes for all to store a ceiling.
+    Store {
+        ask: u64,
+        program: ProgramKey,
+        ceiling: u64,
+    },
+    /// Tells whether a ceiling is stored.
+    Stored { ask: u64, stored: bool },
     /// Asks a workspace's home for one request of its rate.
     Admit {
         ask: u64,
@@ -87,6 +95,7 @@
             Self::Reserved { ask, .. }
             | Self::Settled { ask }
             | Self::Gathered { ask, .. }
+            | Self::Stored { ask, .. }
             | Self::Admitted { ask, .. } => Some(*ask),
             _ => None,
         }
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -8,10 +8,13 @@
 
 use super::budget::decide_as_home;
 use super::call::millis;
+use super::ceilings::gather;
 use super::message::PeerMessage;
 use super::plan_link::{self, LinkSubject};
 use super::state::{Gateway, text};
-use crate::decide::{BudgetShare, MemberFacts, ProgramKey, QuotaReport};
+use crate::decide::{
+    BudgetShare, MemberFacts, ProgramKey, ProgramStage, QuotaReport, WorkspaceKey,
+};
 
 /// Time between rounds in a small fleet.
 const ROUND: Duration = Duration::from_millis(250);
@@ -268,20 +271,48 @@
             ask,
             workspace,
             stage,
-        } => {
-            let now_ms = gateway.now_ms();
-            let mut quota = gateway.state.quota.borrow_mut();
-            let shortage = quota.admit_as_home(workspace, stage, now_ms).err();
-            drop(quota);
-            reply(gateway, PeerMessage::Admitted { ask, shortage }, sender);
-        }
+        } => answer_admit(gateway, ask, workspace, stage, sender),
+        PeerMessage::Store {
+            ask,
+            program,
+            ceiling,
+        } => answer_store(gateway, ask, program, ceiling, sender),
         PeerMessage::Reserved { .. }
         | PeerMessage::Settled { .. }
+        | PeerMessage::Stored { .. }
         | PeerMessage::Gathered { .. }
         | PeerMessage::Admitted { .. } => {}
     }
 }
 
+fn answer_store(
+    gateway: &Gateway,
+    ask: u64,
+    program: ProgramKey,
+    ceiling: u64,
+    sender: SocketAddrV4,
+) {
+    let writer = gateway.clone();
+    gateway.spawn(async move {
+        let stored = gather(&writer, program, ceiling).await;
+        send(&writer, &PeerMessage::Stored { ask, stored }, sender).await;
+    });
+}
+
+fn answer_admit(
+    gateway: &Gateway,
+    ask: u64,
+    workspace: WorkspaceKey,
+    stage: ProgramStage,
+    sender: SocketAddrV4,
+) {
+    let now_ms = gateway.now_ms();
+    let mut quota = gateway.state.quota.borrow_mut();
+    let shortage = quota.admit_as_home(workspace, stage, now_ms).err();
+    drop(quota);
+    reply(gateway, PeerMessage::Admitted { ask, shortage }, sender);
+}
+
 fn answer_reserve(
     gateway: &Gateway,
     ask: u64,
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -14,6 +14,7 @@
 use smol::{Async, LocalExecutor};
 
 use super::call::millis;
+use super::ceilings::CeilingBatch;
 use super::dialect::HeaderDialect;
 use super::directory::DirectoryRule;
 use super::message::PeerMessage;
@@ -30,13 +31,18 @@
 /// milliseconds; covers calls on their way.
 const REMEMBER_SLACK_MS: u64 = 5_000;
 
-/// Result of a write to the durable store: whether it is certainly stored.
-pub type StoreFuture = Pin<Box<dyn Future<Output = bool>>>;
+/// Result of a write to the durable store: which ceilings are certainly stored.
+pub type StoreFuture = Pin<Box<dyn Future<Output = Vec<bool>>>>;
+
+/// Writes ceilings for the tokens of programs.
+pub type StoreCeilings = Box<dyn Fn(Vec<(ProgramKey, u64)>) -> StoreFuture>;
 
 /// What must outlive all VMs.
 pub struct DurableStore {
-    /// Stores a ceiling for the tokens of a program.
-    pub save_ceiling: Box<dyn Fn(ProgramKey, u64) -> StoreFuture>,
+    /// Stores ceilings in one write.
+    pub save_ceilings: StoreCeilings,
+    /// Ceilings that one write holds.
+    pub ceilings_max: usize,
 }
 
 impl fmt::Debug for DurableStore {
@@ -87,6 +93,7 @@
     pub(crate) budgets: RefCell<BudgetBook>,
     /// Ceilings that are being stored; closed when the write has ended.
     pub(crate) ceiling_writes: RefCell<HashMap<ProgramKey, Receiver<()>>>,
+    pub(crate) ceiling_batch: RefCell<CeilingBatch>,
     pub(crate) pool: ConnectionPool,
     pub(crate) asks: RefCell<HashMap<u64, Sender<PeerMessage>>>,
     pub(crate) next_ask: Cell<u64>,
@@ -148,6 +155,7 @@
             quota: RefCell::new(quota),
             budgets: RefCell::new(book),
             ceiling_writes: RefCell::default(),
+            ceiling_batch: RefCell::default(),
             pool: ConnectionPool::default(),
             asks: RefCell::default(),
             next_ask: Cell::new(0),
--- a/crates/relay/tests/gateway/fleet.rs
+++ b/crates/relay/tests/gateway/fleet.rs
@@ -73,3 +73,20 @@
         assert!(answer.starts_with("HTTP/1.1 402"), "{answer}");
     }
 }
+
+/// Each home once wrote the ceilings of its programs itself.
+#[test]
+fn one_vm_writes_the_ceilings_of_all_homes() {
+    let replica = replica();
+    let (first, second) = pair(&replica);
+    let more = |program: &str| format!("t-program: {program}\r\nt-budget: 20\r\nt-usage: 5,9\r\n");
+    for program in ["p1", "p2", "p3", "p4", "p5", "p6"] {
+        for _ in 0..5 {
+            let answer = first.call(&turn(&more(program)));
+            assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        }
+    }
+    let writes = [first.ceilings(), second.ceilings()];
+    let used = writes.iter().filter(|ceilings| !ceilings.is_empty());
+    assert_eq!(used.count(), 1, "{writes:?}");
+}
