Place turns by what all VMs have sent to an engine

Cause: the rule that leaves a busy engine counted this VM's own requests and the load told with an answer of at most 1.5 s ago. Ruled out: too few slots (470 of 1152 in use), the plain services (unchanged times). Change: VMs tell their requests at each replica in their rounds; an engine is left with a chance that grows with its excess. Test: turns_of_many_vms_seldom_wait_at_an_engine (147 of 1000 turns before, 88 after).

--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -21,5 +21,5 @@
     WorkspaceKey,
 };
 pub use readers::{is_reader, reader_rank};
-pub use replicas::{CallOutcome, ReplicaFact, ReplicaKey, ReplicaLoad, ReplicaTable};
+pub use replicas::{CallOutcome, FlightCount, ReplicaFact, ReplicaKey, ReplicaLoad, ReplicaTable};
 pub use retry::{AttemptEnd, NextStep, RetryRule, next_step};
--- a/crates/relay/src/decide/placing.rs
+++ b/crates/relay/src/decide/placing.rs
@@ -2,7 +2,8 @@
 //!
 //! Model engines keep the prompts that they have read, so the calls of a program
 //! go to the replica that rendezvous hashing gives its identifier, unless that
-//! replica has clearly more to do than the others. Plain services get the less
+//! replica has clearly more to do than the others, by what all VMs have sent: in a
+//! large fleet a VM rarely gets an answer of a replica. Plain services get the less
 //! loaded of two replicas drawn at random, which keeps queues short although
 //! each VM knows the load of the others' requests only from the last answers.
 
@@ -12,6 +13,8 @@
 /// Requests above the mean that a replica may have before work moves on, as a
 /// share of its slots.
 const SPILL_SHARE: f64 = 0.15;
+/// Part of its slots up to which a replica is never left.
+const FULL_SHARE: f64 = 0.75;
 /// Requests above the mean that are always allowed.
 const SPILL_MIN: f64 = 2.0;
 
@@ -50,7 +53,7 @@
         .collect();
     let candidates = if rested.is_empty() { usable } else { rested };
     match request.affinity {
-        Some(affinity) => choose_by_affinity(&candidates, affinity, now_ms),
+        Some(affinity) => choose_by_affinity(&candidates, affinity, request.draw, now_ms),
         None => choose_of_two(&candidates, request, now_ms),
     }
 }
@@ -58,22 +61,36 @@
 fn choose_by_affinity(
     candidates: &[(ReplicaKey, &ReplicaState)],
     affinity: u64,
+    draw: u64,
     now_ms: u64,
 ) -> Option<ReplicaKey> {
     let count = candidates.len();
     let total: u32 = candidates
         .iter()
-        .map(|(_, state)| state.estimate(now_ms))
+        .map(|(_, state)| state.fleet_flights(now_ms))
         .sum();
     #[expect(clippy::cast_precision_loss, reason = "a few thousand replicas")]
     let mean = f64::from(total) / count.max(1) as f64;
     let mut ranked: Vec<_> = candidates.to_vec();
     ranked.sort_by_key(|(_, state)| std::cmp::Reverse(rendezvous_rank(affinity, state.hash)));
-    let has_room = |state: &ReplicaState| {
+    // The news of the other VMs' requests are some hundred ms old: where all VMs left
+    // a full replica at once, it would be empty and the next one full.
+    let has_room = |state: &ReplicaState, draw: u64| {
         let spill = (f64::from(state.slots()) * SPILL_SHARE).max(SPILL_MIN);
-        f64::from(state.estimate(now_ms)) <= mean + spill
+        if f64::from(state.estimate(now_ms)) > mean + spill {
+            return false;
+        }
+        let most = (mean + spill).max(f64::from(state.slots()) * FULL_SHARE);
+        let load = f64::from(state.fleet_flights(now_ms));
+        #[expect(clippy::cast_precision_loss, reason = "of 16 bits")]
+        let chance = (draw & 0xFFFF) as f64 / 65_536.0;
+        load * chance <= most
     };
-    let roomy = ranked.iter().find(|(_, state)| has_room(state));
+    let roomy = ranked.iter().enumerate().find(|(place, (_, state))| {
+        let draw = rendezvous_rank(draw, *place as u64);
+        has_room(state, draw)
+    });
+    let roomy = roomy.map(|(_, found)| found);
     roomy.or(ranked.first()).map(|(key, _)| *key)
 }
 
--- a/crates/relay/src/decide/replicas.rs
+++ b/crates/relay/src/decide/replicas.rs
@@ -8,6 +8,7 @@
 use slotmap::SlotMap;
 
 use super::hash::stable_hash;
+use super::members::VmKey;
 
 slotmap::new_key_type! {
     /// Key of a replica.
@@ -23,6 +24,9 @@
 const SUSPENSION_FAILURES: u32 = 2;
 /// Age at which a load report no longer says anything, in milliseconds.
 const LOAD_MAX_AGE_MS: u64 = 1_500;
+/// Age at which a VM's requests at the replicas no longer count, in milliseconds;
+/// a few rounds between VMs.
+const FLIGHTS_MAX_AGE_MS: u64 = 1_500;
 
 /// What a replica says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -55,6 +59,23 @@
     pub slots: u32,
 }
 
+/// Requests of one VM at a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct FlightCount {
+    /// Short hash of the replica's identifier.
+    pub replica: u32,
+    /// Requests sent and not ended.
+    pub requests: u32,
+}
+
+/// What another VM has last told of its requests.
+#[derive(Clone, Debug, Default)]
+struct PeerFlights {
+    counts: Vec<FlightCount>,
+    heard_ms: u64,
+}
+
 /// How a call to a replica ended, as far as it tells of the replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallOutcome {
@@ -73,6 +94,8 @@
     pub(crate) fact: ReplicaFact,
     pub(crate) hash: u64,
     pub(crate) in_flight: u32,
+    /// Requests of the other VMs, as they last told.
+    peer_flights: u32,
     pub(crate) prompt_tokens: u64,
     failures: u32,
     suspended_until_ms: u64,
@@ -85,6 +108,7 @@
             hash: stable_hash(&fact.id),
             fact,
             in_flight: 0,
+            peer_flights: 0,
             prompt_tokens: 0,
             failures: 0,
             suspended_until_ms: 0,
@@ -108,6 +132,12 @@
         others + self.in_flight
     }
 
+    /// Returns the requests that all VMs have at the replica, as far as they told.
+    pub(crate) fn fleet_flights(&self, now_ms: u64) -> u32 {
+        self.estimate(now_ms)
+            .max(self.in_flight + self.peer_flights)
+    }
+
     pub(crate) fn slots(&self) -> u32 {
         let told = self.load.map_or(0, |(load, ..)| load.slots);
         self.fact.slots.max(told).max(1)
@@ -119,6 +149,8 @@
 pub struct ReplicaTable {
     replicas: SlotMap<ReplicaKey, ReplicaState>,
     by_service: HashMap<Bytes, Vec<ReplicaKey>>,
+    by_hash: HashMap<u32, ReplicaKey>,
+    peers: HashMap<VmKey, PeerFlights>,
 }
 
 impl ReplicaTable {
@@ -150,7 +182,9 @@
             }
         }
         self.by_service.clear();
+        self.by_hash.clear();
         for (key, state) in &self.replicas {
+            self.by_hash.insert(short(state.hash), key);
             let keys = self.by_service.entry(state.fact.service.clone());
             keys.or_default().push(key);
         }
@@ -228,6 +262,61 @@
         }
     }
 
+    /// Returns this VM's requests at the replicas.
+    #[must_use]
+    pub fn flights(&self) -> Vec<FlightCount> {
+        let states = self.replicas.values();
+        let busy = states.filter(|state| state.in_flight > 0);
+        busy.map(|state| FlightCount {
+            replica: short(state.hash),
+            requests: state.in_flight,
+        })
+        .collect()
+    }
+
+    /// Takes what another VM tells of its requests at the replicas.
+    pub fn record_flights(&mut self, peer: VmKey, counts: Vec<FlightCount>, now_ms: u64) {
+        let news = PeerFlights {
+            counts,
+            heard_ms: now_ms,
+        };
+        let known = self.peers.insert(peer, news.clone());
+        self.count_flights(&news, true);
+        if let Some(known) = known {
+            self.count_flights(&known, false);
+        }
+    }
+
+    /// Forgets the requests of VMs that have fallen silent.
+    pub fn expire_flights(&mut self, now_ms: u64) {
+        let is_old = |peer: &PeerFlights| now_ms.saturating_sub(peer.heard_ms) > FLIGHTS_MAX_AGE_MS;
+        let old: Vec<VmKey> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| is_old(peer))
+            .map(|(vm, _)| *vm)
+            .collect();
+        for vm in old {
+            if let Some(peer) = self.peers.remove(&vm) {
+                self.count_flights(&peer, false);
+            }
+        }
+    }
+
+    fn count_flights(&mut self, peer: &PeerFlights, is_added: bool) {
+        for count in &peer.counts {
+            let key = self.by_hash.get(&count.replica);
+            let Some(state) = key.and_then(|key| self.replicas.get_mut(*key)) else {
+                continue;
+            };
+            state.peer_flights = if is_added {
+                state.peer_flights + count.requests
+            } else {
+                state.peer_flights.saturating_sub(count.requests)
+            };
+        }
+    }
+
     /// Takes the load that a replica told.
     pub fn record_load(&mut self, key: ReplicaKey, load: ReplicaLoad, now_ms: u64) {
         if let Some(state) = self.replicas.get_mut(key) {
@@ -237,6 +326,12 @@
     }
 }
 
+/// Shortens a hash for messages; replicas that share one only blur their load.
+#[expect(clippy::cast_possible_truncation, reason = "the lower half is meant")]
+fn short(hash: u64) -> u32 {
+    hash as u32
+}
+
 /// What a new list of replicas changed.
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaChanges {
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decide::{
-    BudgetShare, BudgetVerdict, MemberFacts, ProgramKey, ProgramStage, QuotaReport, RateShortage,
-    VmKey, WorkspaceKey,
+    BudgetShare, BudgetVerdict, FlightCount, MemberFacts, ProgramKey, ProgramStage, QuotaReport,
+    RateShortage, VmKey, WorkspaceKey,
 };
 
 /// A message between daemons.
@@ -23,6 +23,8 @@
         /// Time since the key-value service last answered, in milliseconds.
         feed_age_ms: Option<u64>,
         quota: Vec<QuotaReport>,
+        /// Requests that the VM has at the replicas.
+        flights: Vec<FlightCount>,
         /// When the VMs last lost what they had counted, in milliseconds since
         /// the Unix epoch; 0 for never, absent where it is not known yet.
         counted_since: Option<u64>,
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -85,6 +85,7 @@
         quota.set_sharers(sharers, u32::try_from(silent).unwrap_or(u32::MAX));
         quota.start_round(now_ms);
     }
+    gateway.state.replicas.borrow_mut().expire_flights(now_ms);
     note_silent(gateway, now_ms);
     gateway.settle_counted_since();
     let peers = peer_addresses(gateway);
@@ -154,6 +155,7 @@
             .quota
             .borrow()
             .reports(now_ms.saturating_sub(REPORT_AGE_MS)),
+        flights: gateway.state.replicas.borrow().flights(),
         counted_since: gateway.state.counted_since.get(),
     };
     let Some(data) = encode(&message) else {
@@ -205,9 +207,14 @@
             replicas_version,
             feed_age_ms,
             quota,
+            flights,
             counted_since,
         } => {
             note_feed(gateway, feed_age_ms);
+            let now_ms = gateway.now_ms();
+            let mut replicas = gateway.state.replicas.borrow_mut();
+            replicas.record_flights(facts.key(), flights, now_ms);
+            drop(replicas);
             gateway.hear_counted_since(counted_since);
             let versions = (plan_version, replicas_version);
             hear_state(gateway, facts, versions, &quota, sender);
--- a/crates/relay/tests/placing.rs
+++ b/crates/relay/tests/placing.rs
@@ -1,5 +1,7 @@
 //! Choice of replicas under the loads that it answers.
 
+use std::collections::HashMap;
+
 use bytes::Bytes;
 use ibisdale_relay::decide::{
     CallOutcome, PlacingRequest, ReplicaFact, ReplicaKey, ReplicaLoad, ReplicaTable, choose_replica,
@@ -143,3 +145,100 @@
     assert_eq!(changes.removed.len(), 1);
     assert!(table.get_fact(old).is_none());
 }
+
+/// Turns of programs over many VMs, played in steps of simulated time.
+struct TurnLoad {
+    vms: Vec<ReplicaTable>,
+    /// Requests at each replica.
+    at_replica: HashMap<Bytes, u32>,
+    /// Ends of running turns with their VM and replica.
+    running: Vec<(u64, usize, ReplicaKey)>,
+    turns: u32,
+    waiting: u32,
+}
+
+const VMS: u64 = 59;
+const REPLICAS: u16 = 72;
+const PROGRAMS: u64 = 950;
+const TURN_MS: u64 = 400;
+const STEP_MS: u64 = 10;
+const ROUND_MS: u64 = 250;
+
+impl TurnLoad {
+    /// Plays programs whose turns follow each other, each at another VM.
+    fn play(tells: bool) -> Self {
+        let mut load = Self {
+            vms: (0..VMS).map(|_| table(REPLICAS)).collect(),
+            at_replica: HashMap::new(),
+            running: Vec::new(),
+            turns: 0,
+            waiting: 0,
+        };
+        let mut next_ms: Vec<u64> = (0..PROGRAMS).map(|program| program % TURN_MS).collect();
+        for now_ms in (0..4_000).step_by(10) {
+            load.end_turns(now_ms);
+            if tells && now_ms % ROUND_MS < STEP_MS {
+                load.tell(now_ms);
+            }
+            for program in 0..PROGRAMS {
+                let due_ms = &mut next_ms[usize::try_from(program).unwrap()];
+                if *due_ms <= now_ms {
+                    *due_ms = now_ms + TURN_MS + 20;
+                    load.begin_turn(program, now_ms);
+                }
+            }
+        }
+        load
+    }
+
+    fn begin_turn(&mut self, program: u64, now_ms: u64) {
+        let draw = program.wrapping_mul(31).wrapping_add(now_ms / STEP_MS);
+        let draw = draw.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        let vm = usize::try_from((draw >> 32) % VMS).unwrap();
+        let table = &mut self.vms[vm];
+        let key = choose_replica(table, &request(Some(program), draw), now_ms).unwrap();
+        table.begin(key, 0);
+        let id = table.get_fact(key).unwrap().id.clone();
+        let count = self.at_replica.entry(id).or_default();
+        *count += 1;
+        self.turns += 1;
+        self.waiting += u32::from(*count > SLOTS);
+        self.running.push((now_ms + TURN_MS, vm, key));
+    }
+
+    fn end_turns(&mut self, now_ms: u64) {
+        let (ended, running) = std::mem::take(&mut self.running)
+            .into_iter()
+            .partition(|(end_ms, ..)| *end_ms <= now_ms);
+        self.running = running;
+        for (_, vm, key) in ended {
+            let id = self.vms[vm].get_fact(key).unwrap().id.clone();
+            *self.at_replica.get_mut(&id).unwrap() -= 1;
+            self.vms[vm].finish(key, CallOutcome::Answered, now_ms);
+        }
+    }
+
+    fn tell(&mut self, now_ms: u64) {
+        let told: Vec<_> = self.vms.iter().map(ReplicaTable::flights).collect();
+        for (vm, table) in self.vms.iter_mut().enumerate() {
+            for (other, counts) in told.iter().enumerate().filter(|(other, _)| *other != vm) {
+                table.record_flights(other as u64, counts.clone(), now_ms);
+            }
+        }
+    }
+}
+
+/// A VM of 59 rarely gets an answer of one of 72 engines, so that it did not see which
+/// were full.
+#[test]
+fn turns_of_many_vms_seldom_wait_at_an_engine() {
+    let alone = TurnLoad::play(false);
+    let told = TurnLoad::play(true);
+    let per_mille = |load: &TurnLoad| 1_000 * load.waiting / load.turns;
+    insta::assert_debug_snapshot!((per_mille(&alone), per_mille(&told)), @r"
+    (
+        147,
+        88,
+    )
+    ");
+}
