--- a/crates/relay/src/decide/placing.rs
+++ b/crates/relay/src/decide/placing.rs
@@ -13,8 +13,6 @@
 /// Requests above the mean that a replica may have before work moves on, as a
 /// share of its slots.
 const SPILL_SHARE: f64 = 0.15;
-/// Part of its slots up to which a replica is never left.
-const FULL_SHARE: f64 = 0.75;
 /// Requests above the mean that are always allowed.
 const SPILL_MIN: f64 = 2.0;
 
@@ -80,11 +78,10 @@
         if f64::from(state.estimate(now_ms)) > mean + spill {
             return false;
         }
-        let most = (mean + spill).max(f64::from(state.slots()) * FULL_SHARE);
         let load = f64::from(state.fleet_flights(now_ms));
         #[expect(clippy::cast_precision_loss, reason = "of 16 bits")]
         let chance = (draw & 0xFFFF) as f64 / 65_536.0;
-        load * chance <= most
+        load * chance <= mean + spill
     };
     let roomy = ranked.iter().enumerate().find(|(place, (_, state))| {
         let draw = rendezvous_rank(draw, *place as u64);
