Give gateway tests ports that no outgoing connection can take

Cause: broken_answer_is_no_success_and_no_second_run failed once. Ruled out: the gateway itself (no assertion failed). Change: ports below the range of outgoing connections, each used once in a process, free for TCP and UDP.

--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -3,6 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -24,6 +25,12 @@
 /// Time in which anything in these tests must happen.
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// First port that gateways listen on.
+const PORT_FIRST: u32 = 10_000;
+/// Ports that gateways listen on; they end below those of outgoing connections.
+const PORT_COUNT: u32 = 20_000;
+/// Ports after which the next process begins.
+const PORTS_PER_PROCESS: u32 = 128;
 /// Time that a write of a ceiling takes.
 const WRITE_TIME: Duration = Duration::from_millis(20);
 /// Time between two looks at the directory.
@@ -310,11 +317,20 @@
     }
 }
 
+/// Returns an address that is free for TCP and UDP.
+///
+/// Ports below those that the system gives to outgoing connections, each used once by
+/// this process, so that no other test can take one meanwhile.
 fn free_address() -> SocketAddrV4 {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    match listener.local_addr().unwrap() {
-        SocketAddr::V4(address) => address,
-        SocketAddr::V6(_) => unreachable!("bound to an IPv4 address"),
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
+    loop {
+        let offset = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = u16::try_from(PORT_FIRST + offset % PORT_COUNT).unwrap();
+        let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
     }
 }
 
