Read the body of a refused request before its connection is closed

The refusal was sent and the connection closed with the body unread, which resets it; a caller that is still sending loses the answer, and a closed connection promises nothing. The gateway did the same with every refusal that needs the head only (401, 404, 503). Ruled out: the limit itself (the answer was written), the caller's library (a plain socket sees the reset as well). Change: the rest of a refused body is read and dropped, up to 16 MiB (in the gateway also up to 1 s).

--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -127,8 +127,15 @@
     (BodySender { sender }, body.boxed())
 }
 
+/// Most that is read of a body beyond its limit, in bytes; four times the largest body
+/// that callers may send.
+const DISCARD_MAX_BYTES: usize = 16 * 1_024 * 1_024;
+
 /// Reads a whole body of at most `limit` bytes.
 ///
+/// A larger one is read on for a while and dropped: a connection that is
+/// closed with unread data is reset, and the answer that tells of the limit may be lost.
+///
 /// # Errors
 ///
 /// Fails with [`NetError::TooLarge`] beyond the limit and with the body's own
@@ -138,19 +145,24 @@
     B: Body<Data = Bytes>,
     NetError: From<B::Error>,
 {
-    if body.size_hint().lower() > limit as u64 {
-        return Err(NetError::TooLarge { limit });
-    }
+    let mut is_too_large = body.size_hint().lower() > limit as u64;
     let mut body = std::pin::pin!(body);
     let mut data = BytesMut::new();
+    let mut read = 0;
     while let Some(frame) = body.frame().await {
         let Ok(chunk) = frame?.into_data() else {
             continue;
         };
-        if data.len() + chunk.len() > limit {
-            return Err(NetError::TooLarge { limit });
+        read += chunk.len();
+        is_too_large |= read > limit;
+        if !is_too_large {
+            data.extend_from_slice(&chunk);
+        } else if read > limit + DISCARD_MAX_BYTES {
+            break;
         }
-        data.extend_from_slice(&chunk);
+    }
+    if is_too_large {
+        return Err(NetError::TooLarge { limit });
     }
     Ok(data.freeze())
 }
--- a/crates/relay/src/gateway/admit.rs
+++ b/crates/relay/src/gateway/admit.rs
@@ -25,6 +25,11 @@
 /// Pause after which a spent budget is not worth asking about again is not told;
 /// a home that can't be reached is, in milliseconds.
 pub(crate) const HOME_RETRY_MS: u64 = 150;
+/// Most that is read of the body of a refused request, in bytes; sixteen of the
+/// largest bodies that the deployments allow.
+const DISCARD_MAX_BYTES: usize = 16 * 1_024 * 1_024;
+/// Time for which the body of a refused request is read.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// Time in which a request's body must arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -136,7 +141,10 @@
 }
 
 /// Reads the body of a request.
-pub(crate) async fn read_body(gateway: &Gateway, body: Incoming) -> Result<Bytes, GatewayRefusal> {
+pub(crate) async fn read_body(
+    gateway: &Gateway,
+    body: &mut Incoming,
+) -> Result<Bytes, GatewayRefusal> {
     let plan = gateway.plan();
     let limit = plan.map_or(0, |plan| plan.get_limits().body_max_bytes);
     let read = async {
@@ -163,6 +171,26 @@
     read.or(expire).await
 }
 
+/// Reads and drops the body of a refused request.
+///
+/// A connection that is closed with unread data is reset, and its answer may be lost.
+pub(crate) async fn discard_body(mut body: Incoming) {
+    let read = async {
+        let mut left = DISCARD_MAX_BYTES;
+        while let Some(Ok(frame)) = body.frame().await {
+            let size = frame.data_ref().map_or(0, Bytes::len);
+            if size > left {
+                return;
+            }
+            left -= size;
+        }
+    };
+    let expire = async {
+        Timer::after(DISCARD_TIME).await;
+    };
+    read.or(expire).await;
+}
+
 /// Takes a request from its workspace's rate, at its home where this VM's part of
 /// the rate is used up.
 pub(crate) async fn admit_rate(
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -17,7 +17,9 @@
 use smol::{Async, Timer};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use super::admit::{GatewayRefusal, HOME_RETRY_MS, admit_head, admit_rate, read_body};
+use super::admit::{
+    GatewayRefusal, HOME_RETRY_MS, admit_head, admit_rate, discard_body, read_body,
+};
 use super::attempt::AttemptTrail;
 use super::body::{AbortedAnswer, AnswerBody};
 use super::budget::{BudgetAnswer, reserve};
@@ -191,10 +193,10 @@
 fn handle_request(gateway: Gateway, request: Request<Incoming>) -> AnswerFuture {
     Box::pin(async move {
         let started = Instant::now();
-        let (parts, body) = request.into_parts();
+        let (parts, mut body) = request.into_parts();
         let record = RequestRecord::begin(&gateway, started);
         let admitted = match admit_head(&gateway, &parts, started) {
-            Ok(mut call) => match read_body(&gateway, body).await {
+            Ok(mut call) => match read_body(&gateway, &mut body).await {
                 Ok(body) => {
                     call.body = body;
                     Ok(call)
@@ -206,6 +208,7 @@
         match admitted {
             Ok(call) => serve_call(&gateway, Rc::new(call), record).await,
             Err((refusal, call)) => {
+                discard_body(body).await;
                 let id = field(&parts.headers, &gateway.state.options.dialect.attempt);
                 let call = call.map(Rc::new);
                 record.refuse(id, call.as_deref(), refusal)
--- a/crates/relay/tests/gateway/answers.rs
+++ b/crates/relay/tests/gateway/answers.rs
@@ -326,3 +326,26 @@
     assert_eq!(statuses, ["200"; 4]);
     assert_eq!(bed.ceilings(), [[93]]);
 }
+
+/// A connection that is closed with unread data is reset, and the answer is lost.
+#[rstest]
+#[case::body_over_the_limit("/act/x", "Authorization: Bearer secret\r\n", "413")]
+#[case::unknown_key("/act/x", "Authorization: Bearer wrong\r\n", "401")]
+#[case::unknown_route("/none/x", "Authorization: Bearer secret\r\n", "404")]
+fn refusal_arrives_although_the_body_is_large(
+    #[case] path: &str,
+    #[case] more: &str,
+    #[case] expected: &str,
+) {
+    let replica = ScriptReplica::start(|_, _| (answer("a1", "hello"), true));
+    let bed = GatewayBed::start(&[&replica]);
+    let body = "x".repeat(4_000_000);
+    let length = body.len();
+    let text = format!(
+        "POST {path} HTTP/1.1\r\nHost: host.test\r\nt-attempt: a1\r\n{more}\
+         Connection: close\r\nContent-Length: {length}\r\n\r\n{body}"
+    );
+    for _ in 0..5 {
+        assert_eq!(status(&bed.call(&text)), expected);
+    }
+}
