--- a/crates/relay/src/gateway/admit.rs
+++ b/crates/relay/src/gateway/admit.rs
@@ -9,16 +9,27 @@
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use ibisdale_telemetry::record_event;
 use smol::Timer;
 
+use super::ask::ask;
 use super::body::AnswerBody;
 use super::call::{CallerCall, bearer_key, decode_call, field};
-use super::state::Gateway;
-use crate::decide::{ProgramStage, stable_hash};
+use super::message::PeerMessage;
+use super::state::{Gateway, text};
+use crate::decide::{ProgramStage, RateShortage, stable_hash};
 
 /// Pause after which a request is worth sending again when this VM can't serve
 /// it at the moment, in milliseconds; another VM may serve it at once.
 const RETRY_SOON_MS: u64 = 100;
+/// Pause after which a spent budget is not worth asking about again is not told;
+/// a home that can't be reached is, in milliseconds.
+pub(crate) const HOME_RETRY_MS: u64 = 150;
+/// Most that is read of the body of a refused request, in bytes; sixteen of the
+/// largest bodies that the deployments allow.
+const DISCARD_MAX_BYTES: usize = 16 * 1_024 * 1_024;
+/// Time for which the body of a refused request is read.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// Time in which a request's body must arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -130,7 +141,10 @@
 }
 
 /// Reads the body of a request.
-pub(crate) async fn read_body(gateway: &Gateway, body: Incoming) -> Result<Bytes, GatewayRefusal> {
+pub(crate) async fn read_body(
+    gateway: &Gateway,
+    body: &mut Incoming,
+) -> Result<Bytes, GatewayRefusal> {
     let plan = gateway.plan();
     let limit = plan.map_or(0, |plan| plan.get_limits().body_max_bytes);
     let read = async {
@@ -157,8 +171,29 @@
     read.or(expire).await
 }
 
-/// Takes a request from its workspace's rate.
-pub(crate) fn admit_rate(
+/// Reads and drops the body of a refused request.
+///
+/// A connection that is closed with unread data is reset, and its answer may be lost.
+pub(crate) async fn discard_body(mut body: Incoming) {
+    let read = async {
+        let mut left = DISCARD_MAX_BYTES;
+        while let Some(Ok(frame)) = body.frame().await {
+            let size = frame.data_ref().map_or(0, Bytes::len);
+            if size > left {
+                return;
+            }
+            left -= size;
+        }
+    };
+    let expire = async {
+        Timer::after(DISCARD_TIME).await;
+    };
+    read.or(expire).await;
+}
+
+/// Takes a request from its workspace's rate, at its home where this VM's part of
+/// the rate is used up.
+pub(crate) async fn admit_rate(
     gateway: &Gateway,
     call: &CallerCall,
     stage: ProgramStage,
@@ -166,11 +201,57 @@
     let Some(workspace) = &call.workspace else {
         return Ok(());
     };
-    let mut quota = gateway.state.quota.borrow_mut();
-    let admitted = quota.admit(stable_hash(workspace), stage, gateway.now_ms());
-    admitted.map_err(|after_ms| GatewayRefusal {
+    let workspace = stable_hash(workspace);
+    let now_ms = gateway.now_ms();
+    let is_admitted = {
+        let mut quota = gateway.state.quota.borrow_mut();
+        quota.admit(workspace, stage, now_ms)
+    };
+    if is_admitted {
+        return Ok(());
+    }
+    let own = gateway.state.options.facts.key();
+    let homes = {
+        let members = gateway.state.members.borrow();
+        members.homes(own, workspace, now_ms)
+    };
+    let home = homes.into_iter().next().flatten();
+    let home_name = home
+        .as_ref()
+        .map_or_else(String::new, |home| text(&home.name));
+    let shortage = match home {
+        None => {
+            let mut quota = gateway.state.quota.borrow_mut();
+            quota.admit_as_home(workspace, stage, now_ms).err()
+        }
+        Some(home) => {
+            let question = |ask| PeerMessage::Admit {
+                ask,
+                workspace,
+                stage,
+            };
+            match ask(gateway, home.peer_address(), question).await {
+                Some(PeerMessage::Admitted { shortage, .. }) => shortage,
+                _ => Some(RateShortage::silent_home(HOME_RETRY_MS)),
+            }
+        }
+    };
+    let Some(shortage) = shortage else {
+        return Ok(());
+    };
+    record_event!(
+        RateRefused,
+        request = call.id,
+        home = home_name,
+        stage = format!("{stage:?}"),
+        cause = format!("{:?}", shortage.cause),
+        used = shortage.used,
+        limit = shortage.limit,
+        after_ms = shortage.after_ms,
+    );
+    Err(GatewayRefusal {
         status: StatusCode::TOO_MANY_REQUESTS,
         reason: "the workspace is over its rate",
-        retry_after_ms: Some(after_ms),
+        retry_after_ms: Some(shortage.after_ms),
     })
 }
--- a/crates/relay/src/gateway/budget.rs
+++ b/crates/relay/src/gateway/budget.rs
@@ -8,6 +8,7 @@
 
 use super::ask::ask;
 use super::call::BudgetNeed;
+use super::ceilings::store_ceiling;
 use super::message::PeerMessage;
 use super::peers;
 use super::state::Gateway;
@@ -17,10 +18,13 @@
 const HOMES_MAX: usize = 2;
 /// Accounts handed over in one message; keeps it below the size of a packet.
 const HANDOVER_ACCOUNTS: usize = 12;
+/// VMs next in rank that may have been a program's home since all counts were lost;
+/// callers ask the first [`HOMES_MAX`], and VMs may differ by one on who lives.
+const HOMES_SINCE_LOSS: usize = HOMES_MAX + 1;
 /// VMs next in rank that are asked for what they know of a program.
 const EARLIER_HOMES: usize = 2;
-/// Times that storing a ceiling is tried for one call.
-const CEILING_TRIES: u32 = 2;
+/// Ceilings that one call stores or waits for before it is refused.
+const CEILING_TRIES: u32 = 3;
 
 /// What became of a request for tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -161,17 +165,14 @@
         let BudgetVerdict::NeedsCeiling { ceiling } = verdict else {
             return Some(verdict);
         };
-        let stored = (gateway.state.options.store.save_ceiling)(program, ceiling).await;
-        record_event!(
-            CeilingStored,
-            program = format!("{program:x}"),
-            ceiling = ceiling,
-            stored = stored
-        );
-        if !stored {
+        let pending = gateway.state.ceiling_writes.borrow().get(&program).cloned();
+        // A write whose caller has left is closed before its end.
+        if let Some(pending) = pending.filter(|pending| !pending.is_closed()) {
+            // Nothing is ever sent; the receiver wakes when the write has ended.
+            let _ = pending.recv().await;
+        } else if !store_ceiling(gateway, program, ceiling).await {
             return None;
         }
-        gateway.record_ceiling(program, ceiling);
     }
     None
 }
@@ -179,7 +180,12 @@
 /// Learns what the other VMs know of a program before counting it.
 async fn take_over(gateway: &Gateway, program: ProgramKey, budget: u64) {
     let is_lost = gateway.is_count_lost();
-    let peers = if is_lost || gateway.has_lost_home(program) {
+    let peers = if is_lost {
+        // What was spent before the loss is bounded without the peers' counts.
+        let members = gateway.state.members.borrow();
+        let own = gateway.state.options.facts.key();
+        members.heard_homes(own, program, gateway.now_ms(), HOMES_SINCE_LOSS)
+    } else if gateway.has_lost_home(program) {
         let members = gateway.state.members.borrow();
         members.live(gateway.now_ms()).cloned().collect()
     } else {
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -17,7 +17,9 @@
 use smol::{Async, Timer};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use super::admit::{GatewayRefusal, admit_head, admit_rate, read_body};
+use super::admit::{
+    GatewayRefusal, HOME_RETRY_MS, admit_head, admit_rate, discard_body, read_body,
+};
 use super::attempt::AttemptTrail;
 use super::body::{AbortedAnswer, AnswerBody};
 use super::budget::{BudgetAnswer, reserve};
@@ -36,9 +38,6 @@
 const HEAD_BUFFER_MIN_BYTES: usize = 8_192;
 /// Time between two sweeps of what has grown old.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
-/// Pause after which a spent budget is not worth asking about again is not told;
-/// a home that can't be reached is, in milliseconds.
-const HOME_RETRY_MS: u64 = 150;
 
 /// Where a gateway listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -194,10 +193,10 @@
 fn handle_request(gateway: Gateway, request: Request<Incoming>) -> AnswerFuture {
     Box::pin(async move {
         let started = Instant::now();
-        let (parts, body) = request.into_parts();
+        let (parts, mut body) = request.into_parts();
         let record = RequestRecord::begin(&gateway, started);
         let admitted = match admit_head(&gateway, &parts, started) {
-            Ok(mut call) => match read_body(&gateway, body).await {
+            Ok(mut call) => match read_body(&gateway, &mut body).await {
                 Ok(body) => {
                     call.body = body;
                     Ok(call)
@@ -209,6 +208,7 @@
         match admitted {
             Ok(call) => serve_call(&gateway, Rc::new(call), record).await,
             Err((refusal, call)) => {
+                discard_body(body).await;
                 let id = field(&parts.headers, &gateway.state.options.dialect.attempt);
                 let call = call.map(Rc::new);
                 record.refuse(id, call.as_deref(), refusal)
@@ -255,7 +255,7 @@
             }
         }
     }
-    if let Err(refusal) = admit_rate(gateway, &call, stage) {
+    if let Err(refusal) = admit_rate(gateway, &call, stage).await {
         return record.refuse(&call.id, Some(&call), refusal);
     }
     let mut trail = AttemptTrail::default();
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::decide::{BudgetShare, BudgetVerdict, MemberFacts, ProgramKey, QuotaReport, VmKey};
+use crate::decide::{
+    BudgetShare, BudgetVerdict, FlightCount, MemberFacts, ProgramKey, ProgramStage, QuotaReport,
+    RateShortage, VmKey, WorkspaceKey,
+};
 
 /// A message between daemons.
 #[derive(Clone, Debug)]
@@ -20,6 +23,8 @@
         /// Time since the key-value service last answered, in milliseconds.
         feed_age_ms: Option<u64>,
         quota: Vec<QuotaReport>,
+        /// Requests that the VM has at the replicas.
+        flights: Vec<FlightCount>,
         /// When the VMs last lost what they had counted, in milliseconds since
         /// the Unix epoch; 0 for never, absent where it is not known yet.
         counted_since: Option<u64>,
@@ -64,15 +69,36 @@
     Gather { ask: u64, program: ProgramKey },
     /// All shares that a VM knows.
     Gathered { ask: u64, shares: Vec<BudgetShare> },
+    /// Asks the VM that writes for all to store a ceiling.
+    Store {
+        ask: u64,
+        program: ProgramKey,
+        ceiling: u64,
+    },
+    /// Tells whether a ceiling is stored.
+    Stored { ask: u64, stored: bool },
+    /// Asks a workspace's home for one request of its rate.
+    Admit {
+        ask: u64,
+        workspace: WorkspaceKey,
+        stage: ProgramStage,
+    },
+    /// The home's answer: why, if it refuses.
+    Admitted {
+        ask: u64,
+        shortage: Option<RateShortage>,
+    },
 }
 
 impl PeerMessage {
     /// Returns the number of the question that this message answers.
     pub(crate) fn answered_ask(&self) -> Option<u64> {
         match self {
-            Self::Reserved { ask, .. } | Self::Settled { ask } | Self::Gathered { ask, .. } => {
-                Some(*ask)
-            }
+            Self::Reserved { ask, .. }
+            | Self::Settled { ask }
+            | Self::Gathered { ask, .. }
+            | Self::Stored { ask, .. }
+            | Self::Admitted { ask, .. } => Some(*ask),
             _ => None,
         }
     }
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -6,11 +6,15 @@
 use ibisdale_telemetry::record_event;
 use smol::Timer;
 
+use super::budget::decide_as_home;
 use super::call::millis;
+use super::ceilings::gather;
 use super::message::PeerMessage;
 use super::plan_link::{self, LinkSubject};
 use super::state::{Gateway, text};
-use crate::decide::{BudgetShare, MemberFacts, ProgramKey, QuotaReport};
+use crate::decide::{
+    BudgetShare, MemberFacts, ProgramKey, ProgramStage, QuotaReport, WorkspaceKey,
+};
 
 /// Time between rounds in a small fleet.
 const ROUND: Duration = Duration::from_millis(250);
@@ -81,6 +85,7 @@
         quota.set_sharers(sharers, u32::try_from(silent).unwrap_or(u32::MAX));
         quota.start_round(now_ms);
     }
+    gateway.state.replicas.borrow_mut().expire_flights(now_ms);
     note_silent(gateway, now_ms);
     gateway.settle_counted_since();
     let peers = peer_addresses(gateway);
@@ -150,6 +155,7 @@
             .quota
             .borrow()
             .reports(now_ms.saturating_sub(REPORT_AGE_MS)),
+        flights: gateway.state.replicas.borrow().flights(),
         counted_since: gateway.state.counted_since.get(),
     };
     let Some(data) = encode(&message) else {
@@ -201,9 +207,14 @@
             replicas_version,
             feed_age_ms,
             quota,
+            flights,
             counted_since,
         } => {
             note_feed(gateway, feed_age_ms);
+            let now_ms = gateway.now_ms();
+            let mut replicas = gateway.state.replicas.borrow_mut();
+            replicas.record_flights(facts.key(), flights, now_ms);
+            drop(replicas);
             gateway.hear_counted_since(counted_since);
             let versions = (plan_version, replicas_version);
             hear_state(gateway, facts, versions, &quota, sender);
@@ -261,26 +272,74 @@
             known,
         } => {
             merge_known(gateway, program, &share, &known);
-            let gateway_clone = gateway.clone();
-            gateway.spawn(async move {
-                let gateway = gateway_clone;
-                let verdict =
-                    super::budget::decide_as_home(&gateway, program, budget, tokens, share).await;
-                let shares = gateway.state.budgets.borrow().shares(program);
-                let message = PeerMessage::Reserved {
-                    ask,
-                    verdict,
-                    shares,
-                };
-                send(&gateway, &message, sender).await;
-            });
+            answer_reserve(gateway, ask, (program, budget, tokens), share, sender);
         }
+        PeerMessage::Admit {
+            ask,
+            workspace,
+            stage,
+        } => answer_admit(gateway, ask, workspace, stage, sender),
+        PeerMessage::Store {
+            ask,
+            program,
+            ceiling,
+        } => answer_store(gateway, ask, program, ceiling, sender),
         PeerMessage::Reserved { .. }
         | PeerMessage::Settled { .. }
-        | PeerMessage::Gathered { .. } => {}
+        | PeerMessage::Stored { .. }
+        | PeerMessage::Gathered { .. }
+        | PeerMessage::Admitted { .. } => {}
     }
 }
 
+fn answer_store(
+    gateway: &Gateway,
+    ask: u64,
+    program: ProgramKey,
+    ceiling: u64,
+    sender: SocketAddrV4,
+) {
+    let writer = gateway.clone();
+    gateway.spawn(async move {
+        let stored = gather(&writer, program, ceiling).await;
+        send(&writer, &PeerMessage::Stored { ask, stored }, sender).await;
+    });
+}
+
+fn answer_admit(
+    gateway: &Gateway,
+    ask: u64,
+    workspace: WorkspaceKey,
+    stage: ProgramStage,
+    sender: SocketAddrV4,
+) {
+    let now_ms = gateway.now_ms();
+    let mut quota = gateway.state.quota.borrow_mut();
+    let shortage = quota.admit_as_home(workspace, stage, now_ms).err();
+    drop(quota);
+    reply(gateway, PeerMessage::Admitted { ask, shortage }, sender);
+}
+
+fn answer_reserve(
+    gateway: &Gateway,
+    ask: u64,
+    (program, budget, tokens): (ProgramKey, u64, u64),
+    share: BudgetShare,
+    sender: SocketAddrV4,
+) {
+    let home = gateway.clone();
+    gateway.spawn(async move {
+        let verdict = decide_as_home(&home, program, budget, tokens, share).await;
+        let shares = home.state.budgets.borrow().shares(program);
+        let message = PeerMessage::Reserved {
+            ask,
+            verdict,
+            shares,
+        };
+        send(&home, &message, sender).await;
+    });
+}
+
 /// Takes what an asker knows of the other VMs' shares.
 ///
 /// Its own share counts only once it is granted.
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -3,6 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -19,11 +20,19 @@
     DeploymentPlan, RepeatRule, RouteRule, ServiceShare, ServiceSpec, TrafficLimits, WorkspaceGrant,
 };
 use smol::channel::{Receiver, Sender, bounded};
-use smol::{Async, LocalExecutor};
+use smol::{Async, LocalExecutor, Timer};
 
 /// Time in which anything in these tests must happen.
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// First port that gateways listen on.
+const PORT_FIRST: u32 = 10_000;
+/// Ports that gateways listen on; they end below those of outgoing connections.
+const PORT_COUNT: u32 = 20_000;
+/// Ports after which the next process begins.
+const PORTS_PER_PROCESS: u32 = 128;
+/// Time that a write of a ceiling takes.
+const WRITE_TIME: Duration = Duration::from_millis(20);
 /// Time between two looks at the directory.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Looks until a test counts as hung.
@@ -195,6 +204,7 @@
     pub(crate) entry: SocketAddr,
     pub(crate) directory: SocketAddr,
     pub(crate) peers: SocketAddrV4,
+    ceilings: Arc<Mutex<Vec<Vec<u64>>>>,
     stop: Option<Sender<()>>,
     thread: Option<thread::JoinHandle<()>>,
 }
@@ -232,6 +242,8 @@
         let (stop, stopped) = bounded(1);
         let (entry, directory, peers) = (free_address(), free_address(), free_address());
         let (started, is_started) = std::sync::mpsc::channel();
+        let ceilings: Arc<Mutex<Vec<Vec<u64>>>> = Arc::default();
+        let seen = Arc::clone(&ceilings);
         let thread = thread::spawn(move || {
             let executor = Rc::new(LocalExecutor::new());
             let addresses = (entry, directory, peers);
@@ -242,6 +254,7 @@
                 options,
                 stopped,
                 started,
+                seen,
             );
             smol::block_on(executor.run(run));
         });
@@ -250,6 +263,7 @@
             entry: entry.into(),
             directory: directory.into(),
             peers,
+            ceilings,
             stop: Some(stop),
             thread: Some(thread),
         }
@@ -282,6 +296,11 @@
         panic!("the directory never told of {count} VMs");
     }
 
+    /// Returns the ceilings of each write so far.
+    pub(crate) fn ceilings(&self) -> Vec<Vec<u64>> {
+        self.ceilings.lock().unwrap().clone()
+    }
+
     /// Begins a graceful stop.
     pub(crate) fn begin_stop(&mut self) {
         self.stop.take();
@@ -298,11 +317,20 @@
     }
 }
 
+/// Returns an address that is free for TCP and UDP.
+///
+/// Ports below those that the system gives to outgoing connections, each used once by
+/// this process, so that no other test can take one meanwhile.
 fn free_address() -> SocketAddrV4 {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    match listener.local_addr().unwrap() {
-        SocketAddr::V4(address) => address,
-        SocketAddr::V6(_) => unreachable!("bound to an IPv4 address"),
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
+    loop {
+        let offset = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = u16::try_from(PORT_FIRST + offset % PORT_COUNT).unwrap();
+        let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
     }
 }
 
@@ -313,6 +341,7 @@
     bed: BedOptions,
     stopped: Receiver<()>,
     started: std::sync::mpsc::Sender<()>,
+    saved: Arc<Mutex<Vec<Vec<u64>>>>,
 ) {
     let facts = MemberFacts {
         name: Bytes::from(peers.to_string()),
@@ -335,7 +364,16 @@
             keep_s: 0,
         },
         store: DurableStore {
-            save_ceiling: Box::new(|_, _| Box::pin(async { true })),
+            save_ceilings: Box::new(move |ceilings| {
+                let stored = vec![true; ceilings.len()];
+                let ceilings = ceilings.into_iter().map(|(_, ceiling)| ceiling);
+                saved.lock().unwrap().push(ceilings.collect());
+                Box::pin(async {
+                    Timer::after(WRITE_TIME).await;
+                    stored
+                })
+            }),
+            ceilings_max: 16,
         },
         seeds: bed.seed.into_iter().collect(),
         is_first_start: true,
