Let a program begin although its workspace's limit is below one

Cause: found on reading: programs may begin as far as the limit holds by their mean number of requests, and a limit below one program let none begin once that mean was known; a part below one request was also lost where a VM is alone. Change: at least one program may begin in a window, and parts below one go to the home also on a lone VM. The spans of a window have a module of their own.

--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -11,6 +11,7 @@
 mod readers;
 mod replicas;
 mod retry;
+mod spans;
 
 pub use budget::{
     BudgetBook, BudgetShare, BudgetVerdict, CeilingClaim, ClaimStep, ProgramKey, StoredCeiling,
--- a/crates/relay/src/decide/quota.rs
+++ b/crates/relay/src/decide/quota.rs
@@ -17,6 +17,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::spans::{RequestSpans, SPAN_MS, whole};
+
 /// Hash of a workspace's name.
 pub type WorkspaceKey = u64;
 
@@ -52,10 +54,6 @@
 const PACE_FACTOR: f64 = 1.2;
 /// Refused callers of a workspace that are kept in mind.
 const PROMISES_MAX: usize = 1_000;
-/// Length of the spans that admissions are counted in, in milliseconds.
-const SPAN_MS: u64 = 250;
-/// Spans that are told of a window; more than any window that rates are judged over.
-const SHAPE_MAX: usize = 64;
 /// Window where the deployment names none, in milliseconds.
 const WINDOW_DEFAULT_MS: u64 = 5_000;
 
@@ -143,96 +141,6 @@
     pub begun: u64,
 }
 
-/// Requests counted in spans of time.
-#[derive(Clone, Debug, Default)]
-struct RequestSpans {
-    /// Ends of spans with the requests in them.
-    ///
-    /// Ends before the start of the process are negative.
-    spans: VecDeque<(i64, f64)>,
-    /// Requests in all spans.
-    total: f64,
-}
-
-impl RequestSpans {
-    fn count(&mut self, requests: f64, now_ms: u64) {
-        self.total += requests;
-        let now_ms = signed(now_ms);
-        match self.spans.back_mut() {
-            Some((end_ms, count)) if *end_ms > now_ms => *count += requests,
-            _ => self.spans.push_back((now_ms + signed(SPAN_MS), requests)),
-        }
-    }
-
-    fn expire(&mut self, now_ms: u64, window_ms: u64) {
-        while let Some((end_ms, count)) = self.spans.front().copied() {
-            if end_ms + signed(window_ms) > signed(now_ms) {
-                break;
-            }
-            self.total -= count;
-            self.spans.pop_front();
-        }
-    }
-
-    /// Spreads requests evenly over the last window.
-    fn spread(&mut self, requests: f64, now_ms: u64, window_ms: u64) {
-        let spans = (window_ms / SPAN_MS).max(1);
-        #[expect(clippy::cast_precision_loss, reason = "a few spans")]
-        let count = requests / spans as f64;
-        for span in 0..spans {
-            let age_ms = (spans - 1 - span) * SPAN_MS;
-            let end_ms = signed(now_ms) - signed(age_ms);
-            self.total += count;
-            self.spans.push_back((end_ms, count));
-        }
-    }
-
-    /// Returns the requests in spans of [`SPAN_MS`], the newest first.
-    fn shape(&self, now_ms: u64) -> Vec<u32> {
-        let mut counts: Vec<f64> = Vec::new();
-        for (end_ms, count) in &self.spans {
-            let age_ms = u64::try_from(signed(now_ms) - end_ms).unwrap_or(0);
-            let place = usize::try_from(age_ms / SPAN_MS).unwrap_or(usize::MAX);
-            if place < SHAPE_MAX {
-                counts.resize(counts.len().max(place + 1), 0.0);
-                counts[place] += count;
-            }
-        }
-        let counts = counts.into_iter();
-        counts
-            .map(|count| u32::try_from(whole(count)).unwrap_or(u32::MAX))
-            .collect()
-    }
-
-    /// Takes requests in spans of [`SPAN_MS`], the newest first.
-    fn take_shape(&mut self, counts: &[u32], now_ms: u64) {
-        self.clear();
-        for (place, count) in counts.iter().enumerate().take(SHAPE_MAX).rev() {
-            let age_ms = signed(place as u64 * SPAN_MS);
-            let count = f64::from(*count);
-            self.total += count;
-            self.spans.push_back((signed(now_ms) - age_ms, count));
-        }
-    }
-
-    /// Returns the time until `requests` have left the window, in milliseconds.
-    fn time_to_free(&self, requests: f64, now_ms: u64, window_ms: u64) -> u64 {
-        let mut freed = 0.0;
-        for (end_ms, count) in &self.spans {
-            freed += count;
-            if freed >= requests {
-                let at_ms = end_ms + signed(window_ms);
-                return u64::try_from(at_ms - signed(now_ms)).unwrap_or(0);
-            }
-        }
-        window_ms
-    }
-
-    fn clear(&mut self) {
-        *self = Self::default();
-    }
-}
-
 /// What may be admitted in a round.
 #[derive(Clone, Copy, Debug, Default)]
 struct RoundPart {
@@ -246,7 +154,7 @@
     /// Parts what is left among VMs and the home.
     fn of(left: f64, sharers: f64) -> Self {
         let own = left * SHARED_PERCENT / 100.0 / sharers;
-        if own < 1.0 && sharers > 1.0 {
+        if own < 1.0 {
             return Self {
                 own: 0.0,
                 home: left,
@@ -331,7 +239,9 @@
         let (admitted, begun) = (known.0 as f64, known.1 as f64);
         let recent = self.begun.total;
         let ended = begun - recent / 2.0;
-        (begun - recent >= PROGRAMS_KNOWN).then(|| self.limit * ended / admitted.max(ended))
+        let most = self.limit * ended / admitted.max(ended);
+        // A limit below one program still lets one begin in each window.
+        (begun - recent >= PROGRAMS_KNOWN).then(|| most.max(1.0))
     }
 
     /// Refuses a request that lacks `missing` requests or programs; callers refused
@@ -530,14 +440,15 @@
     /// Returns the requests of all VMs in the last window, where they are known.
     #[must_use]
     pub fn snapshot(&self, now_ms: u64) -> Vec<WindowReport> {
+        let window_ms = self.window_ms();
         let known = self
             .windows
             .iter()
             .filter(|(_, window)| !window.is_assumed && window.used.total > 0.0);
         let reports = known.map(|(workspace, window)| WindowReport {
             workspace: *workspace,
-            requests: window.used.shape(now_ms),
-            programs: window.begun.shape(now_ms),
+            requests: window.used.shape(now_ms, window_ms),
+            programs: window.begun.shape(now_ms, window_ms),
         });
         reports.collect()
     }
@@ -649,17 +560,3 @@
         .collect()
     }
 }
-
-/// Rounds a count up.
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "counts are small and not negative"
-)]
-fn whole(count: f64) -> u64 {
-    count.max(0.0).ceil() as u64
-}
-
-fn signed(time_ms: u64) -> i64 {
-    i64::try_from(time_ms).unwrap_or(i64::MAX)
-}
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -23,8 +23,9 @@
 const ROUND_PEERS_MAX: usize = 64;
 /// Largest datagram, in bytes.
 const MESSAGE_MAX_BYTES: usize = 60_000;
-/// Workspaces whose last window is told in one message; each takes at most 200 bytes.
-const KNOWN_WORKSPACES: usize = 250;
+/// Workspaces whose last window is told in one message; a window of a minute takes up to
+/// a kilobyte each.
+const KNOWN_WORKSPACES: usize = 50;
 /// Time in which VMs count as started together, in milliseconds.
 const SAME_START_MS: u64 = 3_000;
 /// Age of counters that are still told, in milliseconds; several full turns.
--- a/crates/relay/tests/quota.rs
+++ b/crates/relay/tests/quota.rs
@@ -444,3 +444,28 @@
         "{worst} requests in a window, bound {bound}"
     );
 }
+
+/// A rate below that of a single program would otherwise let none begin.
+#[test]
+fn workspace_whose_limit_is_below_one_program_still_begins_some() {
+    let mut ledger = ledger(true, 1.0);
+    let mut now_ms = 1;
+    let mut begun = Vec::new();
+    // Each program takes 12 requests of the 17 that a window holds.
+    while now_ms < 240_000 {
+        ledger.set_sharers(1, 0);
+        ledger.start_round(now_ms);
+        let stages = std::iter::once(ProgramStage::Begins)
+            .chain(std::iter::repeat_n(ProgramStage::UnderWay, 23));
+        for stage in stages {
+            let is_admitted = ledger.admit(WORKSPACE, stage, now_ms)
+                || ledger.admit_as_home(WORKSPACE, stage, now_ms).is_ok();
+            if stage == ProgramStage::Begins && is_admitted {
+                begun.push(now_ms);
+            }
+        }
+        now_ms += 2_500;
+    }
+    let late = begun.iter().filter(|at_ms| **at_ms > 200_000).count();
+    assert!(late > 0, "{begun:?}");
+}
