Ask the next homes for counts after a loss of all, heard or not

Test: vm_that_is_only_registered_is_asked_for_counts, in place of vm_that_is_only_registered_is_not_asked_for_counts, which checked the fault; as strict, since it holds the exact set that is asked.

--- a/crates/relay/src/decide/members.rs
+++ b/crates/relay/src/decide/members.rs
@@ -59,8 +59,6 @@
     heard_ms: u64,
     is_registered: bool,
     is_fallen: bool,
-    /// It has sent a message itself.
-    is_heard: bool,
 }
 
 /// All VMs that this one knows of, itself excluded.
@@ -86,14 +84,12 @@
                     heard_ms: now_ms,
                     is_registered: true,
                     is_fallen: false,
-                    is_heard: false,
                 }
             });
             state.is_registered = true;
             if facts.incarnation > state.facts.incarnation {
                 state.facts = facts;
                 state.heard_ms = now_ms;
-                state.is_heard = false;
                 self.changed_ms = now_ms;
             }
         }
@@ -113,7 +109,6 @@
                 }
                 state.facts = facts;
                 state.heard_ms = now_ms;
-                state.is_heard = true;
                 is_new
             }
             None => {
@@ -123,7 +118,6 @@
                     heard_ms: now_ms,
                     is_registered: false,
                     is_fallen: false,
-                    is_heard: true,
                 };
                 self.members.insert(key, state);
                 true
@@ -214,15 +208,11 @@
             .collect()
     }
 
-    /// Returns the `most` VMs next in rank as home of `key` that have sent a message
-    /// themselves; others may only be registered from before their end.
+    /// Returns the `most` VMs next in rank as home of `key`, also those that are only
+    /// registered: one that is not heard yet may have been home meanwhile.
     #[must_use]
-    pub fn heard_homes(&self, own: VmKey, key: u64, now_ms: u64, most: usize) -> Vec<MemberFacts> {
+    pub fn next_homes(&self, own: VmKey, key: u64, now_ms: u64, most: usize) -> Vec<MemberFacts> {
         let homes = self.homes(own, key, now_ms).into_iter().flatten();
-        let is_heard = |facts: &MemberFacts| {
-            let state = self.members.get(&facts.key());
-            state.is_some_and(|state| state.is_heard)
-        };
-        homes.filter(is_heard).take(most).collect()
+        homes.take(most).collect()
     }
 }
--- a/crates/relay/src/gateway/budget.rs
+++ b/crates/relay/src/gateway/budget.rs
@@ -184,7 +184,7 @@
         // What was spent before the loss is bounded without the peers' counts.
         let members = gateway.state.members.borrow();
         let own = gateway.state.options.facts.key();
-        members.heard_homes(own, program, gateway.now_ms(), HOMES_SINCE_LOSS)
+        members.next_homes(own, program, gateway.now_ms(), HOMES_SINCE_LOSS)
     } else if gateway.has_lost_home(program) {
         let members = gateway.state.members.borrow();
         members.live(gateway.now_ms()).cloned().collect()
@@ -226,8 +226,9 @@
     if age_ms >= gateway.remember_ms() {
         return Vec::new();
     }
-    let others = homes(gateway, program).into_iter().flatten();
-    others.take(EARLIER_HOMES).collect()
+    let members = gateway.state.members.borrow();
+    let own = gateway.state.options.facts.key();
+    members.next_homes(own, program, gateway.now_ms(), EARLIER_HOMES)
 }
 
 /// Hands what this VM has counted to the programs' next homes.
