Move the segment files of the history store into a package of their own

Cause: kept turns need the same append-only files, checksums and recovery of torn tails as histories, and the store's files were tied to the fields of histories. Change: ibisdale-segments holds files, frames, damage and the disk with its fault hook; the fields of a frame are opaque bytes of a fixed length. The format on disk is as before. Ruled out: a second log for turns (the same recovery twice).

--- a/crates/programs/src/store/compact.rs
+++ b/crates/programs/src/store/compact.rs
@@ -2,8 +2,8 @@
 
 use std::fs;
 
-use crate::store::disk::DiskOperation;
-use crate::store::error::StoreError;
+use ibisdale_segments::{DiskOperation, StoreError};
+
 use crate::store::frame::{FrameFields, FrameKind};
 use crate::store::history::{FrameBatch, HistoryStore};
 
--- a/crates/programs/src/store/history.rs
+++ b/crates/programs/src/store/history.rs
@@ -5,12 +5,13 @@
 
 use bytes::Bytes;
 use ibisdale_core::{ProgramId, SlotId};
+use ibisdale_segments::{
+    DamageKind, FrameLocation, MAX_PAYLOAD_BYTES, SegmentFile, StoreDamage, StoreDisk, StoreError,
+    frame_overhead, segment_path, to_u64,
+};
 
-use crate::store::disk::StoreDisk;
-use crate::store::error::StoreError;
-use crate::store::frame::{self, FrameFields, FrameKind, HEADER_BYTES, MAX_PAYLOAD_BYTES};
-use crate::store::index::{FrameLocation, StoreIndex};
-use crate::store::segment::{self, SegmentFile, to_u64};
+use crate::store::frame::{self, FIELD_BYTES, FrameFields, FrameKind};
+use crate::store::index::StoreIndex;
 
 const DEFAULT_SEGMENT_BYTES: u64 = 16 * 1024 * 1024;
 
@@ -102,6 +103,16 @@
     pub live_bytes: u64,
 }
 
+/// Segment file of histories.
+pub(crate) type HistorySegment = SegmentFile<FIELD_BYTES>;
+
+/// Frame with decoded fields and a verified payload.
+#[derive(Debug)]
+pub(crate) struct HistoryFrame {
+    pub(crate) fields: FrameFields,
+    pub(crate) payload: Vec<u8>,
+}
+
 /// Store of program histories in segment files.
 #[derive(Debug)]
 pub struct HistoryStore {
@@ -109,7 +120,7 @@
     pub(crate) options: StoreOptions,
     pub(crate) disk: StoreDisk,
     pub(crate) index: StoreIndex,
-    pub(crate) segments: BTreeMap<u64, SegmentFile>,
+    pub(crate) segments: BTreeMap<u64, HistorySegment>,
     pub(crate) is_poisoned: bool,
     pub(crate) has_damage: bool,
 }
@@ -125,7 +136,7 @@
     pub(crate) fn push(&mut self, fields: FrameFields, payload: &[u8]) {
         let offset = to_u64(self.buffer.len());
         frame::encode(fields, payload, &mut self.buffer);
-        let length = to_u64(HEADER_BYTES + payload.len());
+        let length = to_u64(frame_overhead::<FIELD_BYTES>() + payload.len());
         self.frames.push((fields, offset, length));
     }
 }
@@ -136,7 +147,7 @@
         options: StoreOptions,
         disk: StoreDisk,
         index: StoreIndex,
-        segments: BTreeMap<u64, SegmentFile>,
+        segments: BTreeMap<u64, HistorySegment>,
     ) -> Self {
         Self {
             folder,
@@ -334,12 +345,24 @@
         drop(self);
     }
 
-    pub(crate) fn read_frame(&self, location: FrameLocation) -> Result<segment::Frame, StoreError> {
+    pub(crate) fn read_frame(&self, location: FrameLocation) -> Result<HistoryFrame, StoreError> {
         let segment = self
             .segments
             .get(&location.segment)
             .ok_or(StoreError::Poisoned)?;
-        segment.read(&self.disk, location)
+        let read = segment.read(&self.disk, location)?;
+        let fields = frame::decode_fields(&read.fields).ok_or_else(|| StoreError::Damaged {
+            damage: StoreDamage {
+                path: segment.path.clone(),
+                offset: location.offset,
+                length: location.length,
+                kind: DamageKind::BadHeader,
+            },
+        })?;
+        Ok(HistoryFrame {
+            fields,
+            payload: read.payload,
+        })
     }
 
     /// Writes and syncs a batch, then applies its frames to the index.
@@ -376,8 +399,8 @@
             return Ok(());
         }
         let number = last.map_or(0, |(number, _)| number + 1);
-        let path = segment::path(&self.folder, number);
-        let file = SegmentFile::open(&self.disk, path)?;
+        let path = segment_path(&self.folder, number);
+        let file = HistorySegment::open(&self.disk, path)?;
         self.disk.sync_folder(&self.folder)?;
         self.segments.insert(number, file);
         Ok(())
--- a/crates/programs/src/store/index.rs
+++ b/crates/programs/src/store/index.rs
@@ -3,17 +3,10 @@
 use std::collections::{BTreeMap, HashMap};
 
 use ibisdale_core::{ProgramId, SlotId};
+use ibisdale_segments::FrameLocation;
 
 use crate::store::frame::{FrameFields, FrameKind};
 
-/// Location of a frame in the segment files.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct FrameLocation {
-    pub(crate) segment: u64,
-    pub(crate) offset: u64,
-    pub(crate) length: u64,
-}
-
 /// Location of a record and the epoch in which it was written.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RecordEntry {
--- a/crates/programs/src/store/mod.rs
+++ b/crates/programs/src/store/mod.rs
@@ -11,16 +11,14 @@
 //! original order.
 
 mod compact;
-mod disk;
-mod error;
 mod frame;
 mod history;
 mod index;
 mod open;
-mod segment;
 
-pub use disk::{DiskOperation, FaultHook, StoreDisk};
-pub use error::{DamageKind, StoreDamage, StoreError};
 pub use history::{
     AppendStatus, HistoryStore, SealReply, StoreOptions, StoreUsage, StoredHistory, StoredRecord,
 };
+pub use ibisdale_segments::{
+    DamageKind, DiskOperation, FaultHook, StoreDamage, StoreDisk, StoreError,
+};
--- a/crates/programs/src/store/open.rs
+++ b/crates/programs/src/store/open.rs
@@ -2,13 +2,15 @@
 
 use std::collections::BTreeMap;
 use std::fs;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
-use crate::store::disk::{DiskOperation, StoreDisk};
-use crate::store::error::{DamageKind, StoreDamage, StoreError};
-use crate::store::history::{HistoryStore, StoreOptions};
+use ibisdale_segments::{
+    DamageKind, DiskOperation, StoreDamage, StoreDisk, StoreError, list_segments, segment_path,
+};
+
+use crate::store::frame;
+use crate::store::history::{HistorySegment, HistoryStore, StoreOptions};
 use crate::store::index::StoreIndex;
-use crate::store::segment::{self, SegmentFile};
 
 impl HistoryStore {
     /// Opens the store in a data folder and creates the folder if needed.
@@ -32,9 +34,13 @@
         let mut segments = BTreeMap::new();
         let mut found_damage = Vec::new();
         for number in &numbers {
-            let mut file = SegmentFile::open(&disk, segment::path(folder, *number))?;
-            let found = file.scan(&disk, *number, |fields, location| {
+            let mut file = HistorySegment::open(&disk, segment_path(folder, *number))?;
+            let found = file.scan(&disk, *number, |fields, _, location| {
+                let Some(fields) = frame::decode_fields(&fields) else {
+                    return false;
+                };
                 index.apply(fields, location);
+                true
             })?;
             let is_last = Some(number) == numbers.last();
             truncate_incomplete_tail(&disk, &mut file, &found, is_last)?;
@@ -51,26 +57,11 @@
     }
 }
 
-fn list_segments(disk: &StoreDisk, folder: &Path) -> Result<Vec<u64>, StoreError> {
-    let paths: Vec<PathBuf> = disk.run(DiskOperation::List, folder, || {
-        let entries = fs::read_dir(folder)?;
-        entries
-            .map(|entry| entry.map(|entry| entry.path()))
-            .collect()
-    })?;
-    let mut numbers: Vec<_> = paths
-        .iter()
-        .filter_map(|path| segment::number(path))
-        .collect();
-    numbers.sort_unstable();
-    Ok(numbers)
-}
-
 /// Truncates an incomplete frame at the end of the last segment. Any other
 /// segment that ends within a frame is marked as damaged.
 fn truncate_incomplete_tail(
     disk: &StoreDisk,
-    file: &mut SegmentFile,
+    file: &mut HistorySegment,
     found_damage: &[StoreDamage],
     is_last: bool,
 ) -> Result<(), StoreError> {
@@ -89,7 +80,7 @@
 
 fn missing_record_damage(
     index: &StoreIndex,
-    segments: &BTreeMap<u64, SegmentFile>,
+    segments: &BTreeMap<u64, HistorySegment>,
 ) -> Vec<StoreDamage> {
     let entries = index.first_entries_after_gaps().into_iter();
     let found_damage = entries.filter_map(|(_, _, location)| {
--- a/crates/programs/src/store/disk.rs
+++ b/crates/segments/src/disk.rs
@@ -9,7 +9,7 @@
 
 use snafu::ResultExt;
 
-use crate::store::error::{DiskSnafu, StoreError};
+use crate::error::{DiskSnafu, StoreError};
 
 /// Operation on a segment file or the data folder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,7 +77,11 @@
     }
 
     /// Runs one operation and adds the operation and path to its error.
-    pub(crate) fn run<T>(
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operation fails.
+    pub fn run<T>(
         &self,
         operation: DiskOperation,
         path: &Path,
@@ -88,7 +92,12 @@
             .context(DiskSnafu { operation, path })
     }
 
-    pub(crate) fn open(&self, path: &Path) -> Result<File, StoreError> {
+    /// Opens a file for reading and appending, and creates it if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operation fails.
+    pub fn open(&self, path: &Path) -> Result<File, StoreError> {
         self.run(DiskOperation::Open, path, || {
             OpenOptions::new()
                 .read(true)
@@ -98,24 +107,39 @@
         })
     }
 
-    pub(crate) fn write(
-        &self,
-        path: &Path,
-        mut file: &File,
-        bytes: &[u8],
-    ) -> Result<(), StoreError> {
+    /// Appends bytes to a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operation fails.
+    pub fn write(&self, path: &Path, mut file: &File, bytes: &[u8]) -> Result<(), StoreError> {
         self.run(DiskOperation::Write, path, || file.write_all(bytes))
     }
 
-    pub(crate) fn sync(&self, path: &Path, file: &File) -> Result<(), StoreError> {
+    /// Syncs the data of a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operation fails.
+    pub fn sync(&self, path: &Path, file: &File) -> Result<(), StoreError> {
         self.run(DiskOperation::Sync, path, || file.sync_data())
     }
 
-    pub(crate) fn sync_folder(&self, path: &Path) -> Result<(), StoreError> {
+    /// Syncs a folder, so that new and removed names persist.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operation fails.
+    pub fn sync_folder(&self, path: &Path) -> Result<(), StoreError> {
         self.run(DiskOperation::Sync, path, || File::open(path)?.sync_all())
     }
 
-    pub(crate) fn read_at(
+    /// Fills a buffer from a position in a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operation fails.
+    pub fn read_at(
         &self,
         path: &Path,
         file: &File,
--- a/crates/programs/src/store/error.rs
+++ b/crates/segments/src/error.rs
@@ -1,11 +1,11 @@
-//! Errors of the history store and damage in its files.
+//! Errors of a store and damage in its files.
 
 use std::io;
 use std::path::PathBuf;
 
 use snafu::Snafu;
 
-use crate::store::disk::DiskOperation;
+use crate::disk::DiskOperation;
 
 /// Error in a store operation.
 #[derive(Debug)]
@@ -53,7 +53,7 @@
     BadChecksum,
     /// A frame header is invalid; the rest of the segment is skipped.
     BadHeader,
-    /// Records of the program before the one at this offset are missing.
+    /// Records that belong before the one at this offset are missing.
     MissingRecord,
 }
 
--- a/crates/programs/src/store/segment.rs
+++ b/crates/segments/src/file.rs
@@ -1,45 +1,85 @@
-//! Segment files of the store.
+//! Segment files of a store.
 
-use std::fs::File;
+use std::fs::{self, File};
 use std::path::{Path, PathBuf};
 
-use crate::store::disk::{DiskOperation, StoreDisk};
-use crate::store::error::{DamageKind, StoreDamage, StoreError};
-use crate::store::frame::{FrameFields, FrameHeader, HEADER_BYTES};
-use crate::store::index::FrameLocation;
+use crate::disk::{DiskOperation, StoreDisk};
+use crate::error::{DamageKind, StoreDamage, StoreError};
+use crate::frame::{FrameHeader, frame_overhead};
 
 const SUFFIX: &str = ".segment";
 
-/// Open segment file.
+/// Location of a frame in the segment files.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FrameLocation {
+    /// Number of the segment.
+    pub segment: u64,
+    /// Offset of the frame in the segment, in bytes.
+    pub offset: u64,
+    /// Length of the frame, in bytes.
+    pub length: u64,
+}
+
+/// Open segment file whose frames have `FIELDS` bytes of fields.
 #[derive(Debug)]
-pub(crate) struct SegmentFile {
-    pub(crate) path: PathBuf,
-    pub(crate) file: File,
-    pub(crate) length: u64,
-    pub(crate) is_damaged: bool,
+pub struct SegmentFile<const FIELDS: usize> {
+    /// Path of the file.
+    pub path: PathBuf,
+    /// Length of the file, in bytes.
+    pub length: u64,
+    /// Whether a frame in it is damaged.
+    pub is_damaged: bool,
+    file: File,
 }
 
 /// Frame read from a segment, with a verified payload.
 #[derive(Debug)]
-pub(crate) struct Frame {
-    pub(crate) fields: FrameFields,
-    pub(crate) payload: Vec<u8>,
+pub struct SegmentFrame<const FIELDS: usize> {
+    /// The store's fields.
+    pub fields: [u8; FIELDS],
+    /// The payload.
+    pub payload: Vec<u8>,
 }
 
 /// Returns the path of a segment.
-pub(crate) fn path(folder: &Path, number: u64) -> PathBuf {
+#[must_use]
+pub fn segment_path(folder: &Path, number: u64) -> PathBuf {
     folder.join(format!("{number:016}{SUFFIX}"))
 }
 
 /// Returns the segment number in a path, or `None` if it is not a segment path.
-pub(crate) fn number(path: &Path) -> Option<u64> {
+fn segment_number(path: &Path) -> Option<u64> {
     let name = path.file_name()?.to_str()?;
     name.strip_suffix(SUFFIX)?.parse().ok()
 }
 
-impl SegmentFile {
+/// Returns the numbers of the segments in a folder, in ascending order.
+///
+/// # Errors
+///
+/// Returns an error if the folder can't be read.
+pub fn list_segments(disk: &StoreDisk, folder: &Path) -> Result<Vec<u64>, StoreError> {
+    let paths: Vec<PathBuf> = disk.run(DiskOperation::List, folder, || {
+        let entries = fs::read_dir(folder)?;
+        entries
+            .map(|entry| entry.map(|entry| entry.path()))
+            .collect()
+    })?;
+    let mut numbers: Vec<_> = paths
+        .iter()
+        .filter_map(|path| segment_number(path))
+        .collect();
+    numbers.sort_unstable();
+    Ok(numbers)
+}
+
+impl<const FIELDS: usize> SegmentFile<FIELDS> {
     /// Opens a segment and creates it if it does not exist.
-    pub(crate) fn open(disk: &StoreDisk, path: PathBuf) -> Result<Self, StoreError> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file can't be opened.
+    pub fn open(disk: &StoreDisk, path: PathBuf) -> Result<Self, StoreError> {
         let file = disk.open(&path)?;
         let length = disk.run(DiskOperation::Open, &path, || Ok(file.metadata()?.len()))?;
         Ok(Self {
@@ -52,11 +92,18 @@
 
     /// Reads frames up to the first invalid header or incomplete frame and passes
     /// the valid ones to `visit`. Returns the damage found.
-    pub(crate) fn scan(
+    ///
+    /// `visit` returns whether the store's fields are valid; if they are not, the header
+    /// counts as invalid.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file can't be read.
+    pub fn scan(
         &mut self,
         disk: &StoreDisk,
         number: u64,
-        mut visit: impl FnMut(FrameFields, FrameLocation),
+        mut visit: impl FnMut([u8; FIELDS], Vec<u8>, FrameLocation) -> bool,
     ) -> Result<Vec<StoreDamage>, StoreError> {
         let mut found_damage = Vec::new();
         let mut offset = 0;
@@ -77,7 +124,10 @@
                     offset,
                     length,
                 };
-                visit(header.fields, location);
+                if !visit(header.fields, payload, location) {
+                    found_damage.push(self.damage(offset, DamageKind::BadHeader));
+                    break;
+                }
             } else {
                 let mut damage = self.damage(offset, DamageKind::BadChecksum);
                 damage.length = length;
@@ -92,11 +142,15 @@
     }
 
     /// Reads one frame.
-    pub(crate) fn read(
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file can't be read or the frame is damaged.
+    pub fn read(
         &self,
         disk: &StoreDisk,
         location: FrameLocation,
-    ) -> Result<Frame, StoreError> {
+    ) -> Result<SegmentFrame<FIELDS>, StoreError> {
         let damaged = |kind| StoreError::Damaged {
             damage: self.damage(location.offset, kind),
         };
@@ -108,7 +162,7 @@
         if !header.payload_matches(&payload) {
             return Err(damaged(DamageKind::BadChecksum));
         }
-        Ok(Frame {
+        Ok(SegmentFrame {
             fields: header.fields,
             payload,
         })
@@ -119,11 +173,11 @@
     ///
     /// The flag in the error is `true` if the contents of the file are unknown:
     /// the truncation or the sync failed.
-    pub(crate) fn append(
-        &mut self,
-        disk: &StoreDisk,
-        bytes: &[u8],
-    ) -> Result<(), (StoreError, bool)> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the write or the sync failed.
+    pub fn append(&mut self, disk: &StoreDisk, bytes: &[u8]) -> Result<(), (StoreError, bool)> {
         if let Err(error) = disk.write(&self.path, &self.file, bytes) {
             let is_content_unknown = self.truncate(disk, self.length).is_err();
             return Err((error, is_content_unknown));
@@ -135,7 +189,11 @@
     }
 
     /// Truncates the file and syncs it.
-    pub(crate) fn truncate(&mut self, disk: &StoreDisk, length: u64) -> Result<(), StoreError> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operation failed.
+    pub fn truncate(&mut self, disk: &StoreDisk, length: u64) -> Result<(), StoreError> {
         disk.run(DiskOperation::Truncate, &self.path, || {
             self.file.set_len(length)?;
             self.file.sync_all()
@@ -148,11 +206,12 @@
         &self,
         disk: &StoreDisk,
         offset: u64,
-    ) -> Result<Option<FrameHeader>, StoreError> {
-        if self.length - offset < to_u64(HEADER_BYTES) {
+    ) -> Result<Option<FrameHeader<FIELDS>>, StoreError> {
+        let length = frame_overhead::<FIELDS>();
+        if self.length - offset < to_u64(length) {
             return Ok(None);
         }
-        let mut bytes = [0; HEADER_BYTES];
+        let mut bytes = vec![0; length];
         disk.read_at(&self.path, &self.file, offset, &mut bytes)?;
         Ok(FrameHeader::decode(&bytes))
     }
@@ -161,16 +220,16 @@
         &self,
         disk: &StoreDisk,
         offset: u64,
-        header: &FrameHeader,
+        header: &FrameHeader<FIELDS>,
     ) -> Result<Vec<u8>, StoreError> {
         let mut payload = vec![0; header.payload_length];
-        let start = offset + to_u64(HEADER_BYTES);
+        let start = offset + to_u64(frame_overhead::<FIELDS>());
         disk.read_at(&self.path, &self.file, start, &mut payload)?;
         Ok(payload)
     }
 
     fn header_damage(&self, offset: u64) -> StoreDamage {
-        let is_short = self.length - offset < to_u64(HEADER_BYTES);
+        let is_short = self.length - offset < to_u64(frame_overhead::<FIELDS>());
         let kind = if is_short {
             DamageKind::IncompleteFrame
         } else {
@@ -189,6 +248,8 @@
     }
 }
 
-pub(crate) fn to_u64(length: usize) -> u64 {
+/// Converts a length to 64 bits.
+#[must_use]
+pub fn to_u64(length: usize) -> u64 {
     u64::try_from(length).unwrap_or(u64::MAX)
 }
