Keep turns on the VMs with a disk

Change: ibisdale-turns holds immutable turns on tolerate + 1 VMs with a disk, ranked by rendezvous hash of the program over failure domains; an entry VM puts a turn's body together from its chain and ends a response once the copies are synced.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,12 +4,14 @@
 
 pub mod admin;
 mod digest;
+mod hash;
 mod ids;
 mod names;
 mod refusal;
 mod time;
 
 pub use digest::HistoryDigest;
+pub use hash::{hash_bytes, rendezvous_weight};
 pub use ids::{IdError, ProgramId, RequestId, SLOT_COUNT, SlotId, StepNumber};
 pub use names::{
     AttemptKey, DaemonName, KeyName, ModelName, NAME_MAX_BYTES, NameError, ProgramName, RouteName,
--- a/crates/relay/src/decide/budget.rs
+++ b/crates/relay/src/decide/budget.rs
@@ -14,8 +14,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::hash::rendezvous_weight;
 use super::members::VmKey;
+use ibisdale_core::rendezvous_weight;
 
 /// Hash of a program's identifier.
 pub type ProgramKey = u64;
--- a/crates/relay/src/decide/members.rs
+++ b/crates/relay/src/decide/members.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::hash::{hash_bytes, rendezvous_weight};
+use ibisdale_core::{hash_bytes, rendezvous_weight};
 
 /// Hash of a VM's name.
 pub type VmKey = u64;
--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -4,7 +4,6 @@
 //! since the start of the process unless stated otherwise.
 
 mod budget;
-mod hash;
 mod members;
 mod placement;
 mod quota;
@@ -13,10 +12,11 @@
 mod retry;
 mod sliding_window;
 
+pub use ibisdale_core::{hash_bytes, rendezvous_weight};
+
 pub use budget::{
     BudgetLedger, BudgetShare, BudgetVerdict, CeilingClaim, ClaimStatus, ProgramKey, StoredCeiling,
 };
-pub use hash::{hash_bytes, rendezvous_weight};
 pub use members::{MemberFacts, MemberTable, VmKey};
 pub use placement::{PlacementInput, choose_replica};
 pub use quota::{
--- a/crates/relay/src/decide/placement.rs
+++ b/crates/relay/src/decide/placement.rs
@@ -11,8 +11,8 @@
 //! choices), if possible in this VM's failure domain. This keeps queues short even though
 //! the load caused by other VMs is taken only from the load reports in responses.
 
-use super::hash::rendezvous_weight;
 use super::replicas::{ReplicaKey, ReplicaState, ReplicaTable};
+use ibisdale_core::rendezvous_weight;
 
 /// Load above the mean at which requests spill over, as a fraction of the replica's
 /// slots.
--- a/crates/relay/src/decide/readers.rs
+++ b/crates/relay/src/decide/readers.rs
@@ -5,8 +5,8 @@
 //! number of changes. Only a few VMs, the readers, watch; the others get changes from
 //! them and start to watch when the readers lose contact with the service.
 
-use super::hash::{hash_bytes, rendezvous_weight};
 use super::members::VmKey;
+use ibisdale_core::{hash_bytes, rendezvous_weight};
 
 /// Number of readers; exceeds the number of VMs expected to fail, or to have their calls
 /// refused by the service, at the same time.
--- a/crates/relay/src/decide/replicas.rs
+++ b/crates/relay/src/decide/replicas.rs
@@ -7,8 +7,8 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
-use super::hash::hash_bytes;
 use super::members::VmKey;
+use ibisdale_core::hash_bytes;
 
 slotmap::new_key_type! {
     /// Key of a replica in a [`ReplicaTable`], valid until it is delisted or restarted.
--- a/crates/relay/src/gateway/caller_request.rs
+++ b/crates/relay/src/gateway/caller_request.rs
@@ -56,7 +56,12 @@
     pub(crate) target: String,
     /// Headers to send to a replica.
     pub(crate) headers: HeaderMap,
+    /// Body as the caller sent it.
+    pub(crate) input: Bytes,
+    /// Body to send to a replica; longer than the input if the turn continues another.
     pub(crate) body: Bytes,
+    /// Identifier of the turn that this one continues.
+    pub(crate) previous_turn: Option<Bytes>,
     pub(crate) started: Instant,
     pub(crate) deadline: Instant,
     /// Hash by which related requests are sent to the same replica.
@@ -126,7 +131,11 @@
         method: parts.method.clone(),
         target: target.to_owned(),
         headers: forwarded_headers(headers, header_names, workspace.map(Bytes::as_ref)),
+        input: Bytes::new(),
         body: Bytes::new(),
+        previous_turn: headers
+            .get(&header_names.previous_turn)
+            .map(|value| Bytes::copy_from_slice(value.as_bytes())),
         started,
         deadline: started + requested_timeout.map_or(timeout, |requested| requested.min(timeout)),
         affinity: affinity_hash(headers, header_names, route, &program_id),
--- a/crates/relay/src/gateway/header_names.rs
+++ b/crates/relay/src/gateway/header_names.rs
@@ -33,6 +33,8 @@
     pub engine_priority: HeaderName,
     /// Program that the request belongs to.
     pub program: HeaderName,
+    /// Turn that a turn continues, on routes whose turns are kept.
+    pub previous_turn: HeaderName,
     /// Token budget that all calls of the program share.
     pub token_budget: HeaderName,
     /// Headers that only the gateway may set; they are removed from callers' requests.
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
+use futures_lite::future::zip;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -28,6 +29,7 @@
 use super::forward::forward;
 use super::in_flight::CallerRequestGuard;
 use super::state::{Gateway, lossy_string};
+use super::turns::assemble_body;
 use super::{peers, state_transfer};
 use crate::decide::ProgramStage;
 use crate::plan::ExecutionSemantics;
@@ -203,7 +205,8 @@
         let admitted = match admit_head(&gateway, &parts, started) {
             Ok(mut request) => match read_body(&gateway, &mut body).await {
                 Ok(body) => {
-                    request.body = body;
+                    request.body = body.clone();
+                    request.input = body;
                     Ok(request)
                 }
                 Err(refusal) => Err((refusal, Some(request))),
@@ -211,7 +214,7 @@
             Err(refusal) => Err((refusal, None)),
         };
         match admitted {
-            Ok(request) => serve_request(&gateway, Rc::new(request), record).await,
+            Ok(request) => serve_request(&gateway, request, record).await,
             Err((refusal, request)) => {
                 discard_body(body).await;
                 let id = header_str(&parts.headers, &gateway.state.options.header_names.attempt);
@@ -224,14 +227,20 @@
 
 async fn serve_request(
     gateway: &Gateway,
-    request: Rc<CallerRequest>,
+    mut request: CallerRequest,
     record: RequestRecord,
 ) -> Response<ResponseBody> {
     let mut reservation = None;
     // Requests without a budget keep this stage too.
     let mut stage = ProgramStage::UnderWay;
-    if let Some(budget_request) = request.budget {
-        let (outcome, granted) = reserve(gateway, budget_request).await;
+    let reserved = async {
+        match request.budget {
+            Some(budget_request) => Some((budget_request, reserve(gateway, budget_request).await)),
+            None => None,
+        }
+    };
+    let (reserved, body) = zip(reserved, assemble_body(gateway, &request)).await;
+    if let Some((budget_request, (outcome, granted))) = reserved {
         match outcome {
             ReserveOutcome::Granted { is_first } => {
                 reservation = granted;
@@ -262,9 +271,14 @@
             }
         }
     }
+    match body {
+        Ok(body) => request.body = body,
+        Err(refusal) => return record.refuse(&request.attempt_id, Some(&request), refusal),
+    }
     if let Err(refusal) = check_rate_limit(gateway, &request, stage).await {
         return record.refuse(&request.attempt_id, Some(&request), refusal);
     }
+    let request = Rc::new(request);
     let mut retry = RetryState::default();
     let record = Rc::new(record);
     record.set_request(&request);
--- a/crates/relay/src/gateway/metrics.rs
+++ b/crates/relay/src/gateway/metrics.rs
@@ -8,6 +8,8 @@
     Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
 };
 
+use ibisdale_turns::ClientMetrics;
+
 use crate::decide::AttemptFailure;
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -26,12 +28,20 @@
     in_flight: Gauge,
     feed_age_seconds: Gauge,
     plan_version: Gauge,
+    pub(crate) turns: ClientMetrics,
 }
 
 impl GatewayMetrics {
+    /// Creates and registers all metrics.
+    ///
+    /// # Panics
+    ///
+    /// Panics if two metrics have the same name.
     pub(crate) fn new() -> Self {
         let registry = Registry::new();
+        let turns = ClientMetrics::register(&registry).expect("unique metric names");
         Self {
+            turns,
             requests: register_counters(
                 &registry,
                 "ibisdale_gateway_requests_total",
--- a/crates/relay/src/gateway/mod.rs
+++ b/crates/relay/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod state;
 mod state_transfer;
 mod stream;
+mod turns;
 
 pub use body::{ResponseAborted, ResponseBody};
 pub use directory::{DirectoryQuery, DirectoryRule};
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use ibisdale_telemetry::record_event;
+use ibisdale_turns::{ClientOptions, HolderInfo, HolderLinks, HolderTable, TurnClient};
 use smol::channel::{Receiver, Sender, bounded};
 use smol::{Async, LocalExecutor};
 
@@ -21,6 +22,7 @@
 use super::metrics::GatewayMetrics;
 use super::peers;
 use super::pool::ConnectionPool;
+use super::state_transfer;
 use crate::decide::{
     BudgetLedger, CeilingClaim, MemberFacts, MemberTable, ProgramKey, QuotaLedger, QuotaTolerance,
     ReplicaInfo, ReplicaTable, VmKey, hash_bytes, is_reader, reader_rank,
@@ -72,6 +74,10 @@
     pub feed_max_age: Duration,
     /// Amount by which workspaces' rates may be exceeded.
     pub quota_tolerance: QuotaTolerance,
+    /// Number of VMs with a disk that may be lost at the same time without losing a turn.
+    pub tolerated_holders: usize,
+    /// Memory for recent turns, in bytes.
+    pub turn_cache_bytes: usize,
 }
 
 pub(crate) struct GatewayState {
@@ -102,7 +108,9 @@
     pub(crate) next_call_id: Cell<u64>,
     pub(crate) is_fetching_plan: Cell<bool>,
     pub(crate) is_fetching_replicas: Cell<bool>,
+    pub(crate) is_fetching_holders: Cell<bool>,
     pub(crate) metrics: GatewayMetrics,
+    pub(crate) turns: TurnClient,
     pub(crate) in_flight: Cell<u32>,
     pub(crate) is_draining: Cell<bool>,
     pub(crate) shutdown_signal: Receiver<()>,
@@ -139,6 +147,17 @@
             // The counts of this VM's previous process are lost.
             vec![(options.facts.key(), 0)]
         };
+        let metrics = GatewayMetrics::new();
+        let turn_options = ClientOptions {
+            tolerated: options.tolerated_holders,
+            domain: options.facts.domain.clone(),
+            cache_bytes: options.turn_cache_bytes,
+        };
+        let turns = TurnClient::new(
+            turn_options,
+            HolderLinks::new(Rc::clone(&executor)),
+            metrics.turns.clone(),
+        );
         let state = GatewayState {
             options,
             executor,
@@ -164,7 +183,9 @@
             next_call_id: Cell::new(0),
             is_fetching_plan: Cell::new(false),
             is_fetching_replicas: Cell::new(false),
-            metrics: GatewayMetrics::new(),
+            is_fetching_holders: Cell::new(false),
+            metrics,
+            turns,
             in_flight: Cell::new(0),
             is_draining: Cell::new(false),
             shutdown_signal,
@@ -317,6 +338,30 @@
         }
     }
 
+    /// Replaces the list of VMs with a disk, which hold copies of turns.
+    pub fn set_holders(&self, holders: Vec<HolderInfo>) {
+        self.state.turns.set_holders(HolderTable::new(holders));
+    }
+
+    /// Returns the known VMs with a disk.
+    #[must_use]
+    pub fn holders(&self) -> Vec<HolderInfo> {
+        self.state.turns.holders()
+    }
+
+    /// Asks a VM with a disk to copy its turns to the others, since its disk is to be
+    /// removed; returns how many copies are left, or `None` if it does not reply.
+    pub async fn retire_holder(&self, holder: &HolderInfo) -> Option<u64> {
+        self.state.turns.retire(holder).await
+    }
+
+    /// Fetches the VMs with a disk from another VM, if none is known.
+    pub fn fetch_holders_if_unknown(&self) {
+        if self.holders().is_empty() {
+            state_transfer::spawn_fetch_holders(self);
+        }
+    }
+
     /// Replaces the list of registered VMs.
     pub fn set_members(&self, facts: Vec<MemberFacts>) {
         let own = self.state.options.facts.key();
--- a/crates/relay/src/gateway/state_transfer.rs
+++ b/crates/relay/src/gateway/state_transfer.rs
@@ -4,15 +4,18 @@
 //! versions from them. A VM whose calls the service refuses, or that starts during an
 //! outage of the service, gets the current state in the same way.
 
+use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddrV4, TcpListener, TcpStream};
 use std::time::Duration;
 
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use ibisdale_turns::HolderInfo;
+use rand::seq::IteratorRandom;
 use smol::{Async, Timer};
 
 use super::state::Gateway;
-use crate::decide::ReplicaInfo;
+use crate::decide::{MemberFacts, ReplicaInfo};
 use crate::plan::DeploymentPlan;
 
 /// Maximum duration of a transfer.
@@ -30,6 +33,7 @@
 pub(crate) enum StatePart {
     Plan,
     Replicas,
+    Holders,
 }
 
 impl StatePart {
@@ -38,6 +42,7 @@
         match self {
             Self::Plan => b'p',
             Self::Replicas => b'r',
+            Self::Holders => b'h',
         }
     }
 
@@ -45,6 +50,16 @@
         match self {
             Self::Plan => gateway.plan().map_or(0, |plan| plan.get_version()),
             Self::Replicas => gateway.state.replicas_version.get(),
+            // Fetched only where no holder is known.
+            Self::Holders => 0,
+        }
+    }
+
+    fn is_fetching(self, gateway: &Gateway) -> &Cell<bool> {
+        match self {
+            Self::Plan => &gateway.state.is_fetching_plan,
+            Self::Replicas => &gateway.state.is_fetching_replicas,
+            Self::Holders => &gateway.state.is_fetching_holders,
         }
     }
 }
@@ -75,6 +90,8 @@
     let data = if code[0] == StatePart::Replicas.code() {
         let version = gateway.state.replicas_version.get();
         postcard::to_stdvec(&(version, gateway.replica_infos()))
+    } else if code[0] == StatePart::Holders.code() {
+        postcard::to_stdvec(&gateway.holders())
     } else {
         let Some(plan) = gateway.plan() else {
             return Ok(());
@@ -97,11 +114,7 @@
 ///
 /// A VM that watches the service first waits for the version to arrive from there.
 pub(crate) fn spawn_fetch(gateway: &Gateway, peer: SocketAddrV4, part: StatePart, version: u64) {
-    let fetching = match part {
-        StatePart::Plan => &gateway.state.is_fetching_plan,
-        StatePart::Replicas => &gateway.state.is_fetching_replicas,
-    };
-    if fetching.replace(true) {
+    if part.is_fetching(gateway).replace(true) {
         return;
     }
     let fetcher = gateway.clone();
@@ -114,14 +127,22 @@
         {
             log::info!("failed to fetch state ({part:?}) from {peer}: {error}");
         }
-        let fetching = match part {
-            StatePart::Plan => &fetcher.state.is_fetching_plan,
-            StatePart::Replicas => &fetcher.state.is_fetching_replicas,
-        };
-        fetching.set(false);
+        part.is_fetching(&fetcher).set(false);
     });
 }
 
+/// Starts fetching the holders from a live peer.
+pub(crate) fn spawn_fetch_holders(gateway: &Gateway) {
+    let peer = {
+        let members = gateway.state.members.borrow();
+        let live = members.live(gateway.now_ms());
+        live.map(MemberFacts::peer_address).choose(&mut rand::rng())
+    };
+    if let Some(peer) = peer {
+        spawn_fetch(gateway, peer, StatePart::Holders, 1);
+    }
+}
+
 async fn fetch(gateway: &Gateway, peer: SocketAddrV4, part: StatePart) -> io::Result<()> {
     let mut stream = Async::<TcpStream>::connect(peer).await?;
     stream.write_all(&[part.code()]).await?;
@@ -141,6 +162,13 @@
                 postcard::from_bytes(&data).map_err(io::Error::other)?;
             gateway.set_replicas(replicas, version);
         }
+        StatePart::Holders => {
+            let holders: Vec<HolderInfo> = postcard::from_bytes(&data).map_err(io::Error::other)?;
+            // The store may have been read meanwhile.
+            if gateway.holders().is_empty() {
+                gateway.set_holders(holders);
+            }
+        }
     }
     Ok(())
 }
--- a/crates/relay/src/gateway/stream.rs
+++ b/crates/relay/src/gateway/stream.rs
@@ -17,6 +17,7 @@
 use super::forward::{record_failure, select_replica};
 use super::in_flight::ReplicaRequestGuard;
 use super::state::Gateway;
+use super::turns::{TurnOutput, keep_turn};
 use crate::decide::{AttemptOutcome, ReplicaKey, RetryDecision};
 use crate::http1::{BodyDecoder, ExchangeError, Http1Connection, ResponseHead};
 
@@ -38,6 +39,8 @@
     last_event: Option<u64>,
     tokens_per_event: u64,
     headers: HeaderMap,
+    /// Output of the turn so far, if turns are kept on the route.
+    output: Option<TurnOutput>,
     /// Events that were read before the response was started, and how many they are.
     buffered: Option<(Bytes, u64)>,
 }
@@ -77,6 +80,7 @@
             splitter: EventSplitter::default(),
             last_event: request.last_event,
             tokens_per_event,
+            output: request.route.keeps_turns.then(TurnOutput::default),
             buffered: None,
         };
         match relay.read_events().await {
@@ -113,8 +117,13 @@
                     Some((Ok(data), Some((relay, reservation, on_end))))
                 }
                 Ok(None) => {
-                    on_end("answered");
-                    None
+                    if relay.keep_turn().await {
+                        on_end("answered");
+                        None
+                    } else {
+                        on_end("the turn could not be kept");
+                        Some((Err(ResponseAborted), None))
+                    }
                 }
                 Err(reason) => {
                     on_end(reason);
@@ -128,6 +137,17 @@
         response
     }
 
+    /// Makes the copies of the turn; returns `false` if they could not be made.
+    ///
+    /// The end of the response tells the caller that the turn can be continued, so it is
+    /// withheld until then; all events have been sent before.
+    async fn keep_turn(&mut self) -> bool {
+        match self.output.take() {
+            Some(output) => keep_turn(&self.gateway, &self.request, output).await,
+            None => true,
+        }
+    }
+
     /// Returns the next events, resuming the stream if its connection fails.
     async fn next_events(&mut self) -> Result<Option<(Bytes, u64)>, &'static str> {
         if let Some(first) = self.buffered.take() {
@@ -196,6 +216,9 @@
                 }
                 self.last_event = Some(id);
             }
+            if let Some(output) = &mut self.output {
+                output.push_event(&event.raw);
+            }
             data.extend_from_slice(&event.raw);
             count += 1;
         }
--- a/crates/relay/src/plan/route.rs
+++ b/crates/relay/src/plan/route.rs
@@ -69,6 +69,8 @@
     /// Time for which the state of a program is kept after its last request, in
     /// milliseconds.
     pub retention_ms: u64,
+    /// Whether the system keeps the turns, so that a caller sends only what is new in each.
+    pub keeps_turns: bool,
     /// Whether requests with the same affinity cookie prefer the same replica, which serves
     /// them faster; ignored for streams.
     pub is_sticky: bool,
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -59,6 +59,7 @@
         engine_priority: name("t-priority"),
         program: name("t-program"),
         token_budget: name("t-budget"),
+        previous_turn: name("t-previous"),
         reserved: vec![name("t-hold")],
     }
 }
@@ -82,6 +83,7 @@
         attempts,
         priority: 1,
         retention_ms: 60_000,
+        keeps_turns: false,
         is_sticky: false,
         is_open: false,
         services: vec![WeightedService {
@@ -383,6 +385,8 @@
         is_first_start: true,
         feed_max_age: Duration::from_hours(1),
         quota_tolerance: QuotaTolerance::default(),
+        tolerated_holders: 0,
+        turn_cache_bytes: 1_000_000,
     };
     let socket = Async::<UdpSocket>::bind(peer_address).unwrap();
     let gateway = Gateway::new(options, executor, socket);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -31,6 +31,7 @@
         /// - 2000: gateway start and shutdown, connections and log output
         /// - 2100: gateway configuration, replicas and VMs
         /// - 2200: gateway requests, budgets and rate limits
+        /// - 2300: kept turns
         #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
         pub enum LogEvent {
             $(#[doc = $message] $variant,)*
@@ -270,6 +271,36 @@
     RateRefused = 2207, Info, "rate_refused",
         ["request", "home", "stage", "cause", "used", "limit", "after_ms"],
         "A request or program was refused because it would exceed its workspace's rate limit or the limit could not be checked.";
+
+    ChainAssembled = 2301, Info, "chain_assembled",
+        ["request", "previous", "turns", "cached", "bytes", "elapsed_ms"],
+        "The body of a turn was put together from the turns that it continues.";
+    ChainRefused = 2302, Info, "chain_refused",
+        ["request", "previous", "cause", "holders", "elapsed_ms"],
+        "A turn was refused because the turn that it continues does not exist, can't be looked up or makes it too long.";
+    TurnKept = 2303, Info, "turn_kept",
+        ["request", "turn", "elapsed_ms"], "The copies of a turn are on disk, and its response may end.";
+    TurnNotKept = 2304, Warn, "turn_not_kept",
+        ["turn", "copies", "holders", "elapsed_ms"],
+        "Not enough copies of a turn could be made; its response is cut before its end.";
+    CopyRefused = 2305, Info, "copy_refused",
+        ["turn", "holder", "reply"], "A holder did not store a copy of a turn; the next one in rank is asked.";
+    HoldersChanged = 2306, Info, "holders_changed",
+        ["holders", "digest"], "The list of registered holders changed.";
+    HolderStarted = 2307, Info, "holder_started",
+        ["vm", "generation", "turns", "damages", "whole", "elapsed_ms"], "The holder has read its disk and accepts requests.";
+    HolderStopped = 2308, Info, "holder_stopped",
+        ["vm", "turns"], "The holder is exiting.";
+    HolderWhole = 2309, Info, "holder_whole",
+        ["holders"], "All other holders have restored the turns that this holder should have.";
+    DiskFailed = 2310, Error, "disk_failed",
+        ["operation", "error"], "A disk operation failed; the turns of the request are not stored here.";
+    PeerRepaired = 2311, Info, "peer_repaired",
+        ["holder", "compared", "missing", "outcome"], "Turns that another holder lacked were sent to it.";
+    PeerChanged = 2312, Info, "peer_changed",
+        ["cause", "turns"], "The other holders changed, and all turns are compared again.";
+    HolderRetiring = 2313, Info, "holder_retiring",
+        ["vm", "left"], "The holder is being emptied: its turns are copied to other holders.";
 }
 
 impl LogEvent {
--- /dev/null
+++ b/crates/turns/src/holder/server.rs
@@ -0,0 +1,215 @@
+//! Connections of entry VMs and other holders.
+
+use std::io;
+use std::net::TcpListener;
+use std::time::Duration;
+
+use ibisdale_telemetry::record_event;
+use smol::channel::{Receiver, Sender, bounded};
+use smol::{Async, Timer};
+
+use super::commit::store_turns;
+use super::state::TurnHolder;
+use crate::holders::HolderInfo;
+use crate::message::{HolderReply, HolderRequest, StoreOutcome};
+use crate::repair::CheckEffect;
+use crate::turn::TurnKey;
+use crate::wire::{encode_message, read_message, write_message};
+
+/// Pause after a failed accept, for example when file descriptors run out.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Maximum number of replies that wait for a connection to be written.
+const REPLIES_MAX: usize = 256;
+
+/// Accepts connections until the process ends.
+pub(crate) async fn accept(holder: TurnHolder, listener: Async<TcpListener>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let server = holder.clone();
+                holder.spawn(async move {
+                    if let Err(error) = serve(&server, stream).await {
+                        log::debug!("the connection of {peer} ended: {error}");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!("failed to accept a connection: {error}");
+                Timer::after(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+async fn serve(holder: &TurnHolder, stream: Async<std::net::TcpStream>) -> io::Result<()> {
+    stream.get_ref().set_nodelay(true)?;
+    let stream = std::rc::Rc::new(stream);
+    let (replies, outgoing) = bounded(REPLIES_MAX);
+    let writer = std::rc::Rc::clone(&stream);
+    holder.spawn(async move {
+        if let Err(error) = write_replies(&writer, &outgoing).await {
+            log::debug!("failed to write a reply: {error}");
+        }
+        // Ends the reading side of the connection as well.
+        let _ = writer.get_ref().shutdown(std::net::Shutdown::Both);
+    });
+    let mut reader = &*stream;
+    loop {
+        let (call, request): (u64, HolderRequest) = read_message(&mut reader).await?;
+        let (server, replies): (TurnHolder, Sender<Vec<u8>>) = (holder.clone(), replies.clone());
+        holder.spawn(async move {
+            let reply = handle(&server, request).await;
+            match encode_message(&(call, reply)) {
+                // Fails if the connection has ended.
+                Ok(encoded) => drop(replies.send(encoded).await),
+                Err(error) => log::error!("failed to encode a reply: {error}"),
+            }
+        });
+    }
+}
+
+async fn write_replies(
+    stream: &Async<std::net::TcpStream>,
+    outgoing: &Receiver<Vec<u8>>,
+) -> io::Result<()> {
+    let mut stream = stream;
+    while let Ok(encoded) = outgoing.recv().await {
+        write_message(&mut stream, &encoded).await?;
+    }
+    Ok(())
+}
+
+async fn handle(holder: &TurnHolder, request: HolderRequest) -> HolderReply {
+    match request {
+        HolderRequest::Store { turns } => {
+            let outcome = store_turns(holder, turns).await;
+            count_store(holder, outcome);
+            HolderReply::Store(outcome)
+        }
+        HolderRequest::GetChain { key } => get_chain(holder, key).await,
+        HolderRequest::Check {
+            sender,
+            receiver_generation,
+            keys,
+            is_last,
+        } => {
+            record_check(holder, &sender, receiver_generation, is_last);
+            let index = holder.state.index.borrow();
+            let missing = keys.into_iter().filter(|key| !index.contains(*key));
+            HolderReply::Checked {
+                generation: holder.state.options.info.generation,
+                missing: missing.collect(),
+            }
+        }
+        HolderRequest::Retire => retire(holder),
+    }
+}
+
+fn count_store(holder: &TurnHolder, outcome: StoreOutcome) {
+    let label = match outcome {
+        StoreOutcome::Stored => "stored",
+        StoreOutcome::Retiring => "retiring",
+        StoreOutcome::Full => "full",
+        StoreOutcome::Failed => "failed",
+    };
+    holder
+        .state
+        .metrics
+        .stored
+        .with_label_values(&[label])
+        .inc();
+}
+
+async fn get_chain(holder: &TurnHolder, key: TurnKey) -> HolderReply {
+    let state = &holder.state;
+    let links = state.index.borrow_mut().chain(key, holder.now_ms());
+    let is_absent = links.is_empty();
+    let (turns, is_readable) = match holder.read_links(links).await {
+        Ok(turns) => (turns, true),
+        Err(error) => {
+            record_event!(DiskFailed, operation = "read a chain", error = error);
+            (Vec::new(), false)
+        }
+    };
+    let label = match (is_absent, is_readable) {
+        (true, _) => "absent",
+        (false, true) => "found",
+        (false, false) => "unreadable",
+    };
+    state.metrics.lookups.with_label_values(&[label]).inc();
+    HolderReply::Chain {
+        turns,
+        is_whole: state.is_whole.get() && is_readable,
+        holders_digest: state.holders.borrow().digest(),
+    }
+}
+
+/// Records what a peer's check tells about the peer and about this holder's disk.
+fn record_check(
+    holder: &TurnHolder,
+    sender: &HolderInfo,
+    receiver_generation: Option<u64>,
+    is_last: bool,
+) {
+    let state = &holder.state;
+    let is_known = state.holders.borrow().get(sender.key()).is_some();
+    if !is_known {
+        // The sender has just started, and the registrations have not been read since.
+        let mut holders = state.holders.borrow().clone();
+        holders.insert(sender.clone());
+        holder.set_holders(holders);
+    }
+    let effect = {
+        let mut repair = state.repair.borrow_mut();
+        repair.record_generation(sender.key(), sender.generation)
+    };
+    if effect == CheckEffect::NeedsRebuild {
+        holder.rebuild_repairs("a disk was lost");
+    }
+    if is_last && receiver_generation == Some(state.options.info.generation) {
+        state.completed_peers.borrow_mut().insert(sender.key());
+        holder.update_whole();
+    }
+}
+
+impl TurnHolder {
+    /// Declares the disk whole once each other holder has compared its turns with it.
+    fn update_whole(&self) {
+        let state = &self.state;
+        if state.is_whole.get() {
+            return;
+        }
+        let own = state.options.info.key();
+        let holders = state.holders.borrow();
+        let completed = state.completed_peers.borrow();
+        let mut others = holders
+            .iter()
+            .map(HolderInfo::key)
+            .filter(|key| *key != own);
+        if others.all(|key| completed.contains(&key)) {
+            record_event!(HolderWhole, holders = holders.len());
+            state.is_whole.set(true);
+        }
+    }
+}
+
+fn retire(holder: &TurnHolder) -> HolderReply {
+    let state = &holder.state;
+    if !state.repair.borrow().is_retiring() {
+        state.repair.borrow_mut().start_retiring();
+        holder.rebuild_repairs("this holder is being emptied");
+    }
+    let repair = state.repair.borrow();
+    let turns = state.index.borrow().len();
+    let uncompared = if turns > 0 && repair.live_peers() == 0 {
+        turns
+    } else {
+        repair.unchecked_count()
+    };
+    let left = uncompared + state.stores_in_progress.get();
+    let name = String::from_utf8_lossy(&state.options.info.name);
+    record_event!(HolderRetiring, vm = name, left = left);
+    HolderReply::Retiring {
+        left: u64::try_from(left).unwrap_or(u64::MAX),
+    }
+}
