--- a/crates/turns/src/holder/commit.rs
+++ b/crates/turns/src/holder/commit.rs
@@ -26,14 +26,14 @@
 /// Turns that are on disk already are not written again.
 pub(crate) async fn store_turns(holder: &TurnHolder, mut turns: Vec<KeptTurn>) -> StoreOutcome {
     let state = &holder.state;
-    if state.repair.borrow().is_retiring() {
+    if state.core.borrow().is_retiring() {
         return StoreOutcome::Retiring;
     }
     let bytes: usize = turns.iter().map(KeptTurn::content_bytes).sum();
     if !holder.has_room(to_u64(bytes)) {
         return StoreOutcome::Full;
     }
-    turns.retain(|turn| !state.index.borrow().contains(turn.key));
+    turns.retain(|turn| !state.core.borrow().index().contains(turn.key));
     if turns.is_empty() {
         return StoreOutcome::Stored;
     }
@@ -91,11 +91,9 @@
     let (outcome, label) = match result {
         Ok(locations) => {
             let now_ms = holder.now_ms();
-            let mut index = state.index.borrow_mut();
-            let mut repair = state.repair.borrow_mut();
+            let mut core = state.core.borrow_mut();
             for (turn, location) in turns.into_iter().zip(locations) {
-                repair.add_turn(turn.key, turn.placement, now_ms);
-                index.insert(turn, location, now_ms);
+                core.add_turn(turn, location, now_ms);
             }
             (StoreOutcome::Stored, "stored")
         }
--- a/crates/turns/src/holder/repairs.rs
+++ b/crates/turns/src/holder/repairs.rs
@@ -7,7 +7,7 @@
 
 use super::state::TurnHolder;
 use crate::message::{HolderReply, HolderRequest, StoreOutcome};
-use crate::repair::{CheckEffect, PeerCheck};
+use crate::repair::PeerCheck;
 use crate::turn::{KeptTurn, TurnKey};
 
 /// Interval at which due messages are sent.
@@ -22,7 +22,7 @@
     loop {
         Timer::after(ROUND_INTERVAL).await;
         let now_ms = holder.now_ms();
-        let checks = holder.state.repair.borrow_mut().due_checks(now_ms);
+        let checks = holder.state.core.borrow_mut().due_checks(now_ms);
         for check in checks {
             let cloned = holder.clone();
             holder.spawn(async move { run_check(&cloned, check).await });
@@ -31,24 +31,10 @@
 }
 
 async fn run_check(holder: &TurnHolder, check: PeerCheck) {
-    let peer = check.holder.key();
-    let result = compare(holder, &check).await;
+    let generation = compare(holder, &check).await;
     let now_ms = holder.now_ms();
-    let effect = {
-        let mut repair = holder.state.repair.borrow_mut();
-        match result {
-            Some(generation) => repair.record_checked(&check, generation),
-            None => repair.record_failure(peer, now_ms),
-        }
-    };
-    if effect == CheckEffect::NeedsRebuild {
-        let cause = if result.is_some() {
-            "a holder is back or its disk was lost"
-        } else {
-            "a holder is silent"
-        };
-        holder.rebuild_repairs(cause);
-    }
+    let mut core = holder.state.core.borrow_mut();
+    core.finish_check(&check, generation, now_ms);
 }
 
 /// Compares turns with a peer and sends the missing ones; returns the peer's generation
@@ -92,7 +78,7 @@
     let mut batch: Vec<KeptTurn> = Vec::new();
     let mut bytes = 0;
     for key in missing {
-        let link = holder.state.index.borrow().get(*key);
+        let link = holder.state.core.borrow().index().get(*key);
         // A turn that has expired since needs no copy.
         let Some(link) = link else {
             continue;
--- a/crates/turns/src/holder/server.rs
+++ b/crates/turns/src/holder/server.rs
@@ -10,9 +10,7 @@
 
 use super::commit::store_turns;
 use super::state::TurnHolder;
-use crate::holders::HolderInfo;
 use crate::message::{HolderReply, HolderRequest, StoreOutcome};
-use crate::repair::CheckEffect;
 use crate::turn::TurnKey;
 use crate::wire::{encode_message, read_message, write_message};
 
@@ -93,12 +91,13 @@
             keys,
             is_last,
         } => {
-            record_check(holder, &sender, receiver_generation, is_last);
-            let index = holder.state.index.borrow();
-            let missing = keys.into_iter().filter(|key| !index.contains(*key));
+            let now_ms = holder.now_ms();
+            let mut core = holder.state.core.borrow_mut();
+            let generation = core.info().generation;
+            let missing = core.answer_check(&sender, receiver_generation, keys, is_last, now_ms);
             HolderReply::Checked {
-                generation: holder.state.options.info.generation,
-                missing: missing.collect(),
+                generation,
+                missing,
             }
         }
         HolderRequest::Retire => retire(holder),
@@ -122,7 +121,7 @@
 
 async fn get_chain(holder: &TurnHolder, key: TurnKey) -> HolderReply {
     let state = &holder.state;
-    let links = state.index.borrow_mut().chain(key, holder.now_ms());
+    let links = state.core.borrow_mut().chain(key, holder.now_ms());
     let is_absent = links.is_empty();
     let (turns, is_readable) = match holder.read_links(links).await {
         Ok(turns) => (turns, true),
@@ -137,75 +136,17 @@
         (false, false) => "unreadable",
     };
     state.metrics.lookups.with_label_values(&[label]).inc();
+    let core = state.core.borrow();
     HolderReply::Chain {
         turns,
-        is_whole: state.is_whole.get() && is_readable,
-        holders_digest: state.holders.borrow().digest(),
-    }
-}
-
-/// Records what a peer's check tells about the peer and about this holder's disk.
-fn record_check(
-    holder: &TurnHolder,
-    sender: &HolderInfo,
-    receiver_generation: Option<u64>,
-    is_last: bool,
-) {
-    let state = &holder.state;
-    let is_known = state.holders.borrow().get(sender.key()).is_some();
-    if !is_known {
-        // The sender has just started, and the registrations have not been read since.
-        let mut holders = state.holders.borrow().clone();
-        holders.insert(sender.clone());
-        holder.set_holders(holders);
-    }
-    let effect = {
-        let mut repair = state.repair.borrow_mut();
-        repair.record_generation(sender.key(), sender.generation)
-    };
-    if effect == CheckEffect::NeedsRebuild {
-        holder.rebuild_repairs("a disk was lost");
-    }
-    if is_last && receiver_generation == Some(state.options.info.generation) {
-        state.completed_peers.borrow_mut().insert(sender.key());
-        holder.update_whole();
-    }
-}
-
-impl TurnHolder {
-    /// Declares the disk whole once each other holder has compared its turns with it.
-    fn update_whole(&self) {
-        let state = &self.state;
-        if state.is_whole.get() {
-            return;
-        }
-        let own = state.options.info.key();
-        let holders = state.holders.borrow();
-        let completed = state.completed_peers.borrow();
-        let mut others = holders
-            .iter()
-            .map(HolderInfo::key)
-            .filter(|key| *key != own);
-        if others.all(|key| completed.contains(&key)) {
-            record_event!(HolderWhole, holders = holders.len());
-            state.is_whole.set(true);
-        }
+        is_whole: core.is_whole() && is_readable,
+        holders_digest: core.holders().digest(),
     }
 }
 
 fn retire(holder: &TurnHolder) -> HolderReply {
     let state = &holder.state;
-    if !state.repair.borrow().is_retiring() {
-        state.repair.borrow_mut().start_retiring();
-        holder.rebuild_repairs("this holder is being emptied");
-    }
-    let repair = state.repair.borrow();
-    let turns = state.index.borrow().len();
-    let uncompared = if turns > 0 && repair.live_peers() == 0 {
-        turns
-    } else {
-        repair.unchecked_count()
-    };
+    let uncompared = state.core.borrow_mut().retire(holder.now_ms());
     let left = uncompared + state.stores_in_progress.get();
     let name = String::from_utf8_lossy(&state.options.info.name);
     record_event!(HolderRetiring, vm = name, left = left);
--- a/crates/turns/src/holder/state.rs
+++ b/crates/turns/src/holder/state.rs
@@ -1,7 +1,6 @@
 //! State of a holder, shared by its tasks on one thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
@@ -15,11 +14,11 @@
 use super::commit::{CommitRequest, run_commits};
 use super::identity::HolderIdentity;
 use super::{repairs, server};
-use crate::holders::{HolderInfo, HolderKey, HolderTable};
-use crate::index::{ChainLink, TurnIndex};
+use crate::core::HolderCore;
+use crate::holders::{HolderInfo, HolderTable};
+use crate::index::ChainLink;
 use crate::link::HolderLinks;
 use crate::metrics::HolderMetrics;
-use crate::repair::RepairPlan;
 use crate::turn::KeptTurn;
 use crate::turn_log::TurnLog;
 
@@ -68,16 +67,11 @@
     pub(crate) started: Instant,
     /// Accessed on other threads for disk operations.
     pub(crate) log: Arc<Mutex<TurnLog>>,
-    pub(crate) index: RefCell<TurnIndex>,
-    pub(crate) holders: RefCell<HolderTable>,
-    pub(crate) repair: RefCell<RepairPlan>,
+    pub(crate) core: RefCell<HolderCore>,
     pub(crate) commits: Sender<CommitRequest>,
     /// Requests to store turns that have not been answered.
     pub(crate) stores_in_progress: Cell<usize>,
     pub(crate) disk_used: Cell<u64>,
-    pub(crate) is_whole: Cell<bool>,
-    /// Holders that have compared all their turns with this disk.
-    pub(crate) completed_peers: RefCell<HashSet<HolderKey>>,
 }
 
 impl TurnHolder {
@@ -94,25 +88,29 @@
         metrics: HolderMetrics,
     ) -> Result<Self, StoreError> {
         let started = Instant::now();
-        let mut index = TurnIndex::new(options.memory_bytes);
+        let copies = options.tolerated + 1;
+        let mut core = HolderCore::new(
+            options.info.clone(),
+            copies,
+            options.memory_bytes,
+            options.is_whole,
+        );
         let segment_bytes = options.disk_bytes / SEGMENTS_MAX;
         let segment_bytes = segment_bytes.clamp(SEGMENT_BYTES.0, SEGMENT_BYTES.1);
         let (log, recovery) =
             TurnLog::open(&options.folder, segment_bytes, disk, |turn, location| {
-                index.insert(turn, location, 0);
+                core.add_turn(turn, location, 0);
             })?;
-        let is_whole = options.is_whole && !recovery.is_incomplete;
+        core.set_whole(options.is_whole && !recovery.is_incomplete);
         record_event!(
             HolderStarted,
             vm = String::from_utf8_lossy(&options.info.name),
             generation = format!("{:x}", identity.generation),
             turns = recovery.turns,
             damages = recovery.found_damage.len(),
-            whole = is_whole,
+            whole = core.is_whole(),
             elapsed_ms = started.elapsed().as_millis(),
         );
-        let mut repair = RepairPlan::new(options.info.clone(), options.tolerated + 1);
-        repair.rebuild(index.placements(), 0);
         let (commits, commit_requests) = unbounded();
         let disk_used = log.total_bytes();
         let state = HolderState {
@@ -120,14 +118,10 @@
             metrics,
             started,
             log: Arc::new(Mutex::new(log)),
-            index: RefCell::new(index),
-            holders: RefCell::new(HolderTable::new([options.info.clone()])),
-            repair: RefCell::new(repair),
+            core: RefCell::new(core),
             commits,
             stores_in_progress: Cell::new(0),
             disk_used: Cell::new(disk_used),
-            is_whole: Cell::new(is_whole),
-            completed_peers: RefCell::default(),
             options,
         };
         let holder = Self {
@@ -152,55 +146,32 @@
     }
 
     /// Replaces the registered holders.
-    pub fn set_holders(&self, mut holders: HolderTable) {
-        holders.insert(self.state.options.info.clone());
-        if *self.state.holders.borrow() == holders {
-            return;
-        }
-        record_event!(
-            HoldersChanged,
-            holders = holders.len(),
-            digest = format!("{:x}", holders.digest())
-        );
-        let is_changed = self.state.repair.borrow_mut().set_holders(&holders);
-        *self.state.holders.borrow_mut() = holders;
-        if is_changed {
-            self.rebuild_repairs("registration");
-        }
+    pub fn set_holders(&self, holders: HolderTable) {
+        let now_ms = self.now_ms();
+        self.state.core.borrow_mut().set_holders(holders, now_ms);
     }
 
     /// Returns whether the disk is known to hold all turns that were stored on this VM.
     #[must_use]
     pub fn is_whole(&self) -> bool {
-        self.state.is_whole.get()
+        self.state.core.borrow().is_whole()
     }
 
     /// Records that the disk holds all turns that were stored on this VM, or does not.
     pub fn set_whole(&self, is_whole: bool) {
-        self.state.is_whole.set(is_whole);
+        self.state.core.borrow_mut().set_whole(is_whole);
     }
 
     /// Returns whether the holder is being emptied.
     #[must_use]
     pub fn is_retiring(&self) -> bool {
-        self.state.repair.borrow().is_retiring()
+        self.state.core.borrow().is_retiring()
     }
 
     /// Returns the number of turns.
     #[must_use]
     pub fn turn_count(&self) -> usize {
-        self.state.index.borrow().len()
-    }
-
-    /// Compares all turns with the other holders again.
-    pub(crate) fn rebuild_repairs(&self, cause: &'static str) {
-        let now_ms = self.now_ms();
-        let index = self.state.index.borrow();
-        self.state
-            .repair
-            .borrow_mut()
-            .rebuild(index.placements(), now_ms);
-        record_event!(PeerChanged, cause = cause, turns = index.len());
+        self.state.core.borrow().index().len()
     }
 
     pub(crate) fn now_ms(&self) -> u64 {
@@ -261,7 +232,7 @@
     loop {
         Timer::after(EXPIRY_INTERVAL).await;
         let state = &holder.state;
-        state.index.borrow_mut().expire(holder.now_ms());
+        state.core.borrow_mut().expire(holder.now_ms());
         holder.update_metrics();
         if state.stores_in_progress.get() > 0 {
             // A turn that was just written may not be in the index yet.
@@ -270,10 +241,10 @@
         let dead: Vec<u64> = {
             let log = state.log.lock();
             let log = log.unwrap_or_else(std::sync::PoisonError::into_inner);
-            let index = state.index.borrow();
+            let core = state.core.borrow();
             let closed = log.closed_segments();
             closed
-                .filter(|number| !index.is_segment_live(*number))
+                .filter(|number| !core.index().is_segment_live(*number))
                 .collect()
         };
         if dead.is_empty() {
@@ -300,13 +271,14 @@
     fn update_metrics(&self) {
         let to_gauge = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
         let state = &self.state;
-        let index = state.index.borrow();
+        let core = state.core.borrow();
+        let index = core.index();
         state.metrics.turns.set(to_gauge(index.len()));
         state
             .metrics
             .memory_bytes
             .set(to_gauge(index.memory_bytes()));
-        let unchecked = state.repair.borrow().unchecked_count();
+        let unchecked = core.unchecked_count();
         state.metrics.unchecked.set(to_gauge(unchecked));
         let used = i64::try_from(state.disk_used.get()).unwrap_or(i64::MAX);
         state.metrics.disk_bytes.set(used);
