Tell a wiped holder that it is whole only after it has stored what it lacked

Cause: a holder that lacked turns of a comparison could not count it as the last, and its peer took it for the last and sent no further one: the holder answered every lookup as uncertain until its next start. Found by the test on loopback, which hung; the play had no check for it. Change: the outcome of a comparison tells whether the peer had all turns or got some; only the first ends the comparisons.

--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -155,7 +155,7 @@
         };
         let turns = TurnClient::new(
             turn_options,
-            HolderLinks::new(Rc::clone(&executor)),
+            HolderLinks::new(&executor),
             metrics.turns.clone(),
         );
         let state = GatewayState {
--- a/crates/turns/src/core.rs
+++ b/crates/turns/src/core.rs
@@ -11,7 +11,7 @@
 
 use crate::holders::{HolderInfo, HolderKey, HolderTable};
 use crate::index::{ChainLink, TurnIndex};
-use crate::repair::{CheckEffect, PeerCheck, RepairPlan};
+use crate::repair::{CheckEffect, CheckOutcome, PeerCheck, RepairPlan};
 use crate::turn::{KeptTurn, TurnKey};
 
 /// State of a holder.
@@ -75,6 +75,7 @@
         self.holders = holders;
         if is_changed {
             self.compare_all("the registered holders changed", now_ms);
+            self.update_whole();
         }
     }
 
@@ -132,7 +133,7 @@
         }
         let missing = keys.into_iter().filter(|key| !self.index.contains(*key));
         let missing: Vec<_> = missing.collect();
-        // What is missing arrives before the sender's next message.
+        // What is missing arrives before the sender's next message, which tells so.
         let is_complete = is_last && missing.is_empty();
         if is_complete && receiver_generation == Some(self.info.generation) {
             self.completed_peers.insert(sender.key());
@@ -146,7 +147,7 @@
         let own = self.info.key();
         let mut others = self.holders.iter().map(HolderInfo::key);
         let is_compared = others.all(|key| key == own || self.completed_peers.contains(&key));
-        if !self.is_whole && is_compared {
+        if !self.is_whole && is_compared && !self.completed_peers.is_empty() {
             record_event!(HolderWhole, holders = self.holders.len());
             self.is_whole = true;
         }
@@ -157,20 +158,15 @@
         self.repair.due_checks(now_ms)
     }
 
-    /// Records the outcome of a comparison: the generation of a peer that has all the
-    /// turns now, or `None` if it did not reply or could not take them.
-    pub fn finish_check(&mut self, check: &PeerCheck, generation: Option<u64>, now_ms: u64) {
-        let (effect, cause) = match generation {
-            Some(generation) => (
-                self.repair.record_checked(check, generation),
-                "a holder is back or its disk was lost",
-            ),
-            None => (
-                self.repair.record_failure(check.holder.key(), now_ms),
-                "a holder is silent",
-            ),
-        };
+    /// Records the outcome of a comparison.
+    pub fn finish_check(&mut self, check: &PeerCheck, outcome: CheckOutcome, now_ms: u64) {
+        let effect = self.repair.record_outcome(check, outcome, now_ms);
         if effect == CheckEffect::NeedsRebuild {
+            let cause = if outcome == CheckOutcome::Failed {
+                "a holder is silent"
+            } else {
+                "a holder is back or its disk was lost"
+            };
             self.compare_all(cause, now_ms);
         }
     }
--- a/crates/turns/src/holder/repairs.rs
+++ b/crates/turns/src/holder/repairs.rs
@@ -7,7 +7,7 @@
 
 use super::state::TurnHolder;
 use crate::message::{HolderReply, HolderRequest, StoreOutcome};
-use crate::repair::PeerCheck;
+use crate::repair::{CheckOutcome, PeerCheck};
 use crate::turn::{KeptTurn, TurnKey};
 
 /// Interval at which due messages are sent.
@@ -31,15 +31,14 @@
 }
 
 async fn run_check(holder: &TurnHolder, check: PeerCheck) {
-    let generation = compare(holder, &check).await;
+    let outcome = compare(holder, &check).await;
     let now_ms = holder.now_ms();
     let mut core = holder.state.core.borrow_mut();
-    core.finish_check(&check, generation, now_ms);
+    core.finish_check(&check, outcome, now_ms);
 }
 
-/// Compares turns with a peer and sends the missing ones; returns the peer's generation
-/// if it has all of them now.
-async fn compare(holder: &TurnHolder, check: &PeerCheck) -> Option<u64> {
+/// Compares turns with a peer and sends the missing ones.
+async fn compare(holder: &TurnHolder, check: &PeerCheck) -> CheckOutcome {
     let address = check.holder.address();
     let request = HolderRequest::Check {
         sender: holder.state.options.info.clone(),
@@ -48,16 +47,16 @@
         is_last: check.is_last,
     };
     let links = &holder.state.links;
-    let reply = links.call(address, &request, CALL_TIMEOUT).await.ok()?;
-    let HolderReply::Checked {
+    let reply = links.call(address, &request, CALL_TIMEOUT).await;
+    let Ok(HolderReply::Checked {
         generation,
         missing,
-    } = reply
+    }) = reply
     else {
-        return None;
+        return CheckOutcome::Failed;
     };
     if missing.is_empty() {
-        return Some(generation);
+        return CheckOutcome::Equal { generation };
     }
     let is_stored = send_missing(holder, check, &missing).await;
     let outcome = if is_stored { "stored" } else { "failed" };
@@ -71,7 +70,11 @@
     let restored = &holder.state.metrics.restored;
     let count = u64::try_from(missing.len()).unwrap_or(u64::MAX);
     restored.with_label_values(&[outcome]).inc_by(count);
-    is_stored.then_some(generation)
+    if is_stored {
+        CheckOutcome::Restored { generation }
+    } else {
+        CheckOutcome::Failed
+    }
 }
 
 async fn send_missing(holder: &TurnHolder, check: &PeerCheck, missing: &[TurnKey]) -> bool {
--- a/crates/turns/src/holder/state.rs
+++ b/crates/turns/src/holder/state.rs
@@ -84,7 +84,7 @@
         options: HolderOptions,
         identity: HolderIdentity,
         disk: StoreDisk,
-        executor: Rc<LocalExecutor<'static>>,
+        executor: &Rc<LocalExecutor<'static>>,
         metrics: HolderMetrics,
     ) -> Result<Self, StoreError> {
         let started = Instant::now();
--- a/crates/turns/src/link.rs
+++ b/crates/turns/src/link.rs
@@ -5,7 +5,7 @@
 use std::future::Future;
 use std::io;
 use std::net::{SocketAddrV4, TcpStream};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use futures_lite::FutureExt;
@@ -39,7 +39,8 @@
 /// Connections to holders, opened on demand.
 #[derive(Clone)]
 pub struct HolderLinks {
-    executor: Rc<LocalExecutor<'static>>,
+    /// Not kept alive by the links, so that its tasks, which hold links, end with it.
+    executor: Weak<LocalExecutor<'static>>,
     links: Rc<RefCell<HashMap<SocketAddrV4, HolderLink>>>,
     next_call: Rc<Cell<u64>>,
 }
@@ -63,9 +64,9 @@
 impl HolderLinks {
     /// Creates links whose tasks run on the given executor.
     #[must_use]
-    pub fn new(executor: Rc<LocalExecutor<'static>>) -> Self {
+    pub fn new(executor: &Rc<LocalExecutor<'static>>) -> Self {
         Self {
-            executor,
+            executor: Rc::downgrade(executor),
             links: Rc::default(),
             next_call: Rc::default(),
         }
@@ -73,7 +74,9 @@
 
     /// Runs a task on the executor of the links.
     pub(crate) fn spawn(&self, task: impl Future<Output = ()> + 'static) {
-        self.executor.spawn(task).detach();
+        if let Some(executor) = self.executor.upgrade() {
+            executor.spawn(task).detach();
+        }
     }
 
     /// Sends a request to a holder and waits for the reply.
--- a/crates/turns/src/repair.rs
+++ b/crates/turns/src/repair.rs
@@ -66,7 +66,24 @@
     pub is_last: bool,
 }
 
-/// Result of a message that compared turns.
+/// Outcome of a message that compared turns with a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CheckOutcome {
+    /// The peer had all the turns.
+    Equal {
+        /// Generation of the peer.
+        generation: u64,
+    },
+    /// The peer lacked turns, which it has stored now.
+    Restored {
+        /// Generation of the peer.
+        generation: u64,
+    },
+    /// The peer did not reply, or could not take the turns that it lacks.
+    Failed,
+}
+
+/// Effect of an outcome on the plan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CheckEffect {
     /// The peer is as it was.
@@ -183,8 +200,30 @@
             .collect()
     }
 
-    /// Records a peer's reply once it has all the turns of the message.
-    pub fn record_checked(&mut self, check: &PeerCheck, generation: u64) -> CheckEffect {
+    /// Records the outcome of a message.
+    pub fn record_outcome(
+        &mut self,
+        check: &PeerCheck,
+        outcome: CheckOutcome,
+        now_ms: u64,
+    ) -> CheckEffect {
+        match outcome {
+            CheckOutcome::Equal { generation } => self.record_checked(check, generation, true),
+            CheckOutcome::Restored { generation } => self.record_checked(check, generation, false),
+            CheckOutcome::Failed => self.record_failure(check.holder.key(), now_ms),
+        }
+    }
+
+    /// Records that a peer has all the turns of a message.
+    ///
+    /// A peer that lacked some is told that nothing is left only by a further message,
+    /// since it could not know whether it would get them.
+    fn record_checked(
+        &mut self,
+        check: &PeerCheck,
+        generation: u64,
+        was_equal: bool,
+    ) -> CheckEffect {
         let Some(peer) = self.peers.get_mut(&check.holder.key()) else {
             return CheckEffect::Unchanged;
         };
@@ -198,14 +237,14 @@
         }
         let checked: HashSet<_> = check.keys.iter().collect();
         peer.unchecked.retain(|(key, _)| !checked.contains(key));
-        if check.is_last && check.peer_generation == Some(generation) {
+        if was_equal && check.is_last && check.peer_generation == Some(generation) {
             peer.completed_generation = Some(generation);
         }
         CheckEffect::Unchanged
     }
 
     /// Records that a peer did not reply, or could not take turns that it lacks.
-    pub fn record_failure(&mut self, holder: HolderKey, now_ms: u64) -> CheckEffect {
+    fn record_failure(&mut self, holder: HolderKey, now_ms: u64) -> CheckEffect {
         let Some(peer) = self.peers.get_mut(&holder) else {
             return CheckEffect::Unchanged;
         };
--- a/crates/turns/tests/play/checker.rs
+++ b/crates/turns/tests/play/checker.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    pub(crate) fn record_uncertain(&mut self, holders: usize) {
+        let finding = format!("at the end, {holders} holders do not know that they are whole");
+        self.outcome.findings.push(finding);
+    }
+
     pub(crate) fn record_lost(&mut self, key: TurnKey, reason: &str) {
         let finding = format!("at the end, {key} can't be continued: {reason}");
         self.outcome.findings.push(finding);
--- a/crates/turns/tests/play/world.rs
+++ b/crates/turns/tests/play/world.rs
@@ -6,7 +6,7 @@
 use ibisdale_turns::copies::CopyPlan;
 use ibisdale_turns::holders::rank_holders;
 use ibisdale_turns::lookup::{HolderAnswer, LookupVerdict, TurnLookup};
-use ibisdale_turns::repair::PeerCheck;
+use ibisdale_turns::repair::{CheckOutcome, PeerCheck};
 use ibisdale_turns::{HolderInfo, HolderKey, HolderTable, KeptTurn, TurnKey};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -86,7 +86,7 @@
     Restored {
         from: usize,
         check: PeerCheck,
-        generation: Option<u64>,
+        outcome: CheckOutcome,
     },
 }
 
@@ -238,11 +238,11 @@
             PlayEvent::Restored {
                 from,
                 check,
-                generation,
+                outcome,
             } => {
                 let now_ms = self.now_ms;
                 if let Some(core) = &mut self.holders[from].core {
-                    core.finish_check(&check, generation, now_ms);
+                    core.finish_check(&check, outcome, now_ms);
                 }
             }
         }
@@ -488,7 +488,7 @@
             let event = PlayEvent::Restored {
                 from,
                 check,
-                generation: None,
+                outcome: CheckOutcome::Failed,
             };
             self.schedule(CALL_TIMEOUT_MS, event);
             return;
@@ -526,7 +526,11 @@
         let event = PlayEvent::Restored {
             from,
             check,
-            generation: is_stored.then_some(generation),
+            outcome: match (is_stored, missing.is_empty()) {
+                (false, _) => CheckOutcome::Failed,
+                (true, true) => CheckOutcome::Equal { generation },
+                (true, false) => CheckOutcome::Restored { generation },
+            },
         };
         self.schedule(delay.unwrap_or(CALL_TIMEOUT_MS), event);
     }
@@ -556,7 +560,16 @@
     }
 
     /// Checks that each answered turn has all its copies on holders that are left.
+    ///
+    /// Each holder must know by then that its disk is whole, so that what it does not have
+    /// does not exist.
     fn check_end(&mut self) {
+        let left = self.holders.iter().filter(|holder| !holder.is_retired);
+        let cores = left.filter_map(|holder| holder.core.as_ref());
+        let uncertain = cores.filter(|core| !core.is_whole()).count();
+        if uncertain > 0 && !self.options.is_repair_off {
+            self.checker.record_uncertain(uncertain);
+        }
         let keys = std::mem::take(&mut self.answered);
         for key in keys {
             let left = self.holders.iter().filter(|holder| !holder.is_retired);
