Check kept turns through a gateway with a holder

The body that a replica gets, lookups from another VM, 404 and 503, a response that is cut because its turn could not be kept, a chain beyond the body limit, a turn that broke off.

--- a/crates/relay/tests/gateway/fleet.rs
+++ b/crates/relay/tests/gateway/fleet.rs
@@ -25,6 +25,7 @@
         is_feed_unconfirmed: true,
         has_no_plan: true,
         seed: Some(first.peer_address),
+        ..TestGatewayOptions::default()
     };
     let second = TestGateway::start_with(&[], options);
     first.wait_for_vms(2);
--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -3,3 +3,4 @@
 mod fleet;
 mod responses;
 mod support;
+mod turns;
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -20,6 +20,9 @@
     DeploymentPlan, ExecutionSemantics, RouteRule, ServiceSpec, TrafficLimits, WeightedService,
     WorkspaceSpec,
 };
+use ibisdale_segments::StoreDisk;
+use ibisdale_turns::{HolderIdentity, HolderInfo, HolderMetrics, HolderOptions, TurnHolder};
+use prometheus::Registry;
 use smol::channel::{Receiver, Sender, bounded};
 use smol::{Async, LocalExecutor, Timer};
 
@@ -98,6 +101,10 @@
         route("/read/", ExecutionSemantics::Repeatable, 2),
         route("/act/", ExecutionSemantics::Once, 3),
         route("/stream/", ExecutionSemantics::StreamResumable, 1),
+        RouteRule {
+            keeps_turns: true,
+            ..route("/turn/", ExecutionSemantics::StreamOnce, 1)
+        },
     ];
     let service = ServiceSpec {
         name: Bytes::from_static(b"service"),
@@ -223,6 +230,8 @@
     pub(crate) has_no_plan: bool,
     /// Peer address of another VM that the gateway contacts first.
     pub(crate) seed: Option<SocketAddrV4>,
+    /// Address of the only holder of turns.
+    pub(crate) holder: Option<SocketAddrV4>,
 }
 
 impl TestGateway {
@@ -322,6 +331,73 @@
     }
 }
 
+fn holder_info(address: SocketAddrV4) -> HolderInfo {
+    HolderInfo {
+        name: Bytes::from_static(b"holder"),
+        generation: 1,
+        ip: *address.ip(),
+        port: address.port(),
+        domain: Bytes::from_static(b"east"),
+    }
+}
+
+/// A holder of turns that runs on a thread of its own and is stopped on drop.
+pub(crate) struct TestHolder {
+    pub(crate) address: SocketAddrV4,
+    stop: Option<Sender<()>>,
+    thread: Option<thread::JoinHandle<()>>,
+    _folder: tempfile::TempDir,
+}
+
+impl TestHolder {
+    pub(crate) fn start() -> Self {
+        let address = free_address();
+        let folder = tempfile::TempDir::new().unwrap();
+        let options = HolderOptions {
+            info: holder_info(address),
+            folder: folder.path().to_owned(),
+            disk_bytes: 10_000_000,
+            memory_bytes: 1_000_000,
+            tolerated: 0,
+            is_whole: true,
+        };
+        let (stop, stopped) = bounded(1);
+        let (started, started_receiver) = std::sync::mpsc::channel();
+        let thread = thread::spawn(move || {
+            let executor = Rc::new(LocalExecutor::new());
+            let identity = HolderIdentity {
+                generation: 1,
+                is_new: true,
+            };
+            let metrics = HolderMetrics::register(&Registry::new()).unwrap();
+            let disk = StoreDisk::default();
+            let holder = TurnHolder::open(options, identity, disk, &executor, metrics).unwrap();
+            holder.listen().unwrap();
+            started.send(()).unwrap();
+            // Returns when the test drops the sender to stop the holder.
+            let _ = smol::block_on(executor.run(stopped.recv()));
+            holder.close();
+        });
+        started_receiver.recv().unwrap();
+        Self {
+            address,
+            stop: Some(stop),
+            thread: Some(thread),
+            _folder: folder,
+        }
+    }
+}
+
+impl Drop for TestHolder {
+    fn drop(&mut self) {
+        self.stop.take();
+        if let Some(thread) = self.thread.take() {
+            let ended = thread.join();
+            assert!(ended.is_ok() || thread::panicking(), "the holder panicked");
+        }
+    }
+}
+
 /// Returns an address whose port is free for both TCP and UDP.
 ///
 /// Ports lie below the ephemeral range, which outgoing connections use, and each is
@@ -396,6 +472,8 @@
     if !replicas.is_empty() {
         gateway.set_replicas(replicas, 1);
     }
+    let holder = test_options.holder.map(holder_info);
+    gateway.set_holders(holder.into_iter().collect());
     if !test_options.is_feed_unconfirmed {
         gateway.confirm_feed();
     }
