--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -355,6 +355,14 @@
         self.state.turns.retire(holder).await
     }
 
+    /// Returns whether turns are to be kept and fewer VMs with a disk are known than get a
+    /// copy.
+    #[must_use]
+    pub fn lacks_holders(&self) -> bool {
+        let keeps_turns = self.plan().is_none_or(|plan| plan.keeps_turns());
+        keeps_turns && self.holders().len() <= self.state.options.tolerated_holders
+    }
+
     /// Fetches the VMs with a disk from another VM, if none is known.
     pub fn fetch_holders_if_unknown(&self) {
         if self.holders().is_empty() {
--- a/crates/relay/src/gateway/turns.rs
+++ b/crates/relay/src/gateway/turns.rs
@@ -39,12 +39,15 @@
 /// Returns the body to send to a replica: for a turn that continues another, the inputs
 /// and outputs of that chain and then the caller's body.
 ///
-/// A turn is refused with 404 only if it is certain that the turn that it continues does
+/// A turn that could not be kept is refused at once. A turn is refused with 404 only if it is certain that the turn that it continues does
 /// not exist in the workspace, or else with 503.
 pub(crate) async fn assemble_body(
     gateway: &Gateway,
     request: &CallerRequest,
 ) -> Result<Bytes, GatewayError> {
+    if request.route.keeps_turns && !gateway.state.turns.has_holders() {
+        return Err(GatewayError::unavailable("no VM that keeps turns is known"));
+    }
     let previous = request.previous_turn.as_ref();
     let Some(previous) = previous.filter(|_| request.route.keeps_turns) else {
         return Ok(request.body.clone());
--- a/crates/relay/src/plan/table.rs
+++ b/crates/relay/src/plan/table.rs
@@ -90,6 +90,12 @@
         &self.routes
     }
 
+    /// Returns whether the system keeps the turns of any route.
+    #[must_use]
+    pub fn keeps_turns(&self) -> bool {
+        self.routes.iter().any(|route| route.keeps_turns)
+    }
+
     /// Returns the longest program retention of all routes, in milliseconds, but at least
     /// the minimum.
     #[must_use]
--- a/crates/relay/tests/gateway/turns.rs
+++ b/crates/relay/tests/gateway/turns.rs
@@ -123,6 +123,14 @@
     assert!(replica.requests().is_empty());
 }
 
+#[test]
+fn first_turn_is_refused_at_once_while_no_holder_is_known() {
+    let (replica, gateway) = start(None);
+    let response = gateway.call(&turn_request("t1", None, "first"));
+    assert_eq!(status(&response), "503");
+    assert!(replica.requests().is_empty());
+}
+
 #[test]
 fn response_of_a_turn_that_can_t_be_kept_is_cut_after_its_events() {
     let holder = TestHolder::start();
--- a/crates/turns/src/client.rs
+++ b/crates/turns/src/client.rs
@@ -118,6 +118,12 @@
         }
     }
 
+    /// Returns whether a holder is known.
+    #[must_use]
+    pub fn has_holders(&self) -> bool {
+        !self.state.borrow().holders.is_empty()
+    }
+
     /// Returns the registered holders.
     #[must_use]
     pub fn holders(&self) -> Vec<HolderInfo> {
