Remove dead segments under steady load, and wait for enough peers when emptied

Cause, found on reading: segments were removed only while no store was in progress, which under load is never; the appends run one after another, so a closed segment's turns are always in the index. A holder that was emptied while too few others replied would have left fewer copies. A missing turn within a chain was not logged. Change: each; the module of a holder's decisions is holder_core, the play's operations are files of their own.

--- a/crates/turns/src/client.rs
+++ b/crates/turns/src/client.rs
@@ -297,9 +297,12 @@
                 let left = limit.saturating_sub(started.elapsed());
                 let found = self.joined_lookup(key, placement, left).await;
                 // A turn is kept together with its chain, so a gap within one is a fault.
-                found.map_err(|error| match error {
-                    ChainError::Missing if !chain.turns.is_empty() => ChainError::Unknown,
-                    error => error,
+                found.map_err(|error| {
+                    if error == ChainError::Missing && !chain.turns.is_empty() {
+                        log::error!("turn {key}, which a kept turn continues, is missing");
+                        return ChainError::Unknown;
+                    }
+                    error
                 })?
             };
             for turn in found {
--- a/crates/turns/src/holder/state.rs
+++ b/crates/turns/src/holder/state.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use ibisdale_segments::{FrameLocation, StoreDisk, StoreError};
@@ -14,7 +14,7 @@
 use super::commit::{CommitRequest, run_commits};
 use super::identity::HolderIdentity;
 use super::{repairs, server};
-use crate::core::HolderCore;
+use crate::holder_core::HolderCore;
 use crate::holders::{HolderInfo, HolderTable};
 use crate::index::ChainLink;
 use crate::link::HolderLinks;
@@ -201,9 +201,7 @@
         }
         let log = Arc::clone(&self.state.log);
         smol::unblock(move || {
-            let log = log
-                .lock()
-                .unwrap_or_else(std::sync::PoisonError::into_inner);
+            let log = log.lock().unwrap_or_else(PoisonError::into_inner);
             read_all(links, |location| log.read(location))
         })
         .await
@@ -234,15 +232,16 @@
         let state = &holder.state;
         state.core.borrow_mut().expire(holder.now_ms());
         holder.update_metrics();
-        if state.stores_in_progress.get() > 0 {
-            // A turn that was just written may not be in the index yet.
-            continue;
-        }
+        let log = Arc::clone(&state.log);
+        let closed: Vec<u64> = smol::unblock(move || {
+            let log = log.lock().unwrap_or_else(PoisonError::into_inner);
+            log.closed_segments().collect()
+        })
+        .await;
+        // All turns of a closed segment are in the index: appends run one after another.
         let dead: Vec<u64> = {
-            let log = state.log.lock();
-            let log = log.unwrap_or_else(std::sync::PoisonError::into_inner);
             let core = state.core.borrow();
-            let closed = log.closed_segments();
+            let closed = closed.into_iter();
             closed
                 .filter(|number| !core.index().is_segment_live(*number))
                 .collect()
@@ -252,9 +251,7 @@
         }
         let log = Arc::clone(&state.log);
         let removed = smol::unblock(move || {
-            let mut log = log
-                .lock()
-                .unwrap_or_else(std::sync::PoisonError::into_inner);
+            let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
             let results = dead.into_iter().map(|number| log.remove_segment(number));
             let result: Result<(), StoreError> = results.collect();
             (result, log.total_bytes())
--- a/crates/turns/src/core.rs
+++ b/crates/turns/src/holder_core.rs
@@ -185,7 +185,7 @@
             self.compare_all("this holder is being emptied", now_ms);
         }
         let turns = self.index.len();
-        if turns > 0 && self.repair.live_peers() == 0 {
+        if turns > 0 && !self.repair.has_enough_peers() {
             turns
         } else {
             self.repair.unchecked_count()
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -2,15 +2,15 @@
 //!
 //! A turn is immutable once its response is complete, so it needs no owner: its copies
 //! lie on the VMs with a disk that rank first for its program ([`holders`]), and any VM
-//! can look it up. [`copies`], [`lookup`], [`repair`] and [`core`] decide without I/O; [`turn_log`] and
+//! can look it up. [`copies`], [`lookup`], [`repair`] and [`holder_core`] decide without I/O; [`turn_log`] and
 //! [`index`] keep turns on a disk; [`TurnClient`] and [`TurnHolder`] put sockets around
 //! them, each on one thread.
 
 mod cache;
 mod client;
 pub mod copies;
-pub mod core;
 mod holder;
+pub mod holder_core;
 pub mod holders;
 pub mod index;
 mod link;
--- a/crates/turns/src/repair.rs
+++ b/crates/turns/src/repair.rs
@@ -280,12 +280,13 @@
         peers.map(|peer| peer.unchecked.len()).sum()
     }
 
-    /// Returns the number of peers that replied lately.
+    /// Returns whether as many peers reply as there should be copies, or all if fewer are
+    /// registered.
     #[must_use]
-    pub fn live_peers(&self) -> usize {
+    pub fn has_enough_peers(&self) -> bool {
         let peers = self.peers.values();
-        peers
-            .filter(|peer| !peer.is_dead && peer.generation.is_some())
-            .count()
+        let live = peers.filter(|peer| !peer.is_dead && peer.generation.is_some());
+        let needed = self.copies.min(self.peers.len()).max(1);
+        live.count() >= needed
     }
 }
--- a/crates/turns/tests/play/faults.rs
+++ b/crates/turns/tests/play/faults.rs
@@ -1,5 +1,6 @@
 //! Faults that a seed injects, within what is tolerated.
 
+use ibisdale_turns::holder_core::HolderCore;
 use rand::Rng;
 
 use crate::world::{PlayEvent, PlayWorld};
@@ -62,7 +63,7 @@
             if target.is_retired || target.core.is_none() {
                 continue;
             }
-            let is_whole = target.core.as_ref().is_some_and(|core| core.is_whole());
+            let is_whole = target.core.as_ref().is_some_and(HolderCore::is_whole);
             target.kill(false);
             target.whole_at_ms = target.whole_at_ms.max(self.now_ms + down_ms + CATCH_UP_MS);
             let is_wiped = !is_whole;
--- a/crates/turns/tests/play/holder.rs
+++ b/crates/turns/tests/play/holder.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use ibisdale_segments::FrameLocation;
-use ibisdale_turns::core::HolderCore;
+use ibisdale_turns::holder_core::HolderCore;
 use ibisdale_turns::index::ChainLink;
 use ibisdale_turns::{HolderInfo, HolderTable, KeptTurn, TurnKey};
 
--- a/crates/turns/tests/play/main.rs
+++ b/crates/turns/tests/play/main.rs
@@ -4,9 +4,11 @@
 //! kills, wiped disks, cuts, pauses and orders to empty a VM from a seed, within what the
 //! deployment tolerates. The checker knows which turns were answered whole.
 
+mod callers;
 mod checker;
 mod faults;
 mod holder;
+mod repairs;
 mod world;
 
 use checker::PlayOutcome;
