Keep no replicas after an outage that only this VM had

Cause: after an outage, replicas whose entries may have lapsed are kept for 2.2 s, unless the store answered other VMs in its midst. Only their latest contact was known at its end, which is always recent while they are in contact, so an outage of one VM never counted as local. Change: contacts are recorded during the outage; the decision is ServiceOutage, without I/O.

--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -5,6 +5,7 @@
 
 mod budget;
 mod members;
+mod outage;
 mod placement;
 mod quota;
 mod readers;
@@ -18,6 +19,7 @@
     BudgetLedger, BudgetShare, BudgetVerdict, CeilingClaim, ClaimStatus, ProgramKey, StoredCeiling,
 };
 pub use members::{MemberFacts, MemberTable, VmKey};
+pub use outage::ServiceOutage;
 pub use placement::{PlacementInput, choose_replica};
 pub use quota::{
     AdmissionCounters, ProgramStage, QuotaLedger, QuotaTolerance, RateRefusal, RefusalCause,
