Record whose share of a rate admitted a request, and the age of heartbeats

Line 2207 named the home of refused requests only, so admissions from counters that were too old and admissions by several homes looked the same. 2201 gets admitted_by and home, and the metrics a counter of decisions, the age of the oldest heartbeat and the number of silent VMs. No logic changes.

--- a/crates/relay/src/decide/members.rs
+++ b/crates/relay/src/decide/members.rs
@@ -188,6 +188,17 @@
         (all, all - self.live(now_ms).count())
     }
 
+    /// Returns the age of the oldest heartbeat among the VMs that are not silent, in
+    /// milliseconds; 0 if there are none.
+    #[must_use]
+    pub fn oldest_heartbeat_age_ms(&self, now_ms: u64) -> u64 {
+        let states = self.members.values();
+        let ages = states.map(|state| now_ms.saturating_sub(state.last_heartbeat_ms));
+        ages.filter(|age_ms| *age_ms <= SILENT_AFTER_MS)
+            .max()
+            .unwrap_or(0)
+    }
+
     /// Returns the last time at which a VM was added, removed or restarted, became silent
     /// or returned, in milliseconds.
     #[must_use]
--- a/crates/relay/src/gateway/admit.rs
+++ b/crates/relay/src/gateway/admit.rs
@@ -207,6 +207,16 @@
     read.or(timed_out).await;
 }
 
+/// How a request was counted against its workspace's rate limit.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct RateAdmission {
+    /// Whose share admitted the request: `share` for this VM's, `home` for the home VM's;
+    /// empty if the request has no workspace or was refused.
+    pub(crate) source: &'static str,
+    /// Name of the home VM; empty if it is this VM or was not asked.
+    pub(crate) home: String,
+}
+
 /// Counts a request against its workspace's rate limit.
 ///
 /// Asks the workspace's home VM when this VM's share of the rate is used up.
@@ -214,9 +224,9 @@
     gateway: &Gateway,
     request: &CallerRequest,
     stage: ProgramStage,
-) -> Result<(), GatewayError> {
+) -> Result<RateAdmission, GatewayError> {
     let Some(workspace) = &request.workspace else {
-        return Ok(());
+        return Ok(RateAdmission::default());
     };
     let workspace_key = hash_bytes(workspace);
     let now_ms = gateway.now_ms();
@@ -225,7 +235,14 @@
         quota.admit(workspace_key, stage, now_ms)
     };
     if is_admitted {
-        return Ok(());
+        gateway
+            .state
+            .metrics
+            .count_rate_decision("share", "admitted");
+        return Ok(RateAdmission {
+            source: "share",
+            home: String::new(),
+        });
     }
     let own_key = gateway.state.options.facts.key();
     // The first entry is the home; `None` stands for this VM.
@@ -255,8 +272,16 @@
         }
     };
     let Some(refusal) = refusal else {
-        return Ok(());
+        gateway
+            .state
+            .metrics
+            .count_rate_decision("home", "admitted");
+        return Ok(RateAdmission {
+            source: "home",
+            home: home_name,
+        });
     };
+    gateway.state.metrics.count_rate_decision("home", "refused");
     record_event!(
         RateRefused,
         request = request.attempt_id,
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -19,7 +19,8 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use super::admit::{
-    GatewayError, HOME_UNREACHABLE_RETRY_MS, admit_head, check_rate_limit, discard_body, read_body,
+    GatewayError, HOME_UNREACHABLE_RETRY_MS, RateAdmission, admit_head, check_rate_limit,
+    discard_body, read_body,
 };
 use super::attempt::RetryState;
 use super::body::{ResponseAborted, ResponseBody};
@@ -193,6 +194,7 @@
 fn metrics_response(gateway: &Gateway) -> Response<ResponseBody> {
     let version = gateway.plan().map_or(0, |plan| plan.get_version());
     let in_flight = gateway.state.in_flight.get();
+    record_member_ages(gateway);
     let body = gateway
         .state
         .metrics
@@ -200,6 +202,14 @@
     Response::new(ResponseBody::whole(body))
 }
 
+fn record_member_ages(gateway: &Gateway) {
+    let now_ms = gateway.now_ms();
+    let members = gateway.state.members.borrow();
+    let oldest = Duration::from_millis(members.oldest_heartbeat_age_ms(now_ms));
+    let silent = u32::try_from(members.count(now_ms).1).unwrap_or(u32::MAX);
+    gateway.state.metrics.set_member_ages(oldest, silent);
+}
+
 fn handle_request(gateway: Gateway, request: Request<Incoming>) -> ResponseFuture {
     Box::pin(async move {
         let started = Instant::now();
@@ -286,8 +296,9 @@
         Ok(origin) => origin,
         Err(refusal) => return record.refuse(&request.attempt_id, Some(&request), refusal),
     };
-    if let Err(refusal) = check_rate_limit(gateway, &request, stage).await {
-        return record.refuse(&request.attempt_id, Some(&request), refusal);
+    match check_rate_limit(gateway, &request, stage).await {
+        Ok(admission) => record.set_admission(admission),
+        Err(refusal) => return record.refuse(&request.attempt_id, Some(&request), refusal),
     }
     let request = Rc::new(request);
     let mut retry = RetryState::new(&request.route, origin);
@@ -317,6 +328,7 @@
     request: std::cell::RefCell<Option<Rc<CallerRequest>>>,
     /// Replica of the last attempt and the number of attempts.
     attempts: std::cell::RefCell<(String, u32)>,
+    admission: std::cell::RefCell<RateAdmission>,
     first_ms: Cell<u64>,
     is_ended: Cell<bool>,
 }
@@ -329,6 +341,7 @@
             guard: CallerRequestGuard::begin(gateway),
             request: std::cell::RefCell::default(),
             attempts: std::cell::RefCell::default(),
+            admission: std::cell::RefCell::default(),
             first_ms: Cell::new(0),
             is_ended: Cell::new(false),
         }
@@ -338,6 +351,10 @@
         *self.request.borrow_mut() = Some(Rc::clone(request));
     }
 
+    fn set_admission(&self, admission: RateAdmission) {
+        *self.admission.borrow_mut() = admission;
+    }
+
     fn set_attempts(&self, retry: &RetryState) {
         *self.attempts.borrow_mut() = (retry.replica_id.clone(), retry.sends);
     }
@@ -383,6 +400,7 @@
         let metrics = &self.gateway.state.metrics;
         metrics.count_request(status, reason, kind, elapsed);
         let (replica, sends) = self.attempts.borrow().clone();
+        let admission = self.admission.borrow();
         let feed_age_ms = self
             .gateway
             .feed_age()
@@ -401,6 +419,8 @@
             sends = sends,
             plan = request.map_or(0, |request| request.plan_version),
             feed_age_ms = feed_age_ms,
+            admitted_by = admission.source,
+            home = admission.home,
             first_ms = self.first_ms.get(),
             elapsed_ms = millis(elapsed),
         );
--- a/crates/relay/src/gateway/metrics.rs
+++ b/crates/relay/src/gateway/metrics.rs
@@ -26,6 +26,9 @@
     failed_attempts: IntCounterVec,
     connections: IntCounter,
     resumed_streams: IntCounterVec,
+    rate_decisions: IntCounterVec,
+    oldest_heartbeat_seconds: Gauge,
+    silent_vms: Gauge,
     in_flight: Gauge,
     feed_age_seconds: Gauge,
     plan_version: Gauge,
@@ -78,6 +81,22 @@
                 "Streams that went on at a replica, by who resumed them.",
                 &["by"],
             ),
+            rate_decisions: register_counters(
+                &registry,
+                "ibisdale_gateway_rate_decisions_total",
+                "Requests admitted or refused by a workspace's rate limit, by the VM whose share decided.",
+                &["by", "outcome"],
+            ),
+            oldest_heartbeat_seconds: register_gauge(
+                &registry,
+                "ibisdale_gateway_oldest_heartbeat_seconds",
+                "Age of the oldest heartbeat among the VMs that are not silent.",
+            ),
+            silent_vms: register_gauge(
+                &registry,
+                "ibisdale_gateway_silent_vms",
+                "Known VMs that are silent.",
+            ),
             in_flight: register_gauge(
                 &registry,
                 "ibisdale_gateway_requests_in_flight",
@@ -122,6 +141,16 @@
         self.resumed_streams.with_label_values(&[by]).inc();
     }
 
+    pub(crate) fn count_rate_decision(&self, by: &str, outcome: &str) {
+        self.rate_decisions.with_label_values(&[by, outcome]).inc();
+    }
+
+    pub(crate) fn set_member_ages(&self, oldest_heartbeat: Duration, silent_vms: u32) {
+        self.oldest_heartbeat_seconds
+            .set(oldest_heartbeat.as_secs_f64());
+        self.silent_vms.set(f64::from(silent_vms));
+    }
+
     pub(crate) fn count_connection(&self) {
         self.connections.inc();
     }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -263,7 +263,7 @@
 
     RequestEnded = 2201, Info, "request_ended",
         ["request", "program", "route", "workspace", "status", "reason", "replica", "sends",
-            "plan", "feed_age_ms", "first_ms", "elapsed_ms"],
+            "plan", "feed_age_ms", "admitted_by", "home", "first_ms", "elapsed_ms"],
         "A request has ended.";
     AttemptFailed = 2202, Info, "attempt_failed",
         ["request", "replica", "end", "next", "left_ms", "in_flight", "error"], "An attempt to serve a request at a replica failed.";
