Play the rounds of a large fleet in a failing test of the rate limits

The tests of the rates exchange the counters of all VMs in each round and end at 69 VMs; the gateway sends to 64 peers a round. The order of the peers moves, unchanged, from the gateway to decide/rotation.rs, so that the test plays the same rounds, with lost messages and restarts.

--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -12,6 +12,7 @@
 mod readers;
 mod replicas;
 mod retry;
+mod rotation;
 mod sliding_window;
 mod versions;
 
@@ -33,4 +34,5 @@
     AttemptOutcome, InFlightCount, ReplicaInfo, ReplicaKey, ReplicaLoad, ReplicaTable,
 };
 pub use retry::{AttemptFailure, RetryDecision, RetryInput, decide_retry};
+pub use rotation::PeerRotation;
 pub use versions::{FleetContact, StreamOrigin, VersionHistory};
--- /dev/null
+++ b/crates/relay/src/decide/rotation.rs
@@ -0,0 +1,28 @@
+//! Order in which gossip rounds take the peers.
+
+use std::net::SocketAddrV4;
+
+/// Maximum number of peers that a round sends to; in larger fleets, the rounds take the
+/// peers in turn.
+const ROUND_PEERS_MAX: usize = 64;
+
+/// Position of a VM's gossip rounds in the list of its peers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PeerRotation {
+    next: usize,
+}
+
+impl PeerRotation {
+    /// Returns the peers of the next round.
+    #[must_use]
+    pub fn next_round(&mut self, peers: &[SocketAddrV4]) -> Vec<SocketAddrV4> {
+        if peers.is_empty() {
+            return Vec::new();
+        }
+        let size = peers.len().min(ROUND_PEERS_MAX);
+        let chosen = (0..size).map(|step| peers[(self.next + step) % peers.len()]);
+        let chosen = chosen.collect();
+        self.next = (self.next + size) % peers.len();
+        chosen
+    }
+}
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -16,15 +16,12 @@
 use super::state::{Gateway, lossy_string};
 use super::state_transfer::{self, StatePart};
 use crate::decide::{
-    AdmissionCounters, BudgetShare, CeilingClaim, MemberFacts, ProgramKey, ProgramStage,
-    WindowReport, WorkspaceKey,
+    AdmissionCounters, BudgetShare, CeilingClaim, MemberFacts, PeerRotation, ProgramKey,
+    ProgramStage, WindowReport, WorkspaceKey,
 };
 
 /// Time between gossip rounds, each of which reaches all peers in a small fleet.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
-/// Maximum number of peers that a round sends to; in larger fleets, the rounds take the
-/// peers in turn.
-const ROUND_PEERS_MAX: usize = 64;
 /// Maximum size of a datagram that can be received, in bytes.
 const MESSAGE_MAX_BYTES: usize = 60_000;
 /// Maximum number of workspaces whose request counts are sent in one message; the counts
@@ -54,14 +51,14 @@
 
 /// Sends this VM's state to its peers in rounds until the process ends.
 pub(crate) async fn run_gossip(gateway: Gateway) {
-    let mut next_peer = 0_usize;
+    let mut rotation = PeerRotation::default();
     loop {
-        gossip_round(&gateway, &mut next_peer).await;
+        gossip_round(&gateway, &mut rotation).await;
         Timer::after(ROUND_INTERVAL).await;
     }
 }
 
-async fn gossip_round(gateway: &Gateway, next_peer: &mut usize) {
+async fn gossip_round(gateway: &Gateway, rotation: &mut PeerRotation) {
     let now_ms = gateway.now_ms();
     let (known_count, silent_count) = {
         let mut members = gateway.state.members.borrow_mut();
@@ -82,15 +79,7 @@
         .expire_peer_in_flight(now_ms);
     record_silent_vms(gateway, now_ms);
     gateway.init_counts_lost_at();
-    let peers = peer_addresses(gateway);
-    if peers.is_empty() {
-        return;
-    }
-    let size = peers.len().min(ROUND_PEERS_MAX);
-    let chosen: Vec<_> = (0..size)
-        .map(|step| peers[(*next_peer + step) % peers.len()])
-        .collect();
-    *next_peer = (*next_peer + size) % peers.len();
+    let chosen = rotation.next_round(&peer_addresses(gateway));
     send_state(gateway, &chosen).await;
 }
 
--- /dev/null
+++ b/crates/relay/tests/quota_gossip/fleet.rs
@@ -0,0 +1,225 @@
+//! A fleet whose VMs exchange counters and heartbeats in rounds as the gateway does.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use bytes::Bytes;
+use ibisdale_relay::decide::{
+    AdmissionCounters, MemberFacts, MemberTable, PeerRotation, ProgramStage, QuotaLedger,
+    QuotaTolerance,
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+pub(crate) const WORKSPACE: u64 = 7;
+const WINDOW_MS: u64 = 5_000;
+const ROUND_MS: u64 = 250;
+const STEP_MS: u64 = 10;
+const REPORT_AGE_MS: u64 = 10_000;
+const SAME_START_MS: u64 = 3_000;
+
+pub(crate) struct GossipVm {
+    facts: MemberFacts,
+    ledger: QuotaLedger,
+    members: MemberTable,
+    rotation: PeerRotation,
+    started_ms: u64,
+    next_round_ms: u64,
+}
+
+pub(crate) struct GossipFleet {
+    vms: Vec<GossipVm>,
+    now_ms: u64,
+    admitted_at_ms: Vec<u64>,
+    pub(crate) refused: u32,
+    due_requests: f64,
+    rate: f64,
+    random: Pcg64,
+    /// Share of the messages that are lost.
+    pub(crate) loss: f64,
+}
+
+impl GossipFleet {
+    /// Starts `size` VMs that know each other; the workspace's burst is `rate` requests.
+    pub(crate) fn new(size: usize, rate: f64) -> Self {
+        let mut random = Pcg64::seed_from_u64(20_261_204);
+        let vms = (0..size)
+            .map(|index| start_vm(index, 1, rate, true, &mut random))
+            .collect();
+        let mut fleet = Self {
+            vms,
+            now_ms: 1,
+            admitted_at_ms: Vec::new(),
+            refused: 0,
+            due_requests: 0.0,
+            rate,
+            random,
+            loss: 0.0,
+        };
+        (0..size).for_each(|vm| fleet.register_all(vm));
+        fleet
+    }
+
+    /// Gives a VM the registrations of all VMs.
+    fn register_all(&mut self, vm: usize) {
+        let now_ms = self.uptime_ms(vm);
+        let others = self.vms.iter().enumerate();
+        let others = others.filter(|(other, _)| *other != vm);
+        let facts = others.map(|(_, other)| other.facts.clone()).collect();
+        self.vms[vm].members.set_registered(facts, now_ms);
+    }
+
+    fn uptime_ms(&self, vm: usize) -> u64 {
+        self.now_ms - self.vms[vm].started_ms
+    }
+
+    /// Restarts a VM, which loses its counts.
+    pub(crate) fn restart(&mut self, vm: usize) {
+        self.vms[vm] = start_vm(vm, self.now_ms, self.rate, false, &mut self.random);
+        self.register_all(vm);
+    }
+
+    fn is_lost(&mut self) -> bool {
+        self.random.random::<f64>() < self.loss
+    }
+
+    fn index(address: SocketAddrV4) -> usize {
+        usize::from(address.port())
+    }
+
+    fn run_round(&mut self, vm: usize) {
+        let now_ms = self.uptime_ms(vm);
+        let sender = &mut self.vms[vm];
+        sender.members.expire(now_ms);
+        let (known, silent) = sender.members.count(now_ms);
+        if now_ms >= ROUND_MS {
+            let counts = [known + 1, silent].map(|count| u32::try_from(count).unwrap());
+            sender.ledger.set_vm_counts(counts[0], counts[1]);
+            sender.ledger.start_round(now_ms);
+        }
+        let mut peers: Vec<_> = sender
+            .members
+            .all()
+            .map(MemberFacts::peer_address)
+            .collect();
+        peers.sort_unstable();
+        let chosen = sender.rotation.next_round(&peers);
+        let reports = sender.ledger.reports(now_ms.saturating_sub(REPORT_AGE_MS));
+        for peer in chosen {
+            self.send_state(vm, Self::index(peer), &reports);
+        }
+    }
+
+    fn send_state(&mut self, sender: usize, receiver: usize, reports: &[AdmissionCounters]) {
+        if self.is_lost() {
+            return;
+        }
+        let facts = self.vms[sender].facts.clone();
+        let (peer, incarnation) = (facts.key(), facts.incarnation);
+        let now_ms = self.uptime_ms(receiver);
+        let state = &mut self.vms[receiver];
+        let is_new = state.members.record_heartbeat(facts, now_ms);
+        let is_older = incarnation + SAME_START_MS < state.facts.incarnation;
+        let ledger = &mut state.ledger;
+        ledger.record_peer_counters(peer, incarnation, is_older, reports, now_ms);
+        if is_new && !self.is_lost() {
+            let state = &self.vms[receiver];
+            let (facts, counters) = (state.facts.clone(), state.ledger.reports(0));
+            let window = state.ledger.snapshot(now_ms);
+            let now_ms = self.uptime_ms(sender);
+            let ledger = &mut self.vms[sender].ledger;
+            ledger.set_baseline(facts.key(), facts.incarnation, &counters);
+            ledger.apply_snapshot(&window, now_ms);
+        }
+    }
+
+    /// Sends `per_s` requests per second to random VMs.
+    pub(crate) fn send_requests(&mut self, duration_ms: u64, per_s: f64) {
+        let end_ms = self.now_ms + duration_ms;
+        while self.now_ms < end_ms {
+            for vm in 0..self.vms.len() {
+                if self.vms[vm].next_round_ms <= self.now_ms {
+                    self.vms[vm].next_round_ms += ROUND_MS;
+                    self.run_round(vm);
+                }
+            }
+            self.due_requests += per_s * 0.01;
+            while self.due_requests >= 1.0 {
+                self.due_requests -= 1.0;
+                let vm = self.random.random_range(0..self.vms.len());
+                if self.admit(vm) {
+                    self.admitted_at_ms.push(self.now_ms);
+                } else {
+                    self.refused += 1;
+                }
+            }
+            self.now_ms += STEP_MS;
+        }
+    }
+
+    /// Admits a request at a VM or at the home that this VM knows.
+    fn admit(&mut self, vm: usize) -> bool {
+        let stage = ProgramStage::UnderWay;
+        let now_ms = self.uptime_ms(vm);
+        if self.vms[vm].ledger.admit(WORKSPACE, stage, now_ms) {
+            return true;
+        }
+        let (own, members) = (self.vms[vm].facts.key(), &self.vms[vm].members);
+        let home = members.ranked_homes(own, WORKSPACE, now_ms).swap_remove(0);
+        let home = home.map_or(vm, |home| Self::index(home.peer_address()));
+        let now_ms = self.uptime_ms(home);
+        let ledger = &mut self.vms[home].ledger;
+        ledger.admit_as_home(WORKSPACE, stage, now_ms).is_ok()
+    }
+
+    /// Returns the largest number of requests admitted in any window.
+    pub(crate) fn max_requests_in_window(&self) -> usize {
+        let admitted = self.admitted_at_ms.iter().enumerate();
+        let counts = admitted.map(|(index, start)| {
+            let later = &self.admitted_at_ms[index..];
+            later.partition_point(|at| *at < start + WINDOW_MS)
+        });
+        counts.max().unwrap_or(0)
+    }
+
+    /// Returns the largest number of requests that may be admitted in a window.
+    pub(crate) fn bound(&self) -> usize {
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "small")]
+        let bound = (self.rate * 6.0 * 1.1 + 20.0) as usize;
+        bound
+    }
+}
+
+fn start_vm(
+    index: usize,
+    started_ms: u64,
+    rate: f64,
+    is_first_start: bool,
+    random: &mut Pcg64,
+) -> GossipVm {
+    let port = u16::try_from(index).unwrap();
+    let facts = MemberFacts {
+        name: Bytes::from(format!("vm-{index}")),
+        incarnation: started_ms,
+        ip: Ipv4Addr::LOCALHOST,
+        peer_port: port,
+        entry_port: port,
+        domain: Bytes::new(),
+        region: Bytes::new(),
+        is_serving: true,
+    };
+    let tolerance = QuotaTolerance {
+        window_s: 5.0,
+        excess: 0.1,
+        slack: 20.0,
+    };
+    let mut ledger = QuotaLedger::new(tolerance, is_first_start);
+    ledger.set_rates([(WORKSPACE, rate, rate)].into_iter(), 1);
+    GossipVm {
+        facts,
+        ledger,
+        members: MemberTable::default(),
+        rotation: PeerRotation::default(),
+        started_ms: started_ms - 1,
+        next_round_ms: started_ms + random.random_range(0..ROUND_MS),
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/quota_gossip/main.rs
@@ -0,0 +1,44 @@
+//! Rate limits of fleets in which a gossip round reaches a part of the VMs.
+
+mod fleet;
+
+use rstest::rstest;
+
+use crate::fleet::GossipFleet;
+
+/// Guards against VMs that admit from counts whose age grows with the fleet (incident QUOTA).
+#[rstest]
+#[case::small_workspace(259, 13.0, 0.0, 0)]
+#[case::medium_workspace(259, 100.0, 0.0, 0)]
+#[case::large_workspace(259, 1_000.0, 0.0, 0)]
+#[case::larger_fleet(360, 13.0, 0.0, 0)]
+#[case::lost_messages(259, 13.0, 0.1, 0)]
+#[case::restarts(259, 50.0, 0.0, 40)]
+fn workspace_that_turns_busy_keeps_its_limit_in_a_large_fleet(
+    #[case] size: usize,
+    #[case] rate: f64,
+    #[case] loss: f64,
+    #[case] restarts: usize,
+) {
+    let mut fleet = GossipFleet::new(size, rate);
+    fleet.loss = loss;
+    fleet.send_requests(6_000, rate * 0.6);
+    fleet.send_requests(2_000, rate * 4.1);
+    (0..restarts).for_each(|vm| fleet.restart(vm));
+    fleet.send_requests(5_000, rate * 4.1);
+    let (worst, bound) = (fleet.max_requests_in_window(), fleet.bound());
+    assert!(
+        worst <= bound,
+        "{worst} requests in a window, bound {bound}"
+    );
+}
+
+/// Guards against refusing a workspace that stays below its limit.
+#[rstest]
+#[case::small_workspace(13.0)]
+#[case::medium_workspace(100.0)]
+fn workspace_below_its_limit_is_served_in_a_large_fleet(#[case] rate: f64) {
+    let mut fleet = GossipFleet::new(259, rate);
+    fleet.send_requests(8_000, rate * 0.8);
+    assert_eq!(fleet.refused, 0);
+}
