--- a/crates/relay/src/decide/quota.rs
+++ b/crates/relay/src/decide/quota/ledger.rs
@@ -16,14 +16,14 @@
 //! number of requests of a program, while calls of running programs may use the whole
 //! limit.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 
-use serde::{Deserialize, Serialize};
-
-use super::sliding_window::{BUCKET_MS, SlidingWindow, ceil_to_u64};
-
-/// Hash of a workspace's name.
-pub type WorkspaceKey = u64;
+use super::report::{
+    AdmissionCounters, ProgramStage, QuotaTolerance, RateRefusal, RefusalCause, WindowReport,
+    WorkspaceKey,
+};
+use super::workspace::{PeerCounters, RoundAllowance, WorkspaceQuota};
+use crate::decide::sliding_window::BUCKET_MS;
 
 /// Part of the burst that is reserved for running programs, in percent.
 const RUNNING_RESERVE_PERCENT: f64 = 50.0;
@@ -32,9 +32,6 @@
 const TOLERANCE_USED_PERCENT: f64 = 50.0;
 /// Assumed usage of a silent VM, relative to the mean usage of all VMs.
 const SILENT_VM_USAGE_FACTOR: f64 = 1.25;
-/// Part of the tolerated excess that may be used immediately after a restart of all VMs,
-/// in percent; together with [`TOLERANCE_USED_PERCENT`] it stays within the tolerated excess.
-const RESTART_EXCESS_PERCENT: f64 = 25.0;
 /// Period after the start of the process, in milliseconds. A workspace first seen in it is
 /// assumed to have used its limit before the start, and reports on workspaces without a
 /// known rate are kept. Assumed usage has left the window one window after the period.
@@ -47,264 +44,12 @@
 /// Number of VMs that is assumed to share a rate until the number is known; low enough
 /// that a VM which has just started can serve.
 const DEFAULT_VM_COUNT: u32 = 8;
-/// Part of the remaining limit that the VMs share equally, in percent; the home VM
-/// grants the rest.
-const EQUAL_SHARE_PERCENT: f64 = 50.0;
-/// Programs started before the last window that are needed to estimate the mean number
-/// of requests of a program.
-const MIN_PROGRAM_SAMPLES: f64 = 20.0;
 /// Number of programs that may start in a round, relative to an even distribution over
 /// the window; programs that start together need the limit at the same time.
 const PROGRAM_START_FACTOR: f64 = 1.2;
-/// Maximum number of scheduled retries that are tracked for a workspace.
-const MAX_PENDING_RETRIES: usize = 1_000;
 /// Window that is used if the deployment doesn't configure one, in milliseconds.
 const DEFAULT_WINDOW_MS: u64 = 5_000;
 
-/// Position of a request in its program.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Deserialize, Serialize)]
-pub enum ProgramStage {
-    /// The request starts a program.
-    Begins,
-    /// The program is already running, or the request belongs to no program.
-    UnderWay,
-}
-
-/// Requests that all VMs admitted in the last window, as known to one VM.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Deserialize, Serialize)]
-pub struct WindowReport {
-    /// Hash of the workspace's name.
-    pub workspace: WorkspaceKey,
-    /// Requests in intervals of 250 ms, newest first.
-    pub requests: Vec<u32>,
-    /// Programs started in the same intervals.
-    pub programs: Vec<u32>,
-}
-
-/// Why the rate limit refused a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Deserialize, Serialize)]
-pub enum RefusalCause {
-    /// The window has no requests remaining.
-    Requests,
-    /// No further program may start in the window; the remaining requests are reserved
-    /// for running programs.
-    Programs,
-    /// The workspace's home VM did not answer.
-    SilentHome,
-}
-
-/// Refusal of a request by the rate limit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Deserialize, Serialize)]
-pub struct RateRefusal {
-    /// Why the request is refused.
-    pub cause: RefusalCause,
-    /// Requests or programs in the last window; 0 for [`RefusalCause::SilentHome`].
-    pub used: u64,
-    /// Requests or programs that the window allows; 0 for [`RefusalCause::SilentHome`].
-    pub limit: u64,
-    /// Time after which the caller should retry, in milliseconds.
-    pub after_ms: u64,
-}
-
-impl RateRefusal {
-    /// Creates the refusal of a request whose workspace's home VM does not answer.
-    #[must_use]
-    pub fn silent_home(after_ms: u64) -> Self {
-        Self {
-            cause: RefusalCause::SilentHome,
-            used: 0,
-            limit: 0,
-            after_ms,
-        }
-    }
-}
-
-/// Length of the window and tolerated excess over its limit.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct QuotaTolerance {
-    /// Length of the window, in seconds.
-    pub window_s: f64,
-    /// Tolerated excess as a fraction of the limit.
-    pub excess: f64,
-    /// Requests that are tolerated in addition to that fraction.
-    pub slack: f64,
-}
-
-/// Requests and programs of one workspace that one VM has admitted since the start of
-/// the VM's process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Deserialize, Serialize)]
-pub struct AdmissionCounters {
-    /// Hash of the workspace's name.
-    pub workspace: WorkspaceKey,
-    /// Number of admitted requests.
-    pub admitted: u64,
-    /// Programs that started with one of these requests.
-    pub programs_started: u64,
-}
-
-/// Requests or programs that may be admitted in a round.
-#[derive(Clone, Copy, Debug, Default)]
-struct RoundAllowance {
-    /// Admitted by this VM on its own.
-    own: f64,
-    /// Granted by the home VM to VMs that have used up their share.
-    home: f64,
-}
-
-impl RoundAllowance {
-    /// Divides the remaining limit between `vm_count` VMs and the home VM.
-    fn divide(remaining: f64, vm_count: f64) -> Self {
-        let own = remaining * EQUAL_SHARE_PERCENT / 100.0 / vm_count;
-        if own < 1.0 {
-            return Self {
-                own: 0.0,
-                home: remaining,
-            };
-        }
-        Self {
-            own,
-            home: remaining * (1.0 - EQUAL_SHARE_PERCENT / 100.0),
-        }
-    }
-}
-
-/// Rate limit of one workspace, and its requests and programs admitted by all VMs.
-#[derive(Clone, Debug, Default)]
-struct WorkspaceQuota {
-    rate_per_s: f64,
-    burst: f64,
-    /// Requests allowed in a window, including the usable part of the tolerated excess.
-    limit: f64,
-    /// Requests admitted by all VMs.
-    request_window: SlidingWindow,
-    /// Programs started on all VMs.
-    program_window: SlidingWindow,
-    /// Requests that may still be admitted in this round.
-    request_allowance: RoundAllowance,
-    /// Programs that may still start in this round.
-    program_allowance: RoundAllowance,
-    /// Requests that this VM has admitted since its start.
-    admitted: u64,
-    /// Programs that this VM has started since its start.
-    programs_started: u64,
-    last_admitted_ms: u64,
-    /// Usage before the start of the process is assumed, not known.
-    is_assumed: bool,
-    /// Counters of the other VMs, by VM and incarnation.
-    peer_counters: HashMap<(u64, u64), PeerCounters>,
-    /// Times at which refused callers were told to retry.
-    pending_retries: VecDeque<u64>,
-}
-
-/// Counters of a VM since the start of its process.
-#[derive(Clone, Copy, Debug, Default)]
-struct PeerCounters {
-    admitted: u64,
-    programs_started: u64,
-}
-
-impl WorkspaceQuota {
-    /// Assumes that the workspace used its limit before the start of the process, except
-    /// for a part of the tolerated excess.
-    fn assume_full_usage(&mut self, tolerated_excess: f64, now_ms: u64, window_ms: u64) {
-        let free = tolerated_excess * RESTART_EXCESS_PERCENT / 100.0;
-        self.request_window
-            .fill_evenly((self.limit - free).max(0.0), now_ms, window_ms);
-        self.is_assumed = true;
-    }
-
-    /// Replaces the counts of the last window by those that a peer reported.
-    fn apply_report(&mut self, report: &WindowReport, now_ms: u64) {
-        self.request_window
-            .set_bucket_counts(&report.requests, now_ms);
-        self.program_window
-            .set_bucket_counts(&report.programs, now_ms);
-    }
-
-    fn record_admission(&mut self, stage: ProgramStage, now_ms: u64) {
-        self.admitted += 1;
-        self.last_admitted_ms = now_ms;
-        self.request_window.add(1.0, now_ms);
-        if stage == ProgramStage::Begins {
-            self.programs_started += 1;
-            self.program_window.add(1.0, now_ms);
-        }
-    }
-
-    /// Returns how many programs may start in a window; `None` while their mean number
-    /// of requests is unknown.
-    ///
-    /// Programs started in the last window are assumed to have sent half of their
-    /// requests and count half.
-    fn max_program_starts(&self) -> Option<f64> {
-        let peers = self.peer_counters.values();
-        let totals = peers.fold(
-            (self.admitted, self.programs_started),
-            |(admitted, programs_started), peer| {
-                (
-                    admitted + peer.admitted,
-                    programs_started + peer.programs_started,
-                )
-            },
-        );
-        #[expect(clippy::cast_precision_loss, reason = "counts below 2^53")]
-        let (admitted, programs_started) = (totals.0 as f64, totals.1 as f64);
-        let recent = self.program_window.total;
-        let counted_programs = programs_started - recent / 2.0;
-        let max_starts = self.limit * counted_programs / admitted.max(counted_programs);
-        // If the limit is below the requests of one program, one may still start in
-        // each window.
-        (programs_started - recent >= MIN_PROGRAM_SAMPLES).then(|| max_starts.max(1.0))
-    }
-
-    /// Refuses a request that needs `missing` more requests or programs than remain.
-    ///
-    /// The retry time is the time until enough requests or programs leave the window for
-    /// this caller and all that still wait to retry.
-    fn refuse(
-        &mut self,
-        cause: RefusalCause,
-        missing: f64,
-        now_ms: u64,
-        window_ms: u64,
-    ) -> RateRefusal {
-        while self
-            .pending_retries
-            .front()
-            .is_some_and(|at_ms| *at_ms <= now_ms)
-        {
-            self.pending_retries.pop_front();
-        }
-        let limit = match cause {
-            RefusalCause::Programs => self.max_program_starts().unwrap_or(self.limit),
-            RefusalCause::Requests | RefusalCause::SilentHome => self.limit,
-        };
-        let counter = match cause {
-            RefusalCause::Programs => &self.program_window,
-            RefusalCause::Requests | RefusalCause::SilentHome => &self.request_window,
-        };
-        #[expect(clippy::cast_precision_loss, reason = "at most MAX_PENDING_RETRIES")]
-        let needed = missing + self.pending_retries.len() as f64;
-        let wait_ms = counter.time_to_free(needed, now_ms, window_ms);
-        let after_ms = wait_ms.clamp(BUCKET_MS / 2, window_ms);
-        let refusal = RateRefusal {
-            cause,
-            used: ceil_to_u64(counter.total),
-            limit: ceil_to_u64(limit),
-            after_ms,
-        };
-        if self.pending_retries.len() < MAX_PENDING_RETRIES {
-            self.pending_retries.push_back(now_ms + after_ms);
-        }
-        refusal
-    }
-}
-
 /// Rate limits and usage of all workspaces, as known to one VM.
 #[derive(Clone, Debug, Default)]
 pub struct QuotaLedger {
--- /dev/null
+++ b/crates/relay/src/decide/quota/workspace.rs
@@ -0,0 +1,176 @@
+//! Rate limit and usage of one workspace.
+
+use std::collections::{HashMap, VecDeque};
+
+use super::report::{ProgramStage, RateRefusal, RefusalCause, WindowReport};
+use crate::decide::sliding_window::{BUCKET_MS, SlidingWindow, ceil_to_u64};
+
+/// Part of the tolerated excess that may be used immediately after a restart of all VMs,
+/// in percent; together with [`TOLERANCE_USED_PERCENT`] it stays within the tolerated excess.
+const RESTART_EXCESS_PERCENT: f64 = 25.0;
+/// Part of the remaining limit that the VMs share equally, in percent; the home VM
+/// grants the rest.
+const EQUAL_SHARE_PERCENT: f64 = 50.0;
+/// Programs started before the last window that are needed to estimate the mean number
+/// of requests of a program.
+const MIN_PROGRAM_SAMPLES: f64 = 20.0;
+/// Maximum number of scheduled retries that are tracked for a workspace.
+const MAX_PENDING_RETRIES: usize = 1_000;
+
+/// Requests or programs that may be admitted in a round.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RoundAllowance {
+    /// Admitted by this VM on its own.
+    pub(super) own: f64,
+    /// Granted by the home VM to VMs that have used up their share.
+    pub(super) home: f64,
+}
+
+impl RoundAllowance {
+    /// Divides the remaining limit between `vm_count` VMs and the home VM.
+    pub(super) fn divide(remaining: f64, vm_count: f64) -> Self {
+        let own = remaining * EQUAL_SHARE_PERCENT / 100.0 / vm_count;
+        if own < 1.0 {
+            return Self {
+                own: 0.0,
+                home: remaining,
+            };
+        }
+        Self {
+            own,
+            home: remaining * (1.0 - EQUAL_SHARE_PERCENT / 100.0),
+        }
+    }
+}
+
+/// Rate limit of one workspace, and its requests and programs admitted by all VMs.
+#[derive(Clone, Debug, Default)]
+pub(super) struct WorkspaceQuota {
+    pub(super) rate_per_s: f64,
+    pub(super) burst: f64,
+    /// Requests allowed in a window, including the usable part of the tolerated excess.
+    pub(super) limit: f64,
+    /// Requests admitted by all VMs.
+    pub(super) request_window: SlidingWindow,
+    /// Programs started on all VMs.
+    pub(super) program_window: SlidingWindow,
+    /// Requests that may still be admitted in this round.
+    pub(super) request_allowance: RoundAllowance,
+    /// Programs that may still start in this round.
+    pub(super) program_allowance: RoundAllowance,
+    /// Requests that this VM has admitted since its start.
+    pub(super) admitted: u64,
+    /// Programs that this VM has started since its start.
+    pub(super) programs_started: u64,
+    pub(super) last_admitted_ms: u64,
+    /// Usage before the start of the process is assumed, not known.
+    pub(super) is_assumed: bool,
+    /// Counters of the other VMs, by VM and incarnation.
+    pub(super) peer_counters: HashMap<(u64, u64), PeerCounters>,
+    /// Times at which refused callers were told to retry.
+    pub(super) pending_retries: VecDeque<u64>,
+}
+
+/// Counters of a VM since the start of its process.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct PeerCounters {
+    pub(super) admitted: u64,
+    pub(super) programs_started: u64,
+}
+
+impl WorkspaceQuota {
+    /// Assumes that the workspace used its limit before the start of the process, except
+    /// for a part of the tolerated excess.
+    pub(super) fn assume_full_usage(&mut self, tolerated_excess: f64, now_ms: u64, window_ms: u64) {
+        let free = tolerated_excess * RESTART_EXCESS_PERCENT / 100.0;
+        self.request_window
+            .fill_evenly((self.limit - free).max(0.0), now_ms, window_ms);
+        self.is_assumed = true;
+    }
+
+    /// Replaces the counts of the last window by those that a peer reported.
+    pub(super) fn apply_report(&mut self, report: &WindowReport, now_ms: u64) {
+        self.request_window
+            .set_bucket_counts(&report.requests, now_ms);
+        self.program_window
+            .set_bucket_counts(&report.programs, now_ms);
+    }
+
+    pub(super) fn record_admission(&mut self, stage: ProgramStage, now_ms: u64) {
+        self.admitted += 1;
+        self.last_admitted_ms = now_ms;
+        self.request_window.add(1.0, now_ms);
+        if stage == ProgramStage::Begins {
+            self.programs_started += 1;
+            self.program_window.add(1.0, now_ms);
+        }
+    }
+
+    /// Returns how many programs may start in a window; `None` while their mean number
+    /// of requests is unknown.
+    ///
+    /// Programs started in the last window are assumed to have sent half of their
+    /// requests and count half.
+    pub(super) fn max_program_starts(&self) -> Option<f64> {
+        let peers = self.peer_counters.values();
+        let totals = peers.fold(
+            (self.admitted, self.programs_started),
+            |(admitted, programs_started), peer| {
+                (
+                    admitted + peer.admitted,
+                    programs_started + peer.programs_started,
+                )
+            },
+        );
+        #[expect(clippy::cast_precision_loss, reason = "counts below 2^53")]
+        let (admitted, programs_started) = (totals.0 as f64, totals.1 as f64);
+        let recent = self.program_window.total;
+        let counted_programs = programs_started - recent / 2.0;
+        let max_starts = self.limit * counted_programs / admitted.max(counted_programs);
+        // If the limit is below the requests of one program, one may still start in
+        // each window.
+        (programs_started - recent >= MIN_PROGRAM_SAMPLES).then(|| max_starts.max(1.0))
+    }
+
+    /// Refuses a request that needs `missing` more requests or programs than remain.
+    ///
+    /// The retry time is the time until enough requests or programs leave the window for
+    /// this caller and all that still wait to retry.
+    pub(super) fn refuse(
+        &mut self,
+        cause: RefusalCause,
+        missing: f64,
+        now_ms: u64,
+        window_ms: u64,
+    ) -> RateRefusal {
+        while self
+            .pending_retries
+            .front()
+            .is_some_and(|at_ms| *at_ms <= now_ms)
+        {
+            self.pending_retries.pop_front();
+        }
+        let limit = match cause {
+            RefusalCause::Programs => self.max_program_starts().unwrap_or(self.limit),
+            RefusalCause::Requests | RefusalCause::SilentHome => self.limit,
+        };
+        let counter = match cause {
+            RefusalCause::Programs => &self.program_window,
+            RefusalCause::Requests | RefusalCause::SilentHome => &self.request_window,
+        };
+        #[expect(clippy::cast_precision_loss, reason = "at most MAX_PENDING_RETRIES")]
+        let needed = missing + self.pending_retries.len() as f64;
+        let wait_ms = counter.time_to_free(needed, now_ms, window_ms);
+        let after_ms = wait_ms.clamp(BUCKET_MS / 2, window_ms);
+        let refusal = RateRefusal {
+            cause,
+            used: ceil_to_u64(counter.total),
+            limit: ceil_to_u64(limit),
+            after_ms,
+        };
+        if self.pending_retries.len() < MAX_PENDING_RETRIES {
+            self.pending_retries.push_back(now_ms + after_ms);
+        }
+        refusal
+    }
+}
