Count a workspace's requests at its homes, whatever the size of the fleet

Cause: each VM admitted requests by itself, from counts whose age grows with the fleet. A round sends to 64 peers, so the counts were up to 1.25 s old, and below three quarters of a limit each VM could admit two requests a round (518 in the fleet). The homes, which decide on the rest, had counts as old.

The test workspace_that_turns_busy_keeps_its_limit_in_a_large_fleet failed in all six cases, e.g. 116 of 105 and 7824 of 6620.

Change: each VM tells the first three homes of a workspace in every round what it has admitted, so their counts are one round old in any fleet. Own shares are spread over two passes and are not given below one request; the homes grant the rest, by rank, and are asked in turn when one does not answer. The share of an assumed fleet of eight VMs before the first round is gone: a VM that does not know the number of VMs yet asks a home, and is not ready.

The listed start_of_all_vms_keeps_the_limit_of_a_busy_workspace has another cause: it still fails (207, 986 and 209 requests; 213, 998 and 214 before).

--- a/crates/relay/src/decide/members.rs
+++ b/crates/relay/src/decide/members.rs
@@ -17,6 +17,12 @@
 /// Time without a heartbeat after which an unregistered VM is removed, in milliseconds.
 const EXPIRE_AFTER_MS: u64 = 10_000;
 
+/// Number of VMs, in order of preference as home, that may grant requests of a workspace.
+pub const HOMES_MAX: usize = 3;
+/// Time for which a VM that did not answer as home is asked after the others, unless a
+/// heartbeat arrives, in milliseconds.
+const UNANSWERED_MS: u64 = 1_000;
+
 /// Properties that a VM reports about itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
@@ -60,6 +66,17 @@
     is_registered: bool,
     /// `take_newly_silent` has already returned the VM as silent.
     is_silence_reported: bool,
+    /// Until when the VM is not asked as home, since it did not answer.
+    unanswered_until_ms: u64,
+}
+
+/// A VM that may be asked as the home of a workspace.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HomeCandidate {
+    /// Rank among the live VMs; 0 is the home.
+    pub rank: usize,
+    /// The VM; `None` stands for this one.
+    pub facts: Option<MemberFacts>,
 }
 
 /// Table of all VMs known to this VM, except itself.
@@ -85,6 +102,7 @@
                     last_heartbeat_ms: now_ms,
                     is_registered: true,
                     is_silence_reported: false,
+                    unanswered_until_ms: 0,
                 }
             });
             state.is_registered = true;
@@ -110,6 +128,7 @@
                 }
                 state.facts = facts;
                 state.last_heartbeat_ms = now_ms;
+                state.unanswered_until_ms = 0;
                 has_returned
             }
             None => {
@@ -119,6 +138,7 @@
                     last_heartbeat_ms: now_ms,
                     is_registered: false,
                     is_silence_reported: false,
+                    unanswered_until_ms: 0,
                 };
                 self.members.insert(key, state);
                 true
@@ -222,6 +242,53 @@
             .collect()
     }
 
+    /// Returns the first [`HOMES_MAX`] homes of `key`.
+    #[must_use]
+    pub fn first_homes(&self, own: VmKey, key: u64, now_ms: u64) -> Vec<HomeCandidate> {
+        let others = self.live(now_ms).map(Some);
+        let mut ranked: Vec<_> = others
+            .chain([None])
+            .map(|facts| {
+                (
+                    rendezvous_weight(key, facts.map_or(own, MemberFacts::key)),
+                    facts,
+                )
+            })
+            .collect();
+        ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        let first = ranked.into_iter().take(HOMES_MAX).enumerate();
+        first
+            .map(|(rank, (_, facts))| HomeCandidate {
+                rank,
+                facts: facts.cloned(),
+            })
+            .collect()
+    }
+
+    /// Returns the homes of `key` that are asked in turn: the first ones without those that
+    /// recently did not answer, or the first alone if none of them answered.
+    #[must_use]
+    pub fn homes_to_ask(&self, own: VmKey, key: u64, now_ms: u64) -> Vec<HomeCandidate> {
+        let mut homes = self.first_homes(own, key, now_ms);
+        let answers = |home: &HomeCandidate| {
+            let state = home.facts.as_ref().map(|facts| &self.members[&facts.key()]);
+            state.is_none_or(|state| state.unanswered_until_ms <= now_ms)
+        };
+        if homes.iter().any(answers) {
+            homes.retain(answers);
+        } else {
+            homes.truncate(1);
+        }
+        homes
+    }
+
+    /// Records that a VM did not answer as home.
+    pub fn record_unanswered(&mut self, vm: VmKey, now_ms: u64) {
+        if let Some(state) = self.members.get_mut(&vm) {
+            state.unanswered_until_ms = now_ms + UNANSWERED_MS;
+        }
+    }
+
     /// Returns the `limit` other live VMs with the highest rendezvous weights for `key`.
     ///
     /// A newly registered VM is included before its first heartbeat (see
--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -21,7 +21,7 @@
 pub use budget::{
     BudgetLedger, BudgetShare, BudgetVerdict, CeilingClaim, ClaimStatus, ProgramKey, StoredCeiling,
 };
-pub use members::{MemberFacts, MemberTable, VmKey};
+pub use members::{HOMES_MAX, HomeCandidate, MemberFacts, MemberTable, VmKey};
 pub use origins::{AttemptKey, OriginRefusal, OriginTable, decide_origin};
 pub use outage::ServiceOutage;
 pub use placement::{PlacementInput, choose_replica};
--- a/crates/relay/src/decide/quota/ledger.rs
+++ b/crates/relay/src/decide/quota/ledger.rs
@@ -2,19 +2,21 @@
 //!
 //! In any window a workspace may send its rate times the window plus its burst.
 //! Each VM counts the requests that all VMs admitted in the last window, from its own
-//! admissions and the counters that its peers report. In each round (every 250 ms, see
-//! `start_round`) it may admit an equal share of one half of the remaining limit. The
-//! workspace's home VM grants the other half to VMs that have used up their share, and
-//! grants the whole remainder if a share would be below one request. A silent VM is
-//! assumed to use somewhat more than the mean of all VMs, at most an equal share of the
-//! limit.
+//! admissions and the counters that its peers report.
 //!
-//! The design targets workspaces that exceed their rate, and small workspaces in large
-//! fleets, whose equal share is below one request. If one call of a program is refused,
-//! the program fails and its earlier requests are wasted. Therefore the number of
-//! programs started in a window is limited to the window's limit divided by the mean
-//! number of requests of a program, while calls of running programs may use the whole
-//! limit.
+//! What a VM knows of the others is older the more VMs there are, since a gossip round
+//! reaches a part of them (see `rotation`). Therefore the workspace's homes, the first
+//! VMs by rendezvous weight, get the counters of each VM that admits its requests in every
+//! round. In each round (every 250 ms, see `start_round`) the first home grants a part of
+//! what is left, and the others less, which the VMs ask while the first does not answer. If
+//! an equal share of one half, spread over two passes, is at least one request, each VM
+//! admits that many without asking. A silent VM is assumed to use somewhat more than the
+//! mean of all VMs, at most an equal share of the limit.
+//!
+//! If one call of a program is refused, the program fails and its earlier requests are
+//! wasted. Therefore the number of programs started in a window is limited to the window's
+//! limit divided by the mean number of requests of a program, while calls of running
+//! programs may use the whole limit.
 
 use std::collections::HashMap;
 
@@ -22,31 +24,19 @@
     AdmissionCounters, ProgramStage, QuotaTolerance, RateRefusal, RefusalCause, WindowReport,
     WorkspaceKey,
 };
-use super::workspace::{PeerCounters, RoundAllowance, WorkspaceQuota};
-use crate::decide::sliding_window::BUCKET_MS;
+use super::workspace::{FleetSize, PeerCounters, RoundAllowance, WorkspaceQuota};
+use crate::decide::members::HOMES_MAX;
+use crate::decide::rotation::rounds_per_pass;
 
 /// Part of the burst that is reserved for running programs, in percent.
 const RUNNING_RESERVE_PERCENT: f64 = 50.0;
 /// Part of the tolerated excess that is added to the limit, in percent; the rest covers
 /// requests that are delayed on the way to a replica and fall into a later window.
 const TOLERANCE_USED_PERCENT: f64 = 50.0;
-/// Assumed usage of a silent VM, relative to the mean usage of all VMs.
-const SILENT_VM_USAGE_FACTOR: f64 = 1.25;
 /// Period after the start of the process, in milliseconds. A workspace first seen in it is
 /// assumed to have used its limit before the start, and reports on workspaces without a
 /// known rate are kept. Assumed usage has left the window one window after the period.
 const STARTUP_PERIOD_MS: u64 = 2_000;
-/// Requests that each VM may admit in a round while usage is low; in a large fleet the
-/// equal share of a small workspace is below one request.
-const LOW_USAGE_ALLOWANCE: f64 = 2.0;
-/// Part of the limit below which usage counts as low, in percent.
-const LOW_USAGE_PERCENT: f64 = 75.0;
-/// Number of VMs that is assumed to share a rate until the number is known; low enough
-/// that a VM which has just started can serve.
-const DEFAULT_VM_COUNT: u32 = 8;
-/// Number of programs that may start in a round, relative to an even distribution over
-/// the window; programs that start together need the limit at the same time.
-const PROGRAM_START_FACTOR: f64 = 1.2;
 /// Window that is used if the deployment doesn't configure one, in milliseconds.
 const DEFAULT_WINDOW_MS: u64 = 5_000;
 
@@ -94,12 +84,20 @@
         }
     }
 
-    fn vm_count_or_default(&self) -> u32 {
-        if self.vm_count == 0 {
-            DEFAULT_VM_COUNT
-        } else {
-            self.vm_count
-        }
+    /// Returns the number of VMs that share the limits; `None` if it is not yet known.
+    fn fleet_size(&self) -> Option<FleetSize> {
+        let peers = usize::try_from(self.vm_count).ok()?.checked_sub(1)?;
+        Some(FleetSize {
+            vm_count: f64::from(self.vm_count),
+            silent_count: f64::from(self.silent_count),
+            rounds_per_pass: f64::from(rounds_per_pass(peers)),
+        })
+    }
+
+    /// Returns whether the number of VMs is known; requests are refused until then.
+    #[must_use]
+    pub fn knows_fleet(&self) -> bool {
+        self.vm_count > 0
     }
 
     /// Sets the rate in requests per second and the burst of each workspace; removes all
@@ -110,7 +108,7 @@
         now_ms: u64,
     ) {
         let window_ms = self.window_ms();
-        let vm_count = self.vm_count_or_default();
+        let fleet = self.fleet_size();
         let mut old = std::mem::take(&mut self.quotas);
         for (workspace, rate_per_s, burst) in rates {
             let known = old.remove(&workspace);
@@ -129,11 +127,13 @@
                 }
             }
             if is_new {
-                // The home allowance stays 0 until the next round, since the other VMs may
-                // not be known yet.
-                let remaining = (quota.limit - quota.request_window.total).max(0.0);
-                quota.request_allowance.own = remaining / f64::from(vm_count);
-                quota.program_allowance.own = f64::MAX;
+                quota.program_allowance = RoundAllowance {
+                    own: f64::MAX,
+                    home: f64::MAX,
+                };
+                if let Some(fleet) = fleet {
+                    quota.start_round(fleet, now_ms, window_ms);
+                }
             }
             self.quotas.insert(workspace, quota);
         }
@@ -149,7 +149,7 @@
     ///
     /// Returns `false` if the share is used up and the home VM must be asked.
     pub fn admit(&mut self, workspace: WorkspaceKey, stage: ProgramStage, now_ms: u64) -> bool {
-        let vm_count = f64::from(self.vm_count_or_default());
+        let vm_count = f64::from(self.vm_count.max(1));
         let Some(quota) = self.quotas.get_mut(&workspace) else {
             return true;
         };
@@ -160,7 +160,7 @@
             ProgramStage::Begins => quota.burst * RUNNING_RESERVE_PERCENT / 100.0 / vm_count,
             ProgramStage::UnderWay => 0.0,
         };
-        if quota.request_allowance.own < 1.0 + reserve {
+        if quota.own_share.min(quota.remaining()) < 1.0 + reserve {
             return false;
         }
         if stage == ProgramStage::Begins {
@@ -169,20 +169,22 @@
             }
             quota.program_allowance.own -= 1.0;
         }
-        quota.request_allowance.own -= 1.0;
+        quota.own_share -= 1.0;
         quota.record_admission(stage, now_ms);
         true
     }
 
-    /// Admits a request as the workspace's home VM.
+    /// Admits a request as a home of the workspace; `rank` is this VM's rank among the homes
+    /// in the view of the VM that asks.
     ///
     /// # Errors
     ///
-    /// Fails if the workspace is over its rate.
+    /// Fails if the workspace is over its rate, or if the grants of this round are used up.
     pub fn admit_as_home(
         &mut self,
         workspace: WorkspaceKey,
         stage: ProgramStage,
+        rank: usize,
         now_ms: u64,
     ) -> Result<(), RateRefusal> {
         let window_ms = self.window_ms();
@@ -196,8 +198,9 @@
             ProgramStage::Begins => quota.burst * RUNNING_RESERVE_PERCENT / 100.0,
             ProgramStage::UnderWay => 0.0,
         };
-        let missing = 1.0 + reserve - quota.request_allowance.home;
-        if missing > 0.0 {
+        let rank = rank.min(HOMES_MAX - 1);
+        let missing = 1.0 + reserve - quota.remaining();
+        if missing > 0.0 || quota.home_grants[rank] < 1.0 {
             return Err(quota.refuse(RefusalCause::Requests, missing, now_ms, window_ms));
         }
         if stage == ProgramStage::Begins {
@@ -207,7 +210,7 @@
             }
             quota.program_allowance.home -= 1.0;
         }
-        quota.request_allowance.home -= 1.0;
+        quota.home_grants[rank] -= 1.0;
         quota.record_admission(stage, now_ms);
         Ok(())
     }
@@ -230,7 +233,7 @@
 
     /// Replaces assumed usage by the usage that a peer reported.
     pub fn apply_snapshot(&mut self, snapshot: &[WindowReport], now_ms: u64) {
-        let vm_count = f64::from(self.vm_count_or_default());
+        let (fleet, window_ms) = (self.fleet_size(), self.window_ms());
         for report in snapshot {
             let Some(quota) = self.quotas.get_mut(&report.workspace) else {
                 if now_ms < STARTUP_PERIOD_MS {
@@ -240,8 +243,9 @@
             };
             if std::mem::take(&mut quota.is_assumed) {
                 quota.apply_report(report, now_ms);
-                let remaining = (quota.limit - quota.request_window.total).max(0.0);
-                quota.request_allowance.own = remaining / vm_count;
+                if let Some(fleet) = fleet {
+                    quota.start_round(fleet, now_ms, window_ms);
+                }
             }
         }
     }
@@ -307,39 +311,16 @@
     }
 
     /// Starts a round: divides the remaining limit of each workspace again.
+    ///
+    /// Nothing is divided until the number of VMs is known.
     pub fn start_round(&mut self, now_ms: u64) {
-        let vm_count = f64::from(self.vm_count.max(1));
-        let silent = f64::from(self.silent_count);
         let window_ms = self.window_ms();
+        let Some(fleet) = self.fleet_size() else {
+            return;
+        };
         for quota in self.quotas.values_mut() {
-            quota.request_window.expire(now_ms, window_ms);
             quota.is_assumed &= now_ms < window_ms + STARTUP_PERIOD_MS;
-            let used = quota.request_window.total;
-            // A silent VM has usually failed, but a partitioned one keeps admitting requests.
-            let assumed_usage = used * SILENT_VM_USAGE_FACTOR / vm_count;
-            let silent_usage = silent * assumed_usage.min(quota.limit / vm_count);
-            let remaining = (quota.limit - silent_usage - used).max(0.0);
-            let live = (vm_count - silent).max(1.0);
-            quota.request_allowance = RoundAllowance::divide(remaining, live);
-            if used + silent_usage < quota.limit * LOW_USAGE_PERCENT / 100.0 {
-                let own = &mut quota.request_allowance.own;
-                *own = own.max(LOW_USAGE_ALLOWANCE.min(remaining));
-            }
-            quota.program_window.expire(now_ms, window_ms);
-            let programs_started = quota.program_window.total;
-            quota.program_allowance = quota.max_program_starts().map_or(
-                RoundAllowance {
-                    own: f64::MAX,
-                    home: f64::MAX,
-                },
-                |max_starts| {
-                    #[expect(clippy::cast_precision_loss, reason = "a few buckets")]
-                    let round_limit =
-                        max_starts * PROGRAM_START_FACTOR * BUCKET_MS as f64 / window_ms as f64;
-                    let remaining = (max_starts - programs_started).max(0.0);
-                    RoundAllowance::divide(remaining.min(round_limit.max(1.0)), live)
-                },
-            );
+            quota.start_round(fleet, now_ms, window_ms);
         }
     }
 
--- a/crates/relay/src/decide/quota/workspace.rs
+++ b/crates/relay/src/decide/quota/workspace.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 
 use super::report::{ProgramStage, RateRefusal, RefusalCause, WindowReport};
+use crate::decide::members::HOMES_MAX;
 use crate::decide::sliding_window::{BUCKET_MS, SlidingWindow, ceil_to_u64};
 
 /// Part of the tolerated excess that may be used immediately after a restart of all VMs,
@@ -11,6 +12,14 @@
 /// Part of the remaining limit that the VMs share equally, in percent; the home VM
 /// grants the rest.
 const EQUAL_SHARE_PERCENT: f64 = 50.0;
+/// Part of the homes' allowance that a home may grant in a round, by its rank, in percent.
+/// VMs may differ in who is the home, so the ranks divide the allowance.
+const HOME_GRANT_PERCENT: [f64; HOMES_MAX] = [70.0, 20.0, 10.0];
+/// Assumed usage of a silent VM, relative to the mean usage of all VMs.
+const SILENT_VM_USAGE_FACTOR: f64 = 1.25;
+/// Number of programs that may start in a round, relative to an even distribution over
+/// the window; programs that start together need the limit at the same time.
+const PROGRAM_START_FACTOR: f64 = 1.2;
 /// Programs started before the last window that are needed to estimate the mean number
 /// of requests of a program.
 const MIN_PROGRAM_SAMPLES: f64 = 20.0;
@@ -22,14 +31,15 @@
 pub(super) struct RoundAllowance {
     /// Admitted by this VM on its own.
     pub(super) own: f64,
-    /// Granted by the home VM to VMs that have used up their share.
+    /// Granted by the homes to VMs that have used up their share.
     pub(super) home: f64,
 }
 
 impl RoundAllowance {
-    /// Divides the remaining limit between `vm_count` VMs and the home VM.
-    pub(super) fn divide(remaining: f64, vm_count: f64) -> Self {
-        let own = remaining * EQUAL_SHARE_PERCENT / 100.0 / vm_count;
+    /// Divides the remaining limit between `vm_count` VMs, over `rounds`, and the homes.
+    fn divide(remaining: f64, vm_count: f64, rounds: f64) -> Self {
+        let shared = remaining * EQUAL_SHARE_PERCENT / 100.0;
+        let own = shared / vm_count / rounds;
         if own < 1.0 {
             return Self {
                 own: 0.0,
@@ -38,11 +48,32 @@
         }
         Self {
             own,
-            home: remaining * (1.0 - EQUAL_SHARE_PERCENT / 100.0),
+            home: remaining - shared,
         }
     }
 }
 
+/// VMs that share the limits.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct FleetSize {
+    /// Number of VMs, including this one.
+    pub(super) vm_count: f64,
+    /// Number of these VMs that are silent.
+    pub(super) silent_count: f64,
+    /// Rounds after which this VM has heard of the admissions of all others.
+    pub(super) rounds_per_pass: f64,
+}
+
+impl FleetSize {
+    /// Returns the rounds over which a VM's share is spread.
+    ///
+    /// Within a pass the VMs admit from the same counts, and up to the end of the next one
+    /// from counts of the pass before.
+    fn share_rounds(self) -> f64 {
+        2.0 * self.rounds_per_pass - 1.0
+    }
+}
+
 /// Rate limit of one workspace, and its requests and programs admitted by all VMs.
 #[derive(Clone, Debug, Default)]
 pub(super) struct WorkspaceQuota {
@@ -54,8 +85,12 @@
     pub(super) request_window: SlidingWindow,
     /// Programs started on all VMs.
     pub(super) program_window: SlidingWindow,
-    /// Requests that may still be admitted in this round.
-    pub(super) request_allowance: RoundAllowance,
+    /// Usage of silent VMs that is assumed in this round.
+    pub(super) silent_usage: f64,
+    /// Requests that this VM may still admit on its own in this round.
+    pub(super) own_share: f64,
+    /// Requests that this VM may still grant as home in this round, by its rank.
+    pub(super) home_grants: [f64; HOMES_MAX],
     /// Programs that may still start in this round.
     pub(super) program_allowance: RoundAllowance,
     /// Requests that this VM has admitted since its start.
@@ -88,6 +123,40 @@
         self.is_assumed = true;
     }
 
+    /// Returns the requests that the window has left, as known to this VM.
+    pub(super) fn remaining(&self) -> f64 {
+        (self.limit - self.silent_usage - self.request_window.total).max(0.0)
+    }
+
+    /// Divides the remaining limit between the VMs for one round.
+    pub(super) fn start_round(&mut self, fleet: FleetSize, now_ms: u64, window_ms: u64) {
+        self.request_window.expire(now_ms, window_ms);
+        self.program_window.expire(now_ms, window_ms);
+        // A silent VM has usually failed, but a partitioned one keeps admitting requests.
+        let mean_usage = self.request_window.total / fleet.vm_count;
+        let assumed_usage = mean_usage * SILENT_VM_USAGE_FACTOR;
+        self.silent_usage = fleet.silent_count * assumed_usage.min(self.limit / fleet.vm_count);
+        let live = (fleet.vm_count - fleet.silent_count).max(1.0);
+        let allowance = RoundAllowance::divide(self.remaining(), live, fleet.share_rounds());
+        self.own_share = allowance.own;
+        self.home_grants = HOME_GRANT_PERCENT.map(|percent| {
+            let grants = allowance.home * percent / 100.0;
+            grants.max(allowance.home.min(1.0))
+        });
+        let unlimited = RoundAllowance {
+            own: f64::MAX,
+            home: f64::MAX,
+        };
+        let max_starts = self.max_program_starts();
+        self.program_allowance = max_starts.map_or(unlimited, |max_starts| {
+            #[expect(clippy::cast_precision_loss, reason = "a few buckets")]
+            let round_limit =
+                max_starts * PROGRAM_START_FACTOR * BUCKET_MS as f64 / window_ms as f64;
+            let remaining = (max_starts - self.program_window.total).max(0.0);
+            RoundAllowance::divide(remaining.min(round_limit.max(1.0)), live, 1.0)
+        });
+    }
+
     /// Replaces the counts of the last window by those that a peer reported.
     pub(super) fn apply_report(&mut self, report: &WindowReport, now_ms: u64) {
         self.request_window
--- a/crates/relay/src/decide/sliding_window.rs
+++ b/crates/relay/src/decide/sliding_window.rs
@@ -84,8 +84,11 @@
     }
 
     /// Returns the time until the oldest `requests` requests leave the window, in
-    /// milliseconds; the whole window if it holds fewer.
+    /// milliseconds; the whole window if it holds fewer, 0 if none has to leave.
     pub(crate) fn time_to_free(&self, requests: f64, now_ms: u64, window_ms: u64) -> u64 {
+        if requests <= 0.0 {
+            return 0;
+        }
         let mut freed = 0.0;
         for (end_ms, count) in &self.buckets {
             freed += count;
--- a/crates/relay/src/gateway/admit.rs
+++ b/crates/relay/src/gateway/admit.rs
@@ -17,7 +17,7 @@
 use super::message::PeerMessage;
 use super::rpc::call_peer;
 use super::state::{Gateway, lossy_string};
-use crate::decide::{ProgramStage, RateRefusal, hash_bytes};
+use crate::decide::{HomeCandidate, ProgramStage, RateRefusal, WorkspaceKey, hash_bytes};
 
 /// `Retry-After` of the response to a request that this VM can't serve at the moment,
 /// in milliseconds; short, because another VM may serve it at once.
@@ -210,8 +210,9 @@
 /// How a request was counted against its workspace's rate limit.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct RateAdmission {
-    /// Whose share admitted the request: `share` for this VM's, `home` for the home VM's;
-    /// empty if the request has no workspace or was refused.
+    /// Whose share admitted the request: `share` for this VM's, `home` for the home VM's,
+    /// `standby` for that of a home of a lower rank; empty if the request has no workspace
+    /// or was refused.
     pub(crate) source: &'static str,
     /// Name of the home VM; empty if it is this VM or was not asked.
     pub(crate) home: String,
@@ -219,7 +220,7 @@
 
 /// Counts a request against its workspace's rate limit.
 ///
-/// Asks the workspace's home VM when this VM's share of the rate is used up.
+/// Asks the workspace's homes when this VM's share of the rate is used up.
 pub(crate) async fn check_rate_limit(
     gateway: &Gateway,
     request: &CallerRequest,
@@ -244,44 +245,38 @@
             home: String::new(),
         });
     }
-    let own_key = gateway.state.options.facts.key();
-    // The first entry is the home; `None` stands for this VM.
     let homes = {
+        let own_key = gateway.state.options.facts.key();
         let members = gateway.state.members.borrow();
-        members.ranked_homes(own_key, workspace_key, now_ms)
+        members.homes_to_ask(own_key, workspace_key, now_ms)
     };
-    let home = homes.into_iter().next().flatten();
-    let home_name = home
-        .as_ref()
-        .map_or_else(String::new, |home| lossy_string(&home.name));
-    let refusal = match home {
-        None => {
-            let mut quota = gateway.state.quota.borrow_mut();
-            quota.admit_as_home(workspace_key, stage, now_ms).err()
-        }
-        Some(home) => {
-            let build_message = |call_id| PeerMessage::Admit {
-                call_id,
-                workspace: workspace_key,
-                stage,
-            };
-            match call_peer(gateway, home.peer_address(), build_message).await {
-                Some(PeerMessage::Admitted { refusal, .. }) => refusal,
-                _ => Some(RateRefusal::silent_home(HOME_UNREACHABLE_RETRY_MS)),
+    let mut refusal = RateRefusal::silent_home(HOME_UNREACHABLE_RETRY_MS);
+    let mut home_name = String::new();
+    for home in homes {
+        let source = if home.rank == 0 { "home" } else { "standby" };
+        home_name = home
+            .facts
+            .as_ref()
+            .map_or_else(String::new, |facts| lossy_string(&facts.name));
+        match ask_home(gateway, &home, workspace_key, stage).await {
+            None => {}
+            Some(Ok(())) => {
+                gateway
+                    .state
+                    .metrics
+                    .count_rate_decision(source, "admitted");
+                return Ok(RateAdmission {
+                    source,
+                    home: home_name,
+                });
+            }
+            Some(Err(home_refusal)) => {
+                gateway.state.metrics.count_rate_decision(source, "refused");
+                refusal = home_refusal;
+                break;
             }
         }
-    };
-    let Some(refusal) = refusal else {
-        gateway
-            .state
-            .metrics
-            .count_rate_decision("home", "admitted");
-        return Ok(RateAdmission {
-            source: "home",
-            home: home_name,
-        });
-    };
-    gateway.state.metrics.count_rate_decision("home", "refused");
+    }
     record_event!(
         RateRefused,
         request = request.attempt_id,
@@ -298,3 +293,42 @@
         retry_after_ms: Some(refusal.after_ms),
     })
 }
+
+/// Admits a request as a home of its workspace, of rank `rank`.
+pub(crate) fn admit_as_home(
+    gateway: &Gateway,
+    workspace: WorkspaceKey,
+    stage: ProgramStage,
+    rank: usize,
+) -> Result<(), RateRefusal> {
+    let now_ms = gateway.now_ms();
+    let mut quota = gateway.state.quota.borrow_mut();
+    quota.admit_as_home(workspace, stage, rank, now_ms)
+}
+
+/// Asks a home to admit a request; returns `None` if it does not answer.
+async fn ask_home(
+    gateway: &Gateway,
+    home: &HomeCandidate,
+    workspace: WorkspaceKey,
+    stage: ProgramStage,
+) -> Option<Result<(), RateRefusal>> {
+    let Some(facts) = &home.facts else {
+        return Some(admit_as_home(gateway, workspace, stage, home.rank));
+    };
+    let build_message = |call_id| PeerMessage::Admit {
+        call_id,
+        workspace,
+        stage,
+        rank: u8::try_from(home.rank).unwrap_or(u8::MAX),
+    };
+    if let Some(PeerMessage::Admitted { refusal, .. }) =
+        call_peer(gateway, facts.peer_address(), build_message).await
+    {
+        return Some(refusal.map_or(Ok(()), Err));
+    }
+    let now_ms = gateway.now_ms();
+    let mut members = gateway.state.members.borrow_mut();
+    members.record_unanswered(facts.key(), now_ms);
+    None
+}
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -86,11 +86,13 @@
     Store { call_id: u64, claim: CeilingClaim },
     /// Reply to `Store`: whether the ceiling is stored.
     Stored { call_id: u64, stored: bool },
-    /// Requests admission of one request from a workspace's home.
+    /// Requests admission of one request from a home of its workspace.
     Admit {
         call_id: u64,
         workspace: WorkspaceKey,
         stage: ProgramStage,
+        /// Rank of the receiver among the homes, as known to the sender.
+        rank: u8,
     },
     /// Reply to `Admit`; `refusal` is `None` if the request is admitted.
     Admitted {
@@ -109,6 +111,13 @@
         call_id: u64,
         origin: Option<StreamOrigin>,
     },
+    /// A VM's own admission counters, sent in each gossip round to the homes of the
+    /// workspaces whose requests it has admitted.
+    Admissions {
+        vm: VmKey,
+        incarnation: u64,
+        counters: Vec<AdmissionCounters>,
+    },
 }
 
 impl PeerMessage {
--- a/crates/relay/src/gateway/peer_link.rs
+++ b/crates/relay/src/gateway/peer_link.rs
@@ -1,15 +1,19 @@
 //! Sending of messages and of this VM's state to other VMs over UDP.
 
+use std::collections::HashMap;
 use std::net::SocketAddrV4;
 
 use super::caller_request::millis;
 use super::message::PeerMessage;
 use super::state::Gateway;
-use crate::decide::MemberFacts;
+use crate::decide::{AdmissionCounters, MemberFacts};
 
 /// Time after their last change for which counters are sent, in milliseconds; enough for
 /// several passes over all peers.
 const REPORT_MAX_AGE_MS: u64 = 10_000;
+/// Time after their last change for which counters are sent to the homes in each round, in
+/// milliseconds; several rounds, since messages may be lost.
+const HOME_REPORT_MAX_AGE_MS: u64 = 1_000;
 
 /// Sends this VM's state to all peers at once, for changes that can't wait for the next
 /// rounds.
@@ -68,6 +72,32 @@
     }
 }
 
+/// Sends this VM's counters of the workspaces whose requests it has admitted recently to
+/// their homes, which a gossip round may not reach.
+pub(crate) async fn report_to_homes(gateway: &Gateway) {
+    let facts = &gateway.state.options.facts;
+    let now_ms = gateway.now_ms();
+    let since_ms = now_ms.saturating_sub(HOME_REPORT_MAX_AGE_MS);
+    let reports = gateway.state.quota.borrow().reports(since_ms);
+    let mut by_home: HashMap<SocketAddrV4, Vec<AdmissionCounters>> = HashMap::new();
+    for report in reports {
+        let members = gateway.state.members.borrow();
+        let homes = members.first_homes(facts.key(), report.workspace, now_ms);
+        for home in homes.into_iter().filter_map(|home| home.facts) {
+            let counters = by_home.entry(home.peer_address()).or_default();
+            counters.push(report);
+        }
+    }
+    for (home, counters) in by_home {
+        let message = PeerMessage::Admissions {
+            vm: facts.key(),
+            incarnation: facts.incarnation,
+            counters,
+        };
+        send(gateway, &message, home).await;
+    }
+}
+
 fn encode(message: &PeerMessage) -> Option<Vec<u8>> {
     match postcard::to_stdvec(message) {
         Ok(data) => Some(data),
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -6,18 +6,19 @@
 use ibisdale_telemetry::record_event;
 use smol::Timer;
 
+use super::admit::admit_as_home;
 use super::boot_time::BootTime;
 use super::budget::decide_as_home;
 use super::caller_request::millis;
 use super::ceilings::store_in_batch;
 use super::message::PeerMessage;
 use super::origins::record_origin;
-use super::peer_link::{peer_addresses, send, send_state, spawn_send};
+use super::peer_link::{peer_addresses, report_to_homes, send, send_state, spawn_send};
 use super::state::{Gateway, lossy_string};
 use super::state_transfer::{self, StatePart};
 use crate::decide::{
-    AdmissionCounters, BudgetShare, CeilingClaim, MemberFacts, PeerRotation, ProgramKey,
-    ProgramStage, WindowReport, WorkspaceKey,
+    AdmissionCounters, BudgetShare, CeilingClaim, InFlightCount, MemberFacts, PeerRotation,
+    ProgramKey, VmKey, WindowReport,
 };
 
 /// Time between gossip rounds, each of which reaches all peers in a small fleet.
@@ -60,29 +61,35 @@
 
 async fn gossip_round(gateway: &Gateway, rotation: &mut PeerRotation) {
     let now_ms = gateway.now_ms();
-    let (known_count, silent_count) = {
-        let mut members = gateway.state.members.borrow_mut();
-        members.expire(now_ms);
-        members.count(now_ms)
-    };
-    // Before the first full round, no peer's state can have arrived.
-    if now_ms >= millis(ROUND_INTERVAL) {
-        let mut quota = gateway.state.quota.borrow_mut();
-        let vm_count = u32::try_from(known_count + 1).unwrap_or(u32::MAX);
-        quota.set_vm_counts(vm_count, u32::try_from(silent_count).unwrap_or(u32::MAX));
-        quota.start_round(now_ms);
-    }
-    gateway
-        .state
-        .replicas
-        .borrow_mut()
-        .expire_peer_in_flight(now_ms);
+    gateway.state.members.borrow_mut().expire(now_ms);
+    gateway.record_fleet_size();
+    gateway.state.quota.borrow_mut().start_round(now_ms);
+    let replicas = &gateway.state.replicas;
+    replicas.borrow_mut().expire_peer_in_flight(now_ms);
     record_silent_vms(gateway, now_ms);
     gateway.init_counts_lost_at();
+    report_to_homes(gateway).await;
     let chosen = rotation.next_round(&peer_addresses(gateway));
     send_state(gateway, &chosen).await;
 }
 
+impl Gateway {
+    /// Records how many VMs share the rate limits, unless too few peers can be known yet.
+    pub(crate) fn record_fleet_size(&self) {
+        let now_ms = self.now_ms();
+        let is_alone = peer_addresses(self).is_empty();
+        // Before the first full round, no peer's state can have arrived.
+        if !is_alone && now_ms < millis(ROUND_INTERVAL) {
+            return;
+        }
+        let (known_count, silent_count) = self.state.members.borrow().count(now_ms);
+        let vm_count = u32::try_from(known_count + 1).unwrap_or(u32::MAX);
+        let silent_count = u32::try_from(silent_count).unwrap_or(u32::MAX);
+        let mut quota = self.state.quota.borrow_mut();
+        quota.set_vm_counts(vm_count, silent_count);
+    }
+}
+
 /// Records VMs that have become silent since the last round as lost.
 fn record_silent_vms(gateway: &Gateway, now_ms: u64) {
     let silent_vms = gateway.state.members.borrow_mut().take_newly_silent(now_ms);
@@ -141,22 +148,13 @@
             counts_lost_at,
         } => {
             record_peer_feed(gateway, feed_age_ms);
-            let now_ms = gateway.now_ms();
-            let mut replicas = gateway.state.replicas.borrow_mut();
-            replicas.record_peer_in_flight(facts.key(), in_flight, now_ms);
-            drop(replicas);
+            record_peer_in_flight(gateway, facts.key(), in_flight);
             gateway.merge_counts_lost_at(counts_lost_at);
             let versions = (plan_version, replicas_version);
             handle_state(gateway, facts, versions, &quota, sender);
         }
         PeerMessage::Handover { programs } => handle_handover(gateway, programs),
-        PeerMessage::Left { vm, incarnation } => {
-            let now_ms = gateway.now_ms();
-            let mut members = gateway.state.members.borrow_mut();
-            if members.remove(vm, incarnation, now_ms) {
-                record_event!(VmLeft, incarnation = incarnation);
-            }
-        }
+        PeerMessage::Left { vm, incarnation } => handle_leave(gateway, vm, incarnation),
         PeerMessage::Counters {
             vm,
             incarnation,
@@ -174,10 +172,7 @@
             program,
             share,
         } => {
-            let now_ms = gateway.now_ms();
-            let mut budgets = gateway.state.budgets.borrow_mut();
-            budgets.merge(program, &[share], now_ms);
-            drop(budgets);
+            merge_shares(gateway, program, &[share]);
             spawn_send(gateway, PeerMessage::Settled { call_id }, sender);
         }
         PeerMessage::GetShares { call_id, program } => {
@@ -199,7 +194,17 @@
             call_id,
             workspace,
             stage,
-        } => handle_admit(gateway, call_id, workspace, stage, sender),
+            rank,
+        } => {
+            let admitted = admit_as_home(gateway, workspace, stage, rank.into());
+            let refusal = admitted.err();
+            spawn_send(gateway, PeerMessage::Admitted { call_id, refusal }, sender);
+        }
+        PeerMessage::Admissions {
+            vm,
+            incarnation,
+            counters,
+        } => record_admissions(gateway, vm, incarnation, &counters),
         PeerMessage::Store { call_id, claim } => handle_store(gateway, call_id, claim, sender),
         PeerMessage::StreamBegan { attempt, origin } => {
             record_origin(gateway, attempt, origin);
@@ -217,14 +222,26 @@
     }
 }
 
-fn handle_handover(gateway: &Gateway, programs: Vec<(ProgramKey, Vec<BudgetShare>)>) {
+fn handle_leave(gateway: &Gateway, vm: VmKey, incarnation: u64) {
     let now_ms = gateway.now_ms();
-    let mut budgets = gateway.state.budgets.borrow_mut();
+    let mut members = gateway.state.members.borrow_mut();
+    if members.remove(vm, incarnation, now_ms) {
+        record_event!(VmLeft, incarnation = incarnation);
+    }
+}
+
+fn handle_handover(gateway: &Gateway, programs: Vec<(ProgramKey, Vec<BudgetShare>)>) {
     for (program, shares) in programs {
-        budgets.merge(program, &shares, now_ms);
+        merge_shares(gateway, program, &shares);
     }
 }
 
+fn merge_shares(gateway: &Gateway, program: ProgramKey, shares: &[BudgetShare]) {
+    let now_ms = gateway.now_ms();
+    let mut budgets = gateway.state.budgets.borrow_mut();
+    budgets.merge(program, shares, now_ms);
+}
+
 fn handle_store(gateway: &Gateway, call_id: u64, claim: CeilingClaim, sender: SocketAddrV4) {
     let writer = gateway.clone();
     gateway.spawn(async move {
@@ -233,20 +250,6 @@
     });
 }
 
-fn handle_admit(
-    gateway: &Gateway,
-    call_id: u64,
-    workspace: WorkspaceKey,
-    stage: ProgramStage,
-    sender: SocketAddrV4,
-) {
-    let now_ms = gateway.now_ms();
-    let mut quota = gateway.state.quota.borrow_mut();
-    let refusal = quota.admit_as_home(workspace, stage, now_ms).err();
-    drop(quota);
-    spawn_send(gateway, PeerMessage::Admitted { call_id, refusal }, sender);
-}
-
 fn handle_reserve(
     gateway: &Gateway,
     call_id: u64,
@@ -279,9 +282,7 @@
     let others = known.iter().filter(|share| share.vm != sender_share.vm);
     let others: Vec<_> = others.copied().collect();
     if !others.is_empty() {
-        let now_ms = gateway.now_ms();
-        let mut budgets = gateway.state.budgets.borrow_mut();
-        budgets.merge(program, &others, now_ms);
+        merge_shares(gateway, program, &others);
     }
 }
 
@@ -359,6 +360,25 @@
     }
 }
 
+fn record_peer_in_flight(gateway: &Gateway, peer: VmKey, in_flight: Vec<InFlightCount>) {
+    let now_ms = gateway.now_ms();
+    let mut replicas = gateway.state.replicas.borrow_mut();
+    replicas.record_peer_in_flight(peer, in_flight, now_ms);
+}
+
+/// Adds the requests that another VM has admitted since its last report.
+fn record_admissions(
+    gateway: &Gateway,
+    vm: VmKey,
+    incarnation: u64,
+    counters: &[AdmissionCounters],
+) {
+    let is_older = incarnation + SAME_START_MS < gateway.state.options.facts.incarnation;
+    let now_ms = gateway.now_ms();
+    let mut quota = gateway.state.quota.borrow_mut();
+    quota.record_peer_counters(vm, incarnation, is_older, counters, now_ms);
+}
+
 fn handle_state(
     gateway: &Gateway,
     facts: MemberFacts,
@@ -379,10 +399,7 @@
         .members
         .borrow_mut()
         .record_heartbeat(facts, now_ms);
-    let mut ledger = gateway.state.quota.borrow_mut();
-    let is_older = incarnation + SAME_START_MS < gateway.state.options.facts.incarnation;
-    ledger.record_peer_counters(peer, incarnation, is_older, quota, now_ms);
-    drop(ledger);
+    record_admissions(gateway, peer, incarnation, quota);
     if is_new {
         record_event!(
             VmHeard,
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -258,6 +258,7 @@
                 keys = workspace.keys.len(),
             );
         }
+        self.record_fleet_size();
         let workspaces = plan.get_workspaces().iter();
         let rates = workspaces.map(|workspace| {
             (
@@ -411,6 +412,7 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         self.state.has_plan.get()
+            && self.state.quota.borrow().knows_fleet()
             && !self.state.is_draining.get()
             && !self.state.replicas.borrow().is_empty()
     }
--- a/crates/relay/tests/quota.rs
+++ b/crates/relay/tests/quota.rs
@@ -176,7 +176,7 @@
         let home = home.unwrap();
         let now_ms = self.uptime_ms(home);
         let ledger = &mut self.vms[home].ledger;
-        let admitted = ledger.admit_as_home(WORKSPACE, stage, now_ms);
+        let admitted = ledger.admit_as_home(WORKSPACE, stage, 0, now_ms);
         admitted.map_err(|refusal| refusal.after_ms)
     }
 
@@ -485,7 +485,7 @@
             .chain(std::iter::repeat_n(ProgramStage::UnderWay, 23));
         for stage in stages {
             let is_admitted = ledger.admit(WORKSPACE, stage, now_ms)
-                || ledger.admit_as_home(WORKSPACE, stage, now_ms).is_ok();
+                || ledger.admit_as_home(WORKSPACE, stage, 0, now_ms).is_ok();
             if stage == ProgramStage::Begins && is_admitted {
                 starts_ms.push(now_ms);
             }
--- a/crates/relay/tests/quota_gossip/fleet.rs
+++ b/crates/relay/tests/quota_gossip/fleet.rs
@@ -15,6 +15,7 @@
 const ROUND_MS: u64 = 250;
 const STEP_MS: u64 = 10;
 const REPORT_AGE_MS: u64 = 10_000;
+const HOME_REPORT_AGE_MS: u64 = 1_000;
 const SAME_START_MS: u64 = 3_000;
 
 pub(crate) struct GossipVm {
@@ -24,6 +25,7 @@
     rotation: PeerRotation,
     started_ms: u64,
     next_round_ms: u64,
+    is_up: bool,
 }
 
 pub(crate) struct GossipFleet {
@@ -78,8 +80,19 @@
         self.register_all(vm);
     }
 
-    fn is_lost(&mut self) -> bool {
-        self.random.random::<f64>() < self.loss
+    /// Stops the first home of the workspace.
+    pub(crate) fn stop_home(&mut self) {
+        let homes =
+            self.vms[0]
+                .members
+                .first_homes(self.vms[0].facts.key(), WORKSPACE, self.uptime_ms(0));
+        let home = homes[0].facts.as_ref();
+        let home = home.map_or(0, |home| Self::index(home.peer_address()));
+        self.vms[home].is_up = false;
+    }
+
+    fn is_lost(&mut self, receiver: usize) -> bool {
+        !self.vms[receiver].is_up || self.random.random::<f64>() < self.loss
     }
 
     fn index(address: SocketAddrV4) -> usize {
@@ -102,6 +115,8 @@
             .map(MemberFacts::peer_address)
             .collect();
         peers.sort_unstable();
+        self.report_to_homes(vm);
+        let sender = &mut self.vms[vm];
         let chosen = sender.rotation.next_round(&peers);
         let reports = sender.ledger.reports(now_ms.saturating_sub(REPORT_AGE_MS));
         for peer in chosen {
@@ -109,19 +124,45 @@
         }
     }
 
-    fn send_state(&mut self, sender: usize, receiver: usize, reports: &[AdmissionCounters]) {
-        if self.is_lost() {
-            return;
+    fn report_to_homes(&mut self, vm: usize) {
+        let now_ms = self.uptime_ms(vm);
+        let sender = &self.vms[vm];
+        let facts = sender.facts.clone();
+        let reports = sender
+            .ledger
+            .reports(now_ms.saturating_sub(HOME_REPORT_AGE_MS));
+        let homes = sender.members.first_homes(facts.key(), WORKSPACE, now_ms);
+        for home in homes.into_iter().filter_map(|home| home.facts) {
+            if !reports.is_empty() && !self.is_lost(Self::index(home.peer_address())) {
+                self.record_counters(&facts, Self::index(home.peer_address()), &reports);
+            }
         }
-        let facts = self.vms[sender].facts.clone();
-        let (peer, incarnation) = (facts.key(), facts.incarnation);
+    }
+
+    fn record_counters(
+        &mut self,
+        sender: &MemberFacts,
+        receiver: usize,
+        reports: &[AdmissionCounters],
+    ) {
         let now_ms = self.uptime_ms(receiver);
         let state = &mut self.vms[receiver];
-        let is_new = state.members.record_heartbeat(facts, now_ms);
+        let (peer, incarnation) = (sender.key(), sender.incarnation);
         let is_older = incarnation + SAME_START_MS < state.facts.incarnation;
         let ledger = &mut state.ledger;
         ledger.record_peer_counters(peer, incarnation, is_older, reports, now_ms);
-        if is_new && !self.is_lost() {
+    }
+
+    fn send_state(&mut self, sender: usize, receiver: usize, reports: &[AdmissionCounters]) {
+        if self.is_lost(receiver) {
+            return;
+        }
+        let facts = self.vms[sender].facts.clone();
+        let now_ms = self.uptime_ms(receiver);
+        let members = &mut self.vms[receiver].members;
+        let is_new = members.record_heartbeat(facts.clone(), now_ms);
+        self.record_counters(&facts, receiver, reports);
+        if is_new && !self.is_lost(sender) {
             let state = &self.vms[receiver];
             let (facts, counters) = (state.facts.clone(), state.ledger.reports(0));
             let window = state.ledger.snapshot(now_ms);
@@ -137,7 +178,7 @@
         let end_ms = self.now_ms + duration_ms;
         while self.now_ms < end_ms {
             for vm in 0..self.vms.len() {
-                if self.vms[vm].next_round_ms <= self.now_ms {
+                if self.vms[vm].is_up && self.vms[vm].next_round_ms <= self.now_ms {
                     self.vms[vm].next_round_ms += ROUND_MS;
                     self.run_round(vm);
                 }
@@ -146,6 +187,9 @@
             while self.due_requests >= 1.0 {
                 self.due_requests -= 1.0;
                 let vm = self.random.random_range(0..self.vms.len());
+                if !self.vms[vm].is_up {
+                    continue;
+                }
                 if self.admit(vm) {
                     self.admitted_at_ms.push(self.now_ms);
                 } else {
@@ -156,7 +200,7 @@
         }
     }
 
-    /// Admits a request at a VM or at the home that this VM knows.
+    /// Admits a request at a VM or at the homes that this VM knows.
     fn admit(&mut self, vm: usize) -> bool {
         let stage = ProgramStage::UnderWay;
         let now_ms = self.uptime_ms(vm);
@@ -164,11 +208,19 @@
             return true;
         }
         let (own, members) = (self.vms[vm].facts.key(), &self.vms[vm].members);
-        let home = members.ranked_homes(own, WORKSPACE, now_ms).swap_remove(0);
-        let home = home.map_or(vm, |home| Self::index(home.peer_address()));
-        let now_ms = self.uptime_ms(home);
-        let ledger = &mut self.vms[home].ledger;
-        ledger.admit_as_home(WORKSPACE, stage, now_ms).is_ok()
+        for candidate in members.homes_to_ask(own, WORKSPACE, now_ms) {
+            let facts = candidate.facts.as_ref();
+            let home = facts.map_or(vm, |facts| Self::index(facts.peer_address()));
+            if self.vms[home].is_up {
+                let now_ms = self.uptime_ms(home);
+                let ledger = &mut self.vms[home].ledger;
+                let admitted = ledger.admit_as_home(WORKSPACE, stage, candidate.rank, now_ms);
+                return admitted.is_ok();
+            }
+            let key = self.vms[home].facts.key();
+            self.vms[vm].members.record_unanswered(key, now_ms);
+        }
+        false
     }
 
     /// Returns the largest number of requests admitted in any window.
@@ -221,5 +273,6 @@
         rotation: PeerRotation::default(),
         started_ms: started_ms - 1,
         next_round_ms: started_ms + random.random_range(0..ROUND_MS),
+        is_up: true,
     }
 }
--- a/crates/relay/tests/quota_gossip/main.rs
+++ b/crates/relay/tests/quota_gossip/main.rs
@@ -39,6 +39,31 @@
 #[case::medium_workspace(100.0)]
 fn workspace_below_its_limit_is_served_in_a_large_fleet(#[case] rate: f64) {
     let mut fleet = GossipFleet::new(259, rate);
+    // The VMs get requests once they know each other.
+    fleet.send_requests(500, 0.0);
     fleet.send_requests(8_000, rate * 0.8);
     assert_eq!(fleet.refused, 0);
 }
+
+/// Guards against refusing a workspace, or exceeding its limit, while its home is gone.
+#[rstest]
+#[case::below_its_limit(0.8)]
+#[case::over_its_limit(4.1)]
+fn workspace_whose_home_is_gone_is_served_up_to_its_limit(#[case] factor: f64) {
+    let mut fleet = GossipFleet::new(259, 100.0);
+    fleet.send_requests(500, 0.0);
+    fleet.send_requests(6_000, 100.0 * factor);
+    let refused = fleet.refused;
+    fleet.stop_home();
+    fleet.send_requests(3_000, 100.0 * factor);
+    let (worst, bound) = (fleet.max_requests_in_window(), fleet.bound());
+    assert!(
+        worst <= bound,
+        "{worst} requests in a window, bound {bound}"
+    );
+    assert!(
+        factor > 1.0 || fleet.refused == refused,
+        "{} refused",
+        fleet.refused
+    );
+}
