--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -61,8 +61,7 @@
 async fn gossip_round(gateway: &Gateway, rotation: &mut PeerRotation) {
     let now_ms = gateway.now_ms();
     gateway.state.members.borrow_mut().expire(now_ms);
-    gateway.record_fleet_size();
-    gateway.state.quota.borrow_mut().start_round(now_ms);
+    gateway.start_quota_round();
     let (overdue, silent_after_ms) = {
         let members = gateway.state.members.borrow();
         (members.overdue(now_ms), members.silent_after_ms())
@@ -82,12 +81,14 @@
 }
 
 impl Gateway {
-    /// Records how many VMs share the rate limits, unless too few peers can be known yet.
-    pub(crate) fn record_fleet_size(&self) {
+    /// Starts a round of the rate limits, unless it can't be known yet how many VMs share them.
+    pub(crate) fn start_quota_round(&self) {
         let now_ms = self.now_ms();
         let is_alone = peer_addresses(self).is_empty();
+        // At the first start of all VMs, few of them have registered.
+        let is_listed = self.state.has_registrations.get() && !self.state.options.is_first_start;
         // Before the first full round, no peer's state can have arrived.
-        if !is_alone && now_ms < ROUND_MS {
+        if !is_alone && !is_listed && now_ms < ROUND_MS {
             return;
         }
         let (known_count, silent_count) = self.state.members.borrow().count(now_ms);
@@ -95,6 +96,7 @@
         let silent_count = u32::try_from(silent_count).unwrap_or(u32::MAX);
         let mut quota = self.state.quota.borrow_mut();
         quota.set_vm_counts(vm_count, silent_count);
+        quota.start_round(now_ms);
     }
 }
 
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -100,6 +100,8 @@
     pub(crate) versions: RefCell<VersionHistory>,
     pub(crate) origins: RefCell<OriginTable>,
     pub(crate) members: RefCell<MemberTable>,
+    /// Whether the registered VMs have been read.
+    pub(crate) has_registrations: Cell<bool>,
     pub(crate) lost_vms: RefCell<Vec<(VmKey, u64)>>,
     pub(crate) counts_lost_at: Cell<Option<u64>>,
     pub(crate) ceilings_read_at_ms: Cell<Option<u64>>,
@@ -183,6 +185,7 @@
             }),
             origins: RefCell::default(),
             members: RefCell::default(),
+            has_registrations: Cell::new(false),
             lost_vms: RefCell::new(lost_vms),
             counts_lost_at: Cell::new(is_first_start.then_some(0)),
             ceilings_read_at_ms: Cell::new(is_first_start.then_some(1)),
@@ -258,7 +261,9 @@
                 keys = workspace.keys.len(),
             );
         }
-        self.record_fleet_size();
+        if !self.state.quota.borrow().knows_fleet() {
+            self.start_quota_round();
+        }
         let workspaces = plan.get_workspaces().iter();
         let rates = workspaces.map(|workspace| {
             (
@@ -395,6 +400,11 @@
         let now_ms = self.now_ms();
         let mut members = self.state.members.borrow_mut();
         members.set_registered(others.collect(), now_ms);
+        drop(members);
+        self.state.has_registrations.set(true);
+        if !self.state.quota.borrow().knows_fleet() {
+            self.start_quota_round();
+        }
     }
 
     pub(crate) fn record_ceiling(&self, program: ProgramKey, ceiling: u64) {
