Keep a VM that is cut off to an equal share of each rate

Cause: a VM to which most others are silent assumed that each of them uses 1.25 times the mean of what it knows, and once the usage it knew had left the window, that is its own usage: a VM alone could use nearly half of a limit, and so could each of the others that are cut off.

Change: a VM that hears less than a quarter of the fleet admits an equal share of a limit by its own admissions and grants nothing as home. Above a quarter nothing changes, since most VMs may have failed at once.

--- a/crates/relay/src/decide/quota/ledger.rs
+++ b/crates/relay/src/decide/quota/ledger.rs
@@ -11,7 +11,8 @@
 //! what is left, and the others less, which the VMs ask while the first does not answer. If
 //! an equal share of one half, spread over two passes, is at least one request, each VM
 //! admits that many without asking. A silent VM is assumed to use somewhat more than the
-//! mean of all VMs, at most an equal share of the limit.
+//! mean of all VMs, at most an equal share of the limit; a VM to which most others are
+//! silent is taken for cut off and keeps to an equal share.
 //!
 //! If one call of a program is refused, the program fails and its earlier requests are
 //! wasted. Therefore the number of programs started in a window is limited to the window's
--- a/crates/relay/src/decide/quota/workspace.rs
+++ b/crates/relay/src/decide/quota/workspace.rs
@@ -17,6 +17,9 @@
 const HOME_GRANT_PERCENT: [f64; HOMES_MAX] = [70.0, 20.0, 10.0];
 /// Assumed usage of a silent VM, relative to the mean usage of all VMs.
 const SILENT_VM_USAGE_FACTOR: f64 = 1.25;
+/// Part of the VMs below which the live ones are taken for cut off from the others, in
+/// percent; it is unlikely that so many have failed at once.
+const CUT_OFF_PERCENT: f64 = 25.0;
 /// Number of programs that may start in a round, relative to an even distribution over
 /// the window; programs that start together need the limit at the same time.
 const PROGRAM_START_FACTOR: f64 = 1.2;
@@ -65,6 +68,16 @@
 }
 
 impl FleetSize {
+    /// Returns the number of VMs that are not silent, including this one.
+    fn live_count(self) -> f64 {
+        (self.vm_count - self.silent_count).max(1.0)
+    }
+
+    /// Returns whether this VM is probably cut off from most others, which go on admitting.
+    fn is_cut_off(self) -> bool {
+        self.live_count() < self.vm_count * CUT_OFF_PERCENT / 100.0
+    }
+
     /// Returns the rounds over which a VM's share is spread.
     ///
     /// Within a pass the VMs admit from the same counts, and up to the end of the next one
@@ -83,6 +96,8 @@
     pub(super) limit: f64,
     /// Requests admitted by all VMs.
     pub(super) request_window: SlidingWindow,
+    /// Requests admitted by this VM.
+    pub(super) own_window: SlidingWindow,
     /// Programs started on all VMs.
     pub(super) program_window: SlidingWindow,
     /// Usage of silent VMs that is assumed in this round.
@@ -131,18 +146,25 @@
     /// Divides the remaining limit between the VMs for one round.
     pub(super) fn start_round(&mut self, fleet: FleetSize, now_ms: u64, window_ms: u64) {
         self.request_window.expire(now_ms, window_ms);
+        self.own_window.expire(now_ms, window_ms);
         self.program_window.expire(now_ms, window_ms);
         // A silent VM has usually failed, but a partitioned one keeps admitting requests.
         let mean_usage = self.request_window.total / fleet.vm_count;
         let assumed_usage = mean_usage * SILENT_VM_USAGE_FACTOR;
         self.silent_usage = fleet.silent_count * assumed_usage.min(self.limit / fleet.vm_count);
-        let live = (fleet.vm_count - fleet.silent_count).max(1.0);
+        let live = fleet.live_count();
         let allowance = RoundAllowance::divide(self.remaining(), live, fleet.share_rounds());
         self.own_share = allowance.own;
         self.home_grants = HOME_GRANT_PERCENT.map(|percent| {
             let grants = allowance.home * percent / 100.0;
             grants.max(allowance.home.min(1.0))
         });
+        if fleet.is_cut_off() {
+            // Each VM keeps to an equal share, whatever the others that are cut off use.
+            self.silent_usage = 0.0;
+            self.own_share = (self.limit / fleet.vm_count - self.own_window.total).max(0.0);
+            self.home_grants = [0.0; HOMES_MAX];
+        }
         let unlimited = RoundAllowance {
             own: f64::MAX,
             home: f64::MAX,
@@ -169,6 +191,7 @@
         self.admitted += 1;
         self.last_admitted_ms = now_ms;
         self.request_window.add(1.0, now_ms);
+        self.own_window.add(1.0, now_ms);
         if stage == ProgramStage::Begins {
             self.programs_started += 1;
             self.program_window.add(1.0, now_ms);
--- a/crates/relay/tests/gossip/fleet.rs
+++ b/crates/relay/tests/gossip/fleet.rs
@@ -25,6 +25,7 @@
     started_ms: u64,
     next_round_ms: u64,
     is_up: bool,
+    is_cut_off: bool,
 }
 
 pub(crate) struct GossipFleet {
@@ -93,8 +94,18 @@
         self.vms[home].is_up = false;
     }
 
-    fn is_lost(&mut self, receiver: usize) -> bool {
-        !self.vms[receiver].is_up || self.random.random::<f64>() < self.loss
+    /// Cuts a VM off from all others; callers still reach it.
+    pub(crate) fn cut_off(&mut self, vm: usize) {
+        self.vms[vm].is_cut_off = true;
+    }
+
+    fn is_reached(&self, sender: usize, receiver: usize) -> bool {
+        let [from, to] = [sender, receiver].map(|vm| &self.vms[vm]);
+        sender == receiver || to.is_up && !from.is_cut_off && !to.is_cut_off
+    }
+
+    fn is_lost(&mut self, sender: usize, receiver: usize) -> bool {
+        !self.is_reached(sender, receiver) || self.random.random::<f64>() < self.loss
     }
 
     fn index(address: SocketAddrV4) -> usize {
@@ -132,7 +143,7 @@
 
     /// Asks a VM for its state.
     fn probe(&mut self, vm: usize, peer: usize) {
-        if !self.is_lost(peer) {
+        if !self.is_lost(vm, peer) {
             let since_ms = self.uptime_ms(peer).saturating_sub(REPORT_AGE_MS);
             let reports = self.vms[peer].ledger.reports(since_ms);
             self.send_state(peer, vm, &reports);
@@ -148,7 +159,7 @@
             .reports(now_ms.saturating_sub(HOME_REPORT_AGE_MS));
         let homes = sender.members.first_homes(facts.key(), WORKSPACE, now_ms);
         for home in homes.into_iter().filter_map(|home| home.facts) {
-            if !reports.is_empty() && !self.is_lost(Self::index(home.peer_address())) {
+            if !reports.is_empty() && !self.is_lost(vm, Self::index(home.peer_address())) {
                 self.record_counters(&facts, Self::index(home.peer_address()), &reports);
             }
         }
@@ -169,7 +180,7 @@
     }
 
     fn send_state(&mut self, sender: usize, receiver: usize, reports: &[AdmissionCounters]) {
-        if self.is_lost(receiver) {
+        if self.is_lost(sender, receiver) {
             return;
         }
         let facts = self.vms[sender].facts.clone();
@@ -177,7 +188,7 @@
         let members = &mut self.vms[receiver].members;
         let is_new = members.record_heartbeat(facts.clone(), now_ms);
         self.record_counters(&facts, receiver, reports);
-        if is_new && !self.is_lost(sender) {
+        if is_new && !self.is_lost(receiver, sender) {
             let state = &self.vms[receiver];
             let (facts, counters) = (state.facts.clone(), state.ledger.reports(0));
             let window = state.ledger.snapshot(now_ms);
@@ -226,7 +237,7 @@
         for candidate in members.homes_to_ask(own, WORKSPACE, now_ms) {
             let facts = candidate.facts.as_ref();
             let home = facts.map_or(vm, |facts| Self::index(facts.peer_address()));
-            if self.vms[home].is_up {
+            if self.is_reached(vm, home) {
                 let now_ms = self.uptime_ms(home);
                 let ledger = &mut self.vms[home].ledger;
                 let admitted = ledger.admit_as_home(WORKSPACE, stage, candidate.rank, now_ms);
@@ -289,5 +300,6 @@
         started_ms: started_ms - 1,
         next_round_ms: started_ms + random.random_range(0..ROUND_MS),
         is_up: true,
+        is_cut_off: false,
     }
 }
--- a/crates/relay/tests/gossip/main.rs
+++ b/crates/relay/tests/gossip/main.rs
@@ -80,3 +80,21 @@
     fleet.send_requests(4_000, 0.0);
     assert_eq!(fleet.found_silent, 0);
 }
+
+/// Guards against VMs that are cut off and each use as much as half of a limit.
+#[rstest]
+#[case::small_fleet(7, 1)]
+#[case::medium_fleet(59, 10)]
+#[case::large_fleet(259, 44)]
+fn vms_that_are_cut_off_keep_the_limit_together(#[case] size: usize, #[case] cut_off: usize) {
+    let mut fleet = GossipFleet::new(size, 50.0);
+    fleet.send_requests(6_000, 30.0);
+    (0..cut_off).for_each(|vm| fleet.cut_off(vm));
+    fleet.send_requests(3_000, 30.0);
+    fleet.send_requests(6_000, 205.0);
+    let (worst, bound) = (fleet.max_requests_in_window(), fleet.bound());
+    assert!(
+        worst <= bound,
+        "{worst} requests in a window, bound {bound}"
+    );
+}
