Bound what is read of a replica's response that never ends

Cause: the number of 1xx responses and of trailer lines and the size of an event had no limit. While bytes are always available, reading never waited, so on the gateway's one thread neither its own time limit nor any other request got a turn. A whole response could hold 16 MiB, each at the same time.

Change: limits for 1xx responses (16), trailer sections (32 KiB) and events (1 MiB); a connection yields after 8 reads. Bodies that are only skipped are no longer held.

--- a/crates/relay/src/gateway/attempt.rs
+++ b/crates/relay/src/gateway/attempt.rs
@@ -22,8 +22,9 @@
 
 /// Maximum time for opening a connection to a replica.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Maximum size of the body of a response that is not streamed, in bytes.
-pub(crate) const RESPONSE_MAX_BYTES: usize = 16 * 1_024 * 1_024;
+/// Maximum size of a response body that is read only so that its connection can be used
+/// again, in bytes.
+const DISCARD_MAX_BYTES: usize = 1_024 * 1_024;
 /// Share of the remaining time after which an attempt times out if the request can
 /// still be sent to another replica, in percent.
 const RETRYABLE_TIMEOUT_PERCENT: u32 = 60;
@@ -237,7 +238,7 @@
             });
         }
         connection
-            .read_body(&mut head.decoder, RESPONSE_MAX_BYTES)
+            .discard_body(&mut head.decoder, DISCARD_MAX_BYTES)
             .await?;
     }
     Err(ExchangeError::InvalidResponse {
@@ -324,10 +325,10 @@
     mut head: ResponseHead,
 ) {
     let read = async {
-        let body = connection
-            .read_body(&mut head.decoder, RESPONSE_MAX_BYTES)
+        let discarded = connection
+            .discard_body(&mut head.decoder, DISCARD_MAX_BYTES)
             .await;
-        body.is_ok()
+        discarded.is_ok()
     };
     let timed_out = async {
         Timer::after(CONNECT_TIMEOUT).await;
--- a/crates/relay/src/gateway/events.rs
+++ b/crates/relay/src/gateway/events.rs
@@ -31,6 +31,12 @@
         !self.buffer.is_empty()
     }
 
+    /// Returns the size of the incomplete event in the buffer, in bytes.
+    #[must_use]
+    pub fn partial_size(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Discards all buffered bytes.
     pub fn clear(&mut self) {
         self.buffer.clear();
--- a/crates/relay/src/gateway/forward.rs
+++ b/crates/relay/src/gateway/forward.rs
@@ -10,12 +10,12 @@
 
 use super::admit::GatewayError;
 use super::attempt::{
-    FailedAttempt, RESPONSE_MAX_BYTES, ReplicaResponse, RetryState, check_response_head,
-    is_available, try_replica,
+    FailedAttempt, ReplicaResponse, RetryState, check_response_head, is_available, try_replica,
 };
 use super::body::ResponseBody;
 use super::budget::BudgetReservation;
 use super::caller_request::{CallerRequest, millis, response_headers};
+use super::response_memory::HeldBytes;
 use super::state::Gateway;
 use super::stream::EventRelay;
 use crate::decide::{
@@ -218,7 +218,8 @@
     let replica = guard.replica();
     let timeout = request.time_left();
     let checked = check_response_head(gateway, &head);
-    let read = connection.read_body(&mut head.decoder, RESPONSE_MAX_BYTES);
+    let mut held = HeldBytes::new(gateway);
+    let read = connection.read_body(&mut head.decoder, |size| held.resize(size));
     let timed_out = async {
         Timer::after(timeout).await;
         Err(ExchangeError::Timeout { timeout })
--- a/crates/relay/src/gateway/mod.rs
+++ b/crates/relay/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod peer_link;
 mod peers;
 mod pool;
+mod response_memory;
 mod rpc;
 mod state;
 mod state_transfer;
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -23,6 +23,7 @@
 use super::metrics::GatewayMetrics;
 use super::peer_link;
 use super::pool::ConnectionPool;
+use super::response_memory::ResponseMemory;
 use super::state_transfer;
 use crate::decide::{
     BudgetLedger, CeilingClaim, MemberFacts, MemberTable, OriginTable, ProgramKey, QuotaLedger,
@@ -111,6 +112,7 @@
     pub(crate) ceiling_writes: RefCell<HashMap<ProgramKey, Receiver<()>>>,
     pub(crate) ceiling_batch: RefCell<CeilingBatch>,
     pub(crate) pool: ConnectionPool,
+    pub(crate) response_memory: ResponseMemory,
     pub(crate) pending_peer_calls: RefCell<HashMap<u64, Sender<PeerMessage>>>,
     pub(crate) next_call_id: Cell<u64>,
     pub(crate) is_fetching_plan: Cell<bool>,
@@ -194,6 +196,7 @@
             ceiling_writes: RefCell::default(),
             ceiling_batch: RefCell::default(),
             pool: ConnectionPool::default(),
+            response_memory: ResponseMemory::default(),
             pending_peer_calls: RefCell::default(),
             next_call_id: Cell::new(0),
             is_fetching_plan: Cell::new(false),
--- a/crates/relay/src/gateway/stream.rs
+++ b/crates/relay/src/gateway/stream.rs
@@ -18,11 +18,15 @@
 use super::forward::{record_failure, select_replica};
 use super::in_flight::ReplicaRequestGuard;
 use super::origins::announce_origin;
+use super::response_memory::HeldBytes;
 use super::state::{Gateway, lossy_string};
 use super::turns::{TurnOutput, keep_turn};
 use crate::decide::{AttemptOutcome, ReplicaKey, RetryDecision};
 use crate::http1::{BodyDecoder, ExchangeError, Http1Connection, ResponseHead};
 
+/// Maximum size of an event, in bytes.
+const EVENT_MAX_BYTES: usize = 1_024 * 1_024;
+
 /// The replica connection that events are read from.
 struct ReplicaStream {
     connection: Http1Connection,
@@ -38,6 +42,8 @@
     retry: RetryState,
     source: Option<ReplicaStream>,
     splitter: EventSplitter,
+    /// Bytes of the incomplete event.
+    held: HeldBytes,
     last_event: Option<u64>,
     tokens_per_event: u64,
     headers: HeaderMap,
@@ -80,6 +86,7 @@
                 head: response.head,
             }),
             splitter: EventSplitter::default(),
+            held: HeldBytes::new(gateway),
             last_event: request.last_event,
             tokens_per_event,
             output: request.route.keeps_turns.then(TurnOutput::default),
@@ -184,6 +191,12 @@
             if let Some(events) = self.take_events()? {
                 return Ok(Some(events));
             }
+            let partial_size = self.splitter.partial_size();
+            if partial_size > EVENT_MAX_BYTES || !self.held.resize(partial_size) {
+                return Err(ExchangeError::InvalidResponse {
+                    reason: "large event",
+                });
+            }
             let timeout = self.request.time_left();
             let Some(source) = &mut self.source else {
                 return Ok(None);
--- a/crates/relay/src/http1/connection.rs
+++ b/crates/relay/src/http1/connection.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use futures_lite::future::yield_now;
 use futures_lite::{AsyncWriteExt, FutureExt};
 use rustix::net::sockopt;
 use smol::{Async, Timer};
@@ -18,6 +19,10 @@
 const ACK_TIMEOUT: Duration = Duration::from_secs(1);
 /// Size of a single read from the socket, in bytes.
 const READ_BYTES: usize = 8 * 1_024;
+/// Reads after which other tasks get their turn.
+const READS_PER_TURN: u32 = 8;
+/// Maximum number of 1xx responses before a final one.
+const INTERIM_HEADS_MAX: u32 = 16;
 
 /// An open connection that carries one request at a time.
 ///
@@ -26,6 +31,8 @@
 pub struct Http1Connection {
     stream: Async<TcpStream>,
     buffer: BytesMut,
+    /// Number of reads, for [`READS_PER_TURN`].
+    reads: u32,
 }
 
 impl Http1Connection {
@@ -52,6 +59,7 @@
         Ok(Self {
             stream,
             buffer: BytesMut::new(),
+            reads: 0,
         })
     }
 
@@ -79,13 +87,21 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection closes first or the head is malformed.
+    /// Fails if the connection closes first, the head is malformed or too many 1xx responses
+    /// precede it.
     pub async fn read_head(&mut self) -> Result<ResponseHead, ExchangeError> {
+        let mut interim_heads = 0;
         loop {
             if let Some(head) = parse_head(&mut self.buffer)? {
                 if head.status >= 200 {
                     return Ok(head);
                 }
+                interim_heads += 1;
+                if interim_heads > INTERIM_HEADS_MAX {
+                    return Err(ExchangeError::InvalidResponse {
+                        reason: "too many interim responses",
+                    });
+                }
             } else if !self.fill().await? {
                 return Err(ExchangeError::Truncated);
             }
@@ -121,19 +137,20 @@
         }
     }
 
-    /// Reads an entire body of at most `limit` bytes.
+    /// Reads an entire body; `may_grow` is asked before each part is added to it and gets the
+    /// size of the body with that part, in bytes.
     ///
     /// # Errors
     ///
-    /// Fails as [`Self::read_data`] does, and if the body exceeds the limit.
+    /// Fails as [`Self::read_data`] does, and if `may_grow` returns `false`.
     pub async fn read_body(
         &mut self,
         decoder: &mut BodyDecoder,
-        limit: usize,
+        mut may_grow: impl FnMut(usize) -> bool,
     ) -> Result<Bytes, ExchangeError> {
         let mut body = BytesMut::new();
         while let Some(data) = self.read_data(decoder).await? {
-            if body.len() + data.len() > limit {
+            if !may_grow(body.len() + data.len()) {
                 return Err(ExchangeError::InvalidResponse {
                     reason: "large body",
                 });
@@ -146,8 +163,37 @@
         Ok(body.freeze())
     }
 
+    /// Reads a body of at most `limit` bytes and discards it.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Self::read_data`] does, and if the body exceeds the limit.
+    pub async fn discard_body(
+        &mut self,
+        decoder: &mut BodyDecoder,
+        limit: usize,
+    ) -> Result<(), ExchangeError> {
+        let mut size = 0;
+        while let Some(data) = self.read_data(decoder).await? {
+            size += data.len();
+            if size > limit {
+                return Err(ExchangeError::InvalidResponse {
+                    reason: "large body",
+                });
+            }
+        }
+        Ok(())
+    }
+
     /// Waits for data and appends it to the buffer; returns `false` at end of stream.
+    ///
+    /// Yields from time to time while data is available, since the timers of a thread don't
+    /// run meanwhile.
     async fn fill(&mut self) -> Result<bool, ExchangeError> {
+        self.reads += 1;
+        if self.reads.is_multiple_of(READS_PER_TURN) {
+            yield_now().await;
+        }
         loop {
             match self.read_available() {
                 Ok(size) => return Ok(size > 0),
--- a/crates/relay/src/http1/framing.rs
+++ b/crates/relay/src/http1/framing.rs
@@ -9,6 +9,9 @@
 /// Maximum length of a chunk size line with extensions or of a trailer line, in bytes.
 const CHUNK_LINE_MAX_BYTES: usize = 4_096;
 
+/// Maximum length of a trailer section, in bytes.
+const TRAILER_MAX_BYTES: usize = 32 * 1_024;
+
 /// Decoder of a response body; the variant identifies the next part of the body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyDecoder {
@@ -22,8 +25,9 @@
     ChunkData(u64),
     /// The CRLF after the chunk data is next.
     ChunkEnd,
-    /// The trailer section after the last chunk is next.
-    Trailer,
+    /// A line of the trailer section after the last chunk is next; that many bytes of the
+    /// section have been read.
+    Trailer(usize),
     /// The body extends to the end of the connection.
     UntilClose,
 }
@@ -91,7 +95,7 @@
                     Ok(httparse::Status::Complete((line_length, size))) => {
                         buffer.advance(line_length);
                         *self = if size == 0 {
-                            Self::Trailer
+                            Self::Trailer(0)
                         } else {
                             Self::ChunkData(size)
                         };
@@ -117,7 +121,7 @@
                     buffer.advance(2);
                     *self = Self::ChunkSize;
                 }
-                Self::Trailer => {
+                Self::Trailer(read) => {
                     let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") else {
                         if buffer.len() > CHUNK_LINE_MAX_BYTES {
                             return Err(ExchangeError::InvalidResponse { reason: "trailer" });
@@ -125,9 +129,15 @@
                         return Ok(None);
                     };
                     buffer.advance(end + 2);
-                    if end == 0 {
-                        *self = Self::Done;
+                    let read = read + end + 2;
+                    if read > TRAILER_MAX_BYTES {
+                        return Err(ExchangeError::InvalidResponse { reason: "trailer" });
                     }
+                    *self = if end == 0 {
+                        Self::Done
+                    } else {
+                        Self::Trailer(read)
+                    };
                 }
             }
         }
