Count a request once when its home is asked again

Callers: refusals below their limit while a home is slow; not seen apart. Cause: a VM asks a home up to three times, 40 ms apart, and the home counted each repetition as a request of its own. Since homes decide on nearly all requests of a large fleet, a late reply would cost three times its share.

--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -26,8 +26,8 @@
 pub use outage::ServiceOutage;
 pub use placement::{PlacementInput, choose_replica};
 pub use quota::{
-    AdmissionCounters, ProgramStage, QuotaLedger, QuotaTolerance, RateRefusal, RefusalCause,
-    WindowReport, WorkspaceKey,
+    AdmissionCounters, ProgramStage, QuotaLedger, QuotaTolerance, RateRefusal, RecentDecisions,
+    RefusalCause, WindowReport, WorkspaceKey,
 };
 pub use readers::{is_reader, reader_rank};
 pub use replicas::{
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -70,6 +70,7 @@
     replicas
         .borrow_mut()
         .expire_peer_in_flight(silent_after_ms, now_ms);
+    gateway.state.quota_decisions.borrow_mut().expire(now_ms);
     record_silent_vms(gateway, now_ms);
     gateway.init_counts_lost_at();
     for peer in overdue {
@@ -206,8 +207,10 @@
             stage,
             rank,
         } => {
-            let admitted = admit_as_home(gateway, workspace, stage, rank.into());
-            let refusal = admitted.err();
+            let decide = || admit_as_home(gateway, workspace, stage, rank.into()).err();
+            let mut decisions = gateway.state.quota_decisions.borrow_mut();
+            let refusal = decisions.decide_once(sender, call_id, gateway.now_ms(), decide);
+            drop(decisions);
             spawn_send(gateway, PeerMessage::Admitted { call_id, refusal }, sender);
         }
         PeerMessage::Admissions {
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -27,8 +27,8 @@
 use super::state_transfer;
 use crate::decide::{
     BudgetLedger, CeilingClaim, MemberFacts, MemberTable, OriginTable, ProgramKey, QuotaLedger,
-    QuotaTolerance, ReplicaInfo, ReplicaTable, VersionHistory, VmKey, hash_bytes, is_reader,
-    reader_rank,
+    QuotaTolerance, RecentDecisions, ReplicaInfo, ReplicaTable, VersionHistory, VmKey, hash_bytes,
+    is_reader, reader_rank,
 };
 use crate::plan::DeploymentPlan;
 
@@ -36,6 +36,9 @@
 /// milliseconds; covers calls in transit.
 const RETENTION_SLACK_MS: u64 = 5_000;
 
+/// Number of bits of a call's identifier that count the calls of a process.
+const CALL_ID_BITS: u32 = 20;
+
 /// Result of a write to the durable store: for each ceiling, whether it is known to be
 /// stored.
 pub type StoreFuture = Pin<Box<dyn Future<Output = Vec<bool>>>>;
@@ -107,6 +110,7 @@
     pub(crate) counts_lost_at: Cell<Option<u64>>,
     pub(crate) ceilings_read_at_ms: Cell<Option<u64>>,
     pub(crate) quota: RefCell<QuotaLedger>,
+    pub(crate) quota_decisions: RefCell<RecentDecisions>,
     pub(crate) budgets: RefCell<BudgetLedger>,
     /// Ceilings that are being stored; each channel is closed when the write ends.
     pub(crate) ceiling_writes: RefCell<HashMap<ProgramKey, Receiver<()>>>,
@@ -156,6 +160,8 @@
             // The counts of this VM's previous process are lost.
             vec![(options.facts.key(), 0)]
         };
+        // Peers must not take calls of this process for those of the previous one.
+        let first_call_id = options.facts.incarnation << CALL_ID_BITS;
         let metrics = GatewayMetrics::new();
         let turn_options = ClientOptions {
             tolerated: options.tolerated_holders,
@@ -192,13 +198,14 @@
             counts_lost_at: Cell::new(is_first_start.then_some(0)),
             ceilings_read_at_ms: Cell::new(is_first_start.then_some(1)),
             quota: RefCell::new(quota),
+            quota_decisions: RefCell::default(),
             budgets: RefCell::new(budgets),
             ceiling_writes: RefCell::default(),
             ceiling_batch: RefCell::default(),
             pool: ConnectionPool::default(),
             response_memory: ResponseMemory::default(),
             pending_peer_calls: RefCell::default(),
-            next_call_id: Cell::new(0),
+            next_call_id: Cell::new(first_call_id),
             is_fetching_plan: Cell::new(false),
             is_fetching_replicas: Cell::new(false),
             is_fetching_holders: Cell::new(false),
