Wipe disks at the moment at which all holders are killed in the play of turns

The users' pages now say that all other VMs may lose power at the moment at which disks are lost. The play of kept turns wiped a disk only at other times.

--- a/crates/turns/tests/play/faults.rs
+++ b/crates/turns/tests/play/faults.rs
@@ -53,20 +53,27 @@
         }
     }
 
-    /// Kills all holders at once; their disks last.
+    /// Kills all holders at once, and wipes as many disks at the same moment as may be lost.
     ///
     /// While a holder is restoring its disk, that disk counts as lost until all are back.
     fn kill_all(&mut self) {
         let down_ms = self.random.random_range(300..1_500);
-        for holder in 0..self.holders.len() {
+        let lost = self.holders.iter().filter(|holder| self.is_lost(holder));
+        let may_be_wiped = self.options.tolerated.saturating_sub(lost.count());
+        let mut wiped = self.random.random_range(0..=may_be_wiped);
+        let first = self.random.random_range(0..self.holders.len());
+        for step in 0..self.holders.len() {
+            let holder = (first + step) % self.holders.len();
             let target = &mut self.holders[holder];
             if target.is_retired || target.core.is_none() {
                 continue;
             }
             let is_whole = target.core.as_ref().is_some_and(HolderCore::is_whole);
-            target.kill(false);
+            let is_wiped_now = is_whole && wiped > 0;
+            wiped -= usize::from(is_wiped_now);
+            target.kill(is_wiped_now);
             target.whole_at_ms = target.whole_at_ms.max(self.now_ms + down_ms + CATCH_UP_MS);
-            let is_wiped = !is_whole;
+            let is_wiped = !is_whole || is_wiped_now;
             self.schedule(down_ms, PlayEvent::Return { holder, is_wiped });
         }
     }
