Grant at once what leaves a workspace's window during a round

Callers: refusals below the limit in the first half second after a restart of all VMs.

Cause: a home granted a part of what was left at the start of its round. What left the window after it, and 70 in 100 of a remainder that is small after a restart, could not be granted until the next round, up to 250 ms later.

Change: a home adds what leaves the window to the grants of the round.

Measured: the cases at 7, 59 and 259 VMs pass, and all tests of limits as before.

--- a/crates/relay/src/decide/quota/ledger.rs
+++ b/crates/relay/src/decide/quota/ledger.rs
@@ -200,6 +200,7 @@
             ProgramStage::UnderWay => 0.0,
         };
         let rank = rank.min(HOMES_MAX - 1);
+        quota.renew_grants(now_ms, window_ms);
         let missing = 1.0 + reserve - quota.remaining();
         if missing > 0.0 || quota.home_grants[rank] < 1.0 {
             return Err(quota.refuse(RefusalCause::Requests, missing, now_ms, window_ms));
--- a/crates/relay/src/decide/quota/workspace.rs
+++ b/crates/relay/src/decide/quota/workspace.rs
@@ -104,6 +104,8 @@
     pub(super) silent_usage: f64,
     /// Requests that this VM may still admit on its own in this round.
     pub(super) own_share: f64,
+    /// Part of what is left that the homes grant in this round, from 0 to 1.
+    pub(super) home_part: f64,
     /// Requests that this VM may still grant as home in this round, by its rank.
     pub(super) home_grants: [f64; HOMES_MAX],
     /// Programs that may still start in this round.
@@ -155,6 +157,11 @@
         let live = fleet.live_count();
         let allowance = RoundAllowance::divide(self.remaining(), live, fleet.share_rounds());
         self.own_share = allowance.own;
+        self.home_part = if allowance.own > 0.0 {
+            1.0 - EQUAL_SHARE_PERCENT / 100.0
+        } else {
+            1.0
+        };
         self.home_grants = HOME_GRANT_PERCENT.map(|percent| {
             let grants = allowance.home * percent / 100.0;
             grants.max(allowance.home.min(1.0))
@@ -163,6 +170,7 @@
             // Each VM keeps to an equal share, whatever the others that are cut off use.
             self.silent_usage = 0.0;
             self.own_share = (self.limit / fleet.vm_count - self.own_window.total).max(0.0);
+            self.home_part = 0.0;
             self.home_grants = [0.0; HOMES_MAX];
         }
         let unlimited = RoundAllowance {
@@ -179,6 +187,15 @@
         });
     }
 
+    /// Adds the requests that have left the window since the start of the round to the grants
+    /// of the homes.
+    pub(super) fn renew_grants(&mut self, now_ms: u64, window_ms: u64) {
+        let freed = self.request_window.expire(now_ms, window_ms) * self.home_part;
+        for (grants, percent) in self.home_grants.iter_mut().zip(HOME_GRANT_PERCENT) {
+            *grants += freed * percent / 100.0;
+        }
+    }
+
     /// Replaces the counts of the last window by those that a peer reported.
     pub(super) fn apply_report(&mut self, report: &WindowReport, now_ms: u64) {
         self.request_window
--- a/crates/relay/src/decide/sliding_window.rs
+++ b/crates/relay/src/decide/sliding_window.rs
@@ -30,8 +30,9 @@
         }
     }
 
-    /// Removes the buckets that ended at least one window ago.
-    pub(crate) fn expire(&mut self, now_ms: u64, window_ms: u64) {
+    /// Removes the buckets that ended at least one window ago; returns their count.
+    pub(crate) fn expire(&mut self, now_ms: u64, window_ms: u64) -> f64 {
+        let before = self.total;
         while let Some((end_ms, count)) = self.buckets.front().copied() {
             if end_ms + to_i64(window_ms) > to_i64(now_ms) {
                 break;
@@ -39,6 +40,7 @@
             self.total -= count;
             self.buckets.pop_front();
         }
+        before - self.total
     }
 
     /// Distributes `requests` evenly over the buckets of the last window.
--- a/crates/relay/tests/gossip/fleet.rs
+++ b/crates/relay/tests/gossip/fleet.rs
@@ -77,10 +77,16 @@
         self.now_ms - self.vms[vm].started_ms
     }
 
-    /// Restarts a VM, which loses its counts.
+    /// Restarts a VM, which loses its counts and knows the registered VMs at once.
     pub(crate) fn restart(&mut self, vm: usize) {
         self.vms[vm] = start_vm(vm, self.now_ms, self.rate, false, &mut self.random);
         self.register_all(vm);
+        self.start_quota_round(vm);
+    }
+
+    /// Restarts all VMs at once, so that no VM knows the previous admissions.
+    pub(crate) fn restart_all(&mut self) {
+        (0..self.vms.len()).for_each(|vm| self.restart(vm));
     }
 
     /// Stops the first home of the workspace.
@@ -112,17 +118,23 @@
         usize::from(address.port())
     }
 
+    fn start_quota_round(&mut self, vm: usize) {
+        let now_ms = self.uptime_ms(vm);
+        let state = &mut self.vms[vm];
+        let (known, silent) = state.members.count(now_ms);
+        let counts = [known + 1, silent].map(|count| u32::try_from(count).unwrap());
+        state.ledger.set_vm_counts(counts[0], counts[1]);
+        state.ledger.start_round(now_ms);
+    }
+
     fn run_round(&mut self, vm: usize) {
         let now_ms = self.uptime_ms(vm);
-        let sender = &mut self.vms[vm];
-        sender.members.expire(now_ms);
-        self.found_silent += sender.members.take_newly_silent(now_ms).len();
-        let (known, silent) = sender.members.count(now_ms);
+        self.vms[vm].members.expire(now_ms);
         if now_ms >= ROUND_MS {
-            let counts = [known + 1, silent].map(|count| u32::try_from(count).unwrap());
-            sender.ledger.set_vm_counts(counts[0], counts[1]);
-            sender.ledger.start_round(now_ms);
+            self.start_quota_round(vm);
         }
+        let sender = &mut self.vms[vm];
+        self.found_silent += sender.members.take_newly_silent(now_ms).len();
         let mut peers: Vec<_> = sender
             .members
             .all()
--- a/crates/relay/tests/gossip/main.rs
+++ b/crates/relay/tests/gossip/main.rs
@@ -64,6 +64,20 @@
     assert_eq!(fleet.refused, 0);
 }
 
+/// Guards against homes that grant nothing of what leaves the window during a round.
+#[rstest]
+#[case(7)]
+#[case(59)]
+#[case(259)]
+fn restart_of_all_vms_refuses_nothing_below_the_limit(#[case] size: usize) {
+    let mut fleet = GossipFleet::new(size, 100.0);
+    fleet.send_requests(500, 0.0);
+    fleet.send_requests(6_000, 55.0);
+    fleet.restart_all();
+    fleet.send_requests(6_000, 55.0);
+    assert_eq!(fleet.refused, 0);
+}
+
 /// Guards against refusing a workspace, or exceeding its limit, while its home is gone.
 #[rstest]
 #[case::below_its_limit(0.8)]
