Report to homes only where a round does not reach all VMs

In fleets of up to 65 VMs each round tells all VMs, so the homes too, what a VM has admitted; the reports to the homes doubled the messages there. Rates of unreachable homes are counted as refused by none. Measured: the tests of the rates, with the same rule in the test's fleet, pass as before.

--- a/crates/relay/src/decide/members.rs
+++ b/crates/relay/src/decide/members.rs
@@ -24,8 +24,8 @@
 
 /// Number of VMs, in order of preference as home, that may grant requests of a workspace.
 pub const HOMES_MAX: usize = 3;
-/// Time for which a VM that did not answer as home is asked after the others, unless a
-/// heartbeat arrives, in milliseconds.
+/// Time for which a VM that did not answer as home is skipped, unless a heartbeat arrives or no
+/// home answers, in milliseconds.
 const UNANSWERED_MS: u64 = 1_000;
 
 /// Properties that a VM reports about itself.
--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -34,5 +34,5 @@
     AttemptOutcome, InFlightCount, ReplicaInfo, ReplicaKey, ReplicaLoad, ReplicaTable,
 };
 pub use retry::{AttemptFailure, RetryDecision, RetryInput, decide_retry};
-pub use rotation::{PeerRotation, ROUND_MS};
+pub use rotation::{PeerRotation, ROUND_MS, rounds_per_pass};
 pub use versions::{FleetContact, StreamOrigin, VersionHistory};
--- a/crates/relay/src/decide/rotation.rs
+++ b/crates/relay/src/decide/rotation.rs
@@ -12,7 +12,7 @@
 /// Returns the number of rounds in which a VM sends to each of its peers once, which bounds
 /// the age in rounds of what it knows of a peer if no message is lost.
 #[must_use]
-pub(crate) fn rounds_per_pass(peer_count: usize) -> u32 {
+pub fn rounds_per_pass(peer_count: usize) -> u32 {
     let rounds = peer_count.div_ceil(ROUND_PEERS_MAX).max(1);
     u32::try_from(rounds).unwrap_or(u32::MAX)
 }
--- a/crates/relay/src/gateway/admit.rs
+++ b/crates/relay/src/gateway/admit.rs
@@ -252,6 +252,7 @@
     };
     let mut refusal = RateRefusal::silent_home(HOME_UNREACHABLE_RETRY_MS);
     let mut home_name = String::new();
+    let mut refused_by = "none";
     for home in homes {
         let source = if home.rank == 0 { "home" } else { "standby" };
         home_name = home
@@ -271,12 +272,16 @@
                 });
             }
             Some(Err(home_refusal)) => {
-                gateway.state.metrics.count_rate_decision(source, "refused");
+                refused_by = source;
                 refusal = home_refusal;
                 break;
             }
         }
     }
+    gateway
+        .state
+        .metrics
+        .count_rate_decision(refused_by, "refused");
     record_event!(
         RateRefused,
         request = request.attempt_id,
--- a/crates/relay/src/gateway/peer_link.rs
+++ b/crates/relay/src/gateway/peer_link.rs
@@ -6,7 +6,7 @@
 use super::caller_request::millis;
 use super::message::PeerMessage;
 use super::state::Gateway;
-use crate::decide::{AdmissionCounters, MemberFacts};
+use crate::decide::{AdmissionCounters, MemberFacts, rounds_per_pass};
 
 /// Time after their last change for which counters are sent, in milliseconds; enough for
 /// several passes over all peers.
@@ -79,10 +79,14 @@
 }
 
 /// Sends this VM's counters of the workspaces whose requests it has admitted recently to
-/// their homes, which a gossip round may not reach.
+/// their homes, unless each gossip round reaches all VMs.
 pub(crate) async fn report_to_homes(gateway: &Gateway) {
     let facts = &gateway.state.options.facts;
     let now_ms = gateway.now_ms();
+    let peer_count = gateway.state.members.borrow().count(now_ms).0;
+    if rounds_per_pass(peer_count) == 1 {
+        return;
+    }
     let since_ms = now_ms.saturating_sub(HOME_REPORT_MAX_AGE_MS);
     let reports = gateway.state.quota.borrow().reports(since_ms);
     let mut by_home: HashMap<SocketAddrV4, Vec<AdmissionCounters>> = HashMap::new();
--- a/crates/relay/tests/gossip/fleet.rs
+++ b/crates/relay/tests/gossip/fleet.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use ibisdale_relay::decide::{
     AdmissionCounters, MemberFacts, MemberTable, PeerRotation, ProgramStage, QuotaLedger,
-    QuotaTolerance, ROUND_MS,
+    QuotaTolerance, ROUND_MS, rounds_per_pass,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -144,7 +144,9 @@
         for peer in sender.members.overdue(now_ms) {
             self.probe(vm, Self::index(peer));
         }
-        self.report_to_homes(vm);
+        if rounds_per_pass(peers.len()) > 1 {
+            self.report_to_homes(vm);
+        }
         let sender = &mut self.vms[vm];
         let chosen = sender.rotation.next_round(&peers);
         let reports = sender.ledger.reports(now_ms.saturating_sub(REPORT_AGE_MS));
