Keep the limit of a workspace whose home restarts

Cause: a VM that starts took the counts of the first peer that answered, which in a large fleet are those of 1.25 s ago, and no VM knew what the home had granted since its last round.

Change: within 2 s after its start a VM takes the highest counts that any peer reports. A home tells the other homes before the next round once a quarter of the tolerated excess is unreported, so at most that is forgotten with it.

--- a/crates/relay/src/decide/quota/ledger.rs
+++ b/crates/relay/src/decide/quota/ledger.rs
@@ -34,6 +34,9 @@
 /// Part of the tolerated excess that is added to the limit, in percent; the rest covers
 /// requests that are delayed on the way to a replica and fall into a later window.
 const TOLERANCE_USED_PERCENT: f64 = 50.0;
+/// Part of the tolerated excess up to which the home grants requests without telling the other
+/// homes, in percent; that many are forgotten if it fails.
+const UNREPORTED_PERCENT: f64 = 25.0;
 /// Period after the start of the process, in milliseconds. A workspace first seen in it is
 /// assumed to have used its limit before the start, and reports on workspaces without a
 /// known rate are kept. Assumed usage has left the window one window after the period.
@@ -118,6 +121,7 @@
             #[expect(clippy::cast_precision_loss, reason = "a few seconds")]
             let limit = rate_per_s * window_ms as f64 / 1_000.0 + burst;
             let tolerated_excess = self.tolerance.slack + self.tolerance.excess * limit;
+            quota.max_unreported = tolerated_excess * UNREPORTED_PERCENT / 100.0;
             quota.rate_per_s = rate_per_s;
             quota.burst = burst.max(1.0);
             quota.limit = limit.max(1.0) + tolerated_excess * TOLERANCE_USED_PERCENT / 100.0;
@@ -217,6 +221,23 @@
         Ok(())
     }
 
+    /// Returns this VM's counters of a workspace if they have to be sent to the other homes
+    /// before the next round.
+    pub fn take_early_report(&mut self, workspace: WorkspaceKey) -> Option<AdmissionCounters> {
+        let quota = self.quotas.get_mut(&workspace)?;
+        #[expect(clippy::cast_precision_loss, reason = "a few requests")]
+        let unreported = (quota.admitted - quota.reported) as f64;
+        if unreported < quota.max_unreported.max(1.0) {
+            return None;
+        }
+        quota.reported = quota.admitted;
+        Some(AdmissionCounters {
+            workspace,
+            admitted: quota.admitted,
+            programs_started: quota.programs_started,
+        })
+    }
+
     /// Returns the usage of all VMs in the last window, except where it is assumed.
     #[must_use]
     pub fn snapshot(&self, now_ms: u64) -> Vec<WindowReport> {
@@ -233,7 +254,8 @@
         reports.collect()
     }
 
-    /// Replaces assumed usage by the usage that a peer reported.
+    /// Replaces assumed usage by the usage that a peer reported, and soon after the start of
+    /// the process also a usage that is lower, since peers don't know of all admissions.
     pub fn apply_snapshot(&mut self, snapshot: &[WindowReport], now_ms: u64) {
         let (fleet, window_ms) = (self.fleet_size(), self.window_ms());
         for report in snapshot {
@@ -243,7 +265,9 @@
                 }
                 continue;
             };
-            if std::mem::take(&mut quota.is_assumed) {
+            let is_starting = now_ms < STARTUP_PERIOD_MS && !self.is_first_start;
+            let is_higher = is_starting && report.total() > quota.request_window.total;
+            if std::mem::take(&mut quota.is_assumed) || is_higher {
                 quota.apply_report(report, now_ms);
                 if let Some(fleet) = fleet {
                     quota.start_round(fleet, now_ms, window_ms);
--- a/crates/relay/src/decide/quota/report.rs
+++ b/crates/relay/src/decide/quota/report.rs
@@ -27,6 +27,13 @@
     pub programs: Vec<u32>,
 }
 
+impl WindowReport {
+    /// Returns the number of requests in all intervals.
+    pub(super) fn total(&self) -> f64 {
+        self.requests.iter().copied().map(f64::from).sum()
+    }
+}
+
 /// Why the rate limit refused a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/relay/src/decide/quota/workspace.rs
+++ b/crates/relay/src/decide/quota/workspace.rs
@@ -112,6 +112,10 @@
     pub(super) program_allowance: RoundAllowance,
     /// Requests that this VM has admitted since its start.
     pub(super) admitted: u64,
+    /// The same at the last report to other VMs.
+    pub(super) reported: u64,
+    /// Requests beyond `reported` from which the homes are told before the next round.
+    pub(super) max_unreported: f64,
     /// Programs that this VM has started since its start.
     pub(super) programs_started: u64,
     pub(super) last_admitted_ms: u64,
@@ -147,6 +151,7 @@
 
     /// Divides the remaining limit between the VMs for one round.
     pub(super) fn start_round(&mut self, fleet: FleetSize, now_ms: u64, window_ms: u64) {
+        self.reported = self.admitted;
         self.request_window.expire(now_ms, window_ms);
         self.own_window.expire(now_ms, window_ms);
         self.program_window.expire(now_ms, window_ms);
--- a/crates/relay/src/gateway/admit.rs
+++ b/crates/relay/src/gateway/admit.rs
@@ -15,6 +15,7 @@
 use super::body::ResponseBody;
 use super::caller_request::{CallerRequest, bearer_key, build_request, header_str};
 use super::message::PeerMessage;
+use super::peer_link::spawn_report;
 use super::rpc::call_peer;
 use super::state::{Gateway, lossy_string};
 use crate::decide::{HomeCandidate, ProgramStage, RateRefusal, WorkspaceKey, hash_bytes};
@@ -308,7 +309,11 @@
 ) -> Result<(), RateRefusal> {
     let now_ms = gateway.now_ms();
     let mut quota = gateway.state.quota.borrow_mut();
-    quota.admit_as_home(workspace, stage, rank, now_ms)
+    quota.admit_as_home(workspace, stage, rank, now_ms)?;
+    if let Some(report) = quota.take_early_report(workspace) {
+        spawn_report(gateway, report);
+    }
+    Ok(())
 }
 
 /// Asks a home to admit a request; returns `None` if it does not answer.
--- a/crates/relay/src/gateway/peer_link.rs
+++ b/crates/relay/src/gateway/peer_link.rs
@@ -81,7 +81,6 @@
 /// Sends this VM's counters of the workspaces whose requests it has admitted recently to
 /// their homes, unless each gossip round reaches all VMs.
 pub(crate) async fn report_to_homes(gateway: &Gateway) {
-    let facts = &gateway.state.options.facts;
     let now_ms = gateway.now_ms();
     let peer_count = gateway.state.members.borrow().count(now_ms).0;
     if rounds_per_pass(peer_count) == 1 {
@@ -89,13 +88,25 @@
     }
     let since_ms = now_ms.saturating_sub(HOME_REPORT_MAX_AGE_MS);
     let reports = gateway.state.quota.borrow().reports(since_ms);
+    send_reports(gateway, &reports).await;
+}
+
+/// Sends this VM's counters of a workspace to its homes in a background task.
+pub(crate) fn spawn_report(gateway: &Gateway, report: AdmissionCounters) {
+    let cloned = gateway.clone();
+    gateway.spawn(async move { send_reports(&cloned, &[report]).await });
+}
+
+async fn send_reports(gateway: &Gateway, reports: &[AdmissionCounters]) {
+    let facts = &gateway.state.options.facts;
+    let now_ms = gateway.now_ms();
     let mut by_home: HashMap<SocketAddrV4, Vec<AdmissionCounters>> = HashMap::new();
     for report in reports {
         let members = gateway.state.members.borrow();
         let homes = members.first_homes(facts.key(), report.workspace, now_ms);
         for home in homes.into_iter().filter_map(|home| home.facts) {
             let counters = by_home.entry(home.peer_address()).or_default();
-            counters.push(report);
+            counters.push(*report);
         }
     }
     for (home, counters) in by_home {
--- a/crates/relay/tests/gossip/fleet.rs
+++ b/crates/relay/tests/gossip/fleet.rs
@@ -89,15 +89,17 @@
         (0..self.vms.len()).for_each(|vm| self.restart(vm));
     }
 
-    /// Stops the first home of the workspace.
-    pub(crate) fn stop_home(&mut self) {
-        let homes =
-            self.vms[0]
-                .members
-                .first_homes(self.vms[0].facts.key(), WORKSPACE, self.uptime_ms(0));
+    /// Returns the first home of the workspace.
+    pub(crate) fn home(&self) -> usize {
+        let (own, members) = (self.vms[0].facts.key(), &self.vms[0].members);
+        let homes = members.first_homes(own, WORKSPACE, self.uptime_ms(0));
         let home = homes[0].facts.as_ref();
-        let home = home.map_or(0, |home| Self::index(home.peer_address()));
-        self.vms[home].is_up = false;
+        home.map_or(0, |home| Self::index(home.peer_address()))
+    }
+
+    /// Stops a VM.
+    pub(crate) fn stop(&mut self, vm: usize) {
+        self.vms[vm].is_up = false;
     }
 
     /// Cuts a VM off from all others; callers still reach it.
@@ -165,16 +167,20 @@
     }
 
     fn report_to_homes(&mut self, vm: usize) {
+        let since_ms = self.uptime_ms(vm).saturating_sub(HOME_REPORT_AGE_MS);
+        let reports = self.vms[vm].ledger.reports(since_ms);
+        self.send_reports(vm, &reports);
+    }
+
+    fn send_reports(&mut self, vm: usize, reports: &[AdmissionCounters]) {
         let now_ms = self.uptime_ms(vm);
         let sender = &self.vms[vm];
         let facts = sender.facts.clone();
-        let reports = sender
-            .ledger
-            .reports(now_ms.saturating_sub(HOME_REPORT_AGE_MS));
         let homes = sender.members.first_homes(facts.key(), WORKSPACE, now_ms);
         for home in homes.into_iter().filter_map(|home| home.facts) {
-            if !reports.is_empty() && !self.is_lost(vm, Self::index(home.peer_address())) {
-                self.record_counters(&facts, Self::index(home.peer_address()), &reports);
+            let home = Self::index(home.peer_address());
+            if !reports.is_empty() && !self.is_lost(vm, home) {
+                self.record_counters(&facts, home, reports);
             }
         }
     }
@@ -255,6 +261,9 @@
                 let now_ms = self.uptime_ms(home);
                 let ledger = &mut self.vms[home].ledger;
                 let admitted = ledger.admit_as_home(WORKSPACE, stage, candidate.rank, now_ms);
+                if let Some(report) = ledger.take_early_report(WORKSPACE) {
+                    self.send_reports(home, &[report]);
+                }
                 return admitted.is_ok();
             }
             let key = self.vms[home].facts.key();
--- a/crates/relay/tests/gossip/main.rs
+++ b/crates/relay/tests/gossip/main.rs
@@ -87,7 +87,7 @@
     fleet.send_requests(500, 0.0);
     fleet.send_requests(6_000, 100.0 * factor);
     let refused = fleet.refused;
-    fleet.stop_home();
+    fleet.stop(fleet.home());
     fleet.send_requests(3_000, 100.0 * factor);
     let (worst, bound) = (fleet.max_requests_in_window(), fleet.bound());
     assert!(
@@ -131,3 +131,23 @@
         "{worst} requests in a window, bound {bound}"
     );
 }
+
+/// Guards against a home that restarts and takes the counts of the first peer that it hears.
+#[rstest]
+fn home_that_restarts_keeps_the_limit(
+    #[values(7, 59, 259)] size: usize,
+    #[values(13.0, 50.0)] rate: f64,
+) {
+    let worst = [0, 500, 1_000, 2_000].map(|busy_ms| {
+        let mut fleet = GossipFleet::new(size, rate);
+        fleet.send_requests(6_000, rate * 0.6);
+        fleet.send_requests(busy_ms, rate * 4.1);
+        fleet.restart(fleet.home());
+        fleet.send_requests(5_000, rate * 4.1);
+        (fleet.max_requests_in_window(), fleet.bound())
+    });
+    assert!(
+        worst.iter().all(|(worst, bound)| worst <= bound),
+        "{worst:?}"
+    );
+}
