Log the limits that replicas name, and what is sent to limited replicas

Cause: no log line or metric told that a replica names a limit, so the hypotheses of the incident could not be told apart. Change: event 2119, granted_by in 2201, two metrics; the value is read by one rule (one header with one decimal number of at least 0; anything else leaves the known limit in force). Placement is as before.

--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -4,6 +4,7 @@
 //! since the start of the process unless stated otherwise.
 
 mod budget;
+mod limits;
 mod members;
 mod origins;
 mod outage;
@@ -21,6 +22,7 @@
 pub use budget::{
     BudgetLedger, BudgetShare, BudgetVerdict, CeilingClaim, ClaimStatus, ProgramKey, StoredCeiling,
 };
+pub use limits::{LimitChange, LimitReport, LimitStatement, LimitTable, StartKey};
 pub use members::{HOMES_MAX, HomeCandidate, MemberFacts, MemberTable, VmKey};
 pub use origins::{AttemptKey, OriginRefusal, OriginTable, decide_origin};
 pub use outage::ServiceOutage;
--- a/crates/relay/src/decide/replicas.rs
+++ b/crates/relay/src/decide/replicas.rs
@@ -7,8 +7,9 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
+use super::limits::StartKey;
 use super::members::VmKey;
-use ibisdale_core::hash_bytes;
+use ibisdale_core::{hash_bytes, rendezvous_weight};
 
 slotmap::new_key_type! {
     /// Key of a replica in a [`ReplicaTable`], valid until it is delisted or restarted.
@@ -51,6 +52,12 @@
 }
 
 impl ReplicaInfo {
+    /// Returns the key of this start of the replica.
+    #[must_use]
+    pub fn start_key(&self) -> StartKey {
+        rendezvous_weight(hash_bytes(&self.id), self.started_ms)
+    }
+
     /// Returns whether both describe the same start of the same replica.
     fn is_same_start(&self, other: &Self) -> bool {
         self.id == other.id && self.started_ms == other.started_ms
--- a/crates/relay/src/gateway/attempt.rs
+++ b/crates/relay/src/gateway/attempt.rs
@@ -13,6 +13,7 @@
 use super::body::ResponseBody;
 use super::caller_request::{CallerRequest, header_str, millis};
 use super::in_flight::ReplicaRequestGuard;
+use super::limits::{ObservedResponse, record_limit};
 use super::state::{Gateway, lossy_string};
 use crate::decide::{
     AttemptFailure, AttemptOutcome, ReplicaInfo, ReplicaKey, ReplicaLoad, RetryInput, StreamOrigin,
@@ -81,6 +82,9 @@
     /// Software version that began the stream, once it has begun; only replicas of this
     /// version may continue it.
     pub(crate) required_version: Option<Bytes>,
+    /// Who allowed the last attempt at a limited replica: `none` if nobody was asked; empty if
+    /// the replica is not known to be limited.
+    pub(crate) granted_by: &'static str,
 }
 
 impl RetryState {
@@ -165,12 +169,27 @@
         ));
     }
     let headers = request_headers(gateway, request, &info.id, left, last_event);
+    let sent_ms = gateway.now_ms();
+    let is_limited = gateway
+        .state
+        .limits
+        .borrow()
+        .limit(info.start_key())
+        .is_some();
+    retry.granted_by = if is_limited { "none" } else { "" };
     let message = serialize_request(&request.method, &request.target, &headers, &request.body);
     let timeout = response_timeout(request, retry, left);
     let exchange = async {
         connection.send(&message).await?;
-        read_matching_head(gateway, request, &mut connection, |headers| {
-            record_leaving(gateway, request, (replica, &info), headers);
+        read_matching_head(gateway, request, &mut connection, |head, is_matching| {
+            record_leaving(gateway, request, (replica, &info), &head.headers);
+            let observed = ObservedResponse {
+                replica: &info,
+                status: head.status,
+                headers: &head.headers,
+                sent_ms: is_matching.then_some(sent_ms),
+            };
+            record_limit(gateway, request, &observed);
         })
         .await
     };
@@ -215,19 +234,21 @@
 /// Reads the head of the response to this request.
 ///
 /// Skips responses that carry the attempt identifier of another request; `observe` gets the
-/// headers of these too, since they come from the same replica.
+/// heads of these too, since they come from the same replica, and whether the head is that of
+/// the response to this request.
 async fn read_matching_head(
     gateway: &Gateway,
     request: &CallerRequest,
     connection: &mut Http1Connection,
-    observe: impl Fn(&HeaderMap),
+    observe: impl Fn(&ResponseHead, bool),
 ) -> Result<ResponseHead, ExchangeError> {
     let header_names = &gateway.state.options.header_names;
     for _ in 0..=STALE_RESPONSES_MAX {
         let mut head = connection.read_head().await?;
-        observe(&head.headers);
         let attempt_id = header_str(&head.headers, &header_names.attempt);
-        if attempt_id == request.attempt_id {
+        let is_matching = attempt_id == request.attempt_id;
+        observe(&head, is_matching);
+        if is_matching {
             return Ok(head);
         }
         if attempt_id.is_empty() {
--- a/crates/relay/src/gateway/header_names.rs
+++ b/crates/relay/src/gateway/header_names.rs
@@ -31,6 +31,8 @@
     pub replica_load: HeaderName,
     /// `1` in the responses of a replica that leaves.
     pub replica_leaving: HeaderName,
+    /// Requests per second that a replica in need takes from all VMs together.
+    pub replica_limit: HeaderName,
     /// Set by a replica that has not run the request.
     pub not_run: HeaderName,
     /// Priority of the request at an engine, set by the gateway.
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -195,6 +195,8 @@
     let version = gateway.plan().map_or(0, |plan| plan.get_version());
     let in_flight = gateway.state.in_flight.get();
     record_member_ages(gateway);
+    let limited = gateway.state.limits.borrow().limited_count();
+    gateway.state.metrics.set_limited_replicas(limited);
     let body = gateway
         .state
         .metrics
@@ -326,8 +328,8 @@
     started: Instant,
     guard: CallerRequestGuard,
     request: std::cell::RefCell<Option<Rc<CallerRequest>>>,
-    /// Replica of the last attempt and the number of attempts.
-    attempts: std::cell::RefCell<(String, u32)>,
+    /// Replica of the last attempt, the number of attempts and who allowed the last one.
+    attempts: std::cell::RefCell<(String, u32, &'static str)>,
     admission: std::cell::RefCell<RateAdmission>,
     first_ms: Cell<u64>,
     is_ended: Cell<bool>,
@@ -356,7 +358,7 @@
     }
 
     fn set_attempts(&self, retry: &RetryState) {
-        *self.attempts.borrow_mut() = (retry.replica_id.clone(), retry.sends);
+        *self.attempts.borrow_mut() = (retry.replica_id.clone(), retry.sends, retry.granted_by);
     }
 
     /// Records the time until the response is ready to be sent to the caller.
@@ -399,7 +401,7 @@
         let elapsed = self.started.elapsed();
         let metrics = &self.gateway.state.metrics;
         metrics.count_request(status, reason, kind, elapsed);
-        let (replica, sends) = self.attempts.borrow().clone();
+        let (replica, sends, granted_by) = self.attempts.borrow().clone();
         let admission = self.admission.borrow();
         let feed_age_ms = self
             .gateway
@@ -417,6 +419,7 @@
             reason = reason,
             replica = replica,
             sends = sends,
+            granted_by = granted_by,
             plan = request.map_or(0, |request| request.plan_version),
             feed_age_ms = feed_age_ms,
             admitted_by = admission.source,
--- a/crates/relay/src/gateway/metrics.rs
+++ b/crates/relay/src/gateway/metrics.rs
@@ -27,6 +27,8 @@
     connections: IntCounter,
     resumed_streams: IntCounterVec,
     rate_decisions: IntCounterVec,
+    unreadable_limits: IntCounter,
+    limited_replicas: Gauge,
     oldest_heartbeat_seconds: Gauge,
     silent_vms: Gauge,
     in_flight: Gauge,
@@ -87,6 +89,18 @@
                 "Requests admitted or refused by a workspace's rate limit, by the VM whose share decided.",
                 &["by", "outcome"],
             ),
+            unreadable_limits: register(
+                &registry,
+                IntCounter::new(
+                    "ibisdale_gateway_unreadable_limits_total",
+                    "Responses of replicas that name a limit that can't be read.",
+                ),
+            ),
+            limited_replicas: register_gauge(
+                &registry,
+                "ibisdale_gateway_limited_replicas",
+                "Replicas that name a limit of requests per second.",
+            ),
             oldest_heartbeat_seconds: register_gauge(
                 &registry,
                 "ibisdale_gateway_oldest_heartbeat_seconds",
@@ -145,6 +159,15 @@
         self.rate_decisions.with_label_values(&[by, outcome]).inc();
     }
 
+    pub(crate) fn count_unreadable_limit(&self) {
+        self.unreadable_limits.inc();
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "a few thousand replicas")]
+    pub(crate) fn set_limited_replicas(&self, count: usize) {
+        self.limited_replicas.set(count as f64);
+    }
+
     pub(crate) fn set_member_ages(&self, oldest_heartbeat: Duration, silent_vms: u32) {
         self.oldest_heartbeat_seconds
             .set(oldest_heartbeat.as_secs_f64());
--- a/crates/relay/src/gateway/mod.rs
+++ b/crates/relay/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod forward;
 mod header_names;
 mod in_flight;
+mod limits;
 mod listen;
 mod message;
 mod metrics;
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -26,9 +26,9 @@
 use super::response_memory::ResponseMemory;
 use super::state_transfer;
 use crate::decide::{
-    BudgetLedger, CeilingClaim, MemberFacts, MemberTable, OriginTable, ProgramKey, QuotaLedger,
-    QuotaTolerance, RecentDecisions, ReplicaInfo, ReplicaTable, VersionHistory, VmKey, hash_bytes,
-    is_reader, reader_rank,
+    BudgetLedger, CeilingClaim, LimitTable, MemberFacts, MemberTable, OriginTable, ProgramKey,
+    QuotaLedger, QuotaTolerance, RecentDecisions, ReplicaInfo, ReplicaTable, VersionHistory, VmKey,
+    hash_bytes, is_reader, reader_rank,
 };
 use crate::plan::DeploymentPlan;
 
@@ -101,6 +101,7 @@
     pub(crate) suspensions: SuspensionWatch,
     pub(crate) replicas_version: Cell<u64>,
     pub(crate) replicas: RefCell<ReplicaTable>,
+    pub(crate) limits: RefCell<LimitTable>,
     pub(crate) versions: RefCell<VersionHistory>,
     pub(crate) origins: RefCell<OriginTable>,
     pub(crate) members: RefCell<MemberTable>,
@@ -186,6 +187,7 @@
             suspensions: SuspensionWatch::start(),
             replicas_version: Cell::new(0),
             replicas: RefCell::default(),
+            limits: RefCell::default(),
             versions: RefCell::new(if is_first_start {
                 VersionHistory::complete()
             } else {
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -59,6 +59,7 @@
         target_replica: name("t-target"),
         replica_load: name("t-load"),
         replica_leaving: name("t-leaving"),
+        replica_limit: name("t-limit"),
         not_run: name("t-not-run"),
         engine_priority: name("t-priority"),
         program: name("t-program"),
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -261,9 +261,13 @@
         ["versions", "before", "revision"],
         "The software versions that streams may have begun at were written to the key-value service.";
 
+    LimitChanged = 2119, Info, "limit_changed",
+        ["replica", "service", "per_s", "before", "source", "request"],
+        "A replica named a limit of requests per second for all VMs together, or ended it (`per_s` is empty); `source` is the response to `request` or another VM.";
+
     RequestEnded = 2201, Info, "request_ended",
         ["request", "program", "route", "workspace", "status", "reason", "replica", "sends",
-            "plan", "feed_age_ms", "admitted_by", "home", "first_ms", "elapsed_ms"],
+            "granted_by", "plan", "feed_age_ms", "admitted_by", "home", "first_ms", "elapsed_ms"],
         "A request has ended.";
     AttemptFailed = 2202, Info, "attempt_failed",
         ["request", "replica", "end", "next", "left_ms", "in_flight", "error"], "An attempt to serve a request at a replica failed.";
