--- /dev/null
+++ b/crates/relay/tests/gateway/limits.rs
@@ -0,0 +1,78 @@
+//! Replicas that name a limit of requests per second.
+
+use std::time::Instant;
+
+use rstest::rstest;
+
+use crate::support::{ScriptedReplica, TestGateway, TestGatewayOptions, header};
+
+/// Limit that the limited replica names, in requests per second.
+const LIMIT_PER_S: f64 = 0.5;
+
+fn request(target: &str) -> String {
+    format!(
+        "POST {target} HTTP/1.1\r\nHost: host.test\r\nt-attempt: a1\r\nt-deadline: 5000\r\n\
+         Authorization: Bearer secret\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
+/// Starts a replica whose responses have `headers`.
+fn replica(headers: &'static str) -> ScriptedReplica {
+    ScriptedReplica::start(move |_, _| {
+        let head = "HTTP/1.1 200 OK\r\nt-attempt: a1\r\nt-seal: s\r\nContent-Length: 32\r\n";
+        let events = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n";
+        (format!("{head}{headers}\r\n{events}").into_bytes(), true)
+    })
+}
+
+/// Starts a VM with these replicas and one that gets its state from it.
+fn start_pair(replicas: &[&ScriptedReplica]) -> [TestGateway; 2] {
+    let first = TestGateway::start(replicas);
+    let options = TestGatewayOptions {
+        is_feed_unconfirmed: true,
+        has_no_plan: true,
+        seed: Some(first.peer_address),
+        ..TestGatewayOptions::default()
+    };
+    let second = TestGateway::start_with(&[], options);
+    first.wait_for_vms(2);
+    second.wait_for_vms(2);
+    [first, second]
+}
+
+/// Guards against VMs that overrun a replica that names a limit (incident LIMIT).
+#[rstest]
+#[case::requests("/read/x")]
+#[case::streams("/stream/x")]
+fn replica_gets_no_more_than_it_named(#[case] target: &str) {
+    let (limited, open) = (replica("t-limit: 0.5\r\n"), replica(""));
+    let vms = start_pair(&[&limited, &open]);
+    let started = Instant::now();
+    for vm in vms.iter().cycle().take(60) {
+        let response = vm.call(&request(target));
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+    let got = u32::try_from(limited.requests().len()).unwrap();
+    let allowed = 1.5 * LIMIT_PER_S * started.elapsed().as_secs_f64() + 5.0;
+    assert!(
+        f64::from(got) <= allowed,
+        "{got} requests, {allowed} allowed"
+    );
+}
+
+/// Guards against requests that wait, or overrun a replica, where none has room.
+#[test]
+fn request_that_no_limited_replica_has_room_for_is_rejected_at_once() {
+    let limited = replica("t-limit: 0.5\r\n");
+    let vms = start_pair(&[&limited]);
+    let vms = vms.iter().cycle().take(20);
+    let responses = vms.map(|vm| vm.call(&request("/act/x")));
+    let rejected: Vec<_> = responses
+        .filter(|response| response.starts_with("HTTP/1.1 503"))
+        .collect();
+    assert!(rejected.len() >= 10, "{} of 20 rejected", rejected.len());
+    for response in rejected {
+        let retry_after: f64 = header(&response, "retry-after").unwrap().parse().unwrap();
+        assert!((0.1..=2.0).contains(&retry_after), "{response}");
+    }
+}
--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod endless;
 mod fleet;
 mod holder_support;
+mod limits;
 mod responses;
 mod support;
 mod turns;
