--- /dev/null
+++ b/crates/relay/src/decide/limits/grants.rs
@@ -0,0 +1,243 @@
+//! Division of limits among the VMs.
+//!
+//! A replica's limit holds for all VMs together and is often below one request per VM and
+//! second, so VMs don't divide it: for each request to a limited replica they ask a home of the
+//! replica's service, which grants as many requests as the limit allows.
+//!
+//! VMs may differ for some seconds in who is the home. A VM therefore grants the whole limit only
+//! if it is the first home for the VM that asks and for itself, and a part of it otherwise. A VM
+//! that hears only some of the others grants their share of a limit, since those that it does not
+//! hear may have a home of their own.
+
+use std::collections::{HashMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use super::table::StartKey;
+use crate::decide::members::HOMES_MAX;
+
+/// Part of a limit that a home grants, by its rank, in percent; those of a lower rank are asked
+/// while the first one does not answer.
+const GRANT_PERCENT: [f64; HOMES_MAX] = [100.0, 25.0, 10.0];
+/// Time whose requests a home may grant at once beyond the first one, if none were asked for
+/// before, in seconds.
+const BURST_S: f64 = 1.0;
+/// Part of the burst that must be available for a program to begin at a limited replica, in
+/// percent.
+const BEGIN_PERCENT: f64 = 100.0;
+/// Time without a request after which a program is not expected to go on, in milliseconds.
+const MEMBER_IDLE_MS: u64 = 10_000;
+/// Range of the time after which a refused request may be sent again, in milliseconds.
+const WAIT_RANGE_MS: (u64, u64) = (100, 4_000);
+/// Maximum number of announced returns that are tracked for a service.
+const PENDING_RETURNS_MAX: usize = 1_000;
+
+/// A limited replica that could take a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GrantCandidate {
+    /// Start of the replica.
+    pub start: StartKey,
+    /// Limit of the replica in requests per second; `None` if it has ended.
+    pub per_s: Option<f64>,
+}
+
+/// Part of the limits that a VM grants at a time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GrantShare {
+    /// Rank of the VM among the homes, from 0: the lower one of its own view and that of the VM
+    /// that asks.
+    pub rank: usize,
+    /// Known VMs, including this one.
+    pub vm_count: usize,
+    /// Number of these VMs that are silent.
+    pub silent_count: usize,
+}
+
+impl GrantShare {
+    fn part(self) -> f64 {
+        let percent = GRANT_PERCENT[self.rank.min(HOMES_MAX - 1)];
+        #[expect(clippy::cast_precision_loss, reason = "a few hundred VMs")]
+        let [vm_count, silent_count] = [self.vm_count, self.silent_count].map(|count| count as f64);
+        percent / 100.0 * (1.0 - silent_count / vm_count.max(1.0))
+    }
+}
+
+/// Decision of a home on a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub enum GrantOutcome {
+    /// The request may be sent to this replica.
+    Granted(StartKey),
+    /// No candidate has room before `after_ms` milliseconds have passed.
+    NoRoom {
+        /// Time until a replica is expected to have room, in milliseconds.
+        after_ms: u64,
+    },
+}
+
+/// A request for a grant, as a home decides on it.
+#[derive(Clone, Copy, Debug)]
+pub struct GrantQuery<'a> {
+    /// Hash of the service's name.
+    pub service: u64,
+    /// Hash of the affinity key; `None` if the request has no affinity.
+    pub affinity: Option<u64>,
+    /// Replicas that could take the request, the preferred one first.
+    pub candidates: &'a [GrantCandidate],
+    /// Whether the caller is refused if none has room; it is told when to return, which later
+    /// callers that are refused wait for.
+    pub is_refusal_final: bool,
+}
+
+/// Requests that a VM may grant for one replica.
+#[derive(Clone, Debug)]
+struct GrantBucket {
+    available: f64,
+    updated_ms: u64,
+    /// Affinity keys whose requests the replica gets, and when it last got one.
+    members: HashMap<u64, u64>,
+}
+
+impl GrantBucket {
+    fn new(now_ms: u64) -> Self {
+        // Another home may have granted the limit just before.
+        Self {
+            available: 0.0,
+            updated_ms: now_ms,
+            members: HashMap::new(),
+        }
+    }
+
+    /// Adds what may be granted since the last request.
+    fn renew(&mut self, per_s: f64, part: f64, now_ms: u64) {
+        #[expect(clippy::cast_precision_loss, reason = "below 2^53")]
+        let elapsed_s = now_ms.saturating_sub(self.updated_ms) as f64 / 1_000.0;
+        let renewed = self.available + elapsed_s * per_s * part;
+        self.available = renewed.min(capacity(per_s));
+        self.updated_ms = now_ms;
+    }
+
+    fn has_member(&self, affinity: Option<u64>) -> bool {
+        affinity.is_some_and(|affinity| self.members.contains_key(&affinity))
+    }
+
+    fn take(&mut self, affinity: Option<u64>, now_ms: u64) {
+        self.available -= 1.0;
+        if let Some(affinity) = affinity {
+            self.members.insert(affinity, now_ms);
+        }
+    }
+}
+
+/// Requests that a VM may grant as a home.
+#[derive(Clone, Debug, Default)]
+pub struct GrantLedger {
+    buckets: HashMap<StartKey, GrantBucket>,
+    /// Times at which refused requests were told to return, by service.
+    pending_returns: HashMap<u64, VecDeque<u64>>,
+}
+
+impl GrantLedger {
+    /// Grants a request to a candidate that has room: the one that has got the requests with
+    /// the same affinity so far, or else the first one.
+    ///
+    /// An engine that gets some of a program's requests has to read again what it has not seen,
+    /// so a program is begun at a limited replica only while its programs leave enough room.
+    pub fn grant(
+        &mut self,
+        query: &GrantQuery<'_>,
+        share: GrantShare,
+        now_ms: u64,
+    ) -> GrantOutcome {
+        let part = share.part();
+        let (mut total_per_s, mut total_available) = (0.0, 0.0);
+        for candidate in query.candidates {
+            let Some(per_s) = candidate.per_s else {
+                return GrantOutcome::Granted(candidate.start);
+            };
+            let bucket = self.buckets.entry(candidate.start);
+            let bucket = bucket.or_insert_with(|| GrantBucket::new(now_ms));
+            bucket.renew(per_s, part, now_ms);
+            total_per_s += per_s * part;
+            total_available += bucket.available;
+        }
+        if let Some(start) = self.choose(query) {
+            if let Some(bucket) = self.buckets.get_mut(&start) {
+                bucket.take(query.affinity, now_ms);
+            }
+            return GrantOutcome::Granted(start);
+        }
+        let pending = self.pending_returns(query.service, now_ms);
+        #[expect(clippy::cast_precision_loss, reason = "at most PENDING_RETURNS_MAX")]
+        let missing = (pending.len() + 1) as f64 - total_available;
+        let after_ms = wait_ms(missing, total_per_s);
+        if query.is_refusal_final && pending.len() < PENDING_RETURNS_MAX {
+            pending.push_back(now_ms + after_ms);
+        }
+        GrantOutcome::NoRoom { after_ms }
+    }
+
+    /// Chooses a candidate that has room.
+    fn choose(&mut self, query: &GrantQuery<'_>) -> Option<StartKey> {
+        let mut first = None;
+        for candidate in query.candidates {
+            let per_s = candidate.per_s.unwrap_or_default();
+            let bucket = self.buckets.get_mut(&candidate.start)?;
+            if bucket.has_member(query.affinity) {
+                if bucket.available >= 1.0 {
+                    return Some(candidate.start);
+                }
+                // Its requests go elsewhere from now on.
+                query
+                    .affinity
+                    .map(|affinity| bucket.members.remove(&affinity));
+            }
+            let needed = if query.affinity.is_none() || query.is_refusal_final {
+                1.0
+            } else {
+                1.0 + (capacity(per_s) - 1.0) * BEGIN_PERCENT / 100.0
+            };
+            if first.is_none() && bucket.available >= needed {
+                first = Some(candidate.start);
+            }
+        }
+        first
+    }
+
+    /// Returns the times at which refused requests are going to return.
+    fn pending_returns(&mut self, service: u64, now_ms: u64) -> &mut VecDeque<u64> {
+        let pending = self.pending_returns.entry(service).or_default();
+        while pending.front().is_some_and(|at_ms| *at_ms <= now_ms) {
+            pending.pop_front();
+        }
+        pending
+    }
+
+    /// Removes the replicas for which `is_limited` returns `false`; if they name a limit again,
+    /// nothing is granted at once.
+    pub fn retain(&mut self, is_limited: impl Fn(StartKey) -> bool, now_ms: u64) {
+        self.buckets.retain(|start, _| is_limited(*start));
+        for bucket in self.buckets.values_mut() {
+            let members = &mut bucket.members;
+            members.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < MEMBER_IDLE_MS);
+        }
+    }
+}
+
+/// Returns the number of requests that a home may grant at once.
+fn capacity(per_s: f64) -> f64 {
+    1.0 + per_s * BURST_S
+}
+
+/// Returns the time after which `missing` requests may be granted, in milliseconds.
+fn wait_ms(missing: f64, per_s: f64) -> u64 {
+    let wait = missing.max(0.0) * 1_000.0 / per_s.max(f64::MIN_POSITIVE);
+    let (min_ms, max_ms) = WAIT_RANGE_MS;
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "large values saturate"
+    )]
+    let wait_ms = wait as u64;
+    wait_ms.clamp(min_ms, max_ms)
+}
--- a/crates/relay/src/decide/limits/table.rs
+++ b/crates/relay/src/decide/limits/table.rs
@@ -13,6 +13,10 @@
 /// oldest are dropped.
 const RECORDS_MAX: usize = 16_384;
 
+/// Time after the last response of a replica that is not listed after which its limit is
+/// forgotten, in milliseconds; entries of replicas may be missing during an outage.
+const RETENTION_MS: u64 = 600_000;
+
 /// Limit of a replica, as a VM tells others.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -163,6 +167,13 @@
         Some(record.report(start, now_ms))
     }
 
+    /// Removes the limits of replicas that have long been delisted.
+    pub fn expire(&mut self, is_listed: impl Fn(StartKey) -> bool, now_ms: u64) {
+        self.records.retain(|start, record| {
+            now_ms.saturating_sub(record.observed_ms) < RETENTION_MS || is_listed(*start)
+        });
+    }
+
     fn insert(&mut self, start: StartKey, record: LimitRecord) {
         if self.records.len() >= RECORDS_MAX && !self.records.contains_key(&start) {
             let oldest = self
--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -12,6 +12,7 @@
 mod quota;
 mod readers;
 mod replicas;
+mod replies;
 mod retry;
 mod rotation;
 mod sliding_window;
@@ -22,19 +23,23 @@
 pub use budget::{
     BudgetLedger, BudgetShare, BudgetVerdict, CeilingClaim, ClaimStatus, ProgramKey, StoredCeiling,
 };
-pub use limits::{LimitChange, LimitReport, LimitStatement, LimitTable, StartKey};
+pub use limits::{
+    GrantCandidate, GrantLedger, GrantOutcome, GrantQuery, GrantShare, LimitChange, LimitReport,
+    LimitStatement, LimitTable, StartKey,
+};
 pub use members::{HOMES_MAX, HomeCandidate, MemberFacts, MemberTable, VmKey};
 pub use origins::{AttemptKey, OriginRefusal, OriginTable, decide_origin};
 pub use outage::ServiceOutage;
-pub use placement::{PlacementInput, choose_replica};
+pub use placement::{PlacementChoice, PlacementInput, choose_replicas};
 pub use quota::{
-    AdmissionCounters, ProgramStage, QuotaLedger, QuotaTolerance, RateRefusal, RecentDecisions,
-    RefusalCause, WindowReport, WorkspaceKey,
+    AdmissionCounters, ProgramStage, QuotaLedger, QuotaTolerance, RateRefusal, RefusalCause,
+    WindowReport, WorkspaceKey,
 };
 pub use readers::{is_reader, reader_rank};
 pub use replicas::{
     AttemptOutcome, InFlightCount, ReplicaInfo, ReplicaKey, ReplicaLoad, ReplicaTable,
 };
+pub use replies::RecentDecisions;
 pub use retry::{AttemptFailure, RetryDecision, RetryInput, decide_retry};
 pub use rotation::{PeerRotation, ROUND_MS, rounds_per_pass};
 pub use versions::{FleetContact, StreamOrigin, VersionHistory};
--- a/crates/relay/src/decide/placement.rs
+++ b/crates/relay/src/decide/placement.rs
@@ -10,7 +10,11 @@
 //! Requests without affinity go to the less loaded of two random replicas (power of two
 //! choices), if possible in this VM's failure domain. This keeps queues short even though
 //! the load caused by other VMs is taken only from the load reports in responses.
+//!
+//! Whether a replica that names a limit has room is known only to a home of the service (see
+//! `limits`), so those that would be preferred to the chosen one are returned apart.
 
+use super::limits::LimitTable;
 use super::replicas::{ReplicaKey, ReplicaState, ReplicaTable};
 use ibisdale_core::rendezvous_weight;
 
@@ -38,16 +42,27 @@
     pub random: u64,
 }
 
-/// Chooses a replica; returns `None` if none is eligible.
+/// Replicas chosen for a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PlacementChoice {
+    /// Replicas that name a limit and are preferred to `open`, the best one first; they get the
+    /// request only if a home grants it.
+    pub limited: Vec<ReplicaKey>,
+    /// Replica that names no limit; `None` if none is eligible.
+    pub open: Option<ReplicaKey>,
+}
+
+/// Chooses the replicas for a request.
 ///
 /// Ejected replicas are chosen only if all others are excluded, leaving or of another
 /// software version.
 #[must_use]
-pub fn choose_replica(
+pub fn choose_replicas(
     table: &ReplicaTable,
+    limits: &LimitTable,
     input: &PlacementInput<'_>,
     now_ms: u64,
-) -> Option<ReplicaKey> {
+) -> PlacementChoice {
     let keys = table.service_replicas(input.service).iter().copied();
     let eligible: Vec<(ReplicaKey, &ReplicaState)> = keys
         .filter(|key| !input.excluded.contains(key))
@@ -60,14 +75,86 @@
         .copied()
         .collect();
     let candidates = if usable.is_empty() { eligible } else { usable };
+    let (limited, open): (Vec<_>, Vec<_>) = candidates
+        .iter()
+        .copied()
+        .partition(|(_, state)| limits.limit(state.start).is_some());
+    if limited.is_empty() {
+        return PlacementChoice {
+            limited: Vec::new(),
+            open: choose_open(&open, input, now_ms),
+        };
+    }
+    if let Some(affinity) = input.affinity {
+        prefer_by_affinity(&limited, &open, affinity, input, now_ms)
+    } else {
+        prefer_less_loaded(&candidates, &limited, &open, input, now_ms)
+    }
+}
+
+type Candidate<'a> = (ReplicaKey, &'a ReplicaState);
+
+/// Prefers the limited replicas that rank before the one chosen among the others.
+fn prefer_by_affinity(
+    limited: &[Candidate<'_>],
+    open: &[Candidate<'_>],
+    affinity: u64,
+    input: &PlacementInput<'_>,
+    now_ms: u64,
+) -> PlacementChoice {
+    let weight = |state: &ReplicaState| rendezvous_weight(affinity, state.hash);
+    let chosen = choose_open(open, input, now_ms);
+    let chosen_state = open.iter().find(|(key, _)| Some(*key) == chosen);
+    let chosen_weight = chosen_state.map(|(_, state)| weight(state));
+    let mut preferred: Vec<_> = limited.to_vec();
+    preferred.retain(|(_, state)| Some(weight(state)) > chosen_weight);
+    preferred.sort_by_key(|(_, state)| std::cmp::Reverse(weight(state)));
+    PlacementChoice {
+        limited: preferred.into_iter().map(|(key, _)| key).collect(),
+        open: chosen,
+    }
+}
+
+/// Prefers the limited replica that would be chosen if none were limited, and all of them if
+/// there is no other one.
+fn prefer_less_loaded(
+    candidates: &[Candidate<'_>],
+    limited: &[Candidate<'_>],
+    open: &[Candidate<'_>],
+    input: &PlacementInput<'_>,
+    now_ms: u64,
+) -> PlacementChoice {
+    let best = choose_less_loaded_of_two(candidates, input, now_ms);
+    let mut preferred: Vec<_> = limited.iter().map(|(key, _)| *key).collect();
+    let Some(position) = preferred.iter().position(|key| Some(*key) == best) else {
+        return PlacementChoice {
+            limited: Vec::new(),
+            open: best,
+        };
+    };
+    preferred.rotate_left(position);
+    if !open.is_empty() {
+        preferred.truncate(1);
+    }
+    PlacementChoice {
+        limited: preferred,
+        open: choose_less_loaded_of_two(open, input, now_ms),
+    }
+}
+
+fn choose_open(
+    open: &[Candidate<'_>],
+    input: &PlacementInput<'_>,
+    now_ms: u64,
+) -> Option<ReplicaKey> {
     match input.affinity {
-        Some(affinity) => choose_by_affinity(&candidates, affinity, input.random, now_ms),
-        None => choose_less_loaded_of_two(&candidates, input, now_ms),
+        Some(affinity) => choose_by_affinity(open, affinity, input.random, now_ms),
+        None => choose_less_loaded_of_two(open, input, now_ms),
     }
 }
 
 fn choose_by_affinity(
-    candidates: &[(ReplicaKey, &ReplicaState)],
+    candidates: &[Candidate<'_>],
     affinity: u64,
     random: u64,
     now_ms: u64,
@@ -106,7 +193,7 @@
 }
 
 fn choose_less_loaded_of_two(
-    candidates: &[(ReplicaKey, &ReplicaState)],
+    candidates: &[Candidate<'_>],
     input: &PlacementInput<'_>,
     now_ms: u64,
 ) -> Option<ReplicaKey> {
--- a/crates/relay/src/decide/replicas.rs
+++ b/crates/relay/src/decide/replicas.rs
@@ -111,6 +111,7 @@
     pub(crate) info: ReplicaInfo,
     /// Whether the replica has announced in a response that it is shutting down.
     is_leaving: bool,
+    pub(crate) start: StartKey,
     pub(crate) hash: u64,
     pub(crate) in_flight: u32,
     /// In-flight requests of the other VMs, as last reported by them.
@@ -126,6 +127,7 @@
     fn new(info: ReplicaInfo, is_leaving: bool) -> Self {
         Self {
             is_leaving,
+            start: info.start_key(),
             hash: hash_bytes(&info.id),
             info,
             in_flight: 0,
@@ -241,6 +243,14 @@
         self.replicas.get(key).map(|state| &state.info)
     }
 
+    /// Returns the properties of the replica with this start if it is listed.
+    #[must_use]
+    pub fn find_start(&self, start: StartKey) -> Option<&ReplicaInfo> {
+        let mut states = self.replicas.values();
+        let found = states.find(|state| state.start == start);
+        found.map(|state| &state.info)
+    }
+
     /// Returns the properties of all replicas.
     pub fn infos(&self) -> impl Iterator<Item = &ReplicaInfo> {
         self.replicas.values().map(|state| &state.info)
--- a/crates/relay/src/gateway/attempt.rs
+++ b/crates/relay/src/gateway/attempt.rs
@@ -13,7 +13,7 @@
 use super::body::ResponseBody;
 use super::caller_request::{CallerRequest, header_str, millis};
 use super::in_flight::ReplicaRequestGuard;
-use super::limits::{ObservedResponse, record_limit};
+use super::limits::{ObservedResponse, is_limited, record_limit};
 use super::state::{Gateway, lossy_string};
 use crate::decide::{
     AttemptFailure, AttemptOutcome, ReplicaInfo, ReplicaKey, ReplicaLoad, RetryInput, StreamOrigin,
@@ -29,6 +29,9 @@
 /// Share of the remaining time after which an attempt times out if the request can
 /// still be sent to another replica, in percent.
 const RETRYABLE_TIMEOUT_PERCENT: u32 = 60;
+/// Maximum time between a grant and the request that uses it, in milliseconds; more than it
+/// takes to open a connection.
+const GRANT_MAX_AGE_MS: u64 = 500;
 /// Maximum number of responses to other requests that are skipped on a connection.
 const STALE_RESPONSES_MAX: u32 = 2;
 
@@ -82,11 +85,28 @@
     /// Software version that began the stream, once it has begun; only replicas of this
     /// version may continue it.
     pub(crate) required_version: Option<Bytes>,
-    /// Who allowed the last attempt at a limited replica: `none` if nobody was asked; empty if
-    /// the replica is not known to be limited.
+    /// Grant for the next attempt, if its replica names a limit.
+    pub(crate) grant: Option<ReplicaGrant>,
+    /// Home that granted the last attempt at a limited replica; empty if the replica is not
+    /// known to be limited.
     pub(crate) granted_by: &'static str,
 }
 
+/// Permission to send one request to a limited replica.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReplicaGrant {
+    pub(crate) replica: ReplicaKey,
+    /// Home that granted it.
+    pub(crate) by: &'static str,
+    pub(crate) granted_ms: u64,
+}
+
+impl ReplicaGrant {
+    fn is_valid(&self, replica: ReplicaKey, now_ms: u64) -> bool {
+        self.replica == replica && now_ms.saturating_sub(self.granted_ms) <= GRANT_MAX_AGE_MS
+    }
+}
+
 impl RetryState {
     /// Creates the state of a request before its first attempt.
     ///
@@ -160,6 +180,10 @@
         guard.finish(AttemptOutcome::Unknown);
         return Err(FailedAttempt::new(AttemptFailure::NotReached, "leaving"));
     }
+    if let Err(failed) = use_grant(gateway, retry, replica) {
+        guard.finish(AttemptOutcome::Unknown);
+        return Err(failed);
+    }
     let left = request.time_left();
     if left.is_zero() {
         guard.finish(AttemptOutcome::Unknown);
@@ -170,13 +194,6 @@
     }
     let headers = request_headers(gateway, request, &info.id, left, last_event);
     let sent_ms = gateway.now_ms();
-    let is_limited = gateway
-        .state
-        .limits
-        .borrow()
-        .limit(info.start_key())
-        .is_some();
-    retry.granted_by = if is_limited { "none" } else { "" };
     let message = serialize_request(&request.method, &request.target, &headers, &request.body);
     let timeout = response_timeout(request, retry, left);
     let exchange = async {
@@ -225,6 +242,25 @@
     })
 }
 
+/// Uses the grant for the attempt, if its replica names a limit.
+fn use_grant(
+    gateway: &Gateway,
+    retry: &mut RetryState,
+    replica: ReplicaKey,
+) -> Result<(), FailedAttempt> {
+    let grant = retry.grant.take();
+    let grant = grant.filter(|grant| grant.is_valid(replica, gateway.now_ms()));
+    if grant.is_none() && is_limited(gateway, replica) {
+        // It was not known to be limited when it was selected, or the grant has expired.
+        return Err(FailedAttempt::new(
+            AttemptFailure::NotReached,
+            "no grant within the replica's limit",
+        ));
+    }
+    retry.granted_by = grant.map_or("", |grant| grant.by);
+    Ok(())
+}
+
 /// Returns whether a replica is listed and may get the request.
 pub(crate) fn is_available(gateway: &Gateway, retry: &RetryState, replica: ReplicaKey) -> bool {
     let replicas = gateway.state.replicas.borrow();
--- a/crates/relay/src/gateway/forward.rs
+++ b/crates/relay/src/gateway/forward.rs
@@ -10,17 +10,19 @@
 
 use super::admit::GatewayError;
 use super::attempt::{
-    FailedAttempt, ReplicaResponse, RetryState, check_response_head, is_available, try_replica,
+    FailedAttempt, ReplicaGrant, ReplicaResponse, RetryState, check_response_head, is_available,
+    try_replica,
 };
 use super::body::ResponseBody;
 use super::budget::BudgetReservation;
 use super::caller_request::{CallerRequest, millis, response_headers};
+use super::limits::{GrantResult, ask_for_grant, is_limited};
 use super::response_memory::HeldBytes;
 use super::state::Gateway;
 use super::stream::EventRelay;
 use crate::decide::{
-    AttemptFailure, AttemptOutcome, PlacementInput, ReplicaKey, RetryDecision, choose_replica,
-    decide_retry,
+    AttemptFailure, AttemptOutcome, PlacementChoice, PlacementInput, ReplicaKey, RetryDecision,
+    choose_replicas, decide_retry,
 };
 use crate::http1::{ExchangeError, ResponseHead};
 use crate::plan::ExecutionSemantics;
@@ -46,8 +48,9 @@
 ) -> ForwardResult {
     let mut retry_same_replica = false;
     loop {
-        let Some(replica) = select_next_replica(gateway, request, retry, retry_same_replica) else {
-            return refuse_no_replica(retry, "no replica");
+        let replica = match select_replica(gateway, request, retry, retry_same_replica).await {
+            Ok(replica) => replica,
+            Err(refusal) => return refuse_no_replica(retry, refusal),
         };
         let failed = match try_replica(gateway, request, retry, replica, request.last_event).await {
             Ok(response) if is_stream_response(request, &response.head) => {
@@ -89,7 +92,9 @@
                     };
                 }
                 return match decision {
-                    RetryDecision::RefuseNotRun => refuse_no_replica(retry, "refused by replicas"),
+                    RetryDecision::RefuseNotRun => {
+                        refuse_no_replica(retry, GatewayError::unavailable("refused by replicas"))
+                    }
                     _ => failure_response(request),
                 };
             }
@@ -100,17 +105,15 @@
 /// Returns the response to a request that no replica can take.
 ///
 /// Sets `Retry-After` only if no replica may have run the request.
-fn refuse_no_replica(retry: &RetryState, reason: &'static str) -> ForwardResult {
-    if retry.replicas_used > 0 {
-        return ForwardResult {
-            response: GatewayError::new(StatusCode::BAD_GATEWAY, reason).into_response(),
-            reason,
-            is_streaming: false,
-        };
-    }
+fn refuse_no_replica(retry: &RetryState, refusal: GatewayError) -> ForwardResult {
+    let refusal = if retry.replicas_used > 0 {
+        GatewayError::new(StatusCode::BAD_GATEWAY, refusal.reason)
+    } else {
+        refusal
+    };
     ForwardResult {
-        response: GatewayError::unavailable(reason).into_response(),
-        reason,
+        response: refusal.into_response(),
+        reason: refusal.reason,
         is_streaming: false,
     }
 }
@@ -166,30 +169,65 @@
     decision
 }
 
-/// Selects a replica that is not excluded for the request.
-pub(crate) fn select_replica(
+/// Selects a replica that is not excluded for the request; the one of the last attempt if
+/// `retry_same_replica` is set and that replica is still available.
+///
+/// A replica that names a limit is selected only if a home grants the request.
+///
+/// # Errors
+///
+/// Fails with the response to the caller if no replica can take the request.
+pub(crate) async fn select_replica(
     gateway: &Gateway,
     request: &CallerRequest,
-    retry: &RetryState,
-) -> Option<ReplicaKey> {
-    select_next_replica(gateway, request, retry, false)
+    retry: &mut RetryState,
+    retry_same_replica: bool,
+) -> Result<ReplicaKey, GatewayError> {
+    let choice = choose(gateway, request, retry, retry_same_replica);
+    if choice.limited.is_empty() {
+        return choice.open.ok_or(GatewayError::unavailable("no replica"));
+    }
+    let (limited, is_final) = (&choice.limited, choice.open.is_none());
+    match ask_for_grant(gateway, request, &retry.service, limited, is_final).await {
+        GrantResult::Granted(replica, by) => {
+            retry.grant = Some(ReplicaGrant {
+                replica,
+                by,
+                granted_ms: gateway.now_ms(),
+            });
+            Ok(replica)
+        }
+        GrantResult::Refused { after_ms } => choice.open.ok_or(GatewayError {
+            retry_after_ms: Some(after_ms),
+            ..GatewayError::unavailable("no replica has room within its limit")
+        }),
+    }
 }
 
-/// Selects a replica; the one of the last attempt if `retry_same_replica` is set and
-/// that replica is still available.
-fn select_next_replica(
+fn choose(
     gateway: &Gateway,
     request: &CallerRequest,
     retry: &RetryState,
     retry_same_replica: bool,
-) -> Option<ReplicaKey> {
+) -> PlacementChoice {
     if retry_same_replica
         && let Some(replica) = retry.replica
         && is_available(gateway, retry, replica)
     {
-        return Some(replica);
+        return if is_limited(gateway, replica) {
+            PlacementChoice {
+                limited: vec![replica],
+                open: None,
+            }
+        } else {
+            PlacementChoice {
+                limited: Vec::new(),
+                open: Some(replica),
+            }
+        };
     }
     let replicas = gateway.state.replicas.borrow();
+    let limits = gateway.state.limits.borrow();
     let input = PlacementInput {
         service: &retry.service,
         software_version: retry.required_version.as_deref(),
@@ -198,7 +236,7 @@
         excluded: &retry.excluded,
         random: rand::rng().random(),
     };
-    choose_replica(&replicas, &input, gateway.now_ms())
+    choose_replicas(&replicas, &limits, &input, gateway.now_ms())
 }
 
 fn is_stream_response(request: &CallerRequest, head: &ResponseHead) -> bool {
--- a/crates/relay/src/gateway/limits.rs
+++ b/crates/relay/src/gateway/limits.rs
@@ -1,11 +1,27 @@
-//! Limits that replicas name in their responses.
+//! Limits that replicas name in their responses, and grants for requests to limited replicas.
 
-use http::HeaderMap;
+use std::net::SocketAddrV4;
+
+use http::{HeaderMap, HeaderValue};
 use ibisdale_telemetry::record_event;
 
 use super::caller_request::CallerRequest;
+use super::message::{GrantRequest, PeerMessage};
+use super::peer_link::{peer_addresses, send, spawn_send};
+use super::rpc::call_peer;
 use super::state::{Gateway, lossy_string};
-use crate::decide::{LimitChange, LimitStatement, ReplicaInfo};
+use crate::decide::{
+    GrantCandidate, GrantOutcome, GrantQuery, GrantShare, HOMES_MAX, HomeCandidate, LimitChange,
+    LimitReport, LimitStatement, ReplicaInfo, ReplicaKey, hash_bytes,
+};
+
+/// Maximum number of limits in one message; each takes at most 30 bytes.
+const LIMITS_PER_MESSAGE: usize = 1_000;
+/// Time for which a change is repeated in the gossip rounds, in milliseconds; two passes over
+/// the peers in fleets of hundreds of VMs, since messages may be lost.
+const REPEAT_MS: u64 = 3_000;
+/// Time after which a refused request may return if no home has decided, in milliseconds.
+const UNDECIDED_RETRY_MS: u64 = 150;
 
 /// Response of a replica whose headers may name a limit.
 pub(crate) struct ObservedResponse<'a> {
@@ -16,7 +32,8 @@
     pub(crate) sent_ms: Option<u64>,
 }
 
-/// Records the limit that a response names, or that it names none any more.
+/// Records the limit that a response names, or that it names none any more, and tells all VMs
+/// of a change.
 pub(crate) fn record_limit(
     gateway: &Gateway,
     request: &CallerRequest,
@@ -28,32 +45,259 @@
     }
     let name = &gateway.state.options.header_names.replica_limit;
     let values = response.headers.get_all(name).iter();
-    let statement = LimitStatement::read(values.map(http::HeaderValue::as_bytes));
+    let statement = LimitStatement::read(values.map(HeaderValue::as_bytes));
     if statement == LimitStatement::Unreadable {
         gateway.state.metrics.count_unreadable_limit();
     }
     let now_ms = gateway.now_ms();
     let start = response.replica.start_key();
+    let (change, report) = {
+        let mut limits = gateway.state.limits.borrow_mut();
+        let change = limits.observe(start, statement, response.sent_ms, now_ms);
+        (change, limits.report(start, now_ms))
+    };
+    let (Some(change), Some(report)) = (change, report) else {
+        return;
+    };
+    log_change(
+        &change,
+        Some(response.replica),
+        "response",
+        &request.attempt_id,
+    );
+    let peers = peer_addresses(gateway);
+    let announcer = gateway.clone();
+    gateway.spawn(async move {
+        let limits = vec![report];
+        let message = PeerMessage::Limits { limits };
+        for peer in peers {
+            send(&announcer, &message, peer).await;
+        }
+    });
+}
+
+/// Takes over the limits that another VM has learned of later than this one.
+pub(crate) fn merge_limits(gateway: &Gateway, reports: &[LimitReport]) {
+    if reports.is_empty() {
+        return;
+    }
     let mut limits = gateway.state.limits.borrow_mut();
-    let change = limits.observe(start, statement, response.sent_ms, now_ms);
-    drop(limits);
-    if let Some(change) = change {
-        log_change(&change, response.replica, "response", &request.attempt_id);
+    let changes = limits.merge(reports, gateway.now_ms());
+    let replicas = gateway.state.replicas.borrow();
+    for change in changes {
+        log_change(&change, replicas.find_start(change.start), "peer", "");
     }
 }
 
-fn log_change(change: &LimitChange, replica: &ReplicaInfo, source: &str, request: &str) {
+fn log_change(change: &LimitChange, replica: Option<&ReplicaInfo>, source: &str, request: &str) {
+    let text = |per_s: Option<f64>| per_s.map_or_else(String::new, |per_s| per_s.to_string());
     record_event!(
         LimitChanged,
-        replica = lossy_string(&replica.id),
-        service = lossy_string(&replica.service),
-        per_s = change
-            .per_s
-            .map_or_else(String::new, |per_s| per_s.to_string()),
-        before = change
-            .before
-            .map_or_else(String::new, |per_s| per_s.to_string()),
+        replica = replica.map_or_else(String::new, |replica| lossy_string(&replica.id)),
+        service = replica.map_or_else(String::new, |replica| lossy_string(&replica.service)),
+        per_s = text(change.per_s),
+        before = text(change.before),
         source = source,
         request = request,
     );
 }
+
+/// Returns the recent changes that this VM has learned of from responses.
+pub(crate) fn recent_limits(gateway: &Gateway) -> Vec<LimitReport> {
+    let now_ms = gateway.now_ms();
+    let limits = gateway.state.limits.borrow();
+    limits.own_reports(now_ms.saturating_sub(REPEAT_MS), now_ms)
+}
+
+/// Sends all known limits to a peer.
+pub(crate) fn send_limits(gateway: &Gateway, peer: SocketAddrV4) {
+    let reports = gateway.state.limits.borrow().reports(gateway.now_ms());
+    for limits in reports.chunks(LIMITS_PER_MESSAGE) {
+        let limits = limits.to_vec();
+        spawn_send(gateway, PeerMessage::Limits { limits }, peer);
+    }
+}
+
+/// Removes the limits of replicas that have long been delisted and what was left to grant of
+/// limits that have ended.
+pub(crate) fn expire_limits(gateway: &Gateway) {
+    let replicas = gateway.state.replicas.borrow();
+    let mut limits = gateway.state.limits.borrow_mut();
+    let is_listed = |start| replicas.find_start(start).is_some();
+    let now_ms = gateway.now_ms();
+    limits.expire(is_listed, now_ms);
+    let mut grants = gateway.state.grants.borrow_mut();
+    grants.retain(|start| limits.limit(start).is_some(), now_ms);
+}
+
+/// Returns whether a replica is known to name a limit.
+pub(crate) fn is_limited(gateway: &Gateway, replica: ReplicaKey) -> bool {
+    let replicas = gateway.state.replicas.borrow();
+    let limits = gateway.state.limits.borrow();
+    let info = replicas.get_info(replica);
+    info.is_some_and(|info| limits.limit(info.start_key()).is_some())
+}
+
+/// Result of asking for a grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum GrantResult {
+    /// The replica takes the request; the name tells which home has granted it.
+    Granted(ReplicaKey, &'static str),
+    /// No replica takes the request before this time has passed, in milliseconds.
+    Refused { after_ms: u64 },
+}
+
+/// Asks the homes of a service for a grant for one of `limited`, the preferred replica first.
+///
+/// If the caller is not refused without a grant, only the first home is asked, since the others
+/// grant little and a home that does not answer delays the request.
+pub(crate) async fn ask_for_grant(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    service: &[u8],
+    limited: &[ReplicaKey],
+    is_refusal_final: bool,
+) -> GrantResult {
+    let now_ms = gateway.now_ms();
+    let candidates: Vec<(ReplicaKey, LimitReport)> = {
+        let replicas = gateway.state.replicas.borrow();
+        let limits = gateway.state.limits.borrow();
+        let report = |key| limits.report(replicas.get_info(key)?.start_key(), now_ms);
+        let reports = limited.iter().filter_map(|key| Some((*key, report(*key)?)));
+        reports.collect()
+    };
+    let grant_request = GrantRequest {
+        service: hash_bytes(service),
+        affinity: request.affinity,
+        candidates: candidates.iter().map(|(_, report)| *report).collect(),
+        is_refusal_final,
+    };
+    let mut homes = {
+        let own_key = gateway.state.options.facts.key();
+        let members = gateway.state.members.borrow();
+        members.homes_to_ask(own_key, grant_request.service, now_ms)
+    };
+    if !is_refusal_final {
+        homes.truncate(1);
+    }
+    let mut after_ms = UNDECIDED_RETRY_MS;
+    let mut decided_by = ("none", String::new());
+    for home in homes {
+        let by = home_role(&home);
+        let name = home.facts.as_ref().map(|facts| lossy_string(&facts.name));
+        let outcome = ask_home(gateway, &home, &grant_request).await;
+        let (outcome_name, granted) = match outcome {
+            None => ("unanswered", None),
+            Some(GrantOutcome::NoRoom { .. }) => ("no_room", None),
+            Some(GrantOutcome::Granted(start)) => {
+                let mut candidates = candidates.iter();
+                let granted = candidates.find(|(_, report)| report.start == start);
+                ("granted", granted.map(|(key, _)| *key))
+            }
+        };
+        gateway.state.metrics.count_grant_decision(by, outcome_name);
+        if let Some(GrantOutcome::NoRoom { after_ms: wait_ms }) = outcome {
+            after_ms = wait_ms;
+        }
+        decided_by = (by, name.unwrap_or_default());
+        record_event!(
+            GrantDecided,
+            request = request.attempt_id,
+            service = lossy_string(service),
+            candidates = candidates.len(),
+            by = by,
+            home = decided_by.1,
+            outcome = outcome_name,
+            after_ms = after_ms,
+        );
+        if let Some(replica) = granted {
+            return GrantResult::Granted(replica, by);
+        }
+        if outcome.is_some() {
+            break;
+        }
+    }
+    if is_refusal_final {
+        record_event!(
+            LimitRefused,
+            request = request.attempt_id,
+            service = lossy_string(service),
+            limited = candidates.len(),
+            by = decided_by.0,
+            home = decided_by.1,
+            after_ms = after_ms,
+        );
+    }
+    GrantResult::Refused { after_ms }
+}
+
+fn home_role(home: &HomeCandidate) -> &'static str {
+    match (home.rank, &home.facts) {
+        (0, None) => "own",
+        (0, Some(_)) => "home",
+        _ => "standby",
+    }
+}
+
+/// Asks a home for a grant; returns `None` if it does not answer.
+async fn ask_home(
+    gateway: &Gateway,
+    home: &HomeCandidate,
+    request: &GrantRequest,
+) -> Option<GrantOutcome> {
+    let Some(facts) = &home.facts else {
+        return Some(grant_as_home(gateway, request, home.rank));
+    };
+    let build_message = |call_id| PeerMessage::RequestGrant {
+        call_id,
+        rank: u8::try_from(home.rank).unwrap_or(u8::MAX),
+        request: request.clone(),
+    };
+    if let Some(PeerMessage::GrantDecided { outcome, .. }) =
+        call_peer(gateway, facts.peer_address(), build_message).await
+    {
+        return Some(outcome);
+    }
+    let now_ms = gateway.now_ms();
+    let mut members = gateway.state.members.borrow_mut();
+    members.record_unanswered(facts.key(), now_ms);
+    None
+}
+
+/// Decides on a request as a home of its service; `rank` is this VM's rank among the homes in
+/// the view of the VM that asks.
+pub(crate) fn grant_as_home(
+    gateway: &Gateway,
+    request: &GrantRequest,
+    rank: usize,
+) -> GrantOutcome {
+    merge_limits(gateway, &request.candidates);
+    let now_ms = gateway.now_ms();
+    let share = {
+        let members = gateway.state.members.borrow();
+        let own_key = gateway.state.options.facts.key();
+        let homes = members.first_homes(own_key, request.service, now_ms);
+        let own_rank = homes.iter().position(|home| home.facts.is_none());
+        let (known_count, silent_count) = members.count(now_ms);
+        GrantShare {
+            rank: rank.max(own_rank.unwrap_or(HOMES_MAX - 1)),
+            vm_count: known_count + 1,
+            silent_count,
+        }
+    };
+    let limits = gateway.state.limits.borrow();
+    let candidates = request.candidates.iter().map(|report| GrantCandidate {
+        start: report.start,
+        per_s: limits.limit(report.start),
+    });
+    let candidates: Vec<_> = candidates.collect();
+    drop(limits);
+    let query = GrantQuery {
+        service: request.service,
+        affinity: request.affinity,
+        candidates: &candidates,
+        is_refusal_final: request.is_refusal_final,
+    };
+    let mut grants = gateway.state.grants.borrow_mut();
+    grants.grant(&query, share, now_ms)
+}
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -29,6 +29,7 @@
 use super::directory::{directory_response, readiness_response};
 use super::forward::forward;
 use super::in_flight::CallerRequestGuard;
+use super::limits::expire_limits;
 use super::origins::{expire_origins, find_origin};
 use super::state::{Gateway, lossy_string};
 use super::turns::assemble_body;
@@ -188,6 +189,7 @@
             .borrow_mut()
             .expire(program_retention_ms, now_ms);
         expire_origins(&gateway);
+        expire_limits(&gateway);
     }
 }
 
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -5,11 +5,25 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decide::{
-    AdmissionCounters, AttemptKey, BudgetShare, BudgetVerdict, CeilingClaim, InFlightCount,
-    MemberFacts, ProgramKey, ProgramStage, RateRefusal, StreamOrigin, VmKey, WindowReport,
-    WorkspaceKey,
+    AdmissionCounters, AttemptKey, BudgetShare, BudgetVerdict, CeilingClaim, GrantOutcome,
+    InFlightCount, LimitReport, MemberFacts, ProgramKey, ProgramStage, RateRefusal, StreamOrigin,
+    VmKey, WindowReport, WorkspaceKey,
 };
 
+/// A request that a home may grant to one of several limited replicas.
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct GrantRequest {
+    /// Hash of the service's name.
+    pub(crate) service: u64,
+    /// Hash of the affinity key; `None` if the request has no affinity.
+    pub(crate) affinity: Option<u64>,
+    /// Replicas that could take the request, the preferred one first.
+    pub(crate) candidates: Vec<LimitReport>,
+    /// Whether the caller is refused if none has room.
+    pub(crate) is_refusal_final: bool,
+}
+
 /// A message between VMs, encoded with postcard.
 #[derive(Clone, Debug)]
 #[derive(Deserialize, Serialize)]
@@ -30,6 +44,8 @@
         /// When the VMs last lost all counts, in milliseconds since the Unix epoch;
         /// 0 if never, `None` if not known yet.
         counts_lost_at: Option<u64>,
+        /// Recent changes of replicas' limits that the VM has learned of from responses.
+        limits: Vec<LimitReport>,
     },
     /// Known VMs and recent request counts, sent to a VM that was unknown, silent or
     /// restarted.
@@ -118,6 +134,18 @@
         incarnation: u64,
         counters: Vec<AdmissionCounters>,
     },
+    /// Limits of replicas that have changed, or all that the sender knows if the receiver was
+    /// unknown, silent or restarted.
+    Limits { limits: Vec<LimitReport> },
+    /// Requests a grant for one request from a home of its service.
+    RequestGrant {
+        call_id: u64,
+        /// Rank of the receiver among the homes, as known to the sender.
+        rank: u8,
+        request: GrantRequest,
+    },
+    /// Reply to `RequestGrant`.
+    GrantDecided { call_id: u64, outcome: GrantOutcome },
     /// Requests the receiver's `State`, since its heartbeat is overdue.
     Probe,
 }
@@ -131,6 +159,7 @@
             | Self::Shares { call_id, .. }
             | Self::Stored { call_id, .. }
             | Self::Admitted { call_id, .. }
+            | Self::GrantDecided { call_id, .. }
             | Self::Origin { call_id, .. } => Some(*call_id),
             _ => None,
         }
--- a/crates/relay/src/gateway/metrics.rs
+++ b/crates/relay/src/gateway/metrics.rs
@@ -27,6 +27,7 @@
     connections: IntCounter,
     resumed_streams: IntCounterVec,
     rate_decisions: IntCounterVec,
+    grant_decisions: IntCounterVec,
     unreadable_limits: IntCounter,
     limited_replicas: Gauge,
     oldest_heartbeat_seconds: Gauge,
@@ -89,6 +90,12 @@
                 "Requests admitted or refused by a workspace's rate limit, by the VM whose share decided.",
                 &["by", "outcome"],
             ),
+            grant_decisions: register_counters(
+                &registry,
+                "ibisdale_gateway_grant_decisions_total",
+                "Requests to limited replicas, by the home that was asked and its decision.",
+                &["by", "outcome"],
+            ),
             unreadable_limits: register(
                 &registry,
                 IntCounter::new(
@@ -159,6 +166,10 @@
         self.rate_decisions.with_label_values(&[by, outcome]).inc();
     }
 
+    pub(crate) fn count_grant_decision(&self, by: &str, outcome: &str) {
+        self.grant_decisions.with_label_values(&[by, outcome]).inc();
+    }
+
     pub(crate) fn count_unreadable_limit(&self) {
         self.unreadable_limits.inc();
     }
--- a/crates/relay/src/gateway/peer_link.rs
+++ b/crates/relay/src/gateway/peer_link.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddrV4;
 
 use super::caller_request::millis;
+use super::limits::recent_limits;
 use super::message::PeerMessage;
 use super::state::Gateway;
 use crate::decide::{AdmissionCounters, MemberFacts, rounds_per_pass};
@@ -63,6 +64,7 @@
             .reports(now_ms.saturating_sub(REPORT_MAX_AGE_MS)),
         in_flight: gateway.state.replicas.borrow().in_flight_counts(),
         counts_lost_at: gateway.state.counts_lost_at.get(),
+        limits: recent_limits(gateway),
     };
     let Some(data) = encode(&message) else {
         return;
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -10,7 +10,8 @@
 use super::boot_time::BootTime;
 use super::budget::decide_as_home;
 use super::ceilings::store_in_batch;
-use super::message::PeerMessage;
+use super::limits::{grant_as_home, merge_limits, send_limits};
+use super::message::{GrantRequest, PeerMessage};
 use super::origins::record_origin;
 use super::peer_link::{
     peer_addresses, report_to_homes, send, send_state, spawn_send, spawn_send_state,
@@ -19,7 +20,7 @@
 use super::state_transfer::{self, StatePart};
 use crate::decide::{
     AdmissionCounters, BudgetShare, CeilingClaim, InFlightCount, MemberFacts, PeerRotation,
-    ProgramKey, ROUND_MS, VmKey, WindowReport,
+    ProgramKey, ProgramStage, ROUND_MS, VmKey, WindowReport, WorkspaceKey,
 };
 
 /// Maximum size of a datagram that can be received, in bytes.
@@ -71,6 +72,7 @@
         .borrow_mut()
         .expire_peer_in_flight(silent_after_ms, now_ms);
     gateway.state.quota_decisions.borrow_mut().expire(now_ms);
+    gateway.state.grant_decisions.borrow_mut().expire(now_ms);
     record_silent_vms(gateway, now_ms);
     gateway.init_counts_lost_at();
     for peer in overdue {
@@ -157,7 +159,9 @@
             quota,
             in_flight,
             counts_lost_at,
+            limits,
         } => {
+            merge_limits(gateway, &limits);
             record_peer_feed(gateway, feed_age_ms);
             record_peer_in_flight(gateway, facts.key(), in_flight);
             gateway.merge_counts_lost_at(counts_lost_at);
@@ -170,10 +174,7 @@
             vm,
             incarnation,
             counters,
-        } => {
-            let mut quota = gateway.state.quota.borrow_mut();
-            quota.set_baseline(vm, incarnation, &counters);
-        }
+        } => record_baseline(gateway, vm, incarnation, &counters),
         PeerMessage::PeerList {
             peers,
             window_reports,
@@ -206,18 +207,18 @@
             workspace,
             stage,
             rank,
-        } => {
-            let decide = || admit_as_home(gateway, workspace, stage, rank.into()).err();
-            let mut decisions = gateway.state.quota_decisions.borrow_mut();
-            let refusal = decisions.decide_once(sender, call_id, gateway.now_ms(), decide);
-            drop(decisions);
-            spawn_send(gateway, PeerMessage::Admitted { call_id, refusal }, sender);
-        }
+        } => handle_admit(gateway, call_id, (workspace, stage, rank), sender),
         PeerMessage::Admissions {
             vm,
             incarnation,
             counters,
         } => record_admissions(gateway, vm, incarnation, &counters),
+        PeerMessage::Limits { limits } => merge_limits(gateway, &limits),
+        PeerMessage::RequestGrant {
+            call_id,
+            rank,
+            request,
+        } => handle_grant_request(gateway, call_id, &request, rank, sender),
         PeerMessage::Probe => spawn_send_state(gateway, sender),
         PeerMessage::Store { call_id, claim } => handle_store(gateway, call_id, claim, sender),
         PeerMessage::StreamBegan { attempt, origin } => {
@@ -232,10 +233,39 @@
         | PeerMessage::Stored { .. }
         | PeerMessage::Shares { .. }
         | PeerMessage::Admitted { .. }
+        | PeerMessage::GrantDecided { .. }
         | PeerMessage::Origin { .. } => {}
     }
 }
 
+fn handle_admit(
+    gateway: &Gateway,
+    call_id: u64,
+    (workspace, stage, rank): (WorkspaceKey, ProgramStage, u8),
+    sender: SocketAddrV4,
+) {
+    let decide = || admit_as_home(gateway, workspace, stage, rank.into()).err();
+    let mut decisions = gateway.state.quota_decisions.borrow_mut();
+    let refusal = decisions.decide_once(sender, call_id, gateway.now_ms(), decide);
+    drop(decisions);
+    spawn_send(gateway, PeerMessage::Admitted { call_id, refusal }, sender);
+}
+
+fn handle_grant_request(
+    gateway: &Gateway,
+    call_id: u64,
+    request: &GrantRequest,
+    rank: u8,
+    sender: SocketAddrV4,
+) {
+    let decide = || grant_as_home(gateway, request, rank.into());
+    let mut decisions = gateway.state.grant_decisions.borrow_mut();
+    let outcome = decisions.decide_once(sender, call_id, gateway.now_ms(), decide);
+    drop(decisions);
+    let message = PeerMessage::GrantDecided { call_id, outcome };
+    spawn_send(gateway, message, sender);
+}
+
 fn handle_leave(gateway: &Gateway, vm: VmKey, incarnation: u64) {
     let now_ms = gateway.now_ms();
     let mut members = gateway.state.members.borrow_mut();
@@ -380,6 +410,12 @@
     replicas.record_peer_in_flight(peer, in_flight, now_ms);
 }
 
+/// Records a VM's counters of the time at which it learned of this process.
+fn record_baseline(gateway: &Gateway, vm: VmKey, incarnation: u64, counters: &[AdmissionCounters]) {
+    let mut quota = gateway.state.quota.borrow_mut();
+    quota.set_baseline(vm, incarnation, counters);
+}
+
 /// Adds the requests that another VM has admitted since its last report.
 fn record_admissions(
     gateway: &Gateway,
@@ -429,6 +465,7 @@
         let window_reports = gateway.state.quota.borrow().snapshot(gateway.now_ms());
         send_counters(gateway, sender);
         send_peer_list(gateway, peers, &window_reports, sender);
+        send_limits(gateway, sender);
     }
     let own_version = gateway.plan().map_or(0, |plan| plan.get_version());
     if plan_version > own_version {
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -26,9 +26,9 @@
 use super::response_memory::ResponseMemory;
 use super::state_transfer;
 use crate::decide::{
-    BudgetLedger, CeilingClaim, LimitTable, MemberFacts, MemberTable, OriginTable, ProgramKey,
-    QuotaLedger, QuotaTolerance, RecentDecisions, ReplicaInfo, ReplicaTable, VersionHistory, VmKey,
-    hash_bytes, is_reader, reader_rank,
+    BudgetLedger, CeilingClaim, GrantLedger, GrantOutcome, LimitTable, MemberFacts, MemberTable,
+    OriginTable, ProgramKey, QuotaLedger, QuotaTolerance, RateRefusal, RecentDecisions,
+    ReplicaInfo, ReplicaTable, VersionHistory, VmKey, hash_bytes, is_reader, reader_rank,
 };
 use crate::plan::DeploymentPlan;
 
@@ -111,7 +111,9 @@
     pub(crate) counts_lost_at: Cell<Option<u64>>,
     pub(crate) ceilings_read_at_ms: Cell<Option<u64>>,
     pub(crate) quota: RefCell<QuotaLedger>,
-    pub(crate) quota_decisions: RefCell<RecentDecisions>,
+    pub(crate) quota_decisions: RefCell<RecentDecisions<Option<RateRefusal>>>,
+    pub(crate) grants: RefCell<GrantLedger>,
+    pub(crate) grant_decisions: RefCell<RecentDecisions<GrantOutcome>>,
     pub(crate) budgets: RefCell<BudgetLedger>,
     /// Ceilings that are being stored; each channel is closed when the write ends.
     pub(crate) ceiling_writes: RefCell<HashMap<ProgramKey, Receiver<()>>>,
@@ -201,6 +203,8 @@
             ceilings_read_at_ms: Cell::new(is_first_start.then_some(1)),
             quota: RefCell::new(quota),
             quota_decisions: RefCell::default(),
+            grants: RefCell::default(),
+            grant_decisions: RefCell::default(),
             budgets: RefCell::new(budgets),
             ceiling_writes: RefCell::default(),
             ceiling_batch: RefCell::default(),
--- a/crates/relay/src/gateway/stream.rs
+++ b/crates/relay/src/gateway/stream.rs
@@ -21,7 +21,7 @@
 use super::response_memory::HeldBytes;
 use super::state::{Gateway, lossy_string};
 use super::turns::{TurnOutput, keep_turn};
-use crate::decide::{AttemptOutcome, ReplicaKey, RetryDecision};
+use crate::decide::{AttemptOutcome, RetryDecision};
 use crate::http1::{BodyDecoder, ExchangeError, Http1Connection, ResponseHead};
 
 /// Maximum size of an event, in bytes.
@@ -272,12 +272,16 @@
                 replica,
                 &failed,
             );
-            let next = match decision {
-                RetryDecision::SameReplica => Some(replica),
-                RetryDecision::Elsewhere => self.select_replica(),
-                RetryDecision::RefuseNotRun | RetryDecision::Fail => None,
+            let retry_same_replica = match decision {
+                RetryDecision::SameReplica => true,
+                RetryDecision::Elsewhere => false,
+                RetryDecision::RefuseNotRun | RetryDecision::Fail => {
+                    return Err("the replica broke off");
+                }
             };
-            let Some(next) = next else {
+            let retry = &mut self.retry;
+            let next = select_replica(&self.gateway, &self.request, retry, retry_same_replica);
+            let Ok(next) = next.await else {
                 return Err("the replica broke off");
             };
             let last = self.last_event;
@@ -329,10 +333,6 @@
             after = after,
         );
     }
-
-    fn select_replica(&self) -> Option<ReplicaKey> {
-        select_replica(&self.gateway, &self.request, &self.retry)
-    }
 }
 
 /// Returns the number of tokens to count for each event; 1 where none is configured.
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -288,6 +288,12 @@
     OriginDecided = 2209, Info, "origin_decided",
         ["request", "resumes", "known", "current", "version", "refusal"],
         "At which software version a stream that a caller takes up may go on, or why it may not; `current` tells whether the list of replicas could be relied on.";
+    GrantDecided = 2210, Debug, "grant_decided",
+        ["request", "service", "candidates", "by", "home", "outcome", "after_ms"],
+        "A home decided whether one of the limited replicas takes a request.";
+    LimitRefused = 2211, Info, "limit_refused",
+        ["request", "service", "limited", "by", "home", "after_ms"],
+        "A request was refused because all replicas that could take it name a limit and none has room; the caller was told to return after `after_ms`.";
 
     ChainAssembled = 2301, Info, "chain_assembled",
         ["request", "previous", "turns", "cached", "bytes", "elapsed_ms"],
