Play a fleet that keeps limits, and begin larger programs at limited replicas

Cause: a limit counts requests, so a limited replica relieves the others most with large ones; an engine that gets some requests of a program reads again what it has not seen. Change: a program begins at a limited replica the sooner the larger its own part of the prompt is against the mean; without it, whichever came first did. The play of 7, 54 and 259 VMs (home stops, homes restart, rolling restart, split in halves, restart of all, loss of half, lost messages) has 86 cases, which pass.

--- a/crates/relay/src/decide/limits/grants.rs
+++ b/crates/relay/src/decide/limits/grants.rs
@@ -22,9 +22,8 @@
 /// Time whose requests a home may grant at once beyond the first one, if none were asked for
 /// before, in seconds.
 const BURST_S: f64 = 1.0;
-/// Part of the burst that must be available for a program to begin at a limited replica, in
-/// percent.
-const BEGIN_PERCENT: f64 = 100.0;
+/// Weight of a request in the average of the requests' own prompt tokens.
+const MEAN_WEIGHT: f64 = 0.02;
 /// Time without a request after which a program is not expected to go on, in milliseconds.
 const MEMBER_IDLE_MS: u64 = 10_000;
 /// Range of the time after which a refused request may be sent again, in milliseconds.
@@ -82,6 +81,8 @@
     pub service: u64,
     /// Hash of the affinity key; `None` if the request has no affinity.
     pub affinity: Option<u64>,
+    /// Tokens of the part of the prompt that belongs to the request itself; 0 if unknown.
+    pub own_prompt_tokens: u32,
     /// Replicas that could take the request, the preferred one first.
     pub candidates: &'a [GrantCandidate],
     /// Whether the caller is refused if none has room; it is told when to return, which later
@@ -129,12 +130,43 @@
     }
 }
 
+/// What a home knows of the requests to a service whose replicas name limits.
+#[derive(Clone, Debug, Default)]
+struct ServiceDemand {
+    /// Moving average of the requests' own prompt tokens.
+    mean_prompt_tokens: f64,
+    /// Times at which refused requests were told to return.
+    pending_returns: VecDeque<u64>,
+}
+
+impl ServiceDemand {
+    /// Returns the part of a replica's burst that must be available for a program to begin
+    /// there, from 0 to 1, and adds its request to the average.
+    fn begin_part(&mut self, prompt_tokens: u32) -> f64 {
+        let tokens = f64::from(prompt_tokens.max(1));
+        if self.mean_prompt_tokens == 0.0 {
+            self.mean_prompt_tokens = tokens;
+        }
+        self.mean_prompt_tokens += (tokens - self.mean_prompt_tokens) * MEAN_WEIGHT;
+        (self.mean_prompt_tokens / tokens).min(1.0)
+    }
+
+    /// Returns the number of refused requests that have not returned yet.
+    fn pending_count(&mut self, now_ms: u64) -> usize {
+        let pending = &mut self.pending_returns;
+        while pending.front().is_some_and(|at_ms| *at_ms <= now_ms) {
+            pending.pop_front();
+        }
+        pending.len()
+    }
+}
+
 /// Requests that a VM may grant as a home.
 #[derive(Clone, Debug, Default)]
 pub struct GrantLedger {
     buckets: HashMap<StartKey, GrantBucket>,
-    /// Times at which refused requests were told to return, by service.
-    pending_returns: HashMap<u64, VecDeque<u64>>,
+    /// Demand by service.
+    demands: HashMap<u64, ServiceDemand>,
 }
 
 impl GrantLedger {
@@ -142,7 +174,8 @@
     /// the same affinity so far, or else the first one.
     ///
     /// An engine that gets some of a program's requests has to read again what it has not seen,
-    /// so a program is begun at a limited replica only while its programs leave enough room.
+    /// so a program begins at a limited replica only while its programs leave enough room. As the
+    /// limit counts requests, programs with larger ones begin there with less room.
     pub fn grant(
         &mut self,
         query: &GrantQuery<'_>,
@@ -167,35 +200,39 @@
             }
             return GrantOutcome::Granted(start);
         }
-        let pending = self.pending_returns(query.service, now_ms);
+        let demand = self.demands.entry(query.service).or_default();
+        let pending_count = demand.pending_count(now_ms);
         #[expect(clippy::cast_precision_loss, reason = "at most PENDING_RETURNS_MAX")]
-        let missing = (pending.len() + 1) as f64 - total_available;
+        let missing = (pending_count + 1) as f64 - total_available;
         let after_ms = wait_ms(missing, total_per_s);
-        if query.is_refusal_final && pending.len() < PENDING_RETURNS_MAX {
-            pending.push_back(now_ms + after_ms);
+        if query.is_refusal_final && pending_count < PENDING_RETURNS_MAX {
+            demand.pending_returns.push_back(now_ms + after_ms);
         }
         GrantOutcome::NoRoom { after_ms }
     }
 
     /// Chooses a candidate that has room.
     fn choose(&mut self, query: &GrantQuery<'_>) -> Option<StartKey> {
+        let demand = self.demands.entry(query.service).or_default();
+        let begin_part = demand.begin_part(query.own_prompt_tokens);
+        let takes_any = query.affinity.is_none() || query.is_refusal_final;
         let mut first = None;
         for candidate in query.candidates {
-            let per_s = candidate.per_s.unwrap_or_default();
+            let burst = capacity(candidate.per_s.unwrap_or_default()) - 1.0;
             let bucket = self.buckets.get_mut(&candidate.start)?;
             if bucket.has_member(query.affinity) {
                 if bucket.available >= 1.0 {
                     return Some(candidate.start);
                 }
-                // Its requests go elsewhere from now on.
+                // The program goes on elsewhere.
                 query
                     .affinity
                     .map(|affinity| bucket.members.remove(&affinity));
             }
-            let needed = if query.affinity.is_none() || query.is_refusal_final {
+            let needed = if takes_any {
                 1.0
             } else {
-                1.0 + (capacity(per_s) - 1.0) * BEGIN_PERCENT / 100.0
+                1.0 + burst * begin_part
             };
             if first.is_none() && bucket.available >= needed {
                 first = Some(candidate.start);
@@ -204,15 +241,6 @@
         first
     }
 
-    /// Returns the times at which refused requests are going to return.
-    fn pending_returns(&mut self, service: u64, now_ms: u64) -> &mut VecDeque<u64> {
-        let pending = self.pending_returns.entry(service).or_default();
-        while pending.front().is_some_and(|at_ms| *at_ms <= now_ms) {
-            pending.pop_front();
-        }
-        pending
-    }
-
     /// Removes the replicas for which `is_limited` returns `false`; if they name a limit again,
     /// nothing is granted at once.
     pub fn retain(&mut self, is_limited: impl Fn(StartKey) -> bool, now_ms: u64) {
--- a/crates/relay/src/gateway/caller_request.rs
+++ b/crates/relay/src/gateway/caller_request.rs
@@ -67,6 +67,8 @@
     pub(crate) deadline: BootTime,
     /// Hash by which related requests are sent to the same replica.
     pub(crate) affinity: Option<u64>,
+    /// Tokens of the part of the prompt that belongs to the request itself; 0 if unknown.
+    pub(crate) own_prompt_tokens: u32,
     pub(crate) declared_tokens: DeclaredTokens,
     pub(crate) budget: Option<BudgetRequest>,
     /// Number of the last event that the caller received before it resumed a stream.
@@ -144,6 +146,7 @@
             .before(started.elapsed())
             .after(requested_timeout.map_or(timeout, |requested| requested.min(timeout))),
         affinity: affinity_hash(headers, header_names, route, &program_id),
+        own_prompt_tokens: own_prompt_tokens(headers, header_names),
         declared_tokens,
         budget: budget.map(|budget| BudgetRequest {
             program: hash_bytes(program_id.as_bytes()),
@@ -165,6 +168,14 @@
     }
 }
 
+/// Returns the tokens of the last part of the prompt; 0 if the request names no parts.
+fn own_prompt_tokens(headers: &HeaderMap, header_names: &HeaderNames) -> u32 {
+    let parts = header_str(headers, &header_names.prompt_parts);
+    let last = parts.rsplit(',').next().unwrap_or_default();
+    let tokens = last.rsplit(':').next().unwrap_or_default();
+    tokens.trim().parse().unwrap_or_default()
+}
+
 /// Returns the hash by which related requests are sent to the same replica.
 ///
 /// For streams, it is the hash of the program, since calls of a program share most of
--- a/crates/relay/tests/gossip/main.rs
+++ b/crates/relay/tests/gossip/main.rs
@@ -1,6 +1,7 @@
 //! Rate limits and membership of fleets in which a gossip round reaches a part of the VMs.
 
 mod fleet;
+mod limits;
 
 use rstest::rstest;
 
