Count the generated tokens of a request as work for a limited replica

Cause: the own part of the prompt alone tells little where engines decode for most of the time; programs that begin with little room left lose it again, and are read anew elsewhere. Change: work is the own part of the prompt and ten times the tokens that may be generated, the platform's weight of a request's size; a program begins only from seven tenths of the burst on.

--- a/crates/relay/src/decide/limits/grants.rs
+++ b/crates/relay/src/decide/limits/grants.rs
@@ -22,7 +22,9 @@
 /// Time whose requests a home may grant at once beyond the first one, if none were asked for
 /// before, in seconds.
 const BURST_S: f64 = 1.0;
-/// Weight of a request in the average of the requests' own prompt tokens.
+/// Smallest part of a replica's burst that must be available for a program to begin there.
+const BEGIN_PART_MIN: f64 = 0.7;
+/// Weight of a request in the average of the requests' work.
 const MEAN_WEIGHT: f64 = 0.02;
 /// Time without a request after which a program is not expected to go on, in milliseconds.
 const MEMBER_IDLE_MS: u64 = 10_000;
@@ -81,8 +83,8 @@
     pub service: u64,
     /// Hash of the affinity key; `None` if the request has no affinity.
     pub affinity: Option<u64>,
-    /// Tokens of the part of the prompt that belongs to the request itself; 0 if unknown.
-    pub own_prompt_tokens: u32,
+    /// Work of the request at an engine, in prompt tokens; 0 if unknown.
+    pub work: u64,
     /// Replicas that could take the request, the preferred one first.
     pub candidates: &'a [GrantCandidate],
     /// Whether the caller is refused if none has room; it is told when to return, which later
@@ -133,22 +135,23 @@
 /// What a home knows of the requests to a service whose replicas name limits.
 #[derive(Clone, Debug, Default)]
 struct ServiceDemand {
-    /// Moving average of the requests' own prompt tokens.
-    mean_prompt_tokens: f64,
+    /// Moving average of the requests' work, in prompt tokens.
+    mean_work: f64,
     /// Times at which refused requests were told to return.
     pending_returns: VecDeque<u64>,
 }
 
 impl ServiceDemand {
     /// Returns the part of a replica's burst that must be available for a program to begin
-    /// there, from 0 to 1, and adds its request to the average.
-    fn begin_part(&mut self, prompt_tokens: u32) -> f64 {
-        let tokens = f64::from(prompt_tokens.max(1));
-        if self.mean_prompt_tokens == 0.0 {
-            self.mean_prompt_tokens = tokens;
+    /// there, up to 1, and adds its request to the average.
+    #[expect(clippy::cast_precision_loss, reason = "millions of tokens")]
+    fn begin_part(&mut self, work: u64) -> f64 {
+        let work = work.max(1) as f64;
+        if self.mean_work == 0.0 {
+            self.mean_work = work;
         }
-        self.mean_prompt_tokens += (tokens - self.mean_prompt_tokens) * MEAN_WEIGHT;
-        (self.mean_prompt_tokens / tokens).min(1.0)
+        self.mean_work += (work - self.mean_work) * MEAN_WEIGHT;
+        (self.mean_work / work).clamp(BEGIN_PART_MIN, 1.0)
     }
 
     /// Returns the number of refused requests that have not returned yet.
@@ -175,7 +178,7 @@
     ///
     /// An engine that gets some of a program's requests has to read again what it has not seen,
     /// so a program begins at a limited replica only while its programs leave enough room. As the
-    /// limit counts requests, programs with larger ones begin there with less room.
+    /// limit counts requests, programs whose requests are more work begin there with less room.
     pub fn grant(
         &mut self,
         query: &GrantQuery<'_>,
@@ -214,7 +217,7 @@
     /// Chooses a candidate that has room.
     fn choose(&mut self, query: &GrantQuery<'_>) -> Option<StartKey> {
         let demand = self.demands.entry(query.service).or_default();
-        let begin_part = demand.begin_part(query.own_prompt_tokens);
+        let begin_part = demand.begin_part(query.work);
         let takes_any = query.affinity.is_none() || query.is_refusal_final;
         let mut first = None;
         for candidate in query.candidates {
--- a/crates/relay/src/gateway/caller_request.rs
+++ b/crates/relay/src/gateway/caller_request.rs
@@ -26,11 +26,25 @@
     EXPECT,
 ];
 
+/// Work of generating a token, in prompt tokens; the platform's weight of a call's size.
+const COMPLETION_TOKEN_WORK: u64 = 10;
+
 /// Prompt tokens and maximum completion tokens that a caller declares for a model call.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct DeclaredTokens {
     pub(crate) prompt: u64,
     pub(crate) completion_max: u64,
+    /// Tokens of the part of the prompt that belongs to the call itself; 0 if unknown.
+    pub(crate) own_prompt: u64,
+}
+
+impl DeclaredTokens {
+    /// Returns the work of the call at an engine that knows the rest of its prompt, in prompt
+    /// tokens.
+    pub(crate) fn work(self) -> u64 {
+        let completion = self.completion_max.saturating_mul(COMPLETION_TOKEN_WORK);
+        self.own_prompt.saturating_add(completion)
+    }
 }
 
 /// Tokens that a call reserves from its program's budget.
@@ -67,8 +81,6 @@
     pub(crate) deadline: BootTime,
     /// Hash by which related requests are sent to the same replica.
     pub(crate) affinity: Option<u64>,
-    /// Tokens of the part of the prompt that belongs to the request itself; 0 if unknown.
-    pub(crate) own_prompt_tokens: u32,
     pub(crate) declared_tokens: DeclaredTokens,
     pub(crate) budget: Option<BudgetRequest>,
     /// Number of the last event that the caller received before it resumed a stream.
@@ -146,7 +158,6 @@
             .before(started.elapsed())
             .after(requested_timeout.map_or(timeout, |requested| requested.min(timeout))),
         affinity: affinity_hash(headers, header_names, route, &program_id),
-        own_prompt_tokens: own_prompt_tokens(headers, header_names),
         declared_tokens,
         budget: budget.map(|budget| BudgetRequest {
             program: hash_bytes(program_id.as_bytes()),
@@ -165,11 +176,13 @@
     DeclaredTokens {
         prompt: next().unwrap_or_default(),
         completion_max: next().unwrap_or_default(),
+        own_prompt: own_prompt_tokens(headers, header_names),
     }
 }
 
-/// Returns the tokens of the last part of the prompt; 0 if the request names no parts.
-fn own_prompt_tokens(headers: &HeaderMap, header_names: &HeaderNames) -> u32 {
+/// Returns the tokens of the last part of the prompt, which belongs to the request itself; 0 if
+/// the request names no parts.
+fn own_prompt_tokens(headers: &HeaderMap, header_names: &HeaderNames) -> u64 {
     let parts = header_str(headers, &header_names.prompt_parts);
     let last = parts.rsplit(',').next().unwrap_or_default();
     let tokens = last.rsplit(':').next().unwrap_or_default();
--- a/crates/relay/src/gateway/limits.rs
+++ b/crates/relay/src/gateway/limits.rs
@@ -169,7 +169,7 @@
     let grant_request = GrantRequest {
         service: hash_bytes(service),
         affinity: request.affinity,
-        own_prompt_tokens: request.own_prompt_tokens,
+        work: request.declared_tokens.work(),
         candidates: candidates.iter().map(|(_, report)| *report).collect(),
         is_refusal_final,
     };
@@ -296,7 +296,7 @@
     let query = GrantQuery {
         service: request.service,
         affinity: request.affinity,
-        own_prompt_tokens: request.own_prompt_tokens,
+        work: request.work,
         candidates: &candidates,
         is_refusal_final: request.is_refusal_final,
     };
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -18,8 +18,8 @@
     pub(crate) service: u64,
     /// Hash of the affinity key; `None` if the request has no affinity.
     pub(crate) affinity: Option<u64>,
-    /// Tokens of the part of the prompt that belongs to the request itself; 0 if unknown.
-    pub(crate) own_prompt_tokens: u32,
+    /// Work of the request at an engine, in prompt tokens; 0 if unknown.
+    pub(crate) work: u64,
     /// Replicas that could take the request, the preferred one first.
     pub(crate) candidates: Vec<LimitReport>,
     /// Whether the caller is refused if none has room.
--- a/crates/relay/tests/gossip/limits.rs
+++ b/crates/relay/tests/gossip/limits.rs
@@ -85,7 +85,7 @@
 
     fn home(&self) -> usize {
         let vm = self.vms.iter().position(|vm| vm.is_up).unwrap();
-        self.index(vm, &self.homes(vm)[0])
+        Self::index(vm, &self.homes(vm)[0])
     }
 
     fn homes(&self, vm: usize) -> Vec<HomeCandidate> {
@@ -95,7 +95,7 @@
             .first_homes(state.facts.key(), SERVICE, self.now_ms)
     }
 
-    fn index(&self, vm: usize, home: &HomeCandidate) -> usize {
+    fn index(vm: usize, home: &HomeCandidate) -> usize {
         let facts = home.facts.as_ref();
         facts.map_or(vm, |facts| usize::from(facts.peer_port))
     }
@@ -213,7 +213,7 @@
         let reports: Vec<_> = reports.collect();
         let own = state.facts.key();
         for home in state.members.homes_to_ask(own, SERVICE, self.now_ms) {
-            let asked = self.index(vm, &home);
+            let asked = Self::index(vm, &home);
             if self.reaches(vm, asked) {
                 return self.grant(asked, home.rank, &reports);
             }
@@ -245,7 +245,7 @@
         let query = GrantQuery {
             service: SERVICE,
             affinity: None,
-            own_prompt_tokens: 0,
+            work: 0,
             candidates: &candidates,
             is_refusal_final: true,
         };
