--- a/crates/relay/src/gateway/limits.rs
+++ b/crates/relay/src/gateway/limits.rs
@@ -17,6 +17,8 @@
 
 /// Maximum number of limits in one message; each takes at most 30 bytes.
 const LIMITS_PER_MESSAGE: usize = 1_000;
+/// Maximum number of replicas in a request for a grant, which has to fit into a datagram.
+const CANDIDATES_MAX: usize = 1_000;
 /// Time for which a change is repeated in the gossip rounds, in milliseconds; two passes over
 /// the peers in fleets of hundreds of VMs, since messages may be lost.
 const REPEAT_MS: u64 = 3_000;
@@ -164,7 +166,7 @@
         let limits = gateway.state.limits.borrow();
         let report = |key| limits.report(replicas.get_info(key)?.start_key(), now_ms);
         let reports = limited.iter().filter_map(|key| Some((*key, report(*key)?)));
-        reports.collect()
+        reports.take(CANDIDATES_MAX).collect()
     };
     let grant_request = GrantRequest {
         service: hash_bytes(service),
