--- a/crates/relay/tests/gateway/limits.rs
+++ b/crates/relay/tests/gateway/limits.rs
@@ -60,6 +60,33 @@
     );
 }
 
+/// Guards against streams that go on at a limited replica, or are taken up there, without a grant.
+#[rstest]
+#[case::resumed("")]
+#[case::taken_up("last-event-id: 1\r\nt-resumes: a1\r\n")]
+fn streams_that_go_on_count_against_the_limit(#[case] headers: &str) {
+    let limited = ScriptedReplica::start(|_, text| {
+        let next = header(text, "last-event-id").map_or(1, |last| last.parse::<u32>().unwrap() + 1);
+        let head = "HTTP/1.1 200 OK\r\nt-attempt: a1\r\nt-seal: s\r\nContent-Length: 64\r\n";
+        let event = format!("id: {next}\ndata: e\n\n");
+        let response = format!("{head}t-limit: 0.5\r\n\r\n{event}");
+        (response.into_bytes(), false)
+    });
+    let open = replica("");
+    let vms = start_pair(&[&limited, &open]);
+    let started = Instant::now();
+    let request = request("/stream/x").replacen("t-deadline", &format!("{headers}t-deadline"), 1);
+    for vm in vms.iter().cycle().take(40) {
+        vm.call(&request);
+    }
+    let got = u32::try_from(limited.requests().len()).unwrap();
+    let allowed = 1.5 * LIMIT_PER_S * started.elapsed().as_secs_f64() + 5.0;
+    assert!(
+        f64::from(got) <= allowed,
+        "{got} requests, {allowed} allowed"
+    );
+}
+
 /// Guards against requests that wait, or overrun a replica, where none has room.
 #[test]
 fn request_that_no_limited_replica_has_room_for_is_rejected_at_once() {
