Name what a home keeps of programs, and split the request for a grant

No change of behaviour: programs instead of members, a decision's log line and counter in a function of their own. grant_decided loses its count of candidates, which limit_refused has.

--- a/crates/relay/src/decide/limits/grants.rs
+++ b/crates/relay/src/decide/limits/grants.rs
@@ -27,7 +27,7 @@
 /// Weight of a request in the average of the requests' work.
 const MEAN_WEIGHT: f64 = 0.02;
 /// Time without a request after which a program is not expected to go on, in milliseconds.
-const MEMBER_IDLE_MS: u64 = 10_000;
+const PROGRAM_IDLE_MS: u64 = 10_000;
 /// Range of the time after which a refused request may be sent again, in milliseconds.
 const WAIT_RANGE_MS: (u64, u64) = (100, 4_000);
 /// Maximum number of announced returns that are tracked for a service.
@@ -97,8 +97,9 @@
 struct GrantBucket {
     available: f64,
     updated_ms: u64,
-    /// Affinity keys whose requests the replica gets, and when it last got one.
-    members: HashMap<u64, u64>,
+    /// Affinity keys of the programs that the replica serves, and when it last got a request of
+    /// them.
+    programs: HashMap<u64, u64>,
 }
 
 impl GrantBucket {
@@ -107,7 +108,7 @@
         Self {
             available: 0.0,
             updated_ms: now_ms,
-            members: HashMap::new(),
+            programs: HashMap::new(),
         }
     }
 
@@ -120,14 +121,21 @@
         self.updated_ms = now_ms;
     }
 
-    fn has_member(&self, affinity: Option<u64>) -> bool {
-        affinity.is_some_and(|affinity| self.members.contains_key(&affinity))
+    fn serves(&self, affinity: Option<u64>) -> bool {
+        affinity.is_some_and(|affinity| self.programs.contains_key(&affinity))
+    }
+
+    /// Records that a program goes on at another replica.
+    fn end_program(&mut self, affinity: Option<u64>) {
+        if let Some(affinity) = affinity {
+            self.programs.remove(&affinity);
+        }
     }
 
     fn take(&mut self, affinity: Option<u64>, now_ms: u64) {
         self.available -= 1.0;
         if let Some(affinity) = affinity {
-            self.members.insert(affinity, now_ms);
+            self.programs.insert(affinity, now_ms);
         }
     }
 }
@@ -223,14 +231,11 @@
         for candidate in query.candidates {
             let burst = capacity(candidate.per_s.unwrap_or_default()) - 1.0;
             let bucket = self.buckets.get_mut(&candidate.start)?;
-            if bucket.has_member(query.affinity) {
+            if bucket.serves(query.affinity) {
                 if bucket.available >= 1.0 {
                     return Some(candidate.start);
                 }
-                // The program goes on elsewhere.
-                query
-                    .affinity
-                    .map(|affinity| bucket.members.remove(&affinity));
+                bucket.end_program(query.affinity);
             }
             let needed = if takes_any {
                 1.0
@@ -249,8 +254,8 @@
     pub fn retain(&mut self, is_limited: impl Fn(StartKey) -> bool, now_ms: u64) {
         self.buckets.retain(|start, _| is_limited(*start));
         for bucket in self.buckets.values_mut() {
-            let members = &mut bucket.members;
-            members.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < MEMBER_IDLE_MS);
+            let programs = &mut bucket.programs;
+            programs.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < PROGRAM_IDLE_MS);
         }
     }
 }
--- a/crates/relay/src/gateway/limits.rs
+++ b/crates/relay/src/gateway/limits.rs
@@ -149,6 +149,14 @@
     Refused { after_ms: u64 },
 }
 
+/// What a request is told if no home grants it.
+struct GrantRefusal {
+    /// Role of the home that was asked last, and its name; no name stands for this VM.
+    by: &'static str,
+    home: String,
+    after_ms: u64,
+}
+
 /// Asks the homes of a service for a grant for one of `limited`, the preferred replica first.
 ///
 /// If the caller is not refused without a grant, only the first home is asked, since the others
@@ -183,41 +191,30 @@
     if !is_refusal_final {
         homes.truncate(1);
     }
-    let mut after_ms = UNDECIDED_RETRY_MS;
-    let mut decided_by = ("none", String::new());
+    let mut refusal = GrantRefusal {
+        by: "none",
+        home: String::new(),
+        after_ms: UNDECIDED_RETRY_MS,
+    };
     for home in homes {
-        let by = home_role(&home);
-        let name = home.facts.as_ref().map(|facts| lossy_string(&facts.name));
+        refusal.by = home_role(&home);
+        let facts = home.facts.as_ref();
+        refusal.home = facts.map_or_else(String::new, |facts| lossy_string(&facts.name));
         let outcome = ask_home(gateway, &home, &grant_request).await;
-        let (outcome_name, granted) = match outcome {
-            None => ("unanswered", None),
-            Some(GrantOutcome::NoRoom { .. }) => ("no_room", None),
+        if let Some(GrantOutcome::NoRoom { after_ms }) = outcome {
+            refusal.after_ms = after_ms;
+        }
+        record_decision(gateway, request, service, outcome, &refusal);
+        match outcome {
+            None => {}
             Some(GrantOutcome::Granted(start)) => {
-                let mut candidates = candidates.iter();
-                let granted = candidates.find(|(_, report)| report.start == start);
-                ("granted", granted.map(|(key, _)| *key))
+                let mut granted = candidates.iter();
+                if let Some((replica, _)) = granted.find(|(_, report)| report.start == start) {
+                    return GrantResult::Granted(*replica, refusal.by);
+                }
+                break;
             }
-        };
-        gateway.state.metrics.count_grant_decision(by, outcome_name);
-        if let Some(GrantOutcome::NoRoom { after_ms: wait_ms }) = outcome {
-            after_ms = wait_ms;
-        }
-        decided_by = (by, name.unwrap_or_default());
-        record_event!(
-            GrantDecided,
-            request = request.attempt_id,
-            service = lossy_string(service),
-            candidates = candidates.len(),
-            by = by,
-            home = decided_by.1,
-            outcome = outcome_name,
-            after_ms = after_ms,
-        );
-        if let Some(replica) = granted {
-            return GrantResult::Granted(replica, by);
-        }
-        if outcome.is_some() {
-            break;
+            Some(GrantOutcome::NoRoom { .. }) => break,
         }
     }
     if is_refusal_final {
@@ -226,12 +223,40 @@
             request = request.attempt_id,
             service = lossy_string(service),
             limited = candidates.len(),
-            by = decided_by.0,
-            home = decided_by.1,
-            after_ms = after_ms,
+            by = refusal.by,
+            home = refusal.home,
+            after_ms = refusal.after_ms,
         );
     }
-    GrantResult::Refused { after_ms }
+    GrantResult::Refused {
+        after_ms: refusal.after_ms,
+    }
+}
+
+/// Logs and counts the decision of the home that was asked last; `outcome` is `None` if it did
+/// not answer.
+fn record_decision(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    service: &[u8],
+    outcome: Option<GrantOutcome>,
+    refusal: &GrantRefusal,
+) {
+    let name = match outcome {
+        None => "unanswered",
+        Some(GrantOutcome::NoRoom { .. }) => "no_room",
+        Some(GrantOutcome::Granted(_)) => "granted",
+    };
+    gateway.state.metrics.count_grant_decision(refusal.by, name);
+    record_event!(
+        GrantDecided,
+        request = request.attempt_id,
+        service = lossy_string(service),
+        by = refusal.by,
+        home = refusal.home,
+        outcome = name,
+        after_ms = refusal.after_ms,
+    );
 }
 
 fn home_role(home: &HomeCandidate) -> &'static str {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -289,7 +289,7 @@
         ["request", "resumes", "known", "current", "version", "refusal"],
         "At which software version a stream that a caller takes up may go on, or why it may not; `current` tells whether the list of replicas could be relied on.";
     GrantDecided = 2210, Debug, "grant_decided",
-        ["request", "service", "candidates", "by", "home", "outcome", "after_ms"],
+        ["request", "service", "by", "home", "outcome", "after_ms"],
         "A home decided whether one of the limited replicas takes a request.";
     LimitRefused = 2211, Info, "limit_refused",
         ["request", "service", "limited", "by", "home", "after_ms"],
