--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use ibisdale_relay::decide::{
-    AttemptOutcome, LimitTable, PlacementInput, ReplicaInfo, ReplicaKey, ReplicaLoad, ReplicaTable,
-    choose_replicas,
+    AttemptOutcome, LimitStatement, LimitTable, PlacementInput, ReplicaInfo, ReplicaKey,
+    ReplicaLoad, ReplicaTable, choose_replicas,
 };
 
 const SLOTS: u32 = 16;
@@ -334,3 +334,39 @@
         }
     }
 }
+
+#[test]
+fn limited_replicas_are_offered_before_the_open_one_by_rank() {
+    let table = table(9);
+    let mut limits = LimitTable::default();
+    let infos: Vec<ReplicaInfo> = table.infos().cloned().collect();
+    for limited in &infos[..6] {
+        let named = LimitStatement::PerSecond(1.0);
+        limits.observe(limited.start_key(), named, Some(1), 2);
+    }
+    for program in 0..50 {
+        let all = choose_replica(&table, &input(Some(program), 1), 3);
+        let choice = choose_replicas(&table, &limits, &input(Some(program), 1), 3);
+        let offered = choice.limited.first().copied().or(choice.open);
+        assert_eq!(offered, all, "the preferred replica is offered first");
+        let is_limited = |key| {
+            let info = table.get_info(key).unwrap();
+            limits.limit(info.start_key()).is_some()
+        };
+        assert!(choice.limited.iter().all(|key| is_limited(*key)));
+        assert!(choice.open.is_some_and(|key| !is_limited(key)));
+    }
+}
+
+#[test]
+fn all_limited_replicas_are_offered_if_none_is_open() {
+    let table = table(9);
+    let mut limits = LimitTable::default();
+    for info in table.infos() {
+        limits.observe(info.start_key(), LimitStatement::PerSecond(1.0), Some(1), 2);
+    }
+    for affinity in [None, Some(7)] {
+        let choice = choose_replicas(&table, &limits, &input(affinity, 1), 3);
+        assert_eq!((choice.limited.len(), choice.open), (9, None));
+    }
+}
