--- a/crates/relay/tests/gateway/fleet.rs
+++ b/crates/relay/tests/gateway/fleet.rs
@@ -1,6 +1,6 @@
 //! Exchange of state and budget counts between two gateways.
 
-use crate::support::{ScriptedReplica, TestGateway, TestGatewayOptions, header};
+use crate::support::{ScriptedReplica, header, start_pair};
 
 fn stream_request(headers: &str) -> String {
     format!(
@@ -17,26 +17,10 @@
     })
 }
 
-/// Starts two VMs, of which only the first has a configuration, replicas and a
-/// confirmed feed.
-fn start_pair(replica: &ScriptedReplica) -> (TestGateway, TestGateway) {
-    let first = TestGateway::start(&[replica]);
-    let options = TestGatewayOptions {
-        is_feed_unconfirmed: true,
-        has_no_plan: true,
-        seed: Some(first.peer_address),
-        ..TestGatewayOptions::default()
-    };
-    let second = TestGateway::start_with(&[], options);
-    first.wait_for_vms(2);
-    second.wait_for_vms(2);
-    (first, second)
-}
-
 #[test]
 fn vm_without_feed_serves_with_state_from_peer() {
     let replica = replica();
-    let (_first, second) = start_pair(&replica);
+    let (_first, second) = start_pair(&[&replica]);
     let response = second.call(&stream_request(""));
     assert!(response.starts_with("HTTP/1.1 200"), "{response}");
     assert_eq!(header(&response, "t-seal"), Some("s"));
@@ -45,7 +29,7 @@
 #[test]
 fn calls_through_all_vms_count_against_budget() {
     let replica = replica();
-    let (first, second) = start_pair(&replica);
+    let (first, second) = start_pair(&[&replica]);
     let headers =
         |program: &str| format!("t-program: {program}\r\nt-budget: 10\r\nt-usage: 5,9\r\n");
     // The second call is refused whichever VM is the program's home.
@@ -67,7 +51,7 @@
 #[test]
 fn counts_of_drained_vm_are_kept() {
     let replica = replica();
-    let (first, mut second) = start_pair(&replica);
+    let (first, mut second) = start_pair(&[&replica]);
     let headers =
         |program: &str| format!("t-program: {program}\r\nt-budget: 10\r\nt-usage: 5,9\r\n");
     let programs = ["p1", "p2", "p3", "p4", "p5", "p6"];
@@ -89,7 +73,7 @@
 #[test]
 fn one_vm_writes_the_ceilings_of_all_homes() {
     let replica = replica();
-    let (first, second) = start_pair(&replica);
+    let (first, second) = start_pair(&[&replica]);
     let headers =
         |program: &str| format!("t-program: {program}\r\nt-budget: 20\r\nt-usage: 5,9\r\n");
     for program in ["p1", "p2", "p3", "p4", "p5", "p6"] {
--- a/crates/relay/tests/gateway/limits.rs
+++ b/crates/relay/tests/gateway/limits.rs
@@ -4,7 +4,7 @@
 
 use rstest::rstest;
 
-use crate::support::{ScriptedReplica, TestGateway, TestGatewayOptions, header};
+use crate::support::{ScriptedReplica, header, start_pair};
 
 /// Limit that the limited replica names, in requests per second.
 const LIMIT_PER_S: f64 = 0.5;
@@ -25,28 +25,13 @@
     })
 }
 
-/// Starts a VM with these replicas and one that gets its state from it.
-fn start_pair(replicas: &[&ScriptedReplica]) -> [TestGateway; 2] {
-    let first = TestGateway::start(replicas);
-    let options = TestGatewayOptions {
-        is_feed_unconfirmed: true,
-        has_no_plan: true,
-        seed: Some(first.peer_address),
-        ..TestGatewayOptions::default()
-    };
-    let second = TestGateway::start_with(&[], options);
-    first.wait_for_vms(2);
-    second.wait_for_vms(2);
-    [first, second]
-}
-
 /// Guards against VMs that overrun a replica that names a limit (incident LIMIT).
 #[rstest]
 #[case::requests("/read/x")]
 #[case::streams("/stream/x")]
 fn replica_gets_no_more_than_it_named(#[case] target: &str) {
     let (limited, open) = (replica("t-limit: 0.5\r\n"), replica(""));
-    let vms = start_pair(&[&limited, &open]);
+    let vms: [_; 2] = start_pair(&[&limited, &open]).into();
     let started = Instant::now();
     for vm in vms.iter().cycle().take(60) {
         let response = vm.call(&request(target));
@@ -73,7 +58,7 @@
         (response.into_bytes(), false)
     });
     let open = replica("");
-    let vms = start_pair(&[&limited, &open]);
+    let vms: [_; 2] = start_pair(&[&limited, &open]).into();
     let started = Instant::now();
     let request = request("/stream/x").replacen("t-deadline", &format!("{headers}t-deadline"), 1);
     for vm in vms.iter().cycle().take(40) {
@@ -91,7 +76,7 @@
 #[test]
 fn request_that_no_limited_replica_has_room_for_is_rejected_at_once() {
     let limited = replica("t-limit: 0.5\r\n");
-    let vms = start_pair(&[&limited]);
+    let vms: [_; 2] = start_pair(&[&limited]).into();
     let vms = vms.iter().cycle().take(20);
     let responses = vms.map(|vm| vm.call(&request("/act/x")));
     let rejected: Vec<_> = responses
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -344,6 +344,22 @@
     }
 }
 
+/// Starts two VMs, of which only the first has a configuration, replicas and a
+/// confirmed feed.
+pub(crate) fn start_pair(replicas: &[&ScriptedReplica]) -> (TestGateway, TestGateway) {
+    let first = TestGateway::start(replicas);
+    let options = TestGatewayOptions {
+        is_feed_unconfirmed: true,
+        has_no_plan: true,
+        seed: Some(first.peer_address),
+        ..TestGatewayOptions::default()
+    };
+    let second = TestGateway::start_with(&[], options);
+    first.wait_for_vms(2);
+    second.wait_for_vms(2);
+    (first, second)
+}
+
 /// Returns an address whose port is free for both TCP and UDP.
 ///
 /// Ports lie below the ephemeral range, which outgoing connections use, and each is
