Log by which request a crash is followed, and how far it had come

Event 2202 gets the hash of path, caller and body, which stays the same when a request comes again, and whether the attempt had brought events. Both are needed to tell the hypotheses on requests that crash replicas apart; no decision uses them yet.

--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -16,6 +16,7 @@
 mod retry;
 mod rotation;
 mod sliding_window;
+mod suspects;
 mod versions;
 
 pub use ibisdale_core::{hash_bytes, rendezvous_weight};
@@ -42,4 +43,5 @@
 pub use replies::RecentDecisions;
 pub use retry::{AttemptFailure, RetryDecision, RetryInput, decide_retry};
 pub use rotation::{PeerRotation, ROUND_MS, rounds_per_pass};
+pub use suspects::RequestFingerprint;
 pub use versions::{FleetContact, StreamOrigin, VersionHistory};
--- a/crates/relay/src/gateway/attempt.rs
+++ b/crates/relay/src/gateway/attempt.rs
@@ -46,6 +46,8 @@
 pub(crate) struct FailedAttempt {
     pub(crate) failure: AttemptFailure,
     pub(crate) error: String,
+    /// Whether events of the attempt were passed on to the caller.
+    pub(crate) has_progress: bool,
     /// The replica's own error response, passed on to the caller if no retry follows.
     pub(crate) response: Option<Box<Response<ResponseBody>>>,
 }
@@ -55,6 +57,7 @@
         Self {
             failure,
             error: error.into(),
+            has_progress: false,
             response: None,
         }
     }
--- a/crates/relay/src/gateway/caller_request.rs
+++ b/crates/relay/src/gateway/caller_request.rs
@@ -1,5 +1,6 @@
 //! Callers' requests, built from their heads for forwarding.
 
+use std::cell::OnceCell;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -12,7 +13,7 @@
 
 use super::boot_time::BootTime;
 use super::header_names::HeaderNames;
-use crate::decide::{ProgramKey, hash_bytes};
+use crate::decide::{ProgramKey, RequestFingerprint, hash_bytes};
 use crate::plan::RouteRule;
 
 /// Headers that are not forwarded: hop-by-hop headers, `Content-Length` and `Expect`.
@@ -87,9 +88,18 @@
     pub(crate) last_event: Option<u64>,
     /// Client attempt that brought the first event of the resumed stream; empty if unknown.
     pub(crate) resumed_attempt: String,
+    fingerprint: OnceCell<RequestFingerprint>,
 }
 
 impl CallerRequest {
+    /// Returns the hash by which the request is known when it comes again.
+    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let caller = self.workspace.as_deref();
+            RequestFingerprint::new(self.target.as_bytes(), caller, &self.input)
+        })
+    }
+
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.time_left()
     }
@@ -166,6 +176,7 @@
         }),
         last_event: header_number(headers, &header_names.last_event),
         resumed_attempt: header_str(headers, &header_names.resumed_attempt).to_owned(),
+        fingerprint: OnceCell::new(),
         program_id,
     }
 }
--- a/crates/relay/src/gateway/forward.rs
+++ b/crates/relay/src/gateway/forward.rs
@@ -159,8 +159,10 @@
     record_event!(
         AttemptFailed,
         request = request.attempt_id,
+        fingerprint = request.fingerprint(),
         replica = retry.replica_id,
         end = format!("{:?}", failed.failure),
+        progress = failed.has_progress,
         next = format!("{decision:?}"),
         left_ms = millis(request.time_left()),
         in_flight = gateway.state.in_flight.get(),
--- a/crates/relay/src/gateway/stream.rs
+++ b/crates/relay/src/gateway/stream.rs
@@ -33,6 +33,8 @@
     decoder: BodyDecoder,
     guard: ReplicaRequestGuard,
     head: ResponseHead,
+    /// Whether the replica has sent a complete event.
+    has_progress: bool,
 }
 
 /// An event stream that is relayed to a caller.
@@ -84,6 +86,7 @@
                 connection: response.connection,
                 guard: response.guard,
                 head: response.head,
+                has_progress: false,
             }),
             splitter: EventSplitter::default(),
             held: HeldBytes::new(gateway),
@@ -172,6 +175,10 @@
                 Err(error) => error,
             };
             let is_deadline_passed = self.request.time_left().is_zero();
+            let has_progress = self
+                .source
+                .as_ref()
+                .is_some_and(|source| source.has_progress);
             self.release_source(if is_deadline_passed {
                 AttemptOutcome::Unknown
             } else {
@@ -180,8 +187,11 @@
             if is_deadline_passed {
                 return Err("cut at the time limit");
             }
-            self.resume(FailedAttempt::may_have_run(error.to_string()))
-                .await?;
+            let failed = FailedAttempt {
+                has_progress,
+                ..FailedAttempt::may_have_run(error.to_string())
+            };
+            self.resume(failed).await?;
         }
     }
 
@@ -189,6 +199,9 @@
     async fn read_events(&mut self) -> Result<Option<(Bytes, u64)>, ExchangeError> {
         loop {
             if let Some(events) = self.take_events()? {
+                if let Some(source) = &mut self.source {
+                    source.has_progress = true;
+                }
                 return Ok(Some(events));
             }
             let partial_size = self.splitter.partial_size();
@@ -295,6 +308,7 @@
                         connection: response.connection,
                         guard: response.guard,
                         head: response.head,
+                        has_progress: false,
                     });
                     let after = last.unwrap_or_default();
                     self.record_resumption(None, after);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -270,7 +270,8 @@
             "granted_by", "plan", "feed_age_ms", "admitted_by", "home", "first_ms", "elapsed_ms"],
         "A request has ended.";
     AttemptFailed = 2202, Info, "attempt_failed",
-        ["request", "replica", "end", "next", "left_ms", "in_flight", "error"], "An attempt to serve a request at a replica failed.";
+        ["request", "fingerprint", "replica", "end", "progress", "next", "left_ms", "in_flight", "error"],
+        "An attempt to serve a request at a replica failed; `fingerprint` is the hash of path, caller and body, `progress` whether it had brought events.";
     BudgetDecided = 2203, Debug, "budget_decided",
         ["program", "budget", "tokens", "verdict", "total"], "The VM that counts a program's token usage decided whether a call fits the program's budget.";
     BudgetSpent = 2204, Info, "budget_spent",
