--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests of gateways on loopback, between callers and scripted replicas.
 
+mod crashes;
 mod endless;
 mod fleet;
 mod holder_support;
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -160,6 +160,15 @@
         }
     }
 
+    /// Describes a replica that is served elsewhere.
+    pub(crate) fn at(address: SocketAddr) -> Self {
+        Self {
+            address,
+            software_version: "v1",
+            requests: Arc::default(),
+        }
+    }
+
     pub(crate) fn with_version(mut self, software_version: &'static str) -> Self {
         self.software_version = software_version;
         self
@@ -189,7 +198,7 @@
 }
 
 /// Reads a request whose body has the length given in `Content-Length`.
-fn read_message(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
+pub(crate) fn read_message(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
     loop {
         let text = String::from_utf8_lossy(buffer).into_owned();
         if let Some(end) = text.find("\r\n\r\n") {
