Send again once what the first end of a replica cuts

Cause: a request that had brought no event got no more replicas than its route allows, as it may have ended its replica. Under normal load a quarter of what a crash cuts is in that state, and hardly ever its cause.

Change: what a first end cuts goes on elsewhere, whatever it had brought; after the second only the caller sends it again. Three stays three, as the count is the request's own.

--- a/crates/relay/src/decide/retry.rs
+++ b/crates/relay/src/decide/retry.rs
@@ -44,8 +44,6 @@
     pub remaining_ms: u64,
     /// Number of replicas that have ended under the request, one after the other.
     pub crashes: u8,
-    /// Whether the last attempt passed on events before it failed.
-    pub has_progress: bool,
 }
 
 /// Maximum number of attempts per request; limits the work that a request can cause.
@@ -53,7 +51,8 @@
 /// Minimum time until the deadline for a retry, in milliseconds; a later one is
 /// unlikely to succeed in time.
 const MIN_REMAINING_MS: u64 = 40;
-/// Number of replicas that may end under a request before only its caller sends it again.
+/// Number of replicas that may end under a request before only its caller sends it again; most of
+/// what the first end cuts is not its cause.
 const CRASHES_BEFORE_RETRY_MAX: u8 = 1;
 
 /// Decides whether and where a request is retried after a failed attempt.
@@ -74,19 +73,10 @@
             }
         }
         AttemptFailure::ReplicaEnded
-            if may_send && input.kind.can_resend() && may_follow_end(input) =>
+            if may_send && input.kind.can_resend() && input.crashes <= CRASHES_BEFORE_RETRY_MAX =>
         {
             RetryDecision::Elsewhere
         }
         _ => RetryDecision::Fail,
     }
 }
-
-/// Returns whether a request is sent again although a replica ended while it had it.
-///
-/// What brought events did run; anything else may have ended the replica as it began to run, and
-/// gets no more replicas than its route allows.
-fn may_follow_end(input: &RetryInput) -> bool {
-    let may_be_sent = input.has_progress || input.replicas_used < input.max_replicas;
-    input.crashes <= CRASHES_BEFORE_RETRY_MAX && may_be_sent
-}
--- a/crates/relay/src/gateway/attempt.rs
+++ b/crates/relay/src/gateway/attempt.rs
@@ -155,7 +155,6 @@
             sends: self.sends,
             remaining_ms: millis(request.time_left()),
             crashes: 0,
-            has_progress: false,
         }
     }
 }
--- a/crates/relay/src/gateway/forward.rs
+++ b/crates/relay/src/gateway/forward.rs
@@ -163,13 +163,12 @@
     }
     let retry_input = RetryInput {
         crashes: standing(gateway, request).crashes,
-        has_progress: failed.has_progress,
         ..retry.retry_input(request)
     };
     let decision = decide_retry(failed.failure, &retry_input);
     if decision == RetryDecision::Elsewhere && may_have_run {
-        // A stream that goes on after the end of its replica does not count.
-        if failed.failure == AttemptFailure::MayHaveRun || !failed.has_progress {
+        // A replica that ended does not count towards the route's limit.
+        if failed.failure == AttemptFailure::MayHaveRun {
             retry.replicas_used += 1;
         }
         retry.excluded.push(replica);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -308,7 +308,7 @@
     CondemnedRefused = 2212, Warn, "condemned_refused",
         ["request", "fingerprint", "crashes", "age_ms", "after_ms"],
         "A request was refused because it has ended replicas, the last one `age_ms` ago; the caller was told to return after `after_ms`.";
-    RunDecided = 2213, Info, "run_decided",
+    RunDecided = 2213, Debug, "run_decided",
         ["request", "fingerprint", "crashes", "replica", "home", "decision"],
         "A home decided whether a suspected request may be sent to a replica; `home` is empty if it is this VM.";
 
