Play a fleet that gets a request that ends replicas, and its forms, copies and restarts

On loopback: bodies that grow, copies at once, lost connections, a VM that starts. Broken on purpose so far: without hashes of heads request_whose_body_grows_ends_three_replicas_at_most fails, without permits copies_sent_at_once_to_all_vms_end_few_replicas.

--- a/crates/relay/tests/gateway/crashes.rs
+++ b/crates/relay/tests/gateway/crashes.rs
@@ -9,7 +9,9 @@
 
 use rstest::rstest;
 
-use crate::support::{ScriptedReplica, TestGateway, header, read_message, start_pair};
+use crate::support::{
+    ScriptedReplica, TestGateway, TestGatewayOptions, header, read_message, start_pair,
+};
 
 /// Number of crashes after which a request must not be sent on.
 const CRASHES_MAX: usize = 3;
@@ -23,6 +25,8 @@
     AtOnce,
     /// It ends in the middle of its stream.
     AfterAnEvent,
+    /// It only closes the connection.
+    ConnectionOnly,
 }
 
 /// A replica that ends, and is back after [`DOWN_TIME`], when it runs a request whose body is
@@ -103,7 +107,10 @@
                 let event = &events[..events.len() / 2];
                 let _ = stream.write_all(format!("{head}{event}").as_bytes());
             }
-            return true;
+            if crash == Crash::ConnectionOnly {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+            return crash != Crash::ConnectionOnly;
         }
         if stream
             .write_all(format!("{head}{events}").as_bytes())
@@ -130,6 +137,10 @@
     start_pair(&listed).into()
 }
 
+fn count_crashes(replicas: &[FragileReplica]) -> usize {
+    replicas.iter().map(FragileReplica::crashes).sum()
+}
+
 /// Guards against a request that is sent on to replica after replica (incident BUDGET).
 #[rstest]
 fn request_that_crashes_replicas_ends_three_at_most(
@@ -144,7 +155,7 @@
         last = vms[index % 2].call(&request(target, &format!("a{index}"), "deadly"));
         innocents.push(vms[(index + 1) % 2].call(&request(target, &format!("i{index}"), "fine")));
     }
-    let crashes: usize = replicas.iter().map(FragileReplica::crashes).sum();
+    let crashes = count_crashes(&replicas);
     assert!(crashes <= CRASHES_MAX, "{crashes} replicas ended");
     assert!(last.starts_with("HTTP/1.1 503"), "{last}");
     let retry_after: f64 = header(&last, "retry-after").unwrap().parse().unwrap();
@@ -153,3 +164,69 @@
         assert!(innocent.starts_with("HTTP/1.1 200"), "{innocent}");
     }
 }
+
+/// Guards against forms of a request that are not recognised, as their bodies have grown.
+#[test]
+fn request_whose_body_grows_ends_three_replicas_at_most() {
+    let replicas = [(); 8].map(|()| FragileReplica::start(Crash::AtOnce));
+    let vms = start_fleet(&replicas);
+    for index in 0..12 {
+        let body = "x".repeat(300 + 50 * index) + "deadly";
+        vms[index % 2].call(&request("/stream/x", &format!("a{index}"), &body));
+    }
+    let crashes = count_crashes(&replicas);
+    assert!(crashes <= CRASHES_MAX, "{crashes} replicas ended");
+}
+
+/// Guards against copies that run side by side and end a replica each.
+#[test]
+fn copies_sent_at_once_to_all_vms_end_few_replicas() {
+    let replicas = [(); 8].map(|()| FragileReplica::start(Crash::AtOnce));
+    let vms = start_fleet(&replicas);
+    vms[0].call(&request("/act/x", "first", "deadly"));
+    thread::scope(|scope| {
+        for index in 0..16 {
+            let vm = &vms[index % 2];
+            scope.spawn(move || vm.call(&request("/act/x", &format!("a{index}"), "deadly")));
+        }
+    });
+    let crashes = count_crashes(&replicas);
+    assert!(crashes <= CRASHES_MAX, "{crashes} replicas ended");
+}
+
+/// Guards against refusing innocent requests: replicas that close connections have not ended.
+#[rstest]
+fn request_whose_connections_are_lost_is_not_refused(
+    #[values("/read/x", "/act/x", "/stream/x")] target: &str,
+) {
+    let replicas = [(); 4].map(|()| FragileReplica::start(Crash::ConnectionOnly));
+    let vms = start_fleet(&replicas);
+    for index in 0..8 {
+        let response = vms[index % 2].call(&request(target, &format!("a{index}"), "deadly"));
+        assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+    }
+    assert_eq!(count_crashes(&replicas), 0);
+}
+
+/// Guards against VMs that start and do not know which requests end replicas.
+#[test]
+fn vm_that_starts_refuses_what_the_others_refuse() {
+    let replicas = [(); 8].map(|()| FragileReplica::start(Crash::AtOnce));
+    let listed: Vec<_> = replicas.iter().map(FragileReplica::listed).collect();
+    let listed: Vec<_> = listed.iter().collect();
+    let first = TestGateway::start(&listed);
+    for index in 0..4 {
+        first.call(&request("/act/x", &format!("a{index}"), "deadly"));
+    }
+    let options = TestGatewayOptions {
+        is_feed_unconfirmed: true,
+        has_no_plan: true,
+        seed: Some(first.peer_address),
+        ..TestGatewayOptions::default()
+    };
+    let second = TestGateway::start_with(&[], options);
+    second.wait_for_vms(2);
+    let response = second.call(&request("/act/x", "b", "deadly"));
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert_eq!(count_crashes(&replicas), CRASHES_MAX);
+}
--- a/crates/relay/tests/gossip/main.rs
+++ b/crates/relay/tests/gossip/main.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod limits;
+mod suspects;
 
 use rstest::rstest;
 
