Start the VM of a test after the others have ceased to repeat what they know

The test passed with VMs that tell a VM that starts nothing, since the rounds repeat changes for 3 s. It fails so now, and passes on the code.

--- a/crates/relay/tests/gateway/crashes.rs
+++ b/crates/relay/tests/gateway/crashes.rs
@@ -18,6 +18,9 @@
 /// Time for which a replica that crashed accepts no connections.
 const DOWN_TIME: Duration = Duration::from_millis(300);
 
+/// Time after which VMs no longer repeat to each other what they have seen.
+const REPEAT_TIME: Duration = Duration::from_millis(3_200);
+
 /// What a replica does with a request that crashes it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Crash {
@@ -218,6 +221,7 @@
     for index in 0..4 {
         first.call(&request("/act/x", &format!("a{index}"), "deadly"));
     }
+    thread::sleep(REPEAT_TIME);
     let options = TestGatewayOptions {
         is_feed_unconfirmed: true,
         has_no_plan: true,
