Let replicas of a test close their listener first when they crash

vm_that_starts_refuses_what_the_others_refuse failed in 3 of 12 runs at a load of 18 with 4 replicas ended, and request_that_crashes_replicas_ends_three_at_most (read, at once) in the one run before; its message was not kept. The stand-in closed its connections, and its listener only when its thread ran again, so a VM could connect to a replica that had ended for longer than the 5 ms in which it waits for the connection to close. The kernel closes the sockets of a process that ends in the order in which they were opened.

--- a/crates/relay/tests/gateway/crashes.rs
+++ b/crates/relay/tests/gateway/crashes.rs
@@ -50,8 +50,7 @@
             loop {
                 let current = listener.take();
                 let current = current.unwrap_or_else(|| TcpListener::bind(address).unwrap());
-                run_until_crash(&current, crash);
-                drop(current);
+                run_until_crash(current, crash);
                 counter.fetch_add(1, Ordering::SeqCst);
                 thread::sleep(DOWN_TIME);
             }
@@ -69,8 +68,9 @@
     }
 }
 
-/// Serves connections until a request crashes the replica, and closes all of them then.
-fn run_until_crash(listener: &TcpListener, crash: Crash) {
+/// Serves connections until a request crashes the replica, and closes all sockets then, the
+/// listener first: the kernel closes those of a process in the order in which it opened them.
+fn run_until_crash(listener: TcpListener, crash: Crash) {
     let streams: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
     let has_crashed = Arc::new(AtomicBool::new(false));
     let address = listener.local_addr().unwrap();
@@ -88,6 +88,7 @@
             }
         });
     }
+    drop(listener);
     for stream in streams.lock().unwrap().iter() {
         let _ = stream.shutdown(Shutdown::Both);
     }
