Move the detection of replicas that end into a file of its own, and rename

gateway/crashes.rs finds out whether a replica ended, gateway/suspects.rs keeps what follows. The hash with the complete body is `full`. Comments use the usual terms.

--- a/crates/relay/src/decide/suspects/fingerprint.rs
+++ b/crates/relay/src/decide/suspects/fingerprint.rs
@@ -7,7 +7,7 @@
 /// Lengths of the heads of a body that are hashed apart, longest first, in bytes.
 const HEAD_BYTES: [usize; 3] = [4_096, 1_024, 256];
 
-/// Hash of a request's path, caller and body, or of a head of its body.
+/// Hash of a request's path, caller and body, or of the first bytes of its body.
 ///
 /// The text form is 32 hexadecimal digits; nothing of the request can be read from it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -34,7 +34,7 @@
 /// grown begins with what it was before, so heads of the body are hashed as well.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestIdentity {
-    whole: RequestFingerprint,
+    full: RequestFingerprint,
     heads: Vec<RequestFingerprint>,
 }
 
@@ -63,15 +63,15 @@
         let mut heads: Vec<_> = shorter.rev().map(|size| hash_to(size, b'h')).collect();
         heads.reverse();
         Self {
-            whole: hash_to(body.len(), b'w'),
+            full: hash_to(body.len(), b'f'),
             heads,
         }
     }
 
-    /// Returns the hash of the whole request.
+    /// Returns the hash with the complete body.
     #[must_use]
-    pub fn whole(&self) -> RequestFingerprint {
-        self.whole
+    pub fn full(&self) -> RequestFingerprint {
+        self.full
     }
 
     /// Returns the hashes of the heads, the longest first.
@@ -80,9 +80,9 @@
         &self.heads
     }
 
-    /// Returns all hashes: that of the whole request, then those of the heads, the longest first.
+    /// Returns all hashes: that with the complete body, then those of the heads, longest first.
     #[must_use]
     pub fn all(&self) -> impl DoubleEndedIterator<Item = RequestFingerprint> {
-        [self.whole].into_iter().chain(self.heads.iter().copied())
+        [self.full].into_iter().chain(self.heads.iter().copied())
     }
 }
--- a/crates/relay/src/decide/suspects/runs.rs
+++ b/crates/relay/src/decide/suspects/runs.rs
@@ -12,8 +12,8 @@
 use crate::decide::limits::StartKey;
 use crate::decide::members::VmKey;
 
-/// Crashes from which a request runs at replicas without other suspects, so that the next crash
-/// tells which one has caused it.
+/// Crashes from which a request runs at replicas without other suspects, so that the cause of
+/// the next crash is known.
 const ALONE_FROM_CRASHES: u8 = 2;
 /// Maximum number of runs that are tracked; further ones are granted.
 const RUNS_MAX: usize = 10_000;
--- a/crates/relay/src/decide/suspects/table.rs
+++ b/crates/relay/src/decide/suspects/table.rs
@@ -9,8 +9,8 @@
 
 /// Number of replicas that a request may end, one after the other, before it is condemned.
 pub const CRASHES_MAX: u8 = 3;
-/// Crashes from which requests that share a head run one at a time, as copies of one request do
-/// from the first crash on; what others of them do tells more of a shared head.
+/// Crashes from which requests that share a head run one at a time; copies of one request do so
+/// from the first crash on.
 const HEAD_PERMIT_CRASHES: u8 = 2;
 /// Time after its last crash for which a request is suspected or condemned, in milliseconds.
 pub const RETENTION_MS: u64 = 10 * 60 * 1_000;
@@ -61,7 +61,7 @@
     }
 }
 
-/// What a VM knows of a fingerprint, as it tells other VMs.
+/// What a VM knows of a fingerprint, as it is sent to other VMs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 pub struct SuspectReport {
@@ -183,7 +183,7 @@
             if history.is_condemned() && standing.condemned.is_none() {
                 standing.condemned = Some(fingerprint);
             }
-            let permit_crashes = if fingerprint == request.whole() {
+            let permit_crashes = if fingerprint == request.full() {
                 1
             } else {
                 HEAD_PERMIT_CRASHES
@@ -197,7 +197,7 @@
 
     /// Records that a replica ended while it had the request, which was sent at `sent_ms`.
     ///
-    /// Returns the changes; there is none if the crash tells nothing new: the copy ran beside one
+    /// Returns the changes; there is none if the crash was counted before: the copy ran beside one
     /// that has been counted, or was sent to a replica that had already ended. Of the fingerprints
     /// that reach [`CRASHES_MAX`] only the longest is condemned, as fewer other requests share it.
     pub fn record_crash(
@@ -233,7 +233,8 @@
         changes
     }
 
-    /// Records that the request was served whole, which one that ends each replica never is.
+    /// Records that the request got a complete response, which one that ends each replica never
+    /// gets.
     pub fn record_served(&mut self, request: &RequestIdentity, now_ms: u64) -> Vec<SuspectChange> {
         let cleared = request.all().collect();
         self.clear(cleared, now_ms)
--- a/crates/relay/src/gateway/attempt.rs
+++ b/crates/relay/src/gateway/attempt.rs
@@ -147,14 +147,16 @@
         }
     }
 
-    pub(crate) fn retry_input(&self, request: &CallerRequest) -> RetryInput {
+    /// Returns the input to the decision on a retry; `crashes` is the number of replicas that have
+    /// ended under the request.
+    pub(crate) fn retry_input(&self, request: &CallerRequest, crashes: u8) -> RetryInput {
         RetryInput {
             kind: request.route.kind,
             max_replicas: request.route.attempts,
             replicas_used: self.replicas_used,
             sends: self.sends,
             remaining_ms: millis(request.time_left()),
-            crashes: 0,
+            crashes,
         }
     }
 }
--- a/crates/relay/src/gateway/forward.rs
+++ b/crates/relay/src/gateway/forward.rs
@@ -16,15 +16,16 @@
 use super::body::ResponseBody;
 use super::budget::BudgetReservation;
 use super::caller_request::{CallerRequest, millis, response_headers};
+use super::crashes::examine_failure;
 use super::limits::{GrantResult, ask_for_grant, is_limited};
 use super::response_memory::HeldBytes;
 use super::runs::{RunPermission, get_permit};
 use super::state::Gateway;
 use super::stream::EventRelay;
-use super::suspects::{examine_failure, record_served, standing};
+use super::suspects::{record_served, standing};
 use crate::decide::{
     AttemptFailure, AttemptOutcome, PlacementChoice, PlacementInput, ReplicaKey, RetryDecision,
-    RetryInput, choose_replicas, decide_retry,
+    choose_replicas, decide_retry,
 };
 use crate::http1::{ExchangeError, ResponseHead};
 use crate::plan::ExecutionSemantics;
@@ -161,11 +162,8 @@
     } else {
         retry.excluded.push(replica);
     }
-    let retry_input = RetryInput {
-        crashes: standing(gateway, request).crashes,
-        ..retry.retry_input(request)
-    };
-    let decision = decide_retry(failed.failure, &retry_input);
+    let crashes = standing(gateway, request).crashes;
+    let decision = decide_retry(failed.failure, &retry.retry_input(request, crashes));
     if decision == RetryDecision::Elsewhere && may_have_run {
         // A replica that ended does not count towards the route's limit.
         if failed.failure == AttemptFailure::MayHaveRun {
@@ -177,7 +175,7 @@
     record_event!(
         AttemptFailed,
         request = request.attempt_id,
-        fingerprint = request.identity().whole(),
+        fingerprint = request.identity().full(),
         replica = retry.replica_id,
         end = format!("{:?}", failed.failure),
         progress = failed.has_progress,
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -166,7 +166,7 @@
     RequestRun { call_id: u64, query: RunQuery },
     /// Reply to `RequestRun`, with what the home knows of the request.
     RunDecided { call_id: u64, reply: RunReply },
-    /// Tells the home of the suspects that a run has ended, and what the VM knows of the request.
+    /// Ends a run at the home of the suspects, with what the VM knows of the request.
     EndRun {
         call_id: u64,
         vm: VmKey,
--- a/crates/relay/src/gateway/mod.rs
+++ b/crates/relay/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod caller_request;
 mod ceilings;
 mod count_losses;
+mod crashes;
 mod directory;
 mod drain;
 mod events;
--- a/crates/relay/src/gateway/stream.rs
+++ b/crates/relay/src/gateway/stream.rs
@@ -14,13 +14,14 @@
 use super::body::{ResponseAborted, ResponseBody};
 use super::budget::BudgetReservation;
 use super::caller_request::{CallerRequest, response_headers};
+use super::crashes::examine_failure;
 use super::events::EventSplitter;
 use super::forward::{record_failure, select_replica};
 use super::in_flight::ReplicaRequestGuard;
 use super::origins::announce_origin;
 use super::response_memory::HeldBytes;
 use super::state::{Gateway, lossy_string};
-use super::suspects::{examine_failure, record_progress, record_served};
+use super::suspects::{record_progress, record_served};
 use super::turns::{TurnOutput, keep_turn};
 use crate::decide::{AttemptOutcome, RetryDecision};
 use crate::http1::{BodyDecoder, ExchangeError, Http1Connection, ResponseHead};
--- a/crates/relay/src/gateway/suspects.rs
+++ b/crates/relay/src/gateway/suspects.rs
@@ -1,31 +1,19 @@
-//! Requests that may have ended replicas: what this VM sees of them and hears from others.
+//! Requests that may have ended replicas, and the exchange of what VMs know of them.
 
-use std::net::{SocketAddr, SocketAddrV4};
-use std::time::Duration;
+use std::net::SocketAddrV4;
 
-use http::HeaderMap;
 use ibisdale_telemetry::record_event;
-use smol::Timer;
 
 use super::admit::GatewayError;
-use super::attempt::{FailedAttempt, RetryState, is_available};
 use super::caller_request::CallerRequest;
 use super::message::PeerMessage;
 use super::peer_link::{peer_addresses, send, spawn_send};
 use super::state::{Gateway, lossy_string};
 use crate::decide::{
-    AttemptFailure, RETENTION_MS, ReplicaKey, RequestIdentity, RequestStanding, SuspectChange,
-    SuspectReport, SuspectTable,
+    RETENTION_MS, ReplicaInfo, RequestIdentity, RequestStanding, SuspectChange, SuspectReport,
+    SuspectTable,
 };
-use crate::http1::Http1Connection;
 
-/// Time in which a replica whose connection was lost has to accept another one, or it is not
-/// known to have ended.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time for which such a connection has to stay open.
-const PROBE_SETTLE_TIME: Duration = Duration::from_millis(5);
-/// Maximum number of such connections.
-const PROBES_MAX: u32 = 2;
 /// Maximum number of suspects in one message; each takes at most 60 bytes.
 const SUSPECTS_PER_MESSAGE: usize = 500;
 /// Time for which a change is repeated in the gossip rounds, in milliseconds; two passes over
@@ -66,100 +54,28 @@
     })
 }
 
-/// Finds out whether a replica ended while it had the request, and records the crash.
-///
-/// A connection may also be lost on the way or closed by a replica that goes on; the replica has
-/// ended if nothing accepts connections at its address.
-pub(crate) async fn examine_failure(
+/// Records that a replica has ended with a request in flight that was sent at `sent_ms`.
+pub(crate) async fn record_crash(
     gateway: &Gateway,
     request: &CallerRequest,
-    retry: &RetryState,
-    replica: ReplicaKey,
-    failed: &mut FailedAttempt,
+    sent_ms: u64,
+    replica: &ReplicaInfo,
 ) {
-    // A replica that drains or leaves ends as planned.
-    let may_be_crash = failed.is_connection_lost && is_available(gateway, retry, replica);
-    if !may_be_crash || !has_ended(gateway, request, replica).await {
-        return;
-    }
-    failed.failure = AttemptFailure::ReplicaEnded;
-    let info = gateway.state.replicas.borrow().get_info(replica).cloned();
-    let Some(info) = info else {
-        return;
-    };
     let changes = {
         let mut suspects = gateway.state.suspects.borrow_mut();
         let (identity, now_ms) = (request.identity(), gateway.now_ms());
-        suspects.record_crash(identity, retry.sent_ms, info.start_key(), now_ms)
+        suspects.record_crash(identity, sent_ms, replica.start_key(), now_ms)
     };
     if changes.is_empty() {
         return;
     }
-    record_changes(
-        &changes,
-        "crash",
-        &lossy_string(&info.id),
-        &request.attempt_id,
-    );
+    let name = lossy_string(&replica.id);
+    record_changes(&changes, "crash", &name, &request.attempt_id);
     // The caller may send the request again, to any VM, as soon as it gets the response.
     announce_suspect(gateway, request.identity()).await;
 }
 
-/// Returns whether nothing accepts connections at a replica's address any more.
-async fn has_ended(gateway: &Gateway, request: &CallerRequest, replica: ReplicaKey) -> bool {
-    if gateway
-        .state
-        .replicas
-        .borrow()
-        .has_ended(replica, gateway.now_ms())
-    {
-        return true;
-    }
-    let info = gateway.state.replicas.borrow().get_info(replica).cloned();
-    let Some(info) = info else {
-        return false;
-    };
-    if !refuses_connections(gateway, replica, info.address).await {
-        return false;
-    }
-    let mut replicas = gateway.state.replicas.borrow_mut();
-    if replicas.record_ended(replica, gateway.now_ms()) {
-        gateway.state.pool.remove_replica(replica);
-        gateway.state.metrics.count_ended_replica();
-        record_event!(
-            ReplicaEnded,
-            replica = lossy_string(&info.id),
-            service = lossy_string(&info.service),
-            address = info.address,
-            in_flight = replicas.in_flight(replica),
-            request = request.attempt_id,
-        );
-    }
-    true
-}
-
-/// Returns whether nothing accepts connections at an address; a connection that is accepted is
-/// kept for the next request.
-async fn refuses_connections(gateway: &Gateway, replica: ReplicaKey, address: SocketAddr) -> bool {
-    for _ in 0..PROBES_MAX {
-        gateway.state.metrics.count_connection();
-        match Http1Connection::open(address, PROBE_TIMEOUT).await {
-            Ok(connection) => {
-                // A process that ends may close its connections before it stops listening.
-                Timer::after(PROBE_SETTLE_TIME).await;
-                if connection.is_reusable() {
-                    let pool = &gateway.state.pool;
-                    pool.put(replica, connection, &HeaderMap::new());
-                    return false;
-                }
-            }
-            Err(error) => return error.is_refused(),
-        }
-    }
-    false
-}
-
-/// Records that a replica has answered a request whole, which clears it of suspicion.
+/// Records that a request got a complete response, which clears it of suspicion.
 pub(crate) fn record_served(gateway: &Gateway, request: &CallerRequest, replica: &str) {
     clear(
         gateway,
--- a/crates/relay/tests/gossip/suspects.rs
+++ b/crates/relay/tests/gossip/suspects.rs
@@ -198,7 +198,7 @@
 
     fn end_permit(&mut self, request: &FleetRequest) {
         if request.has_permit {
-            let fingerprint = request.identity.whole();
+            let fingerprint = request.identity.full();
             self.vms[0].runs.end(fingerprint, request.vm as u64);
         }
     }
--- a/crates/relay/tests/suspects.rs
+++ b/crates/relay/tests/suspects.rs
@@ -37,7 +37,7 @@
     let body = [7; 5_000];
     let (short, long) = (identity(&body[..2_000]), identity(&body));
     assert_eq!(short.heads(), &long.heads()[1..]);
-    assert_ne!(short.whole(), long.whole());
+    assert_ne!(short.full(), long.full());
     assert_eq!(identity(&body[..256]).heads(), []);
 }
 
@@ -115,7 +115,7 @@
         crash(&mut table, &deadly, &[time_ms]);
         table.record_progress(&innocent, time_ms + 5);
     }
-    assert_eq!(table.standing(&deadly).condemned, Some(deadly.whole()));
+    assert_eq!(table.standing(&deadly).condemned, Some(deadly.full()));
     assert_eq!(table.standing(&innocent).crashes, 0);
 }
 
@@ -170,8 +170,8 @@
 
 fn query(table: &SuspectTable, request: &RequestIdentity, start: u64, vm: u64) -> RunQuery {
     RunQuery {
-        fingerprint: request.whole(),
-        history: table.history(request.whole()),
+        fingerprint: request.full(),
+        history: table.history(request.full()),
         start,
         vm,
         max_ms: 1_000,
@@ -186,9 +186,9 @@
     let run = |start, vm| query(&table, &request, start, vm);
     let granted = ledger.decide(&run(1, 1), 100);
     let beside = ledger.decide(&run(2, 2), 150);
-    ledger.end(request.whole(), 2);
+    ledger.end(request.full(), 2);
     let not_its_own = ledger.decide(&run(2, 2), 160);
-    ledger.end(request.whole(), 1);
+    ledger.end(request.full(), 1);
     let after = ledger.decide(&run(2, 2), 170);
     ledger.end_all(2);
     let restarted = ledger.decide(&run(3, 3), 180);
@@ -224,7 +224,7 @@
     assert_eq!(granted, RunDecision::Granted);
     let decision = ledger.decide(&query(&table, &requests[1], 1, 2), 100);
     assert_eq!(decision, expected);
-    ledger.end(requests[1].whole(), 2);
+    ledger.end(requests[1].full(), 2);
     let elsewhere = ledger.decide(&query(&table, &requests[1], 2, 2), 100);
     assert_eq!(elsewhere, RunDecision::Granted);
 }
