Declare a disk whole only by holders that are registered

Cause: a wiped holder that could not read the registrations, as the store was down for it, knew only the one holder that had sent it a message. Once that one had compared its turns, it called its disk whole and its lack of a turn certain. A VM that had read the registrations 5 ms before the third holder's was written knew the same two, so their digests agreed, and one certain lack of two holders is proof where one may be lost.

Why it works: what is whole is measured by the registrations, and without them no lack is certain, so the VM answers 503.

--- a/crates/turns/src/holder_core.rs
+++ b/crates/turns/src/holder_core.rs
@@ -24,6 +24,9 @@
     is_whole: bool,
     /// Holders that have compared all their turns with this disk.
     completed_peers: HashSet<HolderKey>,
+    /// Whether the registered holders were ever set; until then, only those are known that have
+    /// sent a message.
+    has_registrations: bool,
 }
 
 impl HolderCore {
@@ -38,6 +41,7 @@
             repair: RepairPlan::new(info.clone(), copies),
             is_whole,
             completed_peers: HashSet::new(),
+            has_registrations: false,
             info,
         }
     }
@@ -61,7 +65,12 @@
     }
 
     /// Replaces the registered holders.
-    pub fn set_holders(&mut self, mut holders: HolderTable, now_ms: u64) {
+    pub fn set_holders(&mut self, holders: HolderTable, now_ms: u64) {
+        self.has_registrations = true;
+        self.replace_holders(holders, now_ms);
+    }
+
+    fn replace_holders(&mut self, mut holders: HolderTable, now_ms: u64) {
         holders.insert(self.info.clone());
         if self.holders == holders {
             return;
@@ -123,7 +132,7 @@
             // The sender has just started, and the registrations have not been read since.
             let mut holders = self.holders.clone();
             holders.insert(sender.clone());
-            self.set_holders(holders, now_ms);
+            self.replace_holders(holders, now_ms);
         }
         let effect = self
             .repair
@@ -142,8 +151,12 @@
         missing
     }
 
-    /// Declares the disk whole once each other holder has compared its turns with it.
+    /// Declares the disk whole once each registered holder has compared its turns with it.
     fn update_whole(&mut self) {
+        if !self.has_registrations {
+            // Other holders may have turns that belong here too.
+            return;
+        }
         let own = self.info.key();
         let mut others = self.holders.iter().map(HolderInfo::key);
         let is_compared = others.all(|key| key == own || self.completed_peers.contains(&key));
--- a/crates/turns/tests/rules.rs
+++ b/crates/turns/tests/rules.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use ibisdale_turns::copies::CopyPlan;
+use ibisdale_turns::holder_core::HolderCore;
 use ibisdale_turns::holders::{HolderHealth, HolderInfo, HolderTable, rank_holders};
 use ibisdale_turns::lookup::{HolderAnswer, LookupVerdict, TurnLookup};
 use ibisdale_turns::{KeptTurn, TurnCache, TurnKey, join_chain};
@@ -222,3 +223,20 @@
     let body = join_chain(&[first, second], b"new");
     assert_eq!(body, "iione\nitwo\nmore\nnew");
 }
+
+/// Guards against denying turns by the word of a wiped holder that knows a part of the others
+/// (soak seeds 32, 203).
+#[test]
+fn wiped_holder_is_not_whole_before_it_knows_the_registered_holders() {
+    let [own, first, second] = [1, 2, 3].map(|number| holder(number, "a"));
+    let mut core = HolderCore::new(own.clone(), 2, 1_000_000, false);
+    let check = |core: &mut HolderCore, sender: &HolderInfo| {
+        core.answer_check(sender, Some(own.generation), Vec::new(), true, 1);
+        core.is_whole()
+    };
+    let before = check(&mut core, &first);
+    core.set_holders(HolderTable::new([first.clone(), second.clone()]), 2);
+    let after_first = check(&mut core, &first);
+    let after_both = check(&mut core, &second);
+    assert_eq!([before, after_first, after_both], [false, false, true]);
+}
