Read the registrations again soon after the first start of all VMs

Cause: a VM and a holder had read the registrations some milliseconds before that of the third holder was written, and read them again after 5 s only. Both knew the same two holders, so their digests agreed, and the lack of a turn at the one holder that still ran was proof.

Other starts read as before, and deployments that keep no turns too.

--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -401,12 +401,13 @@
         self.state.turns.retire(holder).await
     }
 
-    /// Returns whether turns are to be kept and fewer VMs with a disk are known than get a
-    /// copy.
+    /// Returns whether turns are to be kept and VMs with a disk may be unknown: fewer are known
+    /// than get a copy, or all VMs have started together, and some may not have registered yet.
     #[must_use]
-    pub fn lacks_holders(&self) -> bool {
+    pub fn may_lack_holders(&self) -> bool {
         let keeps_turns = self.plan().is_none_or(|plan| plan.keeps_turns());
-        keeps_turns && self.holders().len() <= self.state.options.tolerated_holders
+        let is_few = self.holders().len() <= self.state.options.tolerated_holders;
+        keeps_turns && (is_few || self.state.options.is_first_start)
     }
 
     /// Fetches the VMs with a disk from another VM, if none is known.
