--- a/review/standins/src/budget.rs
+++ b/review/standins/src/budget.rs
@@ -21,7 +21,9 @@
 fn programs(count: u64, record: &CaseRecord) -> Vec<ProgramClient> {
     // Which VM is the home of a program follows from its name, so each run has the same ones.
     let names = (0..count).map(|number| format!("3fa8{number:02x}"));
-    names.map(|name| ProgramClient::new(&name, BUDGET, record)).collect()
+    names
+        .map(|name| ProgramClient::new(&name, BUDGET, record))
+        .collect()
 }
 
 /// Runs `step` for all programs at the same time.
@@ -58,11 +60,18 @@
             program.program,
             program.tokens,
             program.budget,
-            if program.was_told_spent { ", was told 402" } else { "" },
+            if program.was_told_spent {
+                ", was told 402"
+            } else {
+                ""
+            },
             if is_over { ", OVER" } else { "" },
         ));
     }
-    record.say(&format!("{broken} of {} programs are over their budget", programs.len()));
+    record.say(&format!(
+        "{broken} of {} programs are over their budget",
+        programs.len()
+    ));
     if programs.iter().all(|program| program.tokens == 0) {
         return Err(std::io::Error::other("no turn was served"));
     }
@@ -71,7 +80,10 @@
 
 /// The process of one entry VM is killed and starts again.
 pub fn kill(record: &CaseRecord, has_trouble: bool) -> CaseResult {
-    let plan = DeploymentPlan { fronts: 7, ..DeploymentPlan::default() };
+    let plan = DeploymentPlan {
+        fronts: 7,
+        ..DeploymentPlan::default()
+    };
     let mut deployment = Deployment::start(&plan, record)?;
     let first = deployment.front_address(0);
     let mut programs = programs(28, record);
@@ -112,7 +124,10 @@
 
 /// The process of one entry VM stands still for 3.2 s.
 pub fn freeze(record: &CaseRecord, has_trouble: bool) -> CaseResult {
-    let plan = DeploymentPlan { fronts: 7, ..DeploymentPlan::default() };
+    let plan = DeploymentPlan {
+        fronts: 7,
+        ..DeploymentPlan::default()
+    };
     let deployment = Deployment::start(&plan, record)?;
     let mut programs = programs(28, record);
     let second = deployment.front_address(1);
@@ -145,7 +160,9 @@
     record.say("SIGCONT to the first entry VM");
     thread::sleep(Duration::from_secs(2));
     let fourth = deployment.front_address(3);
-    for_all(&mut programs, |program| spend_rest(program, || Some(fourth)));
+    for_all(&mut programs, |program| {
+        spend_rest(program, || Some(fourth))
+    });
     let result = judge(&programs, record);
     deployment.close();
     result
@@ -153,7 +170,10 @@
 
 /// The connections of the programs' clients are reset, and for a while they use another VM.
 pub fn reset(record: &CaseRecord, has_trouble: bool) -> CaseResult {
-    let plan = DeploymentPlan { fronts: 7, ..DeploymentPlan::default() };
+    let plan = DeploymentPlan {
+        fronts: 7,
+        ..DeploymentPlan::default()
+    };
     let deployment = Deployment::start(&plan, record)?;
     let first = deployment.front_address(0);
     let second = deployment.front_address(1);
--- a/review/standins/src/caller.rs
+++ b/review/standins/src/caller.rs
@@ -145,7 +145,9 @@
     let body = connection.read_whole_body(&head)?;
     let body = Json::parse(&String::from_utf8_lossy(&body)).unwrap_or(Json::Null);
     let addresses = body.get("addrs").list().iter();
-    Ok(addresses.filter_map(|text| text.text().parse().ok()).collect())
+    Ok(addresses
+        .filter_map(|text| text.text().parse().ok())
+        .collect())
 }
 
 /// A program's client, which sends one turn after the other.
@@ -213,7 +215,8 @@
             None => ClientConnection::open(address),
         };
         let Ok(mut connection) = connection else {
-            self.record.line(&format!("{attempt} finds {address} closed"));
+            self.record
+                .line(&format!("{attempt} finds {address} closed"));
             return AttemptResult::default();
         };
         let used = connection.address;
@@ -224,7 +227,11 @@
             result.status,
             result.tokens,
             result.is_whole,
-            if result.status == 200 { "" } else { &result.body }
+            if result.status == 200 {
+                ""
+            } else {
+                &result.body
+            }
         ));
         if is_open {
             self.connection = Some(connection);
--- a/review/standins/src/chains.rs
+++ b/review/standins/src/chains.rs
@@ -45,7 +45,11 @@
         Ok(mut connection) => connection.exchange(&request).0,
         Err(_) => AttemptResult::default(),
     };
-    let text = if result.status == 200 { "" } else { &result.body };
+    let text = if result.status == 200 {
+        ""
+    } else {
+        &result.body
+    };
     record.line(&format!(
         "{attempt} gets {}, whole: {} {text}",
         result.status, result.is_whole
--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -1,35 +1,37 @@
 //! A small deployment on loopback addresses: store, replicas and entry VMs.
 
-use std::collections::HashSet;
 use std::fs;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
 use std::path::PathBuf;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::caller::{HOST, KEY, resolve};
 use crate::record::CaseRecord;
-use crate::replica::{ReplicaRules, RunLog, StandinReplica};
+use crate::replica::{RunLog, StandinReplica};
 use crate::store::StandinStore;
 use crate::vm::{VmProcess, VmRole};
 
 /// Zones of the deployment.
-const ZONES: [&str; 4] = ["be-central-a", "be-central-b", "be-central-c", "be-central-d"];
+const ZONES: [&str; 4] = [
+    "be-central-a",
+    "be-central-b",
+    "be-central-c",
+    "be-central-d",
+];
 /// Time between the beats of a replica.
 const BEAT_INTERVAL: Duration = Duration::from_millis(1_200);
 /// Longest wait for the VMs to be ready.
 const READY_TIME: Duration = Duration::from_secs(15);
 
 /// Size of a deployment and what differs from the usual one.
-#[derive(Clone, Default)]
+#[derive(Clone, Copy, Default)]
 pub struct DeploymentPlan {
     pub fronts: u8,
     pub stores: u8,
     /// Whether the system keeps the turns.
     pub retain: bool,
-    pub rules: ReplicaRules,
 }
 
 /// A running deployment; its processes end when it is dropped.
@@ -38,9 +40,7 @@
     pub stores: Vec<VmProcess>,
     pub store: StandinStore,
     pub runs: RunLog,
-    pub record: CaseRecord,
-    /// Replicas that write no entries any more.
-    left: Arc<Mutex<HashSet<String>>>,
+    record: CaseRecord,
     folder: PathBuf,
 }
 
@@ -74,7 +74,7 @@
             let ip = Ipv4Addr::new(127, network[0], network[1], host);
             TcpListener::bind(SocketAddrV4::new(ip, port)).is_ok()
         };
-        let probes = [(11, 8368), (11, 8360), (11, 7780), (11, 9464), (161, 8362)];
+        let probes = [(11, 8368), (11, 8360), (11, 7780), (11, 9464), (200, 8362)];
         if probes.into_iter().all(is_free) {
             return Ok(network);
         }
@@ -90,25 +90,34 @@
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let store = StandinStore::new();
+        let store_address = SocketAddr::from((ip(200), 8362));
+        store.listen(store_address)?;
         store.write("op/config", &configuration(plan));
         let runs = RunLog::default();
-        let left: Arc<Mutex<HashSet<String>>> = Arc::default();
         for (service, first_host, count, slots) in
             [("huvo11a", 100_u8, 4_u8, 96), ("wuno96b", 120, 4, 6)]
         {
             for number in 0..count {
                 let id = format!("i-{service}{number}");
                 let address = SocketAddr::from((ip(first_host + number), 8080));
-                StandinReplica::start(&id, address, &runs, record, plan.rules.clone())?;
+                StandinReplica::start(&id, address, &runs, record)?;
                 let zone = ZONES[usize::from(number) % ZONES.len()].to_owned();
-                let (store, left) = (store.clone(), Arc::clone(&left));
+                let store = store.clone();
                 thread::spawn(move || {
-                    let entry = ReplicaEntry { id, service, address, zone, slots };
-                    beat(&store, &left, &entry);
+                    let entry = ReplicaEntry {
+                        id,
+                        service,
+                        address,
+                        zone,
+                        slots,
+                    };
+                    beat(&store, &entry);
                 });
             }
         }
-        let seeds: Vec<Ipv4Addr> = (0..plan.fronts.min(3)).map(|number| ip(11 + number)).collect();
+        let seeds: Vec<Ipv4Addr> = (0..plan.fronts.min(3))
+            .map(|number| ip(11 + number))
+            .collect();
         let build = |role: VmRole, number: u8| {
             let zone = ZONES[usize::from(number) % ZONES.len()];
             let round = usize::from(number) / ZONES.len() + 1;
@@ -117,24 +126,17 @@
                 VmRole::Store => ("store", 51),
             };
             let name = format!("{class}-{zone}-{round}");
-            let host = first_host + number;
-            let store_address = SocketAddr::from((ip(150 + host), 8362));
-            store.listen(store_address, &name)?;
-            let parts = (name, ip(host), role, zone.to_owned());
-            let store_address = store_address.to_string();
-            Ok(VmProcess::new(parts, &store_address, &seeds, &folder))
+            let parts = (name, ip(first_host + number), role, zone.to_owned());
+            VmProcess::new(parts, &store_address.to_string(), &seeds, &folder)
         };
         let fronts = (0..plan.fronts).map(|number| build(VmRole::Front, number));
-        let fronts: io::Result<Vec<VmProcess>> = fronts.collect();
         let stores = (0..plan.stores).map(|number| build(VmRole::Store, number));
-        let stores: io::Result<Vec<VmProcess>> = stores.collect();
         let mut deployment = Self {
-            fronts: fronts?,
-            stores: stores?,
+            fronts: fronts.collect(),
+            stores: stores.collect(),
             store,
             runs,
             record: record.clone(),
-            left,
             folder,
         };
         let processes = deployment.stores.iter_mut().chain(&mut deployment.fronts);
@@ -149,9 +151,10 @@
     fn wait_until_ready(&self) -> io::Result<()> {
         let started = Instant::now();
         while started.elapsed() < READY_TIME {
-            let is_ready = self.fronts.iter().all(|front| {
-                resolve(&[front.ip], "be-central-a").len() == self.fronts.len()
-            });
+            let is_ready = self
+                .fronts
+                .iter()
+                .all(|front| resolve(&[front.ip], "be-central-a").len() == self.fronts.len());
             let holders = self.store.count("ibisdale/vm-holder/");
             if is_ready && holders == self.stores.len() {
                 self.record.line("all VMs are ready");
@@ -173,23 +176,6 @@
         self.fronts.iter().map(|front| front.ip).collect()
     }
 
-    /// A replica leaves without reporting `draining`: its entry is removed, and it goes on
-    /// serving.
-    pub fn leave(&self, id: &str) {
-        let mut left = self.left.lock().unwrap_or_else(PoisonError::into_inner);
-        left.insert(id.to_owned());
-        self.store.remove(&format!("servers/{id}"));
-    }
-
-    /// Names the entry VMs whose process has ended without a signal.
-    pub fn ended_processes(&mut self) -> Vec<String> {
-        let processes = self.fronts.iter_mut().chain(&mut self.stores);
-        let ended = processes.filter_map(|process| {
-            (!process.is_running()).then(|| process.name.clone())
-        });
-        ended.collect()
-    }
-
     /// Ends all processes and removes the folder.
     pub fn close(mut self) {
         self.fronts.clear();
@@ -211,8 +197,8 @@
     slots: u32,
 }
 
-/// Writes a replica's entry at intervals, as the replica does, until it leaves.
-fn beat(store: &StandinStore, left: &Mutex<HashSet<String>>, replica: &ReplicaEntry) {
+/// Writes a replica's entry at intervals, as the replica does.
+fn beat(store: &StandinStore, replica: &ReplicaEntry) {
     let ReplicaEntry {
         id,
         service,
@@ -228,13 +214,7 @@
              \"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"cold_left_ms\":0,\
              \"born\":{born},\"seq\":{seq}}}"
         );
-        {
-            let left = left.lock().unwrap_or_else(PoisonError::into_inner);
-            if left.contains(id) {
-                return;
-            }
-            store.write(&format!("servers/{id}"), &entry);
-        }
+        store.write(&format!("servers/{id}"), &entry);
         thread::sleep(BEAT_INTERVAL);
     }
 }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -29,8 +29,7 @@
         eprintln!("usage: review-case CASE RECORD");
         return ExitCode::from(2);
     };
-    let has_trouble = std::env::var("TROUBLE").is_ok_and(|value| value != "0")
-        || std::env::var_os("TROUBLE").is_none();
+    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = match CaseRecord::create(Path::new(path)) {
         Ok(record) => record,
         Err(error) => {
@@ -39,6 +38,7 @@
         }
     };
     record.say(&format!("case {case}, disruption: {has_trouble}"));
+    vm::watch();
     let result = match case.as_str() {
         "kill" => budget::kill(&record, has_trouble),
         "freeze" => budget::freeze(&record, has_trouble),
--- a/review/standins/src/memory.rs
+++ b/review/standins/src/memory.rs
@@ -66,7 +66,9 @@
             thread::sleep(Duration::from_secs(1).saturating_sub(started.elapsed()));
         }
         let attempt = format!("{run:x}-{number}-b");
-        record.line(&format!("{attempt} with {BODY_BYTES} bytes is sent to {address}"));
+        record.line(&format!(
+            "{attempt} with {BODY_BYTES} bytes is sent to {address}"
+        ));
         let (result, _) = connection.exchange(&request(&attempt, BODY_BYTES));
         record.line(&format!("{attempt} gets {}", result.status));
         Some((attempt, result))
@@ -80,7 +82,9 @@
                 if let Some((now, highest)) = resident_bytes(process) {
                     peak = peak.max(highest);
                     if now > MEMORY_BYTES {
-                        record.say(&format!("the process has {now} bytes; the platform kills it"));
+                        record.say(&format!(
+                            "the process has {now} bytes; the platform kills it"
+                        ));
                         front.kill();
                         return (true, peak);
                     }
@@ -103,15 +107,20 @@
         let killed = platform.join().unwrap_or((false, 0));
         (results, killed)
     });
-    record.say(&format!("peak of the memory: {} bytes of {MEMORY_BYTES}", killed.1));
-    let ran: Vec<String> = deployment.runs.all().into_iter().map(|run| run.attempt).collect();
+    record.say(&format!(
+        "peak of the memory: {} bytes of {MEMORY_BYTES}",
+        killed.1
+    ));
+    let ran = deployment.runs.all();
     let mut lost = 0;
     let mut served = 0;
     for (attempt, result) in results.iter().flatten() {
         served += usize::from(result.status == 200 && result.is_whole);
         if result.status == 0 && ran.contains(attempt) {
             lost += 1;
-            record.say(&format!("{attempt} was run and its connection closed without an answer"));
+            record.say(&format!(
+                "{attempt} was run and its connection closed without an answer"
+            ));
         }
     }
     record.say(&format!(
--- a/review/standins/src/replica.rs
+++ b/review/standins/src/replica.rs
@@ -1,6 +1,5 @@
 //! Stand-in for a replica: an engine that streams events, or a plain service.
 
-use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -16,49 +15,30 @@
 /// Tokens in an event.
 pub const TOKENS_PER_EVENT: u64 = 2;
 
-/// One run of a request.
-#[derive(Clone, Debug)]
-pub struct RunRecord {
-    pub attempt: String,
-    pub replica: String,
-    pub tenant: String,
-    pub body: String,
-    /// Time of the arrival, as in the record.
-    pub at_ms: u128,
-}
-
-/// Runs of all replicas.
+/// Attempts that replicas have begun to run.
 #[derive(Clone, Default)]
 pub struct RunLog {
-    runs: Arc<Mutex<Vec<RunRecord>>>,
+    attempts: Arc<Mutex<Vec<String>>>,
 }
 
 impl RunLog {
-    fn push(&self, run: RunRecord) {
-        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
-        runs.push(run);
+    fn push(&self, attempt: &str) {
+        let mut attempts = self.attempts.lock().unwrap_or_else(PoisonError::into_inner);
+        attempts.push(attempt.to_owned());
     }
 
-    pub fn all(&self) -> Vec<RunRecord> {
-        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
-        runs.clone()
+    pub fn all(&self) -> Vec<String> {
+        let attempts = self.attempts.lock().unwrap_or_else(PoisonError::into_inner);
+        attempts.clone()
     }
 }
 
-/// How a replica answers requests on some paths.
-#[derive(Clone, Default)]
-pub struct ReplicaRules {
-    /// Size of a plain answer, in bytes, by a part of the path.
-    pub body_bytes: HashMap<String, usize>,
-}
-
 /// A replica.
 #[derive(Clone)]
 pub struct StandinReplica {
     pub id: String,
     runs: RunLog,
     record: CaseRecord,
-    rules: ReplicaRules,
 }
 
 impl StandinReplica {
@@ -67,14 +47,12 @@
         address: SocketAddr,
         runs: &RunLog,
         record: &CaseRecord,
-        rules: ReplicaRules,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         let replica = Self {
             id: id.to_owned(),
             runs: runs.clone(),
             record: record.clone(),
-            rules,
         };
         let server = replica.clone();
         thread::spawn(move || {
@@ -89,21 +67,17 @@
     fn serve(&self, stream: TcpStream) {
         let mut connection = HttpConnection::new(stream);
         while let Ok(head) = connection.read_head() {
-            let Ok(body) = connection.read_whole_body(&head) else {
+            // The body is read and not used.
+            if connection.read_body(&head, |_| {}).is_err() {
                 return;
-            };
-            if self.answer(&mut connection, &head, &body).is_err() {
+            }
+            if self.answer(&mut connection, &head).is_err() {
                 return;
             }
         }
     }
 
-    fn answer(
-        &self,
-        connection: &mut HttpConnection,
-        head: &MessageHead,
-        body: &[u8],
-    ) -> std::io::Result<()> {
+    fn answer(&self, connection: &mut HttpConnection, head: &MessageHead) -> std::io::Result<()> {
         let attempt = head.field("x-ibisdale-attempt-id").unwrap_or_default();
         let echo = format!("X-Ibisdale-Attempt-Id: {attempt}\r\n");
         let target = head.field("x-ibisdale-target-instance");
@@ -112,16 +86,9 @@
             return connection.send(&response(421, &fields, ""));
         }
         let path = head.second_word();
-        let run = RunRecord {
-            attempt: attempt.to_owned(),
-            replica: self.id.clone(),
-            tenant: head.field("x-ibisdale-tenant").unwrap_or_default().into(),
-            body: String::from_utf8_lossy(body).into_owned(),
-            at_ms: self.record.now_ms(),
-        };
         self.record
             .line(&format!("replica {} runs {attempt} {path}", self.id));
-        self.runs.push(run);
+        self.runs.push(attempt);
         let sealed = format!(
             "{echo}X-Ibisdale-Response-Seal: {}.{attempt}\r\nX-Ibisdale-Server-Load: 1,0,96\r\n",
             self.id
@@ -134,12 +101,7 @@
             return send_stream(connection, &sealed, attempt, first, events);
         }
         thread::sleep(SERVICE_TIME);
-        let mut rules = self.rules.body_bytes.iter();
-        let size = rules.find(|(part, _)| path.contains(part.as_str()));
-        let text = match size {
-            Some((_, size)) => "x".repeat(*size),
-            None => format!("done {attempt}"),
-        };
+        let text = format!("done {attempt}");
         connection.send(&response(200, &sealed, &text))
     }
 }
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -29,8 +29,6 @@
     leases: BTreeMap<u64, (Duration, Instant)>,
     /// Events by revision: key and JSON.
     history: Vec<(u64, String, String)>,
-    /// VMs that have watched the entries of the replicas, and when they last did.
-    watchers: BTreeMap<String, Instant>,
 }
 
 impl StoreState {
@@ -116,14 +114,14 @@
         store
     }
 
-    /// Serves one VM at an address of its own.
-    pub fn listen(&self, address: SocketAddr, vm: &str) -> std::io::Result<()> {
+    /// Serves at an address.
+    pub fn listen(&self, address: SocketAddr) -> std::io::Result<()> {
         let listener = TcpListener::bind(address)?;
-        let (server, vm) = (self.clone(), vm.to_owned());
+        let server = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (server, vm) = (server.clone(), vm.clone());
-                thread::spawn(move || server.serve(stream, &vm));
+                let server = server.clone();
+                thread::spawn(move || server.serve(stream));
             }
         });
         Ok(())
@@ -136,22 +134,6 @@
         self.shared.1.notify_all();
     }
 
-    /// Removes a key as the platform does when a replica leaves.
-    pub fn remove(&self, key: &str) {
-        self.lock().change(&[], &[key.to_owned()]);
-        self.shared.1.notify_all();
-    }
-
-    /// Returns the VMs that have watched the replicas in the last two seconds.
-    pub fn watchers(&self) -> Vec<String> {
-        let state = self.lock();
-        let recent = state.watchers.iter();
-        recent
-            .filter(|(_, at)| at.elapsed() < Duration::from_secs(2))
-            .map(|(vm, _)| vm.clone())
-            .collect()
-    }
-
     /// Returns the number of items under a prefix.
     pub fn count(&self, prefix: &str) -> usize {
         let state = self.lock();
@@ -163,16 +145,13 @@
         self.shared.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn serve(&self, stream: TcpStream, vm: &str) {
+    fn serve(&self, stream: TcpStream) {
         let mut connection = HttpConnection::new(stream);
         while let Ok(head) = connection.read_head() {
             let Ok(body) = connection.read_whole_body(&head) else {
                 return;
             };
             thread::sleep(ANSWER_TIME);
-            if head.second_word().contains("kv-watch?prefix=servers/") {
-                self.lock().watchers.insert(vm.to_owned(), Instant::now());
-            }
             let method = head.first_line.split(' ').next().unwrap_or_default();
             let body = String::from_utf8_lossy(&body).into_owned();
             let (status, answer) = self.handle(method, head.second_word(), &body);
--- a/review/standins/src/vm.rs
+++ b/review/standins/src/vm.rs
@@ -5,7 +5,14 @@
 use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
+use std::sync::{Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+/// Identifiers of the running processes, for [`watch`].
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+/// Time after which a case is given up.
+const CASE_TIME: Duration = Duration::from_secs(116);
 
 /// Role of a VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,7 +58,9 @@
     pub fn start(&mut self) -> io::Result<()> {
         let settings = self.folder.join(format!("{}.toml", self.name));
         fs::write(&settings, self.settings())?;
-        let log = self.folder.join(format!("{}-{}.log", self.name, self.starts));
+        let log = self
+            .folder
+            .join(format!("{}-{}.log", self.name, self.starts));
         let log = File::create(log)?;
         let arguments: &[&str] = match self.role {
             VmRole::Front => &["--metrics-port", "9464"],
@@ -64,6 +73,10 @@
             .stderr(log.try_clone()?)
             .stdout(log)
             .spawn()?;
+        RUNNING
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(child.id());
         self.child = Some(child);
         self.starts += 1;
         Ok(())
@@ -71,7 +84,11 @@
 
     fn settings(&self) -> String {
         let Self { name, ip, zone, .. } = self;
-        let seeds: Vec<String> = self.seeds.iter().map(|ip| format!("\"{ip}:8367\"")).collect();
+        let seeds: Vec<String> = self
+            .seeds
+            .iter()
+            .map(|ip| format!("\"{ip}:8367\""))
+            .collect();
         let seeds = seeds.join(",");
         let bootstrap = self.starts == 0;
         let (class, serves, counts) = match self.role {
@@ -125,12 +142,6 @@
         self.child.as_ref().map(Child::id)
     }
 
-    /// Returns whether the process is still running.
-    pub fn is_running(&mut self) -> bool {
-        let child = self.child.as_mut();
-        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
-
     /// Sends a signal by name, as `kill -NAME` does.
     pub fn signal(&self, name: &str) -> io::Result<()> {
         let Some(child) = &self.child else {
@@ -144,24 +155,16 @@
     /// Kills the process with SIGKILL and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
+            let id = child.id();
+            RUNNING
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .retain(|running| *running != id);
             // Fails if it has ended already.
             let _ = child.kill();
             let _ = child.wait();
         }
     }
-
-    /// Waits for the process to end; returns whether it did in time.
-    pub fn wait_for_end(&mut self, limit: Duration) -> bool {
-        let started = Instant::now();
-        while started.elapsed() < limit {
-            if !self.is_running() {
-                self.child = None;
-                return true;
-            }
-            std::thread::sleep(Duration::from_millis(10));
-        }
-        false
-    }
 }
 
 impl Drop for VmProcess {
@@ -170,3 +173,17 @@
         self.kill();
     }
 }
+
+/// Ends all processes and this one if the case takes too long.
+pub fn watch() {
+    thread::spawn(|| {
+        thread::sleep(CASE_TIME);
+        let running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+        for id in running.iter() {
+            let command = format!("kill -KILL {id}");
+            // Nothing else can be done if it fails.
+            let _ = Command::new("sh").args(["-c", &command]).status();
+        }
+        std::process::exit(2);
+    });
+}
