--- a/crates/relay/src/gateway/budget.rs
+++ b/crates/relay/src/gateway/budget.rs
@@ -235,6 +235,8 @@
     });
     let replies = join_all(calls).await;
     let is_uncertain = has_recent_loss || replies.iter().any(Option::is_none);
+    let asked = replies.len();
+    let answered = replies.iter().flatten().count();
     let now_ms = gateway.now_ms();
     let mut budgets = gateway.state.budgets.borrow_mut();
     for reply in replies.into_iter().flatten() {
@@ -243,12 +245,14 @@
         }
     }
     budgets.take_over(program, budget, is_uncertain, now_ms);
-    if is_uncertain {
-        let shares = budgets.shares(program).len();
+    if asked > 0 || is_uncertain {
         record_event!(
             BudgetTakenOver,
             program = format!("{program:x}"),
-            shares = shares,
+            asked = asked,
+            answered = answered,
+            shares = budgets.shares(program).len(),
+            total = budgets.total(program),
             uncertain = is_uncertain,
         );
     }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -286,7 +286,8 @@
     BudgetSpent = 2204, Info, "budget_spent",
         ["request", "program", "budget", "tokens", "total"], "A call was refused because it would exceed its program's budget.";
     BudgetTakenOver = 2205, Info, "budget_taken_over",
-        ["program", "shares", "uncertain"], "The VM took over the budget of a program; usage that another VM counted may be missing.";
+        ["program", "asked", "answered", "shares", "total", "uncertain"],
+        "The VM took over the budget of a program, of which `answered` of `asked` VMs told what they know; where `uncertain`, usage that another VM counted may be missing.";
     CeilingStored = 2206, Info, "ceiling_stored",
         ["program", "ceiling", "stored"], "An attempt to store a program's token ceiling has ended; `stored` is its result.";
     RateRefused = 2207, Info, "rate_refused",
