--- /dev/null
+++ b/crates/relay/src/decide/budget/ledger.rs
@@ -0,0 +1,427 @@
+//! Token usage of all programs that a VM knows, and the decisions of their homes.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::account::ProgramAccount;
+use super::ceiling::{CeilingClaim, StoredCeiling};
+use super::share::{AccountCopy, BudgetShare, ProgramKey, VmProcess};
+use super::takeover::TakeoverFinding;
+use crate::decide::members::VmKey;
+use ibisdale_core::rendezvous_weight;
+
+/// Part of a budget that is granted without a stored ceiling, in percent. A program whose
+/// counts may be lost is assumed to have spent it; most programs end below it.
+const NO_CEILING_PERCENT: u64 = 33;
+/// Part of a budget by which a new ceiling exceeds the current usage, in percent.
+const CEILING_STEP_PERCENT: u64 = 33;
+/// Retention time of programs with open reservations, as a multiple of the normal one.
+const RESERVED_RETENTION_FACTOR: u64 = 4;
+
+/// Decision on a request for tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub enum BudgetVerdict {
+    /// The call may run.
+    Granted {
+        /// No other tokens of the program are counted.
+        is_first: bool,
+    },
+    /// The remaining budget is too small for the call.
+    Spent {
+        /// Tokens spent or reserved.
+        total: u64,
+    },
+    /// The call may run once this ceiling is stored.
+    NeedsCeiling {
+        /// Tokens that may be delivered under the ceiling.
+        ceiling: u64,
+    },
+}
+
+/// Token usage and ceilings of the programs known to this VM.
+#[derive(Clone, Debug)]
+pub struct BudgetLedger {
+    own: VmProcess,
+    programs: HashMap<ProgramKey, ProgramAccount>,
+    ceilings: HashMap<ProgramKey, StoredCeiling>,
+    /// Number of the share that this process began last.
+    last_series: u64,
+}
+
+impl BudgetLedger {
+    /// Creates an empty ledger for one incarnation of a VM.
+    #[must_use]
+    pub fn new(vm: VmKey, incarnation: u64) -> Self {
+        Self {
+            own: VmProcess { vm, incarnation },
+            programs: HashMap::new(),
+            ceilings: HashMap::new(),
+            last_series: 0,
+        }
+    }
+
+    /// Returns the process whose ledger this is.
+    #[must_use]
+    pub fn process(&self) -> VmProcess {
+        self.own
+    }
+
+    /// Reserves `tokens` in this VM's share for a call that is not granted yet and returns the
+    /// share.
+    pub fn reserve(&mut self, program: ProgramKey, tokens: u64, now_ms: u64) -> BudgetShare {
+        let account = self.programs.entry(program).or_default();
+        account.pending += tokens;
+        self.update_own_share(program, now_ms, |share| share.reserved += tokens)
+    }
+
+    /// Counts a reservation of this VM as granted.
+    pub fn commit(&mut self, program: ProgramKey, tokens: u64) {
+        if let Some(account) = self.programs.get_mut(&program) {
+            account.pending = account.pending.saturating_sub(tokens);
+        }
+    }
+
+    /// Counts a reservation of this VM as not granted.
+    pub fn suspend(&mut self, program: ProgramKey, tokens: u64) {
+        if let Some(account) = self.programs.get_mut(&program) {
+            account.pending += tokens;
+        }
+    }
+
+    /// Ends a granted reservation of `reserved` tokens, `spent` of which were delivered.
+    pub fn settle(
+        &mut self,
+        program: ProgramKey,
+        reserved: u64,
+        spent: u64,
+        now_ms: u64,
+    ) -> BudgetShare {
+        self.update_own_share(program, now_ms, |share| {
+            share.reserved = share.reserved.saturating_sub(reserved);
+            share.spent += spent;
+        })
+    }
+
+    /// Changes this VM's share and increments its version.
+    fn update_own_share(
+        &mut self,
+        program: ProgramKey,
+        now_ms: u64,
+        change: impl FnOnce(&mut BudgetShare),
+    ) -> BudgetShare {
+        let account = self.programs.entry(program).or_default();
+        account.updated_ms = now_ms;
+        if account.own_series == 0 {
+            self.last_series += 1;
+            account.own_series = self.last_series;
+        }
+        let new = BudgetShare {
+            vm: self.own.vm,
+            incarnation: self.own.incarnation,
+            series: account.own_series,
+            sequence: 0,
+            spent: 0,
+            reserved: 0,
+        };
+        let share = account.shares.entry(new.key()).or_insert(new);
+        share.sequence += 1;
+        change(share);
+        *share
+    }
+
+    /// Merges a share that another VM reported.
+    pub fn merge_share(&mut self, program: ProgramKey, share: BudgetShare, now_ms: u64) {
+        let account = self.programs.entry(program).or_default();
+        account.updated_ms = now_ms;
+        account.merge(share);
+    }
+
+    /// Merges what another VM knows of an account; returns whether it knows the latest epoch.
+    pub fn merge_copy(&mut self, program: ProgramKey, copy: &AccountCopy, now_ms: u64) -> bool {
+        let account = self.programs.entry(program).or_default();
+        account.updated_ms = now_ms;
+        let is_latest = copy.epoch >= account.epoch;
+        account.merge_copy(copy, self.own, now_ms);
+        is_latest
+    }
+
+    /// Accepts the copy of a home as its witness; returns `false` if this VM knows a later
+    /// epoch or a preferred home of the same epoch.
+    ///
+    /// The shares are merged in both cases.
+    pub fn accept(&mut self, program: ProgramKey, copy: &AccountCopy, now_ms: u64) -> bool {
+        let account = self.programs.entry(program).or_default();
+        let rival = account.role.filter(|role| role.epoch == account.epoch);
+        let is_accepted = match (copy.role, rival) {
+            (Some(role), Some(rival)) if copy.epoch == account.epoch => {
+                let weight = |vm| rendezvous_weight(program, vm);
+                role.home == rival.home || weight(role.home.vm) > weight(rival.home.vm)
+            }
+            (Some(_), _) => copy.epoch > account.epoch,
+            (None, _) => false,
+        };
+        if is_accepted {
+            // Yields to the preferred home of the same epoch.
+            account.role = None;
+        }
+        account.updated_ms = now_ms;
+        if is_accepted {
+            account.merge_copy(copy, self.own, now_ms);
+        } else {
+            for share in &copy.shares {
+                if share.key() != (self.own, account.own_series) {
+                    account.merge(*share);
+                }
+            }
+        }
+        is_accepted
+    }
+
+    /// Ends the epoch of a program for another VM that takes over the role of its home, and
+    /// returns what this VM knew; `None` if it knows nothing.
+    pub fn yield_role(&mut self, program: ProgramKey, now_ms: u64) -> Option<AccountCopy> {
+        let account = self.programs.get_mut(&program)?;
+        let copy = account.copy(self.own, now_ms);
+        account.epoch += 1;
+        Some(copy)
+    }
+
+    /// Returns the tokens that are spent or reserved, as known to this VM.
+    #[must_use]
+    pub fn total(&self, program: ProgramKey) -> u64 {
+        self.programs.get(&program).map_or(0, ProgramAccount::total)
+    }
+
+    /// Returns what this VM knows of a program; `None` if it knows nothing.
+    #[must_use]
+    pub fn copy(&self, program: ProgramKey, now_ms: u64) -> Option<AccountCopy> {
+        let account = self.programs.get(&program)?;
+        Some(account.copy(self.own, now_ms))
+    }
+
+    /// Returns all known shares of a program.
+    #[must_use]
+    pub fn shares(&self, program: ProgramKey) -> Vec<BudgetShare> {
+        let account = self.programs.get(&program);
+        account.map_or_else(Vec::new, |account| account.copy(self.own, 0).shares)
+    }
+
+    /// Returns all known programs.
+    pub fn programs(&self) -> impl Iterator<Item = ProgramKey> {
+        self.programs.keys().copied()
+    }
+
+    /// Returns the programs of whose latest role this VM is a member.
+    pub fn member_programs(&self) -> impl Iterator<Item = ProgramKey> {
+        let own = self.own;
+        let programs = self.programs.iter();
+        programs
+            .filter(move |(_, account)| account.role.is_some_and(|role| role.has_member(own)))
+            .map(|(program, _)| *program)
+    }
+
+    /// Records a ceiling that was read from the store.
+    pub fn record_ceiling(&mut self, program: ProgramKey, stored: StoredCeiling) {
+        self.ceilings.insert(program, stored);
+    }
+
+    /// Records that this VM has stored a claim as the program's home.
+    pub fn record_claim(&mut self, claim: CeilingClaim) {
+        let Some(account) = self.programs.get_mut(&claim.program) else {
+            return;
+        };
+        let is_current = account
+            .role
+            .is_some_and(|role| role.home == self.own && role.record() == claim.owner);
+        if is_current {
+            account.ceiling = account.ceiling.max(claim.ceiling);
+            account.record = claim.owner;
+            account.needs_record = false;
+        }
+    }
+
+    /// Returns this VM's claim of a ceiling as the program's home.
+    #[must_use]
+    pub fn claim(&self, program: ProgramKey, ceiling: u64) -> CeilingClaim {
+        let account = self.programs.get(&program);
+        let role = account.and_then(|account| account.role);
+        CeilingClaim {
+            program,
+            ceiling,
+            owner: role.map_or(0, |role| role.record()),
+            replaces: account.map_or([0; 2], |account| [account.record, account.previous_record]),
+        }
+    }
+
+    /// Counts a record that another home has stored and whose grants are not known here as
+    /// spent.
+    pub fn adopt_record(&mut self, program: ProgramKey, budget: u64, stored: StoredCeiling) {
+        if let Some(account) = self.programs.get_mut(&program) {
+            account.assume_spent(Some(stored), free_tokens(budget));
+        }
+    }
+
+    /// Returns whether this VM acts as the program's home.
+    #[must_use]
+    pub fn is_home(&self, program: ProgramKey) -> bool {
+        let account = self.programs.get(&program);
+        account.is_some_and(|account| account.is_home(self.own))
+    }
+
+    /// Returns whether the home has stored a record of its epoch.
+    #[must_use]
+    pub fn is_recorded(&self, program: ProgramKey) -> bool {
+        let account = self.programs.get(&program);
+        account.is_some_and(ProgramAccount::is_recorded)
+    }
+
+    /// Makes this VM the program's home; the copies of its peers must be merged before.
+    pub fn take_over(
+        &mut self,
+        program: ProgramKey,
+        budget: u64,
+        finding: TakeoverFinding,
+        now_ms: u64,
+    ) {
+        let stored = self.ceilings.get(&program).copied();
+        let account = self.programs.entry(program).or_default();
+        account.updated_ms = now_ms;
+        if account.is_home(self.own) {
+            return;
+        }
+        if finding.may_miss_tokens {
+            account.assume_spent(stored, free_tokens(budget));
+        }
+        account.begin_epoch(self.own, now_ms);
+        account.needs_record = finding.needs_record;
+    }
+
+    /// Begins an epoch whose record has to be stored, since the regular witness of the
+    /// program does not reply.
+    pub fn require_record(&mut self, program: ProgramKey, now_ms: u64) {
+        let own = self.own;
+        if let Some(account) = self.programs.get_mut(&program)
+            && account.is_home(own)
+        {
+            account.begin_epoch(own, now_ms);
+            account.needs_record = true;
+        }
+    }
+
+    /// Makes `witness` the witness of the program, in a new epoch if it replaces another one;
+    /// returns `false` if a record has to be stored first or this VM is no longer home.
+    pub fn set_witness(&mut self, program: ProgramKey, witness: VmProcess, now_ms: u64) -> bool {
+        let own = self.own;
+        let Some(account) = self.programs.get_mut(&program) else {
+            return false;
+        };
+        if !account.is_home(own) {
+            return false;
+        }
+        let known = account.role.and_then(|role| role.witness);
+        if known.is_some_and(|known| known != witness) {
+            // A record that another home may replace must not allow it to ask the former
+            // witness only.
+            let is_recorded = account.is_recorded();
+            account.begin_epoch(own, now_ms);
+            account.needs_record = is_recorded;
+        }
+        if let Some(role) = account.role.as_mut() {
+            role.witness = Some(witness);
+        }
+        !account.needs_record
+    }
+
+    /// Returns whether a record of the home's epoch is stored and no other VM knows of the
+    /// epoch.
+    #[must_use]
+    pub fn is_alone(&self, program: ProgramKey) -> bool {
+        let account = self.programs.get(&program);
+        account.is_some_and(|account| {
+            account.is_recorded() && account.role.is_some_and(|role| role.witness.is_none())
+        })
+    }
+
+    /// Decides as home whether a call may run whose reservation of `tokens` is already
+    /// included in `share`.
+    ///
+    /// The share of another VM is kept only if the call is granted. A call of this VM still
+    /// has to be committed.
+    pub fn decide(
+        &mut self,
+        program: ProgramKey,
+        budget: u64,
+        tokens: u64,
+        share: BudgetShare,
+        now_ms: u64,
+    ) -> BudgetVerdict {
+        let own = self.own;
+        let account = self.programs.entry(program).or_default();
+        account.updated_ms = now_ms;
+        let previous = account.shares.get(&share.key()).copied();
+        let total = if share.process() == own {
+            account.total() + tokens
+        } else {
+            account.merge(share);
+            account.total()
+        };
+        let verdict = judge_total(account, budget, tokens, total);
+        let is_granted = matches!(verdict, BudgetVerdict::Granted { .. });
+        if !is_granted && share.process() != own {
+            restore_share(account, share, previous);
+        }
+        verdict
+    }
+
+    /// Removes programs that have not been updated for `retention_ms`; those with open
+    /// reservations are kept longer.
+    pub fn expire(&mut self, retention_ms: u64, now_ms: u64) {
+        self.programs.retain(|_, account| {
+            let reserved: u64 = account.shares.values().map(|share| share.reserved).sum();
+            let age_ms = now_ms.saturating_sub(account.updated_ms);
+            age_ms < retention_ms
+                || (reserved > 0 && age_ms < RESERVED_RETENTION_FACTOR * retention_ms)
+        });
+    }
+}
+
+/// Returns the part of a budget that is granted without a stored ceiling, in tokens.
+fn free_tokens(budget: u64) -> u64 {
+    budget * NO_CEILING_PERCENT / 100
+}
+
+/// Decides on a call with which a program's tokens come to `total`.
+fn judge_total(account: &ProgramAccount, budget: u64, tokens: u64, total: u64) -> BudgetVerdict {
+    // Without a record, tokens that are only assumed to be spent prove nothing.
+    let proven = if account.needs_record {
+        total.saturating_sub(account.assumed_spent)
+    } else {
+        total
+    };
+    if proven > budget {
+        return BudgetVerdict::Spent {
+            total: total.saturating_sub(tokens),
+        };
+    }
+    let bound = free_tokens(budget).max(account.ceiling);
+    if !account.needs_record && total <= bound + tokens {
+        return BudgetVerdict::Granted {
+            is_first: total <= tokens,
+        };
+    }
+    let step = budget * CEILING_STEP_PERCENT / 100;
+    let ceiling = (total + step).max(bound);
+    BudgetVerdict::NeedsCeiling {
+        ceiling: ceiling.min(budget),
+    }
+}
+
+/// Restores the previous version of a share whose call was not granted.
+fn restore_share(account: &mut ProgramAccount, share: BudgetShare, previous: Option<BudgetShare>) {
+    match previous {
+        Some(previous) => account.shares.insert(share.key(), previous),
+        None => account.shares.remove(&share.key()),
+    };
+}
--- /dev/null
+++ b/crates/relay/src/decide/budget/share.rs
@@ -0,0 +1,123 @@
+//! Shares of a program's usage and what VMs tell each other of its account.
+
+use serde::{Deserialize, Serialize};
+
+use crate::decide::members::VmKey;
+use ibisdale_core::rendezvous_weight;
+
+/// Hash of a program's identifier.
+pub type ProgramKey = u64;
+
+/// One start of a VM's process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Deserialize, Serialize)]
+pub struct VmProcess {
+    /// The VM.
+    pub vm: VmKey,
+    /// Start time of the process, in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+}
+
+/// One VM's share of a program's usage: the tokens that it has delivered since it began
+/// to count them and those that it holds reserved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct BudgetShare {
+    /// VM that counted the tokens.
+    pub vm: VmKey,
+    /// Start time of its process, in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Number of the share among those that the process began. A VM that has forgotten the
+    /// program begins another share, which adds to the earlier one.
+    pub series: u64,
+    /// Version of the share; the highest one is valid.
+    pub sequence: u64,
+    /// Tokens delivered to the caller.
+    pub spent: u64,
+    /// Tokens reserved for running calls.
+    pub reserved: u64,
+}
+
+/// What identifies a share among all shares of a program.
+pub(super) type ShareKey = (VmProcess, u64);
+
+impl BudgetShare {
+    /// Returns the process that counted the tokens.
+    #[must_use]
+    pub fn process(&self) -> VmProcess {
+        VmProcess {
+            vm: self.vm,
+            incarnation: self.incarnation,
+        }
+    }
+
+    pub(super) fn key(&self) -> ShareKey {
+        (self.process(), self.series)
+    }
+
+    pub(super) fn total(&self) -> u64 {
+        self.spent + self.reserved
+    }
+}
+
+/// The role of a program's home, which one process has in an epoch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct HomeRole {
+    /// Increases whenever the home or its witness changes.
+    pub epoch: u64,
+    /// Process that grants the program's calls.
+    pub home: VmProcess,
+    /// Process that has a copy of all grants; `None` before the first one.
+    pub witness: Option<VmProcess>,
+}
+
+impl HomeRole {
+    /// Returns the identifier of the records that the home stores in this epoch.
+    #[must_use]
+    pub fn record(&self) -> u64 {
+        // Used as a plain hash of the three values.
+        rendezvous_weight(
+            rendezvous_weight(self.home.incarnation, self.epoch),
+            self.home.vm,
+        )
+    }
+
+    pub(super) fn has_member(&self, process: VmProcess) -> bool {
+        self.home == process || self.witness == Some(process)
+    }
+}
+
+/// A VM's knowledge of a program's account.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct AccountCopy {
+    /// Highest epoch known; above that of `role` once another VM has asked for the role.
+    pub epoch: u64,
+    /// Latest role known.
+    pub role: Option<HomeRole>,
+    /// Time since the VM has known the role, in milliseconds.
+    pub role_age_ms: u64,
+    /// All shares known.
+    pub shares: Vec<BudgetShare>,
+    /// Tokens that are assumed to be spent but are not part of any share.
+    pub assumed_spent: u64,
+    /// Tokens that may be delivered under the stored ceiling; 0 if none is known.
+    pub ceiling: u64,
+    /// Identifier of the latest stored record known; 0 if none is known.
+    pub record: u64,
+}
+
+impl AccountCopy {
+    /// Returns the epoch of the latest role known; 0 if none is known.
+    pub(super) fn role_epoch(&self) -> u64 {
+        self.role.map_or(0, |role| role.epoch)
+    }
+
+    /// Returns whether `process` acts as home by this copy.
+    #[must_use]
+    pub fn is_home(&self, process: VmProcess) -> bool {
+        self.role
+            .is_some_and(|role| role.home == process && role.epoch == self.epoch)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/decide/budget/takeover.rs
@@ -0,0 +1,90 @@
+//! What a VM knows of a program when it takes over the role of its home.
+
+use super::losses::{VmLoss, may_have_lost_pair};
+use super::share::{AccountCopy, VmProcess};
+use crate::decide::members::VmKey;
+
+/// Time by which a loss may be dated too early, in milliseconds; a gossip round.
+const LOSS_SLACK_MS: u64 = 500;
+
+/// What a VM knows of an account; `None` if it knows nothing.
+#[derive(Clone, Debug)]
+pub struct AccountReply {
+    /// Process that replied.
+    pub process: VmProcess,
+    /// Its copy of the account.
+    pub account: Option<AccountCopy>,
+}
+
+/// What a VM has learned before it takes over the role of a program's home.
+#[derive(Clone, Copy)]
+pub struct TakeoverInput<'a> {
+    /// The replies of the VMs that were asked and the copy of the VM itself.
+    pub replies: &'a [AccountReply],
+    /// All VMs known, those of recent losses included, the most preferred home first.
+    pub ranked: &'a [VmKey],
+    /// Recent losses.
+    pub losses: &'a [VmLoss],
+    /// Whether a VM is silent or did not reply.
+    pub is_down: &'a dyn Fn(VmKey) -> bool,
+    /// Whether a process is known to have ended.
+    pub has_ended: &'a dyn Fn(VmProcess) -> bool,
+    /// Time within which losses count as one, in milliseconds.
+    pub window_ms: u64,
+    /// Current time, in milliseconds.
+    pub now_ms: u64,
+    /// Whether most VMs have lost their counts recently.
+    pub has_lost_counts: bool,
+}
+
+/// What follows from it for the new home.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TakeoverFinding {
+    /// Tokens may have been delivered that nobody knows.
+    pub may_miss_tokens: bool,
+    /// Another VM may still act as home, or may have stored a record that is not known.
+    pub needs_record: bool,
+}
+
+/// Judges whether the new home knows all tokens that were granted.
+#[must_use]
+pub fn assess_takeover(input: &TakeoverInput<'_>) -> TakeoverFinding {
+    let copies = || {
+        let replies = input.replies.iter();
+        replies.filter_map(|reply| Some((reply.process, reply.account.as_ref()?)))
+    };
+    let epoch = copies().map(|(_, copy)| copy.epoch).max().unwrap_or(0);
+    let has_home_replied =
+        copies().any(|(process, copy)| copy.epoch == epoch && copy.is_home(process));
+    let latest = copies()
+        .filter(|(_, copy)| copy.role.is_some())
+        .max_by_key(|(_, copy)| copy.role_epoch());
+    let known_since_ms =
+        latest.map_or(0, |(_, copy)| input.now_ms.saturating_sub(copy.role_age_ms));
+    let losses: Vec<_> = input
+        .losses
+        .iter()
+        .filter(|loss| loss.at_ms + LOSS_SLACK_MS >= known_since_ms)
+        .copied()
+        .collect();
+    let has_lost_pair = may_have_lost_pair(input.ranked, &losses, input.is_down, input.window_ms);
+    let has_lost_all = latest.is_none() && input.has_lost_counts;
+    let may_miss_tokens = !has_home_replied && (has_lost_pair || has_lost_all);
+    TakeoverFinding {
+        may_miss_tokens,
+        needs_record: may_miss_tokens || may_have_other_home(input, latest.map(|(_, copy)| copy)),
+    }
+}
+
+/// Returns whether a VM that did not reply may act as home, with or without a role known here.
+fn may_have_other_home(input: &TakeoverInput<'_>, latest: Option<&AccountCopy>) -> bool {
+    let has_replied = |vm: VmKey| input.replies.iter().any(|reply| reply.process.vm == vm);
+    if let Some(role) = latest.and_then(|copy| copy.role) {
+        let members = [Some(role.home), role.witness];
+        let mut members = members.into_iter().flatten();
+        members.any(|member| !has_replied(member.vm) && !(input.has_ended)(member))
+    } else {
+        let mut first = input.ranked.iter().take(2);
+        first.any(|vm| (input.is_down)(*vm) && !has_replied(*vm))
+    }
+}
--- a/crates/relay/src/decide/members.rs
+++ b/crates/relay/src/decide/members.rs
@@ -84,10 +84,21 @@
     pub facts: Option<MemberFacts>,
 }
 
+/// A VM that may keep the account of a program.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RankedPeer {
+    /// The VM.
+    pub facts: MemberFacts,
+    /// Whether it is live and has replied to the last call.
+    pub is_answering: bool,
+}
+
 /// Table of all VMs known to this VM, except itself.
 #[derive(Clone, Debug, Default)]
 pub struct MemberTable {
     members: HashMap<VmKey, MemberState>,
+    /// Incarnations of VMs that have shut down gracefully.
+    departed: HashMap<VmKey, u64>,
     changed_ms: u64,
 }
 
@@ -180,11 +191,62 @@
         let is_same = self.incarnation(vm) == Some(incarnation);
         if is_same {
             self.members.remove(&vm);
+            self.departed.insert(vm, incarnation);
             self.changed_ms = now_ms;
         }
         is_same
     }
 
+    /// Returns whether a process of a VM is known to have ended.
+    #[must_use]
+    pub fn has_ended(&self, vm: VmKey, incarnation: u64) -> bool {
+        let departed = self.departed.get(&vm).copied();
+        let latest = self.incarnation(vm).max(departed);
+        latest.is_some_and(|latest| latest > incarnation) || departed == Some(incarnation)
+    }
+
+    /// Returns whether no VM is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Returns whether a VM has sent a heartbeat or registered recently.
+    #[must_use]
+    pub fn is_live(&self, vm: VmKey, now_ms: u64) -> bool {
+        let state = self.members.get(&vm);
+        state.is_some_and(|state| self.is_state_live(state, now_ms))
+    }
+
+    fn is_state_live(&self, state: &MemberState, now_ms: u64) -> bool {
+        now_ms.saturating_sub(state.last_heartbeat_ms) <= self.silent_after_ms()
+    }
+
+    /// Returns all known VMs and those of `others`, ordered by their rendezvous weight for
+    /// `key`, highest first.
+    #[must_use]
+    pub fn ranked_keys(&self, key: u64, others: &[VmKey]) -> Vec<VmKey> {
+        let mut ranked: Vec<_> = self.members.keys().chain(others).copied().collect();
+        ranked.sort_unstable_by_key(|vm| std::cmp::Reverse((rendezvous_weight(key, *vm), *vm)));
+        ranked.dedup();
+        ranked
+    }
+
+    /// Returns the VM with the highest rendezvous weight for `key` and, beside it, the first
+    /// `limit` VMs that answer.
+    #[must_use]
+    pub fn ranked_peers(&self, key: u64, now_ms: u64, limit: usize) -> Vec<RankedPeer> {
+        let mut ranked: Vec<_> = self.members.iter().collect();
+        ranked.sort_unstable_by_key(|(vm, _)| std::cmp::Reverse(rendezvous_weight(key, **vm)));
+        let peers = ranked.into_iter().map(|(_, state)| RankedPeer {
+            facts: state.facts.clone(),
+            is_answering: self.is_state_live(state, now_ms) && state.unanswered_until_ms <= now_ms,
+        });
+        let peers = peers.enumerate();
+        let chosen = peers.filter(|(rank, peer)| *rank == 0 || peer.is_answering);
+        chosen.take(limit + 1).map(|(_, peer)| peer).collect()
+    }
+
     /// Removes VMs that are not registered and send no heartbeats.
     pub fn expire(&mut self, now_ms: u64) {
         let before = self.members.len();
--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -22,13 +22,15 @@
 pub use ibisdale_core::{hash_bytes, rendezvous_weight};
 
 pub use budget::{
-    BudgetLedger, BudgetShare, BudgetVerdict, CeilingClaim, ClaimStatus, ProgramKey, StoredCeiling,
+    AccountCopy, AccountReply, BudgetLedger, BudgetShare, BudgetVerdict, CeilingClaim,
+    ClaimOutcome, ClaimStatus, HomeRole, ProgramKey, StoredCeiling, TakeoverFinding, TakeoverInput,
+    VmLoss, VmProcess, assess_takeover, may_have_lost_pair,
 };
 pub use limits::{
     GrantCandidate, GrantLedger, GrantOutcome, GrantQuery, GrantShare, LimitChange, LimitReport,
     LimitStatement, LimitTable, StartKey,
 };
-pub use members::{HOMES_MAX, HomeCandidate, MemberFacts, MemberTable, VmKey};
+pub use members::{HOMES_MAX, HomeCandidate, MemberFacts, MemberTable, RankedPeer, VmKey};
 pub use origins::{AttemptKey, OriginRefusal, OriginTable, decide_origin};
 pub use outage::ServiceOutage;
 pub use placement::{PlacementChoice, PlacementInput, choose_replicas};
--- a/crates/relay/src/decide/replies.rs
+++ b/crates/relay/src/decide/replies.rs
@@ -23,7 +23,7 @@
     }
 }
 
-impl<T: Copy> RecentDecisions<T> {
+impl<T: Clone> RecentDecisions<T> {
     /// Returns the decision on a call; `decide` is called only if it is new.
     pub fn decide_once(
         &mut self,
@@ -33,7 +33,8 @@
         decide: impl FnOnce() -> T,
     ) -> T {
         let entry = self.decisions.entry((caller, call_id));
-        entry.or_insert_with(|| (decide(), now_ms)).0
+        let (decision, _) = entry.or_insert_with(|| (decide(), now_ms));
+        decision.clone()
     }
 
     /// Removes decisions that are no longer needed.
--- a/crates/relay/src/gateway/ceilings.rs
+++ b/crates/relay/src/gateway/ceilings.rs
@@ -16,7 +16,7 @@
 use super::message::PeerMessage;
 use super::rpc::call_peer;
 use super::state::Gateway;
-use crate::decide::{CeilingClaim, ProgramKey, hash_bytes};
+use crate::decide::{CeilingClaim, ClaimOutcome, ProgramKey, hash_bytes};
 
 /// Time for which ceilings are collected before they are written; short compared with the
 /// time to a call's first token.
@@ -34,12 +34,12 @@
     /// Ceiling to store, and the home VM that asks for it.
     claim: CeilingClaim,
     /// Waiting callers; a resent request adds another waiter.
-    waiters: Vec<Sender<bool>>,
+    waiters: Vec<Sender<ClaimOutcome>>,
 }
 
 impl CeilingBatch {
     /// Adds a ceiling; returns `true` if the caller has to schedule the write.
-    fn add(&mut self, claim: CeilingClaim, waiter: Sender<bool>) -> bool {
+    fn add(&mut self, claim: CeilingClaim, waiter: Sender<ClaimOutcome>) -> bool {
         let is_same = |known: &&mut PendingCeiling| known.claim == claim;
         if let Some(known) = self.pending.iter_mut().find(is_same) {
             known.waiters.push(waiter);
@@ -53,51 +53,63 @@
     }
 }
 
-/// Stores a ceiling and returns whether it is stored.
+/// Stores a ceiling.
 ///
 /// Other calls of the program wait for the write through `ceiling_writes`.
-pub(crate) async fn store_ceiling(gateway: &Gateway, program: ProgramKey, ceiling: u64) -> bool {
+pub(crate) async fn store_ceiling(
+    gateway: &Gateway,
+    program: ProgramKey,
+    ceiling: u64,
+) -> ClaimOutcome {
     let (end_sender, end_receiver) = bounded::<()>(1);
     let claim = gateway.state.budgets.borrow().claim(program, ceiling);
     let writes = &gateway.state.ceiling_writes;
     writes.borrow_mut().insert(program, end_receiver);
-    let stored = match request_write(gateway, claim).await {
-        Some(true) => true,
-        Some(false) | None => store_in_batch(gateway, claim).await,
+    let outcome = match request_write(gateway, claim).await {
+        None | Some(ClaimOutcome::Failed) => store_in_batch(gateway, claim).await,
+        Some(outcome) => outcome,
+    };
+    let conflict = match outcome {
+        ClaimOutcome::Conflict(stored) => Some(stored.ceiling),
+        ClaimOutcome::Stored | ClaimOutcome::Failed => None,
     };
     record_event!(
         CeilingStored,
         program = format!("{program:x}"),
         ceiling = ceiling,
-        stored = stored
+        stored = outcome == ClaimOutcome::Stored,
+        conflict = conflict.map_or(String::new(), |ceiling| ceiling.to_string()),
     );
-    if stored {
-        gateway.record_ceiling(program, ceiling);
+    if outcome == ClaimOutcome::Stored {
+        gateway.state.budgets.borrow_mut().record_claim(claim);
     }
     writes.borrow_mut().remove(&program);
     drop(end_sender);
-    stored
+    outcome
 }
 
 /// Requests a write from the writer VM.
 ///
 /// Returns `None` if this VM is the writer or the writer does not reply.
-async fn request_write(gateway: &Gateway, claim: CeilingClaim) -> Option<bool> {
+async fn request_write(gateway: &Gateway, claim: CeilingClaim) -> Option<ClaimOutcome> {
     let own = gateway.state.options.facts.key();
     let writer = {
         let members = gateway.state.members.borrow();
-        let homes = members.ranked_homes(own, hash_bytes(b"ceilings"), gateway.now_ms());
-        homes.into_iter().next().flatten()?
+        let homes = members.homes_to_ask(own, hash_bytes(b"ceilings"), gateway.now_ms());
+        homes.into_iter().next()?.facts?
     };
     let build_message = |call_id| PeerMessage::Store { call_id, claim };
-    match call_peer(gateway, writer.peer_address(), build_message).await {
-        Some(PeerMessage::Stored { stored, .. }) => Some(stored),
-        _ => None,
+    let reply = call_peer(gateway, writer.peer_address(), build_message).await;
+    if let Some(PeerMessage::Stored { outcome, .. }) = reply {
+        return Some(outcome);
     }
+    let mut members = gateway.state.members.borrow_mut();
+    members.record_unanswered(writer.key(), gateway.now_ms());
+    None
 }
 
 /// Stores a ceiling together with others that arrive within [`BATCH_DELAY`].
-pub(crate) async fn store_in_batch(gateway: &Gateway, claim: CeilingClaim) -> bool {
+pub(crate) async fn store_in_batch(gateway: &Gateway, claim: CeilingClaim) -> ClaimOutcome {
     let (waiter, result) = bounded(1);
     let has_to_schedule = {
         let mut batch = gateway.state.ceiling_batch.borrow_mut();
@@ -107,7 +119,7 @@
         let writer = gateway.clone();
         gateway.spawn(async move { write_batch(&writer).await });
     }
-    result.recv().await.unwrap_or(false)
+    result.recv().await.unwrap_or(ClaimOutcome::Failed)
 }
 
 async fn write_batch(gateway: &Gateway) {
@@ -120,11 +132,11 @@
     let store = &gateway.state.options.store;
     for chunk in pending.chunks(store.ceilings_max) {
         let claims = chunk.iter().map(|item| item.claim).collect();
-        let stored = (store.store_ceilings)(claims).await;
-        for (item, stored) in chunk.iter().zip(stored) {
+        let outcomes = (store.store_ceilings)(claims).await;
+        for (item, outcome) in chunk.iter().zip(outcomes) {
             for waiter in &item.waiters {
                 // Fails if the waiting caller was cancelled.
-                let _ = waiter.try_send(stored);
+                let _ = waiter.try_send(outcome);
             }
         }
     }
--- a/crates/relay/src/gateway/count_losses.rs
+++ b/crates/relay/src/gateway/count_losses.rs
@@ -8,39 +8,113 @@
 
 use super::caller_request::millis;
 use super::state::Gateway;
-use crate::decide::{ProgramKey, VmKey, rendezvous_weight};
+use crate::decide::{ProgramKey, ROUND_MS, StoredCeiling, VmKey, VmLoss};
 
 /// Time within which VM failures count as one event, in milliseconds; longer than the
 /// silence after which a failure is detected.
 const LOSS_WINDOW_MS: u64 = 5_000;
+/// Gossip rounds in which copies of accounts are sent after a loss.
+const COPY_ROUNDS: u64 = 2;
 /// Time after the start within which peers report the last loss of counts, in
 /// milliseconds; a few gossip rounds.
 const PEER_REPORT_TIMEOUT_MS: u64 = 1_000;
 
 impl Gateway {
-    /// Records that a VM has died or restarted, which loses its own counts.
-    pub(crate) fn record_vm_loss(&self, vm: VmKey) {
+    /// Records that a VM is silent; its process may still run.
+    pub(crate) fn record_vm_silence(&self, loss: VmLoss) {
+        self.add_loss(loss);
+        self.state.ceilings_read_at_ms.set(None);
+    }
+
+    /// Records that a VM has restarted, which loses the counts of its process `earlier`.
+    pub(crate) fn record_vm_restart(&self, vm: VmKey, earlier: u64) {
         let now_ms = self.now_ms();
         let vm_count = self.state.members.borrow().count(now_ms).0 + 1;
-        let mut lost_vms = self.state.lost_vms.borrow_mut();
-        let retention_ms = self.program_retention_ms();
-        lost_vms
-            .retain(|(lost, at_ms)| *lost != vm && now_ms.saturating_sub(*at_ms) < retention_ms);
-        lost_vms.push((vm, now_ms));
-        let recent = lost_vms
-            .iter()
-            .filter(|(_, at_ms)| now_ms.saturating_sub(*at_ms) < LOSS_WINDOW_MS);
-        // The counts of a few dead VMs are known to others; those of three quarters are not.
-        if recent.count() * 4 >= vm_count * 3 {
+        // A VM that was silent before is known as lost since then.
+        let is_known = {
+            let lost_vms = self.state.lost_vms.borrow();
+            let mut losses = lost_vms.iter();
+            losses.any(|loss| (loss.vm, loss.incarnation) == (vm, earlier))
+        };
+        if !is_known {
+            self.add_loss(VmLoss {
+                vm,
+                incarnation: earlier,
+                at_ms: now_ms,
+            });
+        }
+        let mut restarts = self.state.restarts.borrow_mut();
+        restarts.retain(|(known, at_ms)| {
+            *known != vm && now_ms.saturating_sub(*at_ms) < LOSS_WINDOW_MS
+        });
+        restarts.push((vm, now_ms));
+        // The counts of a few VMs are known to others; those of three quarters are not.
+        if restarts.len() * 4 >= vm_count * 3 {
             self.state.counts_lost_at.set(Some(wall_ms()));
         }
-        drop(lost_vms);
         self.state.ceilings_read_at_ms.set(None);
     }
 
+    /// Records that a VM is heard whose process started at `incarnation`.
+    ///
+    /// A VM that was only silent has kept its counts. One that started together with this
+    /// process, both for another time, has lost them at the same moment.
+    pub(crate) fn record_vm_start(&self, vm: VmKey, incarnation: u64) {
+        let mut lost_vms = self.state.lost_vms.borrow_mut();
+        lost_vms.retain(|loss| loss.vm != vm || loss.incarnation != incarnation);
+        let is_recorded = lost_vms.iter().any(|loss| loss.vm == vm);
+        drop(lost_vms);
+        let own = self.state.options.facts.incarnation;
+        let is_together = incarnation.abs_diff(own) < self.loss_window_ms();
+        if !self.state.options.is_first_start && !is_recorded && is_together {
+            self.add_loss(VmLoss {
+                vm,
+                incarnation: 0,
+                at_ms: 0,
+            });
+        }
+    }
+
+    fn add_loss(&self, loss: VmLoss) {
+        let now_ms = self.now_ms();
+        let retention_ms = self.program_retention_ms();
+        let mut lost_vms = self.state.lost_vms.borrow_mut();
+        lost_vms.retain(|known| now_ms.saturating_sub(known.at_ms) < retention_ms);
+        lost_vms.push(loss);
+    }
+
+    /// Returns the losses of VMs that programs may remember.
+    pub(crate) fn recent_losses(&self) -> Vec<VmLoss> {
+        let now_ms = self.now_ms();
+        let retention_ms = self.program_retention_ms();
+        let lost_vms = self.state.lost_vms.borrow();
+        let losses = lost_vms.iter();
+        let recent = losses.filter(|loss| now_ms.saturating_sub(loss.at_ms) < retention_ms);
+        recent.copied().collect()
+    }
+
+    /// Returns the time within which losses of VMs count as one: until a loss is detected and
+    /// copies are sent to other VMs, in milliseconds.
+    pub(crate) fn loss_window_ms(&self) -> u64 {
+        self.state.members.borrow().silent_after_ms() + COPY_ROUNDS * ROUND_MS
+    }
+
+    /// Returns whether the other VMs are known, so that one of them that acts as home of a
+    /// program can be asked.
+    pub(crate) fn knows_fleet(&self) -> bool {
+        let has_heard = !self.state.members.borrow().is_empty();
+        self.state.options.is_first_start
+            || self.state.has_registrations.get()
+            || (has_heard && self.now_ms() >= PEER_REPORT_TIMEOUT_MS)
+    }
+
     /// Takes over the time of the last loss of all counts from a peer if it is later.
+    ///
+    /// A loss from after the start of this process is judged by the restarts that it has seen:
+    /// a peer that was cut off may take the silence of all others for one.
     pub(crate) fn merge_counts_lost_at(&self, reported: Option<u64>) {
-        let Some(reported) = reported else {
+        let start = self.state.options.facts.incarnation;
+        let Some(reported) = reported.filter(|reported| *reported < start + LOSS_WINDOW_MS) else {
             return;
         };
         let own = self.state.counts_lost_at.get();
@@ -68,18 +142,6 @@
         }
     }
 
-    /// Returns whether a VM that died recently may have been a program's home.
-    pub(crate) fn may_have_lost_home(&self, program: ProgramKey) -> bool {
-        let now_ms = self.now_ms();
-        let retention_ms = self.program_retention_ms();
-        let own_weight = rendezvous_weight(program, self.state.options.facts.key());
-        let lost_vms = self.state.lost_vms.borrow();
-        lost_vms.iter().any(|(vm, at_ms)| {
-            now_ms.saturating_sub(*at_ms) < retention_ms
-                && rendezvous_weight(program, *vm) >= own_weight
-        })
-    }
-
     /// Returns whether the stored ceilings have to be read, which is the case after a
     /// restart and after each failure of a VM.
     #[must_use]
@@ -88,7 +150,10 @@
     }
 
     /// Records the stored token ceilings of programs, and that they have been read.
-    pub fn record_stored_ceilings(&self, ceilings: impl Iterator<Item = (ProgramKey, u64)>) {
+    pub fn record_stored_ceilings(
+        &self,
+        ceilings: impl Iterator<Item = (ProgramKey, StoredCeiling)>,
+    ) {
         let mut budgets = self.state.budgets.borrow_mut();
         for (program, ceiling) in ceilings {
             budgets.record_ceiling(program, ceiling);
--- a/crates/relay/src/gateway/drain.rs
+++ b/crates/relay/src/gateway/drain.rs
@@ -5,7 +5,7 @@
 use ibisdale_telemetry::record_event;
 use smol::Timer;
 
-use super::budget;
+use super::budget_copies;
 use super::caller_request::millis;
 use super::peer_link;
 use super::state::{Gateway, lossy_string};
@@ -20,7 +20,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Removes this VM from the directory, waits for the requests in flight and hands over the
-/// budget shares that it knows.
+/// accounts of programs that it knows.
 ///
 /// Returns before `grace` has passed, since the process would be killed then.
 pub async fn drain(gateway: &Gateway, grace: Duration) {
@@ -45,7 +45,7 @@
     while gateway.state.in_flight.get() > 0 && started.elapsed() < wait_limit {
         Timer::after(POLL_INTERVAL).await;
     }
-    budget::hand_over(gateway).await;
+    budget_copies::hand_over(gateway).await;
     peer_link::announce_leave(gateway).await;
     // Leaves time to write the last bytes of responses.
     Timer::after(POLL_INTERVAL).await;
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -5,10 +5,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decide::{
-    AdmissionCounters, AttemptKey, BudgetShare, BudgetVerdict, CeilingClaim, GrantOutcome,
-    InFlightCount, LimitReport, MemberFacts, ProgramKey, ProgramStage, RateRefusal,
-    RequestFingerprint, RunDecision, RunQuery, StreamOrigin, SuspectReport, VmKey, WindowReport,
-    WorkspaceKey,
+    AccountCopy, AdmissionCounters, AttemptKey, BudgetShare, BudgetVerdict, CeilingClaim,
+    ClaimOutcome, GrantOutcome, InFlightCount, LimitReport, MemberFacts, ProgramKey, ProgramStage,
+    RateRefusal, RequestFingerprint, RunDecision, RunQuery, StreamOrigin, SuspectReport, VmKey,
+    WindowReport, WorkspaceKey,
 };
 
 /// A request that a home may grant to one of several limited replicas.
@@ -74,11 +74,15 @@
         incarnation: u64,
         counters: Vec<AdmissionCounters>,
     },
-    /// Shares of programs that a leaving VM knows, sent to the programs' next home.
+    /// Accounts of programs, sent to the VMs that rank first for them when the sender leaves or
+    /// VMs have joined or died.
     Handover {
-        programs: Vec<(ProgramKey, Vec<BudgetShare>)>,
+        call_id: u64,
+        programs: Vec<(ProgramKey, AccountCopy)>,
     },
-    /// The sending VM leaves and has handed over the budget shares that it knows.
+    /// Reply to `Handover`.
+    HandedOver { call_id: u64 },
+    /// The sending VM leaves and has handed over the accounts that it knows.
     Left { vm: VmKey, incarnation: u64 },
     /// Requests a reservation of tokens from a program's home.
     Reserve {
@@ -87,15 +91,17 @@
         budget: u64,
         tokens: u64,
         share: BudgetShare,
-        /// All shares that the sender knows.
-        known: Vec<BudgetShare>,
+        /// What the sender knows of the account.
+        known: AccountCopy,
     },
     /// Reply to `Reserve`; the verdict is `None` if the home could not decide.
     Reserved {
         call_id: u64,
         verdict: Option<BudgetVerdict>,
-        shares: Vec<BudgetShare>,
+        account: AccountCopy,
     },
+    /// Reply to a `Reserve` that is sent again before the home has decided.
+    Deciding { call_id: u64 },
     /// Reports the sender's share to a program's home after a call has ended.
     Settle {
         call_id: u64,
@@ -104,17 +110,29 @@
     },
     /// Reply to `Settle`.
     Settled { call_id: u64 },
-    /// Requests all shares of a program.
-    GetShares { call_id: u64, program: ProgramKey },
-    /// Reply to `GetShares`: all shares that the VM knows.
-    Shares {
+    /// Requests the role of a program's home; the receiver ends the epoch that it knows.
+    RequestRole { call_id: u64, program: ProgramKey },
+    /// Reply to `RequestRole`: what the VM knew; `None` if it knows nothing of the program.
+    RoleYielded {
+        call_id: u64,
+        account: Option<AccountCopy>,
+    },
+    /// Sends an account to the witness of its home before a call is granted.
+    Replicate {
+        call_id: u64,
+        program: ProgramKey,
+        account: AccountCopy,
+    },
+    /// Reply to `Replicate`: whether the receiver accepts the sender as home, and what it knows.
+    Replicated {
         call_id: u64,
-        shares: Vec<BudgetShare>,
+        is_accepted: bool,
+        account: AccountCopy,
     },
     /// Asks the writer VM to store a ceiling.
     Store { call_id: u64, claim: CeilingClaim },
-    /// Reply to `Store`: whether the ceiling is stored.
-    Stored { call_id: u64, stored: bool },
+    /// Reply to `Store`.
+    Stored { call_id: u64, outcome: ClaimOutcome },
     /// Requests admission of one request from a home of its workspace.
     Admit {
         call_id: u64,
@@ -184,8 +202,11 @@
     pub(crate) fn reply_call_id(&self) -> Option<u64> {
         match self {
             Self::Reserved { call_id, .. }
+            | Self::Deciding { call_id }
             | Self::Settled { call_id }
-            | Self::Shares { call_id, .. }
+            | Self::HandedOver { call_id }
+            | Self::RoleYielded { call_id, .. }
+            | Self::Replicated { call_id, .. }
             | Self::Stored { call_id, .. }
             | Self::Admitted { call_id, .. }
             | Self::GrantDecided { call_id, .. }
--- a/crates/relay/src/gateway/mod.rs
+++ b/crates/relay/src/gateway/mod.rs
@@ -5,6 +5,8 @@
 mod body;
 mod boot_time;
 mod budget;
+mod budget_copies;
+mod budget_home;
 mod caller_request;
 mod ceilings;
 mod count_losses;
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -8,7 +8,7 @@
 
 use super::admit::admit_as_home;
 use super::boot_time::BootTime;
-use super::budget::decide_as_home;
+use super::budget_copies::{handle_budget_message, restore_copies};
 use super::ceilings::store_in_batch;
 use super::limits::{grant_as_home, merge_limits, send_limits};
 use super::message::{GrantRequest, PeerMessage};
@@ -22,8 +22,8 @@
 use super::state_transfer::{self, StatePart};
 use super::suspects::{merge_suspects, send_suspects};
 use crate::decide::{
-    AdmissionCounters, BudgetShare, CeilingClaim, InFlightCount, MemberFacts, PeerRotation,
-    ProgramKey, ProgramStage, ROUND_MS, RunQuery, VmKey, WorkspaceKey,
+    AdmissionCounters, CeilingClaim, InFlightCount, MemberFacts, PeerRotation, ProgramStage,
+    ROUND_MS, RunQuery, VmKey, VmLoss, WorkspaceKey,
 };
 
 /// Maximum size of a datagram that can be received, in bytes.
@@ -71,8 +71,13 @@
     gateway.state.quota_decisions.borrow_mut().expire(now_ms);
     gateway.state.grant_decisions.borrow_mut().expire(now_ms);
     gateway.state.run_decisions.borrow_mut().expire(now_ms);
+    gateway.state.role_replies.borrow_mut().expire(now_ms);
     record_silent_vms(gateway, now_ms);
     gateway.init_counts_lost_at();
+    if gateway.state.are_copies_due.take() {
+        let cloned = gateway.clone();
+        gateway.spawn(async move { restore_copies(&cloned).await });
+    }
     for peer in overdue {
         send(gateway, &PeerMessage::Probe, peer).await;
     }
@@ -108,8 +113,13 @@
         return;
     }
     let (known_count, silent_count) = gateway.state.members.borrow().count(now_ms);
+    let last_heard_ms = now_ms.saturating_sub(gateway.state.members.borrow().silent_after_ms());
     for facts in silent_vms {
-        gateway.record_vm_loss(facts.key());
+        gateway.record_vm_silence(VmLoss {
+            vm: facts.key(),
+            incarnation: facts.incarnation,
+            at_ms: last_heard_ms,
+        });
         gateway.state.runs.borrow_mut().end_all(facts.key());
         record_event!(
             VmSilent,
@@ -118,19 +128,7 @@
             silent = silent_count
         );
     }
-    give_up_homes(gateway);
-}
-
-/// Gives up the home role of programs for which another live VM now ranks first.
-fn give_up_homes(gateway: &Gateway) {
-    let now_ms = gateway.now_ms();
-    let own = gateway.state.options.facts.key();
-    let members = gateway.state.members.borrow();
-    let mut budgets = gateway.state.budgets.borrow_mut();
-    budgets.retain_homes(|program| {
-        let homes = members.ranked_homes(own, program, now_ms);
-        matches!(homes.first(), Some(None))
-    });
+    gateway.state.are_copies_due.set(true);
 }
 
 fn handle(gateway: &Gateway, message: PeerMessage, sender: SocketAddr) {
@@ -138,13 +136,9 @@
         return;
     };
     if let Some(call_id) = message.reply_call_id() {
-        if let Some(waiting) = gateway
-            .state
-            .pending_peer_calls
-            .borrow_mut()
-            .remove(&call_id)
-        {
-            // Fails if the waiting call was cancelled.
+        let waiting = gateway.state.pending_peer_calls.borrow();
+        if let Some(waiting) = waiting.get(&call_id) {
+            // Fails if the call was cancelled or has got its reply.
             let _ = waiting.try_send(message);
         }
         return;
@@ -181,7 +175,8 @@
         } => handle_peer_list(gateway, peers, &window_reports),
         PeerMessage::Handover { .. }
         | PeerMessage::Settle { .. }
-        | PeerMessage::GetShares { .. }
+        | PeerMessage::RequestRole { .. }
+        | PeerMessage::Replicate { .. }
         | PeerMessage::Reserve { .. } => handle_budget_message(gateway, message, sender),
         PeerMessage::Admit {
             call_id,
@@ -223,9 +218,12 @@
             spawn_send(gateway, PeerMessage::Origin { call_id, origin }, sender);
         }
         PeerMessage::Reserved { .. }
+        | PeerMessage::Deciding { .. }
         | PeerMessage::Settled { .. }
         | PeerMessage::Stored { .. }
-        | PeerMessage::Shares { .. }
+        | PeerMessage::HandedOver { .. }
+        | PeerMessage::RoleYielded { .. }
+        | PeerMessage::Replicated { .. }
         | PeerMessage::Admitted { .. }
         | PeerMessage::GrantDecided { .. }
         | PeerMessage::RunDecided { .. }
@@ -234,37 +232,6 @@
     }
 }
 
-/// Handles the messages about budgets of programs.
-fn handle_budget_message(gateway: &Gateway, message: PeerMessage, sender: SocketAddrV4) {
-    match message {
-        PeerMessage::Handover { programs } => handle_handover(gateway, programs),
-        PeerMessage::Settle {
-            call_id,
-            program,
-            share,
-        } => {
-            merge_shares(gateway, program, &[share]);
-            spawn_send(gateway, PeerMessage::Settled { call_id }, sender);
-        }
-        PeerMessage::GetShares { call_id, program } => {
-            let shares = gateway.state.budgets.borrow().shares(program);
-            spawn_send(gateway, PeerMessage::Shares { call_id, shares }, sender);
-        }
-        PeerMessage::Reserve {
-            call_id,
-            program,
-            budget,
-            tokens,
-            share,
-            known,
-        } => {
-            merge_known(gateway, program, &share, &known);
-            handle_reserve(gateway, call_id, (program, budget, tokens), share, sender);
-        }
-        _ => {}
-    }
-}
-
 fn handle_admit(
     gateway: &Gateway,
     call_id: u64,
@@ -310,62 +277,14 @@
     }
 }
 
-fn handle_handover(gateway: &Gateway, programs: Vec<(ProgramKey, Vec<BudgetShare>)>) {
-    for (program, shares) in programs {
-        merge_shares(gateway, program, &shares);
-    }
-}
-
-fn merge_shares(gateway: &Gateway, program: ProgramKey, shares: &[BudgetShare]) {
-    let now_ms = gateway.now_ms();
-    let mut budgets = gateway.state.budgets.borrow_mut();
-    budgets.merge(program, shares, now_ms);
-}
-
 fn handle_store(gateway: &Gateway, call_id: u64, claim: CeilingClaim, sender: SocketAddrV4) {
     let writer = gateway.clone();
     gateway.spawn(async move {
-        let stored = store_in_batch(&writer, claim).await;
-        send(&writer, &PeerMessage::Stored { call_id, stored }, sender).await;
-    });
-}
-
-fn handle_reserve(
-    gateway: &Gateway,
-    call_id: u64,
-    (program, budget, tokens): (ProgramKey, u64, u64),
-    share: BudgetShare,
-    sender: SocketAddrV4,
-) {
-    let home = gateway.clone();
-    gateway.spawn(async move {
-        let verdict = decide_as_home(&home, program, budget, tokens, share).await;
-        let shares = home.state.budgets.borrow().shares(program);
-        let message = PeerMessage::Reserved {
-            call_id,
-            verdict,
-            shares,
-        };
-        send(&home, &message, sender).await;
+        let outcome = store_in_batch(&writer, claim).await;
+        send(&writer, &PeerMessage::Stored { call_id, outcome }, sender).await;
     });
 }
 
-/// Merges the shares of other VMs that the sender of a reservation knows.
-///
-/// The sender's own share counts only after the reservation is granted.
-fn merge_known(
-    gateway: &Gateway,
-    program: ProgramKey,
-    sender_share: &BudgetShare,
-    known: &[BudgetShare],
-) {
-    let others = known.iter().filter(|share| share.vm != sender_share.vm);
-    let others: Vec<_> = others.copied().collect();
-    if !others.is_empty() {
-        merge_shares(gateway, program, &others);
-    }
-}
-
 /// Records when the key-value service last confirmed the configuration to any peer.
 fn record_peer_feed(gateway: &Gateway, age_ms: Option<u64>) {
     let Some(age_ms) = age_ms else {
@@ -431,11 +350,12 @@
             incarnation = incarnation,
             serving = is_serving
         );
-        if earlier.is_some_and(|earlier| earlier < incarnation) {
-            gateway.record_vm_loss(peer);
+        gateway.record_vm_start(peer, incarnation);
+        if let Some(earlier) = earlier.filter(|earlier| *earlier < incarnation) {
+            gateway.record_vm_restart(peer, earlier);
             gateway.state.runs.borrow_mut().end_all(peer);
         }
-        give_up_homes(gateway);
+        gateway.state.are_copies_due.set(true);
         let peers = peer_addresses(gateway);
         let window_reports = gateway.state.quota.borrow().snapshot(gateway.now_ms());
         send_counters(gateway, sender);
--- a/crates/relay/src/gateway/rpc.rs
+++ b/crates/relay/src/gateway/rpc.rs
@@ -5,7 +5,7 @@
 
 use futures_lite::FutureExt;
 use smol::Timer;
-use smol::channel::bounded;
+use smol::channel::{Receiver, bounded};
 
 use super::message::PeerMessage;
 use super::peer_link::send;
@@ -15,6 +15,8 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(40);
 /// Maximum number of times that a message is sent.
 const SENDS_MAX: u32 = 3;
+/// Maximum number of replies to one call, each send may get two.
+const REPLIES_MAX: usize = 2 * SENDS_MAX as usize;
 
 /// Sends a message to a peer and waits for the reply, resending if none arrives.
 ///
@@ -24,10 +26,20 @@
     gateway: &Gateway,
     peer: SocketAddrV4,
     build_message: impl Fn(u64) -> PeerMessage,
+) -> Option<PeerMessage> {
+    call_peer_for(gateway, peer, Duration::ZERO, build_message).await
+}
+
+/// Like [`call_peer`]; a peer that confirms the call has `time` to decide on it.
+pub(crate) async fn call_peer_for(
+    gateway: &Gateway,
+    peer: SocketAddrV4,
+    time: Duration,
+    build_message: impl Fn(u64) -> PeerMessage,
 ) -> Option<PeerMessage> {
     let call_id = gateway.state.next_call_id.get();
     gateway.state.next_call_id.set(call_id + 1);
-    let (sender, receiver) = bounded(1);
+    let (sender, receiver) = bounded(REPLIES_MAX);
     gateway
         .state
         .pending_peer_calls
@@ -37,18 +49,34 @@
     let message = build_message(call_id);
     for _ in 0..SENDS_MAX {
         send(gateway, &message, peer).await;
-        let reply = async { receiver.recv().await.ok() };
-        let timed_out = async {
-            Timer::after(RETRY_INTERVAL).await;
-            None
-        };
-        if let Some(reply) = reply.or(timed_out).await {
-            return Some(reply);
+        match receive_within(&receiver, RETRY_INTERVAL).await {
+            Some(PeerMessage::Deciding { .. }) => return receive_decision(&receiver, time).await,
+            Some(reply) => return Some(reply),
+            None => {}
         }
     }
     None
 }
 
+async fn receive_within(receiver: &Receiver<PeerMessage>, time: Duration) -> Option<PeerMessage> {
+    let reply = async { receiver.recv().await.ok() };
+    let timed_out = async {
+        Timer::after(time).await;
+        None
+    };
+    reply.or(timed_out).await
+}
+
+/// Returns the first reply that is a decision.
+async fn receive_decision(receiver: &Receiver<PeerMessage>, time: Duration) -> Option<PeerMessage> {
+    loop {
+        let reply = receive_within(receiver, time).await?;
+        if !matches!(reply, PeerMessage::Deciding { .. }) {
+            return Some(reply);
+        }
+    }
+}
+
 /// Unregisters a pending call when dropped.
 struct PendingCall<'a> {
     gateway: &'a Gateway,
@@ -64,3 +92,17 @@
             .remove(&self.call_id);
     }
 }
+
+/// Runs all futures concurrently and returns their results in order.
+pub(crate) async fn join_all<T>(futures: impl Iterator<Item = impl Future<Output = T>>) -> Vec<T> {
+    let executor = smol::LocalExecutor::new();
+    let tasks: Vec<_> = futures.map(|future| executor.spawn(future)).collect();
+    let collect = async {
+        let mut results = Vec::with_capacity(tasks.len());
+        for task in tasks {
+            results.push(task.await);
+        }
+        results
+    };
+    executor.run(collect).await
+}
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -1,10 +1,10 @@
 //! State that all parts of the gateway share on its single thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::future::Future;
-use std::net::UdpSocket;
+use std::net::{SocketAddrV4, UdpSocket};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -12,6 +12,7 @@
 use ibisdale_telemetry::record_event;
 use ibisdale_turns::{ClientOptions, HolderInfo, HolderLinks, HolderTable, TurnClient};
 use smol::channel::{Receiver, Sender, bounded};
+use smol::lock::Mutex;
 use smol::{Async, LocalExecutor};
 
 use super::boot_time::{BootTime, SuspensionWatch};
@@ -26,10 +27,10 @@
 use super::response_memory::ResponseMemory;
 use super::state_transfer;
 use crate::decide::{
-    BudgetLedger, CeilingClaim, GrantLedger, GrantOutcome, LimitTable, MemberFacts, MemberTable,
-    OriginTable, ProgramKey, QuotaLedger, QuotaTolerance, RateRefusal, RecentDecisions,
-    ReplicaInfo, ReplicaTable, RunLedger, SuspectTable, VersionHistory, VmKey, hash_bytes,
-    is_reader, reader_rank,
+    AccountCopy, BudgetLedger, CeilingClaim, ClaimOutcome, GrantLedger, GrantOutcome, LimitTable,
+    MemberFacts, MemberTable, OriginTable, ProgramKey, QuotaLedger, QuotaTolerance, RateRefusal,
+    RecentDecisions, ReplicaInfo, ReplicaTable, RunLedger, SuspectTable, VersionHistory, VmKey,
+    VmLoss, hash_bytes, is_reader, reader_rank,
 };
 use crate::plan::DeploymentPlan;
 
@@ -40,9 +41,8 @@
 /// Number of bits of a call's identifier that count the calls of a process.
 const CALL_ID_BITS: u32 = 20;
 
-/// Result of a write to the durable store: for each ceiling, whether it is known to be
-/// stored.
-pub type StoreFuture = Pin<Box<dyn Future<Output = Vec<bool>>>>;
+/// Results of a write to the durable store, one for each ceiling.
+pub type StoreFuture = Pin<Box<dyn Future<Output = Vec<ClaimOutcome>>>>;
 
 /// Stores token ceilings of programs.
 pub type StoreCeilings = Box<dyn Fn(Vec<CeilingClaim>) -> StoreFuture>;
@@ -73,7 +73,7 @@
     /// Storage for data that has to survive the loss of all VMs.
     pub store: DurableStore,
     /// Addresses that are contacted while no other VM is known.
-    pub seeds: Vec<std::net::SocketAddrV4>,
+    pub seeds: Vec<SocketAddrV4>,
     /// Whether the whole system starts for the first time, so that no counts can be lost.
     pub is_first_start: bool,
     /// Maximum time since the configuration was last confirmed for which it still proves
@@ -108,7 +108,9 @@
     pub(crate) members: RefCell<MemberTable>,
     /// Whether the registered VMs have been read.
     pub(crate) has_registrations: Cell<bool>,
-    pub(crate) lost_vms: RefCell<Vec<(VmKey, u64)>>,
+    pub(crate) lost_vms: RefCell<Vec<VmLoss>>,
+    /// VMs that have restarted recently, with the time at which this was noticed.
+    pub(crate) restarts: RefCell<Vec<(VmKey, u64)>>,
     pub(crate) counts_lost_at: Cell<Option<u64>>,
     pub(crate) ceilings_read_at_ms: Cell<Option<u64>>,
     pub(crate) quota: RefCell<QuotaLedger>,
@@ -119,6 +121,13 @@
     pub(crate) runs: RefCell<RunLedger>,
     pub(crate) run_decisions: RefCell<RecentDecisions<RunReply>>,
     pub(crate) budgets: RefCell<BudgetLedger>,
+    /// Calls whose reservation this VM decides on as home, by sender and identifier.
+    pub(crate) reserve_calls: RefCell<HashSet<(SocketAddrV4, u64)>>,
+    /// Locks of programs on which this VM decides as home.
+    pub(crate) program_locks: RefCell<HashMap<ProgramKey, Rc<Mutex<()>>>>,
+    pub(crate) role_replies: RefCell<RecentDecisions<Option<AccountCopy>>>,
+    /// Whether VMs have joined, restarted or died since copies of accounts were sent last.
+    pub(crate) are_copies_due: Cell<bool>,
     /// Ceilings that are being stored; each channel is closed when the write ends.
     pub(crate) ceiling_writes: RefCell<HashMap<ProgramKey, Receiver<()>>>,
     pub(crate) ceiling_batch: RefCell<CeilingBatch>,
@@ -165,7 +174,11 @@
             Vec::new()
         } else {
             // The counts of this VM's previous process are lost.
-            vec![(options.facts.key(), 0)]
+            vec![VmLoss {
+                vm: options.facts.key(),
+                incarnation: 0,
+                at_ms: 0,
+            }]
         };
         // Peers must not take calls of this process for those of the previous one.
         let first_call_id = options.facts.incarnation << CALL_ID_BITS;
@@ -203,6 +216,7 @@
             members: RefCell::default(),
             has_registrations: Cell::new(false),
             lost_vms: RefCell::new(lost_vms),
+            restarts: RefCell::default(),
             counts_lost_at: Cell::new(is_first_start.then_some(0)),
             ceilings_read_at_ms: Cell::new(is_first_start.then_some(1)),
             quota: RefCell::new(quota),
@@ -213,6 +227,10 @@
             runs: RefCell::default(),
             run_decisions: RefCell::default(),
             budgets: RefCell::new(budgets),
+            reserve_calls: RefCell::default(),
+            program_locks: RefCell::default(),
+            role_replies: RefCell::default(),
+            are_copies_due: Cell::default(),
             ceiling_writes: RefCell::default(),
             ceiling_batch: RefCell::default(),
             pool: ConnectionPool::default(),
@@ -431,11 +449,6 @@
         }
     }
 
-    pub(crate) fn record_ceiling(&self, program: ProgramKey, ceiling: u64) {
-        let mut budgets = self.state.budgets.borrow_mut();
-        budgets.record_ceiling(program, ceiling);
-    }
-
     pub(crate) fn own_facts(&self) -> MemberFacts {
         let mut facts = self.state.options.facts.clone();
         facts.is_serving = self.is_ready();
--- a/crates/relay/tests/budget.rs
+++ b/crates/relay/tests/budget.rs
@@ -1,7 +1,7 @@
 //! Tests the token budgets of programs as counted by their home VMs.
 
 use ibisdale_relay::decide::{
-    BudgetLedger, BudgetShare, BudgetVerdict, ClaimStatus, StoredCeiling,
+    BudgetLedger, BudgetShare, BudgetVerdict, ClaimStatus, StoredCeiling, TakeoverFinding,
 };
 use rstest::rstest;
 
@@ -10,48 +10,67 @@
 const CALL_TOKENS: u64 = 100;
 const RETENTION_MS: u64 = 65_000;
 
+/// All that was granted is known, and no other VM acts as home.
+const COMPLETE: TakeoverFinding = TakeoverFinding {
+    may_miss_tokens: false,
+    needs_record: false,
+};
+/// Tokens may have been delivered that nobody knows.
+const INCOMPLETE: TakeoverFinding = TakeoverFinding {
+    may_miss_tokens: true,
+    needs_record: true,
+};
+
 fn home() -> BudgetLedger {
     BudgetLedger::new(1, 1_000)
 }
 
+/// Returns a stored ceiling of a home whose process has ended.
+fn ceiling_of_another_home(ceiling: u64) -> StoredCeiling {
+    StoredCeiling { ceiling, owner: 5 }
+}
+
+/// Requests a call as the daemon does: commits it once it is granted.
 fn request_call(ledger: &mut BudgetLedger, now_ms: u64) -> BudgetVerdict {
     let share = ledger.reserve(PROGRAM, CALL_TOKENS, now_ms);
-    ledger.decide(PROGRAM, BUDGET, CALL_TOKENS, share, now_ms)
+    decide_call(ledger, share, now_ms)
+}
+
+fn decide_call(ledger: &mut BudgetLedger, share: BudgetShare, now_ms: u64) -> BudgetVerdict {
+    let verdict = ledger.decide(PROGRAM, BUDGET, CALL_TOKENS, share, now_ms);
+    if matches!(verdict, BudgetVerdict::Granted { .. }) {
+        ledger.commit(PROGRAM, CALL_TOKENS);
+    }
+    verdict
+}
+
+/// Ends a call that was not granted.
+fn release_call(ledger: &mut BudgetLedger) {
+    ledger.commit(PROGRAM, CALL_TOKENS);
+    ledger.settle(PROGRAM, CALL_TOKENS, 0, 1);
 }
 
 /// Requests a call as the daemon does: stores a ceiling if one is needed.
 fn request_call_storing_ceilings(ledger: &mut BudgetLedger, stored: &mut Option<u64>) -> bool {
+    let share = ledger.reserve(PROGRAM, CALL_TOKENS, 1);
     for _ in 0..2 {
-        match request_reserved_call(ledger) {
+        match decide_call(ledger, share, 1) {
             BudgetVerdict::Granted { .. } => return true,
             BudgetVerdict::Spent { .. } => break,
             BudgetVerdict::NeedsCeiling { ceiling } => {
                 *stored = Some(ceiling);
-                ledger.record_ceiling(PROGRAM, ceiling);
+                ledger.record_claim(ledger.claim(PROGRAM, ceiling));
             }
         }
     }
-    ledger.settle(PROGRAM, CALL_TOKENS, 0, 1);
+    release_call(ledger);
     false
 }
 
-/// Requests a call with this VM's open reservation, or makes one.
-fn request_reserved_call(ledger: &mut BudgetLedger) -> BudgetVerdict {
-    let own = ledger
-        .shares(PROGRAM)
-        .into_iter()
-        .find(|share| share.vm == 1);
-    let share = match own {
-        Some(share) if share.reserved > 0 => share,
-        _ => ledger.reserve(PROGRAM, CALL_TOKENS, 1),
-    };
-    ledger.decide(PROGRAM, BUDGET, CALL_TOKENS, share, 1)
-}
-
 #[test]
 fn first_call_is_marked_as_first() {
     let mut ledger = home();
-    ledger.take_over(PROGRAM, BUDGET, false, 1);
+    ledger.take_over(PROGRAM, BUDGET, COMPLETE, 1);
     assert_eq!(
         request_call(&mut ledger, 1),
         BudgetVerdict::Granted { is_first: true }
@@ -65,7 +84,7 @@
 #[test]
 fn calls_beyond_a_third_of_the_budget_need_a_stored_ceiling() {
     let mut ledger = home();
-    ledger.take_over(PROGRAM, BUDGET, false, 1);
+    ledger.take_over(PROGRAM, BUDGET, COMPLETE, 1);
     let verdicts: Vec<_> = (0..5).map(|_| request_call(&mut ledger, 1)).collect();
     insta::assert_debug_snapshot!(verdicts, @r"
     [
@@ -92,9 +111,9 @@
 fn budget_grants_no_more_calls_than_its_tokens_allow() {
     let mut ledger = home();
     let mut stored = None;
-    ledger.take_over(PROGRAM, BUDGET, false, 1);
+    ledger.take_over(PROGRAM, BUDGET, COMPLETE, 1);
     let mut delivered = 0;
-    while request_call_storing_ceilings(&mut ledger, &mut stored) {
+    while delivered <= BUDGET && request_call_storing_ceilings(&mut ledger, &mut stored) {
         ledger.settle(PROGRAM, CALL_TOKENS, CALL_TOKENS, 1);
         delivered += CALL_TOKENS;
         assert!(delivered <= BUDGET);
@@ -106,10 +125,11 @@
 #[test]
 fn reservation_of_a_refused_call_does_not_count() {
     let mut ledger = home();
-    ledger.take_over(PROGRAM, BUDGET, false, 1);
+    ledger.take_over(PROGRAM, BUDGET, COMPLETE, 1);
     let foreign = BudgetShare {
         vm: 2,
         incarnation: 1,
+        series: 1,
         sequence: 1,
         spent: 0,
         reserved: BUDGET + 1,
@@ -131,15 +151,15 @@
     let before = ceiling.unwrap_or(BUDGET * 33 / 100) + CALL_TOKENS;
     let mut ledger = home();
     if let Some(ceiling) = ceiling {
-        ledger.record_ceiling(PROGRAM, ceiling);
+        ledger.record_ceiling(PROGRAM, ceiling_of_another_home(ceiling));
     }
     let mut stored = ceiling;
     let first = ledger.reserve(PROGRAM, CALL_TOKENS, 1);
-    ledger.take_over(PROGRAM, BUDGET, true, 1);
-    ledger.decide(PROGRAM, BUDGET, CALL_TOKENS, first, 1);
-    ledger.settle(PROGRAM, CALL_TOKENS, 0, 1);
+    ledger.take_over(PROGRAM, BUDGET, INCOMPLETE, 1);
+    decide_call(&mut ledger, first, 1);
+    release_call(&mut ledger);
     let mut after = 0;
-    while request_call_storing_ceilings(&mut ledger, &mut stored) {
+    while after <= BUDGET && request_call_storing_ceilings(&mut ledger, &mut stored) {
         ledger.settle(PROGRAM, CALL_TOKENS, CALL_TOKENS, 1);
         after += CALL_TOKENS;
     }
@@ -149,15 +169,15 @@
 #[test]
 fn new_home_gets_the_shares_of_a_failed_home_from_a_peer() {
     let mut failed = home();
-    failed.take_over(PROGRAM, BUDGET, false, 1);
-    failed.reserve(PROGRAM, CALL_TOKENS, 1);
+    failed.take_over(PROGRAM, BUDGET, COMPLETE, 1);
+    request_call(&mut failed, 1);
     failed.settle(PROGRAM, CALL_TOKENS, CALL_TOKENS, 1);
     let mut peer = BudgetLedger::new(2, 1_000);
-    peer.merge(PROGRAM, &failed.shares(PROGRAM), 1);
-    peer.reserve(PROGRAM, CALL_TOKENS, 1);
+    peer.merge_copy(PROGRAM, &failed.copy(PROGRAM, 1).unwrap(), 1);
+    request_call(&mut peer, 1);
     let mut next = BudgetLedger::new(3, 1_000);
-    next.merge(PROGRAM, &peer.shares(PROGRAM), 2);
-    next.take_over(PROGRAM, BUDGET, false, 2);
+    next.merge_copy(PROGRAM, &peer.copy(PROGRAM, 2).unwrap(), 2);
+    next.take_over(PROGRAM, BUDGET, COMPLETE, 2);
     assert_eq!(next.total(PROGRAM), 2 * CALL_TOKENS);
 }
 
@@ -166,16 +186,17 @@
     let mut ledger = home();
     let mut other = BudgetLedger::new(2, 1_000);
     let early = other.reserve(PROGRAM, CALL_TOKENS, 1);
+    other.commit(PROGRAM, CALL_TOKENS);
     let late = other.settle(PROGRAM, CALL_TOKENS, 30, 1);
-    ledger.merge(PROGRAM, &[late], 1);
-    ledger.merge(PROGRAM, &[early], 1);
+    ledger.merge_share(PROGRAM, late, 1);
+    ledger.merge_share(PROGRAM, early, 1);
     assert_eq!(ledger.total(PROGRAM), 30);
 }
 
 #[test]
 fn programs_expire_after_the_retention_time() {
     let mut ledger = home();
-    ledger.reserve(PROGRAM, CALL_TOKENS, 1);
+    request_call(&mut ledger, 1);
     ledger.settle(PROGRAM, CALL_TOKENS, 10, 1);
     ledger.expire(RETENTION_MS, RETENTION_MS);
     assert_eq!(ledger.total(PROGRAM), 10);
@@ -194,6 +215,7 @@
     let mut share = BudgetShare {
         vm,
         incarnation: 1,
+        series: 1,
         sequence: 0,
         spent: 0,
         reserved: 0,
@@ -205,7 +227,7 @@
         if let BudgetVerdict::NeedsCeiling { ceiling } = verdict {
             let claim = ledger.claim(9, ceiling);
             match claim.compare(*stored) {
-                ClaimStatus::Conflict => return share.reserved - 8,
+                ClaimStatus::Conflict(_) => return share.reserved - 8,
                 ClaimStatus::Stored => {}
                 ClaimStatus::Missing => {
                     *stored = Some(StoredCeiling {
@@ -214,7 +236,7 @@
                     });
                 }
             }
-            ledger.record_ceiling(9, ceiling);
+            ledger.record_claim(claim);
             verdict = ledger.decide(9, 40, 8, share, 1);
         }
         if !matches!(verdict, BudgetVerdict::Granted { .. }) {
@@ -230,11 +252,11 @@
 fn concurrent_homes_exceed_the_budget_by_at_most_one_call() {
     let mut stored = None;
     let mut home = BudgetLedger::new(1, 1);
-    home.take_over(9, 40, false, 1);
+    home.take_over(9, 40, COMPLETE, 1);
     let mut total = request_calls(&mut home, 11, &mut stored, 2);
     for vm in [2, 3] {
         let mut other = BudgetLedger::new(vm, 1);
-        other.take_over(9, 40, true, 1);
+        other.take_over(9, 40, INCOMPLETE, 1);
         total += request_calls(&mut other, 10 + vm, &mut stored, 4);
     }
     assert!(
@@ -242,3 +264,42 @@
         "{total} tokens granted, budget 40, 8 tokens per call"
     );
 }
+
+/// A VM that had forgotten a program began its share at sequence 0 again, which the home took
+/// for old (review 4).
+#[test]
+fn share_that_begins_again_adds_to_the_earlier_one() {
+    let mut home = home();
+    home.take_over(PROGRAM, BUDGET, COMPLETE, 1);
+    let mut vm = BudgetLedger::new(2, 1_000);
+    for _ in 0..3 {
+        request_call(&mut vm, 1);
+        home.merge_share(PROGRAM, vm.settle(PROGRAM, CALL_TOKENS, CALL_TOKENS, 1), 1);
+    }
+    vm.expire(RETENTION_MS, 1 + RETENTION_MS);
+    let share = vm.reserve(PROGRAM, CALL_TOKENS, 1 + RETENTION_MS);
+    vm.commit(PROGRAM, CALL_TOKENS);
+    home.merge_share(PROGRAM, share, 1);
+    assert_eq!(home.total(PROGRAM), 4 * CALL_TOKENS);
+    vm.merge_copy(PROGRAM, &home.copy(PROGRAM, 1).unwrap(), 1 + RETENTION_MS);
+    assert_eq!(vm.total(PROGRAM), 4 * CALL_TOKENS);
+}
+
+/// Two calls of which the budget holds one must not both be refused since each counts the other.
+#[test]
+fn call_that_is_not_granted_yet_does_not_count() {
+    let mut home = home();
+    home.take_over(PROGRAM, BUDGET, COMPLETE, 1);
+    let first = home.reserve(PROGRAM, CALL_TOKENS, 1);
+    home.reserve(PROGRAM, BUDGET, 1);
+    assert_eq!(
+        decide_call(&mut home, first, 1),
+        BudgetVerdict::Granted { is_first: true }
+    );
+    let copied: u64 = home
+        .shares(PROGRAM)
+        .iter()
+        .map(|share| share.reserved)
+        .sum();
+    assert_eq!(copied, CALL_TOKENS);
+}
--- /dev/null
+++ b/crates/relay/tests/gateway/budgets.rs
@@ -0,0 +1,152 @@
+//! Token budgets of programs while VMs are killed and stand still.
+
+use std::thread;
+use std::time::Duration;
+
+use crate::fleet_support::start_fleet;
+use crate::support::{ScriptedReplica, TestGateway};
+
+/// Tokens that each call spends, and those that it may spend at most.
+const SPENT: u64 = 2;
+const RESERVED: u64 = 9;
+const BUDGET: u64 = 30;
+const PROGRAMS: usize = 12;
+/// Time in which VMs find that another one is silent, or is back.
+const DETECTION: Duration = Duration::from_millis(2_600);
+
+fn replica() -> ScriptedReplica {
+    ScriptedReplica::start(|_, _| {
+        let head = "HTTP/1.1 200 OK\r\nt-attempt: a1\r\nt-seal: s\r\nContent-Length: 32\r\n\r\n";
+        let events = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n";
+        (format!("{head}{events}").into_bytes(), true)
+    })
+}
+
+/// Programs of which each is to stop where its budget does not hold one more call.
+struct ProgramLoad {
+    tokens: [u64; PROGRAMS],
+}
+
+impl ProgramLoad {
+    fn new() -> Self {
+        Self {
+            tokens: [0; PROGRAMS],
+        }
+    }
+
+    /// Sends `rounds` calls of each program through `vm`; those that are refused with 503 are
+    /// sent again.
+    fn send(&mut self, vm: &TestGateway, rounds: usize) {
+        for _ in 0..rounds {
+            for program in 0..PROGRAMS {
+                self.call(vm, program);
+            }
+        }
+    }
+
+    /// Sends calls through `vm` until all programs are told that their budget is spent; returns
+    /// the tokens of each program.
+    fn spend_rest(mut self, vm: &TestGateway) -> [u64; PROGRAMS] {
+        for program in 0..PROGRAMS {
+            while self.call(vm, program) {
+                assert!(self.tokens[program] <= 3 * BUDGET, "the budget has no end");
+            }
+        }
+        self.tokens
+    }
+
+    /// Returns `false` if the budget is spent.
+    fn call(&mut self, vm: &TestGateway, program: usize) -> bool {
+        let request = format!(
+            "POST /stream/x HTTP/1.1\r\nHost: host.test\r\nt-attempt: a1\r\nt-deadline: 5000\r\n\
+             Authorization: Bearer secret\r\nConnection: close\r\nContent-Length: 0\r\n\
+             t-program: program-{program}\r\nt-budget: {BUDGET}\r\nt-usage: 5,{RESERVED}\r\n\r\n"
+        );
+        for _ in 0..20 {
+            let response = vm.call(&request);
+            if response.starts_with("HTTP/1.1 200") {
+                self.tokens[program] += SPENT;
+                return true;
+            }
+            if response.starts_with("HTTP/1.1 402") {
+                return false;
+            }
+            thread::sleep(Duration::from_millis(200));
+        }
+        panic!("a call of program {program} was refused 20 times");
+    }
+}
+
+/// Returns the tokens of programs that stop exactly where they should.
+fn whole_budgets() -> [u64; PROGRAMS] {
+    let calls = (BUDGET - RESERVED) / SPENT + 1;
+    [calls * SPENT; PROGRAMS]
+}
+
+#[test]
+fn programs_use_their_whole_budgets_through_all_vms() {
+    let replica = replica();
+    let fleet = start_fleet(&replica, 4);
+    let mut load = ProgramLoad::new();
+    for vm in &fleet {
+        load.send(vm, 2);
+    }
+    assert_eq!(load.spend_rest(&fleet[1]), whole_budgets());
+}
+
+/// A home that was killed took the only counts of the programs that it served itself (review 1).
+#[test]
+fn counts_of_a_killed_home_are_kept() {
+    let replica = replica();
+    let mut fleet = start_fleet(&replica, 4);
+    let mut load = ProgramLoad::new();
+    load.send(&fleet[0], 4);
+    fleet.remove(0).kill();
+    thread::sleep(DETECTION);
+    assert_eq!(load.spend_rest(&fleet[0]), whole_budgets());
+}
+
+/// Counts that only two VMs knew were lost when both were killed one after the other.
+#[test]
+fn counts_are_kept_when_two_vms_are_killed_one_after_the_other() {
+    let replica = replica();
+    let mut fleet = start_fleet(&replica, 4);
+    let mut load = ProgramLoad::new();
+    load.send(&fleet[0], 2);
+    load.send(&fleet[1], 2);
+    fleet.remove(0).kill();
+    thread::sleep(2 * DETECTION);
+    fleet.remove(0).kill();
+    thread::sleep(DETECTION);
+    assert_eq!(load.spend_rest(&fleet[0]), whole_budgets());
+}
+
+/// A home that stood still granted from its old counts (review 3).
+#[test]
+fn home_that_stood_still_asks_before_it_grants() {
+    let replica = replica();
+    let fleet = start_fleet(&replica, 4);
+    let mut load = ProgramLoad::new();
+    load.send(&fleet[1], 1);
+    fleet[0].freeze(Duration::from_secs(4));
+    thread::sleep(DETECTION);
+    load.send(&fleet[2], 6);
+    thread::sleep(DETECTION);
+    assert_eq!(load.spend_rest(&fleet[3]), whole_budgets());
+}
+
+/// What was granted while a home stood still was lost with the VMs that granted it.
+#[test]
+fn counts_are_kept_when_the_vm_that_served_meanwhile_is_killed() {
+    let replica = replica();
+    let mut fleet = start_fleet(&replica, 4);
+    let mut load = ProgramLoad::new();
+    load.send(&fleet[1], 1);
+    fleet[0].freeze(Duration::from_secs(4));
+    thread::sleep(DETECTION);
+    load.send(&fleet[2], 6);
+    thread::sleep(2 * DETECTION);
+    fleet.remove(2).kill();
+    thread::sleep(DETECTION);
+    assert_eq!(load.spend_rest(&fleet[2]), whole_budgets());
+}
--- /dev/null
+++ b/crates/relay/tests/gateway/fleet_support.rs
@@ -0,0 +1,83 @@
+//! Several gateways that share a store, and are killed, frozen and restarted.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ibisdale_relay::decide::{CeilingClaim, ClaimOutcome, ClaimStatus, ProgramKey, StoredCeiling};
+use ibisdale_relay::gateway::StoreCeilings;
+use smol::Timer;
+
+use crate::support::{ScriptedReplica, TestGateway, TestGatewayOptions};
+
+/// Duration of a simulated write of ceilings.
+const WRITE_DELAY: Duration = Duration::from_millis(20);
+
+/// What a test does to the process of a gateway.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum VmCommand {
+    Freeze(Duration),
+    Kill,
+}
+
+/// A store that keeps the ceilings of programs; clones share them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StoreStandIn {
+    ceilings: Arc<Mutex<HashMap<ProgramKey, StoredCeiling>>>,
+    writes: Arc<Mutex<Vec<Vec<u64>>>>,
+}
+
+impl StoreStandIn {
+    /// Returns the ceilings of all writes so far, one list per write.
+    pub(crate) fn writes(&self) -> Vec<Vec<u64>> {
+        self.writes.lock().unwrap().clone()
+    }
+
+    /// Returns the function with which a gateway writes to the store.
+    pub(crate) fn writer(&self) -> StoreCeilings {
+        let store = self.clone();
+        Box::new(move |claims| {
+            let written = claims.iter().map(|claim| claim.ceiling).collect();
+            store.writes.lock().unwrap().push(written);
+            let outcomes = claims.iter().map(|claim| store.write(claim)).collect();
+            Box::pin(async {
+                Timer::after(WRITE_DELAY).await;
+                outcomes
+            })
+        })
+    }
+
+    fn write(&self, claim: &CeilingClaim) -> ClaimOutcome {
+        let mut ceilings = self.ceilings.lock().unwrap();
+        match claim.compare(ceilings.get(&claim.program).copied()) {
+            ClaimStatus::Stored => ClaimOutcome::Stored,
+            ClaimStatus::Conflict(stored) => ClaimOutcome::Conflict(stored),
+            ClaimStatus::Missing => {
+                let stored = StoredCeiling {
+                    ceiling: claim.ceiling,
+                    owner: claim.owner,
+                };
+                ceilings.insert(claim.program, stored);
+                ClaimOutcome::Stored
+            }
+        }
+    }
+}
+
+/// Starts `count` gateways that know each other and share a store.
+pub(crate) fn start_fleet(replica: &ScriptedReplica, count: usize) -> Vec<TestGateway> {
+    let store = StoreStandIn::default();
+    let mut fleet: Vec<TestGateway> = Vec::new();
+    for _ in 0..count {
+        let options = TestGatewayOptions {
+            seed: fleet.first().map(|first| first.peer_address),
+            store: store.clone(),
+            ..TestGatewayOptions::default()
+        };
+        fleet.push(TestGateway::start_with(&[replica], options));
+    }
+    for vm in &fleet {
+        vm.wait_for_vms(count);
+    }
+    fleet
+}
--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -1,8 +1,10 @@
 //! Integration tests of gateways on loopback, between callers and scripted replicas.
 
+mod budgets;
 mod crashes;
 mod endless;
 mod fleet;
+mod fleet_support;
 mod holder_support;
 mod limits;
 mod responses;
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -21,8 +21,9 @@
     WorkspaceSpec,
 };
 use smol::channel::{Receiver, Sender, bounded};
-use smol::{Async, LocalExecutor, Timer};
+use smol::{Async, LocalExecutor};
 
+use crate::fleet_support::{StoreStandIn, VmCommand};
 use crate::holder_support::holder_info;
 
 /// Timeout for reading a response.
@@ -34,8 +35,6 @@
 const PORT_COUNT: u32 = 20_000;
 /// Difference between the first ports of processes with consecutive ids.
 const PORTS_PER_PROCESS: u32 = 128;
-/// Duration of a simulated write of ceilings.
-const WRITE_DELAY: Duration = Duration::from_millis(20);
 /// Interval at which the directory is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum number of polls before a test fails.
@@ -237,13 +236,13 @@
     pub(crate) entry: SocketAddr,
     pub(crate) directory: SocketAddr,
     pub(crate) peer_address: SocketAddrV4,
-    ceilings: Arc<Mutex<Vec<Vec<u64>>>>,
-    stop: Option<Sender<()>>,
+    store: StoreStandIn,
+    commands: Option<Sender<VmCommand>>,
     thread: Option<thread::JoinHandle<()>>,
 }
 
 /// Options of a test gateway.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct TestGatewayOptions {
     /// Whether `confirm_feed` is not called, so that the configuration may be outdated.
     pub(crate) is_feed_unconfirmed: bool,
@@ -253,6 +252,10 @@
     pub(crate) seed: Option<SocketAddrV4>,
     /// Address of the only holder of turns.
     pub(crate) holder: Option<SocketAddrV4>,
+    /// Store of the ceilings, which several gateways may share.
+    pub(crate) store: StoreStandIn,
+    /// Peer address and start time of a process that starts after an earlier one was killed.
+    pub(crate) restart: Option<(SocketAddrV4, u64)>,
 }
 
 impl TestGateway {
@@ -275,11 +278,11 @@
                 is_draining: false,
             })
             .collect();
-        let (stop, stopped) = bounded(1);
-        let (entry, directory, peer_address) = (free_address(), free_address(), free_address());
+        let (commands, received) = bounded(1);
+        let (entry, directory) = (free_address(), free_address());
+        let peer_address = options.restart.map_or_else(free_address, |(own, _)| own);
         let (started, started_receiver) = std::sync::mpsc::channel();
-        let ceilings: Arc<Mutex<Vec<Vec<u64>>>> = Arc::default();
-        let saved = Arc::clone(&ceilings);
+        let store = options.store.clone();
         let thread = thread::spawn(move || {
             let executor = Rc::new(LocalExecutor::new());
             let addresses = (entry, directory, peer_address);
@@ -288,9 +291,8 @@
                 replica_infos,
                 addresses,
                 options,
-                stopped,
+                received,
                 started,
-                saved,
             );
             smol::block_on(executor.run(run));
         });
@@ -299,8 +301,8 @@
             entry: entry.into(),
             directory: directory.into(),
             peer_address,
-            ceilings,
-            stop: Some(stop),
+            store,
+            commands: Some(commands),
             thread: Some(thread),
         }
     }
@@ -334,18 +336,30 @@
 
     /// Returns the ceilings of all writes so far, one list per write.
     pub(crate) fn ceilings(&self) -> Vec<Vec<u64>> {
-        self.ceilings.lock().unwrap().clone()
+        self.store.writes()
     }
 
     /// Starts draining the gateway.
     pub(crate) fn start_drain(&mut self) {
-        self.stop.take();
+        self.commands.take();
+    }
+
+    /// Lets the gateway's thread stand still for a time.
+    pub(crate) fn freeze(&self, time: Duration) {
+        let commands = self.commands.as_ref().unwrap();
+        commands.send_blocking(VmCommand::Freeze(time)).unwrap();
+    }
+
+    /// Ends the gateway at once, without draining it.
+    pub(crate) fn kill(self) {
+        let commands = self.commands.as_ref().unwrap();
+        commands.send_blocking(VmCommand::Kill).unwrap();
     }
 }
 
 impl Drop for TestGateway {
     fn drop(&mut self) {
-        self.stop.take();
+        self.commands.take();
         if let Some(thread) = self.thread.take() {
             let ended = thread.join();
             assert!(ended.is_ok() || thread::panicking(), "the gateway panicked");
@@ -392,13 +406,12 @@
     replicas: Vec<ReplicaInfo>,
     (entry, directory, peer_address): (SocketAddrV4, SocketAddrV4, SocketAddrV4),
     test_options: TestGatewayOptions,
-    stopped: Receiver<()>,
+    commands: Receiver<VmCommand>,
     started: std::sync::mpsc::Sender<()>,
-    saved: Arc<Mutex<Vec<Vec<u64>>>>,
 ) {
     let facts = MemberFacts {
         name: Bytes::from(peer_address.to_string()),
-        incarnation: 1,
+        incarnation: test_options.restart.map_or(1, |(_, start)| start),
         ip: Ipv4Addr::LOCALHOST,
         peer_port: peer_address.port(),
         entry_port: entry.port(),
@@ -417,19 +430,11 @@
             ttl_s: 0,
         },
         store: DurableStore {
-            store_ceilings: Box::new(move |ceilings| {
-                let stored = vec![true; ceilings.len()];
-                let ceilings = ceilings.into_iter().map(|claim| claim.ceiling);
-                saved.lock().unwrap().push(ceilings.collect());
-                Box::pin(async {
-                    Timer::after(WRITE_DELAY).await;
-                    stored
-                })
-            }),
+            store_ceilings: test_options.store.writer(),
             ceilings_max: 16,
         },
         seeds: test_options.seed.into_iter().collect(),
-        is_first_start: true,
+        is_first_start: test_options.restart.is_none(),
         feed_max_age: Duration::from_hours(1),
         quota_tolerance: QuotaTolerance::default(),
         tolerated_holders: 0,
@@ -456,7 +461,12 @@
     };
     gateway.listen(&addresses).unwrap();
     started.send(()).unwrap();
-    // Returns when the test drops the sender to stop the gateway.
-    let _ = stopped.recv().await;
+    // Returns an error when the test drops the sender to stop the gateway.
+    while let Ok(command) = commands.recv().await {
+        match command {
+            VmCommand::Freeze(time) => thread::sleep(time),
+            VmCommand::Kill => return,
+        }
+    }
     drain(&gateway, Duration::from_secs(5)).await;
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -286,10 +286,10 @@
     BudgetSpent = 2204, Info, "budget_spent",
         ["request", "program", "budget", "tokens", "total"], "A call was refused because it would exceed its program's budget.";
     BudgetTakenOver = 2205, Info, "budget_taken_over",
-        ["program", "asked", "answered", "shares", "total", "uncertain"],
-        "The VM took over the budget of a program, of which `answered` of `asked` VMs told what they know; where `uncertain`, usage that another VM counted may be missing.";
+        ["program", "epoch", "asked", "answered", "shares", "total", "needs_record", "uncertain"],
+        "The VM took over the budget of a program, of which `answered` of `asked` VMs told what they know; where `needs_record`, another VM may still act as its home, and where `uncertain`, usage that another VM counted may be missing.";
     CeilingStored = 2206, Info, "ceiling_stored",
-        ["program", "ceiling", "stored"], "An attempt to store a program's token ceiling has ended; `stored` is its result.";
+        ["program", "ceiling", "stored", "conflict"], "An attempt to store a program's token ceiling has ended; `stored` is its result, and `conflict` the ceiling of another home that was found instead.";
     RateRefused = 2207, Info, "rate_refused",
         ["request", "home", "stage", "cause", "used", "limit", "after_ms"],
         "A request or program was refused because it would exceed its workspace's rate limit or the limit could not be checked.";
@@ -312,6 +312,9 @@
     RunDecided = 2213, Debug, "run_decided",
         ["request", "fingerprint", "crashes", "replica", "home", "decision"],
         "A home decided whether a suspected request may be sent to a replica; `home` is empty if it is this VM.";
+    BudgetRoleRefused = 2214, Info, "budget_role_refused",
+        ["program", "epoch", "witness_epoch", "total_before", "total"],
+        "The witness of a program's budget knows a later epoch of its home's role than `epoch`, or tokens that this VM did not count; it asks again before it grants.";
 
     ChainAssembled = 2301, Info, "chain_assembled",
         ["request", "previous", "turns", "cached", "bytes", "elapsed_ms"],
