--- a/crates/relay/src/decide/budget/takeover.rs
+++ b/crates/relay/src/decide/budget/takeover.rs
@@ -35,6 +35,8 @@
     pub now_ms: u64,
     /// Whether most VMs have lost their counts recently.
     pub has_lost_counts: bool,
+    /// Whether the stored records have been read since the last loss.
+    pub knows_records: bool,
 }
 
 /// What follows from it for the new home.
@@ -64,7 +66,7 @@
     let losses: Vec<_> = input
         .losses
         .iter()
-        .filter(|loss| loss.at_ms + LOSS_SLACK_MS >= known_since_ms)
+        .filter(|loss| loss.at_ms.saturating_add(LOSS_SLACK_MS) >= known_since_ms)
         .copied()
         .collect();
     let has_lost_pair = may_have_lost_pair(input.ranked, &losses, input.is_down, input.window_ms);
@@ -72,7 +74,8 @@
     let may_miss_tokens = !has_home_replied && (has_lost_pair || has_lost_all);
     TakeoverFinding {
         may_miss_tokens,
-        needs_record: may_miss_tokens || may_have_other_home(input, latest.map(|(_, copy)| copy)),
+        needs_record: (may_miss_tokens && !input.knows_records)
+            || may_have_other_home(input, latest.map(|(_, copy)| copy)),
     }
 }
 
--- a/crates/relay/src/gateway/budget_home.rs
+++ b/crates/relay/src/gateway/budget_home.rs
@@ -182,7 +182,7 @@
     let mut budgets = gateway.state.budgets.borrow_mut();
     for account in replies.iter().filter_map(|reply| reply.account.as_ref()) {
         let mut account = account.clone();
-        account.epoch += 1;
+        account.epoch = account.epoch.saturating_add(1);
         budgets.merge_copy(program, &account, now_ms);
     }
 }
@@ -232,6 +232,7 @@
             window_ms: gateway.loss_window_ms(),
             now_ms,
             has_lost_counts,
+            knows_records: !gateway.needs_ceilings(),
         })
     };
     merge_replies(gateway, program, &replies[..answered]);
--- a/crates/relay/tests/takeover.rs
+++ b/crates/relay/tests/takeover.rs
@@ -59,6 +59,7 @@
         window_ms: WINDOW_MS,
         now_ms: NOW_MS,
         has_lost_counts: false,
+        knows_records: false,
     })
 }
 
