--- a/crates/relay/src/decide/origins.rs
+++ b/crates/relay/src/decide/origins.rs
@@ -83,8 +83,9 @@
 
 /// Decides at which service and version a stream that a caller takes up goes on.
 ///
-/// A stream whose origin is not `known` goes on only if `history` proves that a single
-/// version can have begun it.
+/// A stream whose origin is not `known` goes on only if a single version can have begun it by
+/// `history` and by `recorded`, the stored record as read since the request arrived. The list
+/// of a VM that was out of step does not hold the versions that joined meanwhile.
 ///
 /// # Errors
 ///
@@ -93,6 +94,7 @@
     route: &RouteRule,
     known: Option<StreamOrigin>,
     history: &VersionHistory,
+    recorded: Option<&[StreamOrigin]>,
     window_ms: u64,
     now_ms: u64,
 ) -> Result<StreamOrigin, OriginRefusal> {
@@ -108,6 +110,13 @@
     };
     let version = history.sole_version(&only.service, window_ms, now_ms);
     let software_version = version.cloned().ok_or(OriginRefusal::Unknown)?;
+    let recorded = recorded.ok_or(OriginRefusal::Unknown)?;
+    let mut others = recorded.iter().filter(|origin| {
+        origin.service == only.service && origin.software_version != software_version
+    });
+    if others.next().is_some() {
+        return Err(OriginRefusal::Unknown);
+    }
     Ok(StreamOrigin {
         service: only.service.clone(),
         software_version,
--- a/crates/relay/src/gateway/origins.rs
+++ b/crates/relay/src/gateway/origins.rs
@@ -9,6 +9,7 @@
 use super::attempt::RetryState;
 use super::caller_request::CallerRequest;
 use super::message::PeerMessage;
+use super::origin_record::read_recorded_origins;
 use super::peer_link::spawn_send;
 use super::rpc::call_peer;
 use super::state::{Gateway, lossy_string};
@@ -89,12 +90,27 @@
         look_up_origin(gateway, hash_bytes(request.resumed_attempt.as_bytes())).await
     };
     let (is_known, is_current) = (known.is_some(), is_list_current(gateway));
+    let recorded = if is_known || !is_current {
+        None
+    } else {
+        read_recorded_origins(gateway).await
+    };
     let decided = {
         let (now_ms, window_ms) = (gateway.now_ms(), gateway.resume_window_ms());
         let versions = gateway.state.versions.borrow();
         match known {
             None if !is_current => Err(OriginRefusal::Unknown),
-            known => decide_origin(&request.route, known, &versions, window_ms, now_ms),
+            known => {
+                let recorded = recorded.as_deref();
+                decide_origin(
+                    &request.route,
+                    known,
+                    &versions,
+                    recorded,
+                    window_ms,
+                    now_ms,
+                )
+            }
         }
     };
     let version = decided.as_ref().ok().map(|origin| &origin.software_version);
@@ -104,6 +120,7 @@
         resumes = request.resumed_attempt,
         known = is_known,
         current = is_current,
+        recorded = recorded.as_ref().map_or(0, |recorded| recorded.len()),
         version = version.map_or_else(String::new, |version| lossy_string(version)),
         refusal = decided
             .as_ref()
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -22,6 +22,7 @@
 use super::header_names::HeaderNames;
 use super::message::{PeerMessage, RunReply};
 use super::metrics::GatewayMetrics;
+use super::origin_record::OriginWaiter;
 use super::peer_link;
 use super::pool::ConnectionPool;
 use super::response_memory::ResponseMemory;
@@ -29,8 +30,8 @@
 use crate::decide::{
     AccountCopy, BudgetLedger, CeilingClaim, ClaimOutcome, GrantLedger, GrantOutcome, LimitTable,
     MemberFacts, MemberTable, OriginTable, ProgramKey, QuotaLedger, QuotaTolerance, RateRefusal,
-    RecentDecisions, ReplicaInfo, ReplicaTable, RunLedger, SuspectTable, VersionHistory, VmKey,
-    VmLoss, hash_bytes, is_reader, reader_rank,
+    RecentDecisions, ReplicaInfo, ReplicaTable, RunLedger, StreamOrigin, SuspectTable,
+    VersionHistory, VmKey, VmLoss, hash_bytes, is_reader, reader_rank,
 };
 use crate::plan::DeploymentPlan;
 
@@ -47,8 +48,14 @@
 /// Stores token ceilings of programs.
 pub type StoreCeilings = Box<dyn Fn(Vec<CeilingClaim>) -> StoreFuture>;
 
+/// Reads the recorded origins of streams; `None` if there is no record or the store does not
+/// reply.
+pub type ReadOrigins = Box<dyn Fn() -> Pin<Box<dyn Future<Output = Option<Vec<StreamOrigin>>>>>>;
+
 /// Storage for data that has to survive the loss of all VMs.
 pub struct DurableStore {
+    /// Reads the versions that streams may have begun at, as of the call or later.
+    pub read_origins: ReadOrigins,
     /// Stores ceilings in one write.
     pub store_ceilings: StoreCeilings,
     /// Maximum number of ceilings in one write.
@@ -105,6 +112,8 @@
     pub(crate) limits: RefCell<LimitTable>,
     pub(crate) versions: RefCell<VersionHistory>,
     pub(crate) origins: RefCell<OriginTable>,
+    /// Requests that wait for the next read of the recorded origins.
+    pub(crate) origin_waiters: RefCell<Vec<OriginWaiter>>,
     pub(crate) members: RefCell<MemberTable>,
     /// Whether the registered VMs have been read.
     pub(crate) has_registrations: Cell<bool>,
@@ -213,6 +222,7 @@
                 VersionHistory::default()
             }),
             origins: RefCell::default(),
+            origin_waiters: RefCell::default(),
             members: RefCell::default(),
             has_registrations: Cell::new(false),
             lost_vms: RefCell::new(lost_vms),
--- a/crates/relay/tests/gateway/fleet_support.rs
+++ b/crates/relay/tests/gateway/fleet_support.rs
@@ -4,8 +4,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use ibisdale_relay::decide::{CeilingClaim, ClaimOutcome, ClaimStatus, ProgramKey, StoredCeiling};
-use ibisdale_relay::gateway::StoreCeilings;
+use bytes::Bytes;
+use ibisdale_relay::decide::{
+    CeilingClaim, ClaimOutcome, ClaimStatus, ProgramKey, StoredCeiling, StreamOrigin,
+};
+use ibisdale_relay::gateway::{ReadOrigins, StoreCeilings};
 use smol::Timer;
 
 use crate::support::{ScriptedReplica, TestGateway, TestGatewayOptions};
@@ -25,6 +28,7 @@
 pub(crate) struct StoreStandIn {
     ceilings: Arc<Mutex<HashMap<ProgramKey, StoredCeiling>>>,
     writes: Arc<Mutex<Vec<Vec<u64>>>>,
+    origins: Arc<Mutex<Option<Vec<StreamOrigin>>>>,
 }
 
 impl StoreStandIn {
@@ -47,6 +51,25 @@
         })
     }
 
+    /// Records a version as the readers of a fleet do.
+    pub(crate) fn record_version(&self, software_version: &'static str) {
+        let origin = StreamOrigin {
+            service: Bytes::from_static(b"service"),
+            software_version: Bytes::from_static(software_version.as_bytes()),
+        };
+        let mut origins = self.origins.lock().unwrap();
+        origins.get_or_insert_default().push(origin);
+    }
+
+    /// Returns the function with which a gateway reads the recorded origins.
+    pub(crate) fn origin_reader(&self) -> ReadOrigins {
+        let store = self.clone();
+        Box::new(move || {
+            let origins = store.origins.lock().unwrap().clone();
+            Box::pin(async { origins })
+        })
+    }
+
     fn write(&self, claim: &CeilingClaim) -> ClaimOutcome {
         let mut ceilings = self.ceilings.lock().unwrap();
         match claim.compare(ceilings.get(&claim.program).copied()) {
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -430,6 +430,7 @@
             ttl_s: 0,
         },
         store: DurableStore {
+            read_origins: test_options.store.origin_reader(),
             store_ceilings: test_options.store.writer(),
             ceilings_max: 16,
         },
--- a/crates/relay/tests/gateway/versions.rs
+++ b/crates/relay/tests/gateway/versions.rs
@@ -1,5 +1,6 @@
 //! Streams at replicas of two software versions.
 
+use crate::fleet_support::StoreStandIn;
 use crate::support::{ScriptedReplica, TestGateway, TestGatewayOptions, header};
 
 /// Number of streams that each test begins, at replicas chosen at random.
@@ -111,11 +112,45 @@
     assert_eq!(sent.sum::<usize>(), 0);
 }
 
+/// Starts a VM that hears no other one, and whose list has replicas of `v1` only.
+fn start_alone(replica: &ScriptedReplica, recorded: &[&'static str]) -> TestGateway {
+    let options = TestGatewayOptions {
+        store: StoreStandIn::default(),
+        ..TestGatewayOptions::default()
+    };
+    for version in recorded {
+        options.store.record_version(version);
+    }
+    TestGateway::start_with(&[replica], options)
+}
+
 #[test]
 fn stream_that_nobody_knows_goes_on_if_only_one_version_can_have_begun_it() {
-    let replicas = [replica("v1", false), replica("v1", false)];
-    let gateway = TestGateway::start(&replicas.each_ref());
+    let replica = replica("v1", false);
+    let gateway = start_alone(&replica, &["v1"]);
     let response = gateway.call(&request("a1", "Last-Event-Id: 2\r\n"));
     assert_eq!(event_versions(&response), ["v1", "v1"], "{response}");
     assert!(is_complete(&response));
 }
+
+/// A VM that was cut off or stood still while a version joined took its old list for whole.
+#[test]
+fn vm_out_of_step_does_not_join_a_stream_to_another_version() {
+    let replica = replica("v1", false);
+    let gateway = start_alone(&replica, &["v1", "v2"]);
+    let headers = "Last-Event-Id: 2\r\nt-resumes: unknown\r\n";
+    let response = gateway.call(&request("a1", headers));
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert!(replica.requests().is_empty());
+}
+
+/// A VM that the store does not answer can't know which versions have joined.
+#[test]
+fn vm_without_a_record_does_not_join_a_stream_to_another_version() {
+    let replica = replica("v1", false);
+    let gateway = start_alone(&replica, &[]);
+    let headers = "Last-Event-Id: 2\r\nt-resumes: unknown\r\n";
+    let response = gateway.call(&request("a1", headers));
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert!(replica.requests().is_empty());
+}
--- a/crates/relay/tests/origins.rs
+++ b/crates/relay/tests/origins.rs
@@ -134,7 +134,7 @@
     ];
     let decided = cases.map(|(services, known)| {
         let was_known = known.is_some();
-        let decided = decide_origin(&route(services), known, &history, WINDOW_MS, 1);
+        let decided = decide_origin(&route(services), known, &history, Some(&[]), WINDOW_MS, 1);
         (services, was_known, decided)
     });
     insta::assert_debug_snapshot!(decided);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -273,6 +273,8 @@
         "`crashes` replicas have ended under requests with this fingerprint, one after the other; 0 if one was served since. `source` is the crash, the answer or the events that this VM saw, or another VM, the home of the suspects or the store.";
     CondemnedStored = 2122, Info, "condemned_stored",
         ["count", "revision"], "Requests that are refused because they have ended replicas were written to the key-value service.";
+    EntriesUnreadable = 2123, Warn, "entries_unreadable",
+        ["key", "error", "new", "count"], "Entries of replicas could not be decoded and were skipped: `count` in all, `new` of them since the last line, of which `key` is the first.";
 
     RequestEnded = 2201, Info, "request_ended",
         ["request", "program", "route", "workspace", "status", "reason", "replica", "sends",
@@ -297,8 +299,8 @@
         ["request", "resumes", "began", "replica", "version", "after"],
         "A stream goes on at a replica after event `after`, for the client attempt that began it (`resumes` is empty) or for a later one.";
     OriginDecided = 2209, Info, "origin_decided",
-        ["request", "resumes", "known", "current", "version", "refusal"],
-        "At which software version a stream that a caller takes up may go on, or why it may not; `current` tells whether the list of replicas could be relied on.";
+        ["request", "resumes", "known", "current", "recorded", "version", "refusal"],
+        "At which software version a stream that a caller takes up may go on, or why it may not; `current` tells whether the list of replicas could be relied on, `recorded` the number of versions in the stored record, 0 if it was not read.";
     GrantDecided = 2210, Debug, "grant_decided",
         ["request", "service", "by", "home", "outcome", "after_ms"],
         "A home decided whether one of the limited replicas takes a request.";
