--- a/crates/relay/src/decide/budget/account.rs
+++ b/crates/relay/src/decide/budget/account.rs
@@ -32,13 +32,15 @@
 impl ProgramAccount {
     /// Returns the tokens that are spent or reserved for granted calls.
     pub(super) fn total(&self) -> u64 {
-        let known: u64 = self.shares.values().map(BudgetShare::total).sum();
-        (known + self.assumed_spent).saturating_sub(self.pending)
+        let totals = self.shares.values().map(BudgetShare::total);
+        let total = totals.fold(self.assumed_spent, u64::saturating_add);
+        total.saturating_sub(self.pending)
     }
 
     /// Returns the tokens that were delivered, without reservations and assumptions.
     pub(super) fn delivered(&self) -> u64 {
-        self.shares.values().map(|share| share.spent).sum()
+        let spent = self.shares.values().map(|share| share.spent);
+        spent.fold(0, u64::saturating_add)
     }
 
     /// Stores `share` unless a newer version of it is known, or the same one with calls that
@@ -108,7 +110,7 @@
         if let Some(role) = self.role {
             self.previous_record = role.record();
         }
-        self.epoch += 1;
+        self.epoch = self.epoch.saturating_add(1);
         self.role = Some(HomeRole {
             epoch: self.epoch,
             home,
--- a/crates/relay/src/decide/budget/ledger.rs
+++ b/crates/relay/src/decide/budget/ledger.rs
@@ -72,8 +72,10 @@
     /// share.
     pub fn reserve(&mut self, program: ProgramKey, tokens: u64, now_ms: u64) -> BudgetShare {
         let account = self.programs.entry(program).or_default();
-        account.pending += tokens;
-        self.update_own_share(program, now_ms, |share| share.reserved += tokens)
+        account.pending = account.pending.saturating_add(tokens);
+        self.update_own_share(program, now_ms, |share| {
+            share.reserved = share.reserved.saturating_add(tokens);
+        })
     }
 
     /// Counts a reservation of this VM as granted.
@@ -86,7 +88,7 @@
     /// Counts a reservation of this VM as not granted.
     pub fn suspend(&mut self, program: ProgramKey, tokens: u64) {
         if let Some(account) = self.programs.get_mut(&program) {
-            account.pending += tokens;
+            account.pending = account.pending.saturating_add(tokens);
         }
     }
 
@@ -100,7 +102,7 @@
     ) -> BudgetShare {
         self.update_own_share(program, now_ms, |share| {
             share.reserved = share.reserved.saturating_sub(reserved);
-            share.spent += spent;
+            share.spent = share.spent.saturating_add(spent);
         })
     }
 
@@ -184,7 +186,7 @@
     pub fn yield_role(&mut self, program: ProgramKey, now_ms: u64) -> Option<AccountCopy> {
         let account = self.programs.get_mut(&program)?;
         let copy = account.copy(self.own, now_ms);
-        account.epoch += 1;
+        account.epoch = account.epoch.saturating_add(1);
         Some(copy)
     }
 
@@ -362,7 +364,7 @@
         account.updated_ms = now_ms;
         let previous = account.shares.get(&share.key()).copied();
         let total = if share.process() == own {
-            account.total() + tokens
+            account.total().saturating_add(tokens)
         } else {
             account.merge(share);
             account.total()
@@ -379,17 +381,22 @@
     /// reservations are kept longer.
     pub fn expire(&mut self, retention_ms: u64, now_ms: u64) {
         self.programs.retain(|_, account| {
-            let reserved: u64 = account.shares.values().map(|share| share.reserved).sum();
+            let has_reservations = account.shares.values().any(|share| share.reserved > 0);
             let age_ms = now_ms.saturating_sub(account.updated_ms);
             age_ms < retention_ms
-                || (reserved > 0 && age_ms < RESERVED_RETENTION_FACTOR * retention_ms)
+                || (has_reservations && age_ms < RESERVED_RETENTION_FACTOR * retention_ms)
         });
     }
 }
 
+/// Returns `percent` of `tokens`, which callers choose.
+fn percent_of(tokens: u64, percent: u64) -> u64 {
+    tokens / 100 * percent + tokens % 100 * percent / 100
+}
+
 /// Returns the part of a budget that is granted without a stored ceiling, in tokens.
 fn free_tokens(budget: u64) -> u64 {
-    budget * NO_CEILING_PERCENT / 100
+    percent_of(budget, NO_CEILING_PERCENT)
 }
 
 /// Decides on a call with which a program's tokens come to `total`.
@@ -406,13 +413,13 @@
         };
     }
     let bound = free_tokens(budget).max(account.ceiling);
-    if !account.needs_record && total <= bound + tokens {
+    if !account.needs_record && total <= bound.saturating_add(tokens) {
         return BudgetVerdict::Granted {
             is_first: total <= tokens,
         };
     }
-    let step = budget * CEILING_STEP_PERCENT / 100;
-    let ceiling = (total + step).max(bound);
+    let step = percent_of(budget, CEILING_STEP_PERCENT);
+    let ceiling = total.saturating_add(step).max(bound);
     BudgetVerdict::NeedsCeiling {
         ceiling: ceiling.min(budget),
     }
--- a/crates/relay/src/decide/budget/share.rs
+++ b/crates/relay/src/decide/budget/share.rs
@@ -56,7 +56,8 @@
     }
 
     pub(super) fn total(&self) -> u64 {
-        self.spent + self.reserved
+        // A message from another VM may hold any number.
+        self.spent.saturating_add(self.reserved)
     }
 }
 
--- a/crates/relay/src/decide/replicas.rs
+++ b/crates/relay/src/decide/replicas.rs
@@ -167,15 +167,17 @@
         if now_ms.saturating_sub(received_ms) > LOAD_REPORT_MAX_AGE_MS {
             return self.in_flight;
         }
-        let others = (load.running + load.waiting).saturating_sub(own_in_flight);
-        others + self.in_flight
+        // The report is what a replica says and may be any number.
+        let reported = load.running.saturating_add(load.waiting);
+        let others = reported.saturating_sub(own_in_flight);
+        others.saturating_add(self.in_flight)
     }
 
     /// Estimates the number of requests of all VMs at the replica: the larger of the estimate
     /// from its load report and the in-flight counts that the VMs exchange.
     pub(crate) fn max_load_estimate(&self, now_ms: u64) -> u32 {
         self.report_based_load(now_ms)
-            .max(self.in_flight + self.peer_in_flight)
+            .max(self.in_flight.saturating_add(self.peer_in_flight))
     }
 
     pub(crate) fn slots(&self) -> u32 {
--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod budgets;
 mod crashes;
+mod datagrams;
 mod endless;
 mod fleet;
 mod fleet_support;
