--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -11,4 +11,5 @@
 mod responses;
 mod support;
 mod turns;
+mod unframed;
 mod versions;
