--- a/crates/relay/src/gateway/admit.rs
+++ b/crates/relay/src/gateway/admit.rs
@@ -2,13 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_lite::FutureExt;
 use http::header::{CONTENT_LENGTH, HOST, RETRY_AFTER};
 use http::request::Parts;
 use http::{HeaderValue, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use ibisdale_telemetry::record_event;
 use smol::Timer;
 
@@ -166,19 +166,7 @@
 ) -> Result<Bytes, GatewayError> {
     let plan = gateway.plan();
     let limit = plan.map_or(0, |plan| plan.get_limits().body_max_bytes);
-    let read = async {
-        match Limited::new(body, limit).collect().await {
-            Ok(body) => Ok(body.to_bytes()),
-            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-                let status = StatusCode::PAYLOAD_TOO_LARGE;
-                Err(GatewayError::new(status, "the body is too large"))
-            }
-            Err(_) => {
-                let status = StatusCode::BAD_REQUEST;
-                Err(GatewayError::new(status, "the body can't be read"))
-            }
-        }
-    };
+    let read = collect_body(body, limit);
     let timed_out = async {
         Timer::after(BODY_TIMEOUT).await;
         let status = StatusCode::REQUEST_TIMEOUT;
@@ -187,6 +175,32 @@
     read.or(timed_out).await
 }
 
+/// Collects a body in one buffer; frames are dropped as they are copied, so that a large body is
+/// held once.
+async fn collect_body(body: &mut Incoming, limit: usize) -> Result<Bytes, GatewayError> {
+    let too_large = || GatewayError::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+    let expected = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if expected > limit {
+        return Err(too_large());
+    }
+    let mut bytes = BytesMut::with_capacity(expected);
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            let status = StatusCode::BAD_REQUEST;
+            return Err(GatewayError::new(status, "the body can't be read"));
+        };
+        let Ok(data) = frame.into_data() else {
+            // Trailers are not forwarded.
+            continue;
+        };
+        if data.len() > limit - bytes.len() {
+            return Err(too_large());
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes.freeze())
+}
+
 /// Reads and discards the body of a refused request.
 ///
 /// Closing a connection that has unread data resets it, and the caller may lose the
--- a/crates/relay/src/gateway/attempt.rs
+++ b/crates/relay/src/gateway/attempt.rs
@@ -21,7 +21,7 @@
 use crate::decide::{
     AttemptFailure, AttemptOutcome, ReplicaInfo, ReplicaKey, ReplicaLoad, RetryInput, StreamOrigin,
 };
-use crate::http1::{ExchangeError, Http1Connection, ResponseHead, serialize_request};
+use crate::http1::{ExchangeError, Http1Connection, ResponseHead, serialize_parts};
 use crate::plan::{ExecutionSemantics, RouteRule};
 
 /// Maximum time for opening a connection to a replica.
@@ -221,10 +221,12 @@
     let headers = request_headers(gateway, request, &info.id, left, last_event);
     let sent_ms = gateway.now_ms();
     retry.sent_ms = sent_ms;
-    let message = serialize_request(&request.method, &request.target, &headers, &request.body);
+    let parts = serialize_parts(&request.method, &request.target, &headers, &request.body);
     let timeout = response_timeout(request, retry, left);
     let exchange = async {
-        connection.send(&message).await?;
+        for part in &parts {
+            connection.send(part).await?;
+        }
         read_matching_head(gateway, request, &mut connection, |head, is_matching| {
             record_leaving(gateway, request, (replica, &info), &head.headers);
             let observed = ObservedResponse {
--- a/crates/relay/src/http1/head.rs
+++ b/crates/relay/src/http1/head.rs
@@ -63,6 +63,9 @@
     }))
 }
 
+/// Largest body that is sent in one write with its head, in bytes.
+const INLINE_BODY_MAX: usize = 16 * 1_024;
+
 /// Serializes a request with its entire body.
 ///
 /// `headers` must not contain `Content-Length` or `Transfer-Encoding`: the length is
@@ -74,7 +77,37 @@
     headers: &HeaderMap,
     body: &Bytes,
 ) -> Bytes {
-    let mut message = Vec::with_capacity(512 + body.len());
+    let mut message = serialize_head(method, target, headers, body.len());
+    message.extend_from_slice(body);
+    Bytes::from(message)
+}
+
+/// Serializes a request in two parts to send one after the other; a large body is the second
+/// part and is not copied.
+#[must_use]
+pub fn serialize_parts(
+    method: &Method,
+    target: &str,
+    headers: &HeaderMap,
+    body: &Bytes,
+) -> [Bytes; 2] {
+    if body.len() <= INLINE_BODY_MAX {
+        return [
+            serialize_request(method, target, headers, body),
+            Bytes::new(),
+        ];
+    }
+    let head = serialize_head(method, target, headers, body.len());
+    [Bytes::from(head), body.clone()]
+}
+
+fn serialize_head(
+    method: &Method,
+    target: &str,
+    headers: &HeaderMap,
+    body_length: usize,
+) -> Vec<u8> {
+    let mut message = Vec::with_capacity(512 + body_length.min(INLINE_BODY_MAX));
     message.extend_from_slice(method.as_str().as_bytes());
     message.push(b' ');
     message.extend_from_slice(target.as_bytes());
@@ -85,11 +118,10 @@
         message.extend_from_slice(value.as_bytes());
         message.extend_from_slice(b"\r\n");
     }
-    let sends_length = !body.is_empty() || !matches!(*method, Method::GET | Method::HEAD);
+    let sends_length = body_length > 0 || !matches!(*method, Method::GET | Method::HEAD);
     if sends_length {
-        message.extend_from_slice(format!("content-length: {}\r\n", body.len()).as_bytes());
+        message.extend_from_slice(format!("content-length: {body_length}\r\n").as_bytes());
     }
     message.extend_from_slice(b"\r\n");
-    message.extend_from_slice(body);
-    Bytes::from(message)
+    message
 }
--- a/crates/relay/src/http1/mod.rs
+++ b/crates/relay/src/http1/mod.rs
@@ -13,4 +13,4 @@
 pub use connection::Http1Connection;
 pub use error::ExchangeError;
 pub use framing::BodyDecoder;
-pub use head::{ResponseHead, serialize_request};
+pub use head::{ResponseHead, serialize_parts, serialize_request};
