--- a/crates/relay/src/decide/replicas.rs
+++ b/crates/relay/src/decide/replicas.rs
@@ -24,6 +24,9 @@
 /// Ejection duration of a replica that has ended, in milliseconds; it is delisted or starts
 /// again some seconds later.
 const EJECTION_ENDED_MS: u64 = 1_000;
+/// Ejection duration of a replica that another one answers for, in milliseconds; its entry is
+/// old or names a wrong address.
+const EJECTION_MISPLACED_MS: u64 = 4_000;
 /// Consecutive failures after which a replica is ejected.
 const EJECTION_FAILURES: u32 = 2;
 /// Age above which a load report is ignored, in milliseconds.
@@ -102,6 +105,8 @@
     Answered,
     /// The replica refused the request because it is full or draining.
     Refused,
+    /// Another replica listens at the address and refused the request.
+    Misplaced,
     /// The replica could not be reached or failed before the response was complete.
     Failed,
     /// The request ended for another reason, for example because the caller
@@ -358,6 +363,9 @@
             AttemptOutcome::Refused => {
                 state.ejected_until_ms = now_ms + EJECTION_BASE_MS / 5;
             }
+            AttemptOutcome::Misplaced => {
+                state.ejected_until_ms = now_ms + EJECTION_MISPLACED_MS;
+            }
             AttemptOutcome::Failed => {
                 state.consecutive_failures += 1;
                 if state.consecutive_failures >= EJECTION_FAILURES {
--- a/crates/relay/src/gateway/attempt.rs
+++ b/crates/relay/src/gateway/attempt.rs
@@ -259,7 +259,7 @@
     record_load(gateway, replica, &head.headers);
     let header_names = &gateway.state.options.header_names;
     if head.headers.contains_key(&header_names.not_run) || head.status == 421 {
-        guard.finish(AttemptOutcome::Refused);
+        guard.finish(refusal_outcome(head.status));
         let error = format!("refused with status {}", head.status);
         return_to_pool(gateway, replica, connection, head).await;
         return Err(FailedAttempt::new(AttemptFailure::NotRun, error));
@@ -383,6 +383,14 @@
     headers
 }
 
+fn refusal_outcome(status: u16) -> AttemptOutcome {
+    if status == 421 {
+        AttemptOutcome::Misplaced
+    } else {
+        AttemptOutcome::Refused
+    }
+}
+
 /// Records the replica as leaving if the headers of its response announce its shutdown.
 fn record_leaving(
     gateway: &Gateway,
--- a/crates/relay/tests/gateway/budgets.rs
+++ b/crates/relay/tests/gateway/budgets.rs
@@ -3,8 +3,8 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::fleet_support::start_fleet;
-use crate::support::{ScriptedReplica, TestGateway};
+use crate::fleet_support::{StoreStandIn, start_fleet, start_fleet_with};
+use crate::support::{ScriptedReplica, TestGateway, TestGatewayOptions};
 
 /// Tokens that each call spends, and those that it may spend at most.
 const SPENT: u64 = 2;
@@ -121,6 +121,33 @@
     assert_eq!(load.spend_rest(&fleet[0]), whole_budgets());
 }
 
+/// Counts were lost when VMs that had served a program were killed and came back in turn.
+#[test]
+fn counts_are_kept_when_two_vms_restart_one_after_the_other() {
+    let replica = replica();
+    let store = StoreStandIn::default();
+    let mut fleet = start_fleet_with(&replica, 4, &store);
+    let mut load = ProgramLoad::new();
+    load.send(&fleet[0], 2);
+    load.send(&fleet[1], 2);
+    for number in 0..2 {
+        let seed = fleet[(number + 1) % 4].peer_address;
+        let name = fleet[number].peer_address.to_string();
+        fleet.remove(number).kill();
+        thread::sleep(Duration::from_millis(500));
+        let options = TestGatewayOptions {
+            seed: Some(seed),
+            store: store.clone(),
+            restart: Some((name, 10_000)),
+            ..TestGatewayOptions::default()
+        };
+        fleet.insert(number, TestGateway::start_with(&[&replica], options));
+        fleet[number].wait_for_vms(4);
+        thread::sleep(DETECTION);
+    }
+    assert_eq!(load.spend_rest(&fleet[0]), whole_budgets());
+}
+
 /// A home that stood still granted from its old counts (review 3).
 #[test]
 fn home_that_stood_still_asks_before_it_grants() {
--- a/crates/relay/tests/gateway/fleet_support.rs
+++ b/crates/relay/tests/gateway/fleet_support.rs
@@ -89,7 +89,15 @@
 
 /// Starts `count` gateways that know each other and share a store.
 pub(crate) fn start_fleet(replica: &ScriptedReplica, count: usize) -> Vec<TestGateway> {
-    let store = StoreStandIn::default();
+    start_fleet_with(replica, count, &StoreStandIn::default())
+}
+
+/// Starts `count` gateways that know each other and share `store`.
+pub(crate) fn start_fleet_with(
+    replica: &ScriptedReplica,
+    count: usize,
+    store: &StoreStandIn,
+) -> Vec<TestGateway> {
     let mut fleet: Vec<TestGateway> = Vec::new();
     for _ in 0..count {
         let options = TestGatewayOptions {
--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod fleet_support;
 mod holder_support;
 mod limits;
+mod misplaced;
 mod responses;
 mod support;
 mod turns;
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -254,8 +254,8 @@
     pub(crate) holder: Option<SocketAddrV4>,
     /// Store of the ceilings, which several gateways may share.
     pub(crate) store: StoreStandIn,
-    /// Peer address and start time of a process that starts after an earlier one was killed.
-    pub(crate) restart: Option<(SocketAddrV4, u64)>,
+    /// Name and start time of a process that starts after an earlier one was killed.
+    pub(crate) restart: Option<(String, u64)>,
 }
 
 impl TestGateway {
@@ -280,7 +280,7 @@
             .collect();
         let (commands, received) = bounded(1);
         let (entry, directory) = (free_address(), free_address());
-        let peer_address = options.restart.map_or_else(free_address, |(own, _)| own);
+        let peer_address = free_address();
         let (started, started_receiver) = std::sync::mpsc::channel();
         let store = options.store.clone();
         let thread = thread::spawn(move || {
@@ -409,9 +409,12 @@
     commands: Receiver<VmCommand>,
     started: std::sync::mpsc::Sender<()>,
 ) {
+    let is_first_start = test_options.restart.is_none();
+    let first = (peer_address.to_string(), 1);
+    let (name, incarnation) = test_options.restart.unwrap_or(first);
     let facts = MemberFacts {
-        name: Bytes::from(peer_address.to_string()),
-        incarnation: test_options.restart.map_or(1, |(_, start)| start),
+        name: Bytes::from(name),
+        incarnation,
         ip: Ipv4Addr::LOCALHOST,
         peer_port: peer_address.port(),
         entry_port: entry.port(),
@@ -435,7 +438,7 @@
             ceilings_max: 16,
         },
         seeds: test_options.seed.into_iter().collect(),
-        is_first_start: test_options.restart.is_none(),
+        is_first_start,
         feed_max_age: Duration::from_hours(1),
         quota_tolerance: QuotaTolerance::default(),
         tolerated_holders: 0,
