--- a/crates/relay/src/gateway/budget_home.rs
+++ b/crates/relay/src/gateway/budget_home.rs
@@ -20,6 +20,9 @@
 const DECISION_ATTEMPTS_MAX: u32 = 6;
 /// Number of other VMs that a new home asks for what they know of the program.
 const ASKED_VMS: usize = 3;
+/// Time after the first start of all VMs in which they find each other, in milliseconds; programs
+/// begin later.
+const FIRST_START_MS: u64 = 3_000;
 /// Number of VMs that are asked in turn to be the witness of a home.
 const WITNESSES_MAX: usize = 2;
 
@@ -247,15 +250,17 @@
 
 /// Returns the VMs that may know a program.
 ///
-/// Returns none if this VM is the regular home and has been for as long as programs are
-/// remembered: its witness knows whether another VM acts as home.
+/// Returns none if this VM is the regular home and has been since the first start of all VMs or
+/// for as long as programs are remembered: its witness knows whether another VM acts as home.
 fn peers_to_ask(gateway: &Gateway, program: ProgramKey) -> Vec<MemberFacts> {
     let now_ms = gateway.now_ms();
     let members = gateway.state.members.borrow();
     let own = gateway.state.options.facts.key();
-    let age_ms = now_ms.saturating_sub(members.changed_ms());
+    let changed_ms = members.changed_ms();
+    let is_unchanged = gateway.state.options.is_first_start && changed_ms < FIRST_START_MS;
+    let age_ms = now_ms.saturating_sub(changed_ms);
     let is_regular = members.ranked_keys(program, &[own]).first() == Some(&own);
-    if is_regular && age_ms >= gateway.program_retention_ms() {
+    if is_regular && (is_unchanged || age_ms >= gateway.program_retention_ms()) {
         return Vec::new();
     }
     let mut peers = members.ranked_peers(program, now_ms, ASKED_VMS);
