--- a/crates/relay/src/decide/retry.rs
+++ b/crates/relay/src/decide/retry.rs
@@ -13,6 +13,9 @@
     MayHaveRun,
     /// The replica ended while it had the request, which may be the cause.
     ReplicaEnded,
+    /// The request was sent to a replica that has ended for another reason, for example as
+    /// planned.
+    ReplicaGone,
 }
 
 /// What to do after a failed attempt.
@@ -35,9 +38,10 @@
     pub kind: ExecutionSemantics,
     /// Maximum number of replicas that may execute the request.
     pub max_replicas: u32,
-    /// Number of replicas counted towards `max_replicas`: those that may have executed the
-    /// request and the one that it was sent to next.
+    /// Number of replicas that may have executed the request and have not ended.
     pub replicas_used: u32,
+    /// Whether any replica may have executed the request.
+    pub may_have_run: bool,
     /// Number of attempts so far, including those that did not reach a replica.
     pub sends: u32,
     /// Time until the deadline, in milliseconds.
@@ -59,19 +63,24 @@
 #[must_use]
 pub fn decide_retry(failure: AttemptFailure, input: &RetryInput) -> RetryDecision {
     let may_send = input.sends < MAX_SENDS && input.remaining_ms >= MIN_REMAINING_MS;
-    let may_have_run = input.replicas_used > 0;
+    let may_use_another = input.replicas_used < input.max_replicas.max(1);
     match failure {
-        AttemptFailure::NotReached | AttemptFailure::NotRun if may_send => RetryDecision::Elsewhere,
-        AttemptFailure::NotReached | AttemptFailure::NotRun if !may_have_run => {
+        AttemptFailure::NotReached | AttemptFailure::NotRun if may_send && may_use_another => {
+            RetryDecision::Elsewhere
+        }
+        AttemptFailure::NotReached | AttemptFailure::NotRun if !input.may_have_run => {
             RetryDecision::RefuseNotRun
         }
         AttemptFailure::MayHaveRun if may_send && input.kind.can_resend() => {
-            if input.replicas_used < input.max_replicas {
+            if may_use_another {
                 RetryDecision::Elsewhere
             } else {
                 RetryDecision::SameReplica
             }
         }
+        AttemptFailure::ReplicaGone if may_send && input.kind.can_resend() => {
+            RetryDecision::Elsewhere
+        }
         AttemptFailure::ReplicaEnded
             if may_send && input.kind.can_resend() && input.crashes <= CRASHES_BEFORE_RETRY_MAX =>
         {
--- a/crates/relay/src/gateway/attempt.rs
+++ b/crates/relay/src/gateway/attempt.rs
@@ -1,18 +1,19 @@
 //! A single attempt: sends a request to a replica and reads the response head.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::header::CONTENT_ENCODING;
-use http::{HeaderMap, HeaderValue, Response};
+use http::{HeaderMap, HeaderValue};
 use ibisdale_telemetry::record_event;
 use rand::Rng;
 use smol::Timer;
 
-use super::body::ResponseBody;
 use super::caller_request::{CallerRequest, header_str, millis};
+use super::failed_attempt::FailedAttempt;
 use super::in_flight::ReplicaRequestGuard;
 use super::limits::{ObservedResponse, is_limited, record_limit};
 use super::runs::RunPermit;
@@ -45,56 +46,23 @@
     pub(crate) guard: ReplicaRequestGuard,
 }
 
-/// Why an attempt failed, with the replica's response if there is one.
-pub(crate) struct FailedAttempt {
-    pub(crate) failure: AttemptFailure,
-    pub(crate) error: String,
-    /// Whether events of the attempt were passed on to the caller.
-    pub(crate) has_progress: bool,
-    /// Whether the connection to the replica was lost.
-    pub(crate) is_connection_lost: bool,
-    /// The replica's own error response, passed on to the caller if no retry follows.
-    pub(crate) response: Option<Box<Response<ResponseBody>>>,
-}
-
-impl FailedAttempt {
-    fn new(failure: AttemptFailure, error: impl Into<String>) -> Self {
-        Self {
-            failure,
-            error: error.into(),
-            has_progress: false,
-            is_connection_lost: false,
-            response: None,
-        }
-    }
-
-    /// Creates a failure after which the replica may have run the request.
-    pub(crate) fn may_have_run(error: impl Into<String>) -> Self {
-        Self::new(AttemptFailure::MayHaveRun, error)
-    }
-
-    /// Creates the failure of an exchange in which the request was sent.
-    pub(crate) fn exchange(error: &ExchangeError) -> Self {
-        Self {
-            is_connection_lost: error.is_connection_lost(),
-            ..Self::may_have_run(error.to_string())
-        }
-    }
-}
-
 /// State of a request's attempts and retries.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RetryState {
     /// Attempts so far, including those that did not reach a replica.
     pub(crate) sends: u32,
-    /// Number of replicas that count towards the route's limit: 0 until an attempt may
-    /// have run the request, then including the replica of the current attempt.
-    pub(crate) replicas_used: u32,
+    /// Replicas that may have run the request and have not ended, which count towards the
+    /// route's limit.
+    pub(crate) ran_at: Vec<ReplicaKey>,
+    /// Whether any replica may have run the request.
+    pub(crate) may_have_run: bool,
     /// Replicas that are not tried again.
     pub(crate) excluded: Vec<ReplicaKey>,
     /// Replica of the last attempt.
     pub(crate) replica: Option<ReplicaKey>,
     pub(crate) replica_id: String,
+    /// Its address, which is still needed once it is no longer listed.
+    pub(crate) replica_address: Option<SocketAddr>,
     /// Software version of that replica.
     pub(crate) replica_version: Bytes,
     /// Service chosen for the request; the same for all attempts.
@@ -147,13 +115,33 @@
         }
     }
 
+    /// Records that a replica may have run the request and may still be at it.
+    pub(crate) fn record_run(&mut self, replica: ReplicaKey) {
+        self.may_have_run = true;
+        if !self.ran_at.contains(&replica) {
+            self.ran_at.push(replica);
+        }
+    }
+
+    /// Records that a replica that may have run the request has ended.
+    pub(crate) fn record_end(&mut self, replica: ReplicaKey) {
+        self.may_have_run = true;
+        self.ran_at.retain(|ran| *ran != replica);
+    }
+
+    /// Returns the number of replicas that count towards the route's limit.
+    pub(crate) fn replicas_used(&self) -> u32 {
+        u32::try_from(self.ran_at.len()).unwrap_or(u32::MAX)
+    }
+
     /// Returns the input to the decision on a retry; `crashes` is the number of replicas that have
     /// ended under the request.
     pub(crate) fn retry_input(&self, request: &CallerRequest, crashes: u8) -> RetryInput {
         RetryInput {
             kind: request.route.kind,
             max_replicas: request.route.attempts,
-            replicas_used: self.replicas_used,
+            replicas_used: self.replicas_used(),
+            may_have_run: self.may_have_run,
             sends: self.sends,
             remaining_ms: millis(request.time_left()),
             crashes,
@@ -179,6 +167,7 @@
     retry.sends += 1;
     retry.replica = Some(replica);
     retry.replica_id = lossy_string(&info.id);
+    retry.replica_address = Some(info.address);
     retry.replica_version = info.software_version.clone();
     let guard = ReplicaRequestGuard::begin(gateway, replica, request.declared_tokens.prompt);
     let pooled = gateway.state.pool.take(replica);
@@ -193,10 +182,7 @@
         Ok(connection) => connection,
         Err(error) => {
             guard.finish(AttemptOutcome::Failed);
-            return Err(FailedAttempt::new(
-                AttemptFailure::NotReached,
-                error.to_string(),
-            ));
+            return Err(FailedAttempt::not_connected(&error));
         }
     };
     // The replica may have been delisted or begun to leave while the connection was opened.
@@ -353,7 +339,7 @@
 /// Returns how long to wait for the response head.
 fn response_timeout(request: &CallerRequest, retry: &RetryState, left: Duration) -> Duration {
     let may_retry = request.route.kind == ExecutionSemantics::Repeatable
-        && retry.replicas_used + 1 < request.route.attempts;
+        && retry.replicas_used() + 1 < request.route.attempts;
     if may_retry {
         left * RETRYABLE_TIMEOUT_PERCENT / 100
     } else {
--- a/crates/relay/src/gateway/crashes.rs
+++ b/crates/relay/src/gateway/crashes.rs
@@ -7,8 +7,9 @@
 use ibisdale_telemetry::record_event;
 use smol::Timer;
 
-use super::attempt::{FailedAttempt, RetryState, is_available};
+use super::attempt::{RetryState, is_available};
 use super::caller_request::CallerRequest;
+use super::failed_attempt::FailedAttempt;
 use super::state::{Gateway, lossy_string};
 use super::suspects::record_crash;
 use crate::decide::{AttemptFailure, ReplicaKey};
@@ -22,7 +23,7 @@
 /// Maximum number of such connections.
 const PROBES_MAX: u32 = 2;
 
-/// Finds out whether a replica ended while it had the request, and records the crash.
+/// Finds out whether a replica that may have run the request has ended, and records a crash.
 ///
 /// A connection may also be lost on the way or closed by a replica that goes on; the replica has
 /// ended if nothing accepts connections at its address.
@@ -33,9 +34,22 @@
     replica: ReplicaKey,
     failed: &mut FailedAttempt,
 ) {
-    // A replica that drains or leaves ends as planned.
-    let may_be_crash = failed.is_connection_lost && is_available(gateway, retry, replica);
-    if !may_be_crash || !has_ended(gateway, request, replica).await {
+    let is_refused_again = failed.is_connection_refused && retry.ran_at.contains(&replica);
+    if is_refused_again {
+        failed.failure = AttemptFailure::ReplicaGone;
+        return;
+    }
+    if !failed.is_connection_lost {
+        return;
+    }
+    // A replica that drains, leaves or is no longer listed ends as planned.
+    if !is_available(gateway, retry, replica) {
+        if request.route.kind.can_resend() && has_left(gateway, retry).await {
+            failed.failure = AttemptFailure::ReplicaGone;
+        }
+        return;
+    }
+    if !has_ended(gateway, request, replica).await {
         return;
     }
     failed.failure = AttemptFailure::ReplicaEnded;
@@ -60,8 +74,15 @@
     let Some(info) = info else {
         return false;
     };
-    if !refuses_connections(gateway, replica, info.address).await {
-        return false;
+    match probe(gateway, info.address).await {
+        ProbeResult::Refused => {}
+        ProbeResult::Unknown => return false,
+        ProbeResult::Accepted(connection) => {
+            // It is kept for the next request.
+            let pool = &gateway.state.pool;
+            pool.put(replica, connection, &HeaderMap::new());
+            return false;
+        }
     }
     let mut replicas = gateway.state.replicas.borrow_mut();
     if replicas.record_ended(replica, gateway.now_ms()) {
@@ -79,9 +100,25 @@
     true
 }
 
-/// Returns whether nothing accepts connections at an address; a connection that is accepted is
-/// kept for the next request.
-async fn refuses_connections(gateway: &Gateway, replica: ReplicaKey, address: SocketAddr) -> bool {
+/// Returns whether the replica of the last attempt, which gets no new requests, has ended.
+async fn has_left(gateway: &Gateway, retry: &RetryState) -> bool {
+    let Some(address) = retry.replica_address else {
+        return false;
+    };
+    matches!(probe(gateway, address).await, ProbeResult::Refused)
+}
+
+/// What a replica's address does with a new connection.
+enum ProbeResult {
+    /// Nothing accepts connections there.
+    Refused,
+    /// The connection was accepted and stays open.
+    Accepted(Http1Connection),
+    /// It got no answer, or was accepted and closed.
+    Unknown,
+}
+
+async fn probe(gateway: &Gateway, address: SocketAddr) -> ProbeResult {
     for _ in 0..PROBES_MAX {
         gateway.state.metrics.count_connection();
         match Http1Connection::open(address, PROBE_TIMEOUT).await {
@@ -89,13 +126,12 @@
                 // A process that ends may close its connections before it stops listening.
                 Timer::after(PROBE_SETTLE_TIME).await;
                 if connection.is_reusable() {
-                    let pool = &gateway.state.pool;
-                    pool.put(replica, connection, &HeaderMap::new());
-                    return false;
+                    return ProbeResult::Accepted(connection);
                 }
             }
-            Err(error) => return error.is_refused(),
+            Err(error) if error.is_refused() => return ProbeResult::Refused,
+            Err(_) => return ProbeResult::Unknown,
         }
     }
-    false
+    ProbeResult::Unknown
 }
--- a/crates/relay/src/gateway/forward.rs
+++ b/crates/relay/src/gateway/forward.rs
@@ -10,13 +10,13 @@
 
 use super::admit::GatewayError;
 use super::attempt::{
-    FailedAttempt, ReplicaGrant, ReplicaResponse, RetryState, check_response_head, is_available,
-    try_replica,
+    ReplicaGrant, ReplicaResponse, RetryState, check_response_head, is_available, try_replica,
 };
 use super::body::ResponseBody;
 use super::budget::BudgetReservation;
 use super::caller_request::{CallerRequest, millis, response_headers};
 use super::crashes::examine_failure;
+use super::failed_attempt::FailedAttempt;
 use super::limits::{GrantResult, ask_for_grant, is_limited};
 use super::response_memory::HeldBytes;
 use super::runs::{RunPermission, get_permit};
@@ -113,7 +113,7 @@
 ///
 /// Sets `Retry-After` only if no replica may have run the request.
 fn refuse_no_replica(retry: &RetryState, refusal: GatewayError) -> ForwardResult {
-    let refusal = if retry.replicas_used > 0 {
+    let refusal = if retry.may_have_run {
         GatewayError::new(StatusCode::BAD_GATEWAY, refusal.reason)
     } else {
         refusal
@@ -148,27 +148,14 @@
     failed: &FailedAttempt,
 ) -> RetryDecision {
     retry.permit = None;
-    let is_delisted = gateway.state.replicas.borrow().get_info(replica).is_none();
-    let may_have_run = matches!(
-        failed.failure,
-        AttemptFailure::MayHaveRun | AttemptFailure::ReplicaEnded
-    );
-    if may_have_run {
-        // An attempt at a replica that has since been delisted does not count towards the
-        // route's limit, provided that the request may be repeated.
-        if !is_delisted || !request.route.kind.can_resend() {
-            retry.replicas_used = retry.replicas_used.max(1);
-        }
-    } else {
-        retry.excluded.push(replica);
+    match failed.failure {
+        AttemptFailure::NotReached | AttemptFailure::NotRun => {}
+        AttemptFailure::MayHaveRun => retry.record_run(replica),
+        AttemptFailure::ReplicaEnded | AttemptFailure::ReplicaGone => retry.record_end(replica),
     }
     let crashes = standing(gateway, request).crashes;
     let decision = decide_retry(failed.failure, &retry.retry_input(request, crashes));
-    if decision == RetryDecision::Elsewhere && may_have_run {
-        // A replica that ended does not count towards the route's limit.
-        if failed.failure == AttemptFailure::MayHaveRun {
-            retry.replicas_used += 1;
-        }
+    if decision != RetryDecision::SameReplica {
         retry.excluded.push(replica);
     }
     gateway.state.metrics.count_failed_attempt(failed.failure);
@@ -187,8 +174,8 @@
     decision
 }
 
-/// Selects a replica that is not excluded for the request; the one of the last attempt if
-/// `retry_same_replica` is set and that replica is still available.
+/// Selects a replica that is not excluded for the request; only the one of the last attempt if
+/// `retry_same_replica` is set.
 ///
 /// A suspected request also gets the permit to run there.
 ///
@@ -253,21 +240,13 @@
     retry: &RetryState,
     retry_same_replica: bool,
 ) -> PlacementChoice {
-    if retry_same_replica
-        && let Some(replica) = retry.replica
-        && !retry.excluded.contains(&replica)
-        && is_available(gateway, retry, replica)
-    {
-        return if is_limited(gateway, replica) {
-            PlacementChoice {
-                limited: vec![replica],
-                open: None,
-            }
-        } else {
-            PlacementChoice {
-                limited: Vec::new(),
-                open: Some(replica),
-            }
+    if retry_same_replica {
+        let same = retry.replica;
+        let same = same.filter(|replica| is_available(gateway, retry, *replica));
+        let limited = same.filter(|replica| is_limited(gateway, *replica));
+        return PlacementChoice {
+            limited: limited.into_iter().collect(),
+            open: same.filter(|_| limited.is_none()),
         };
     }
     let replicas = gateway.state.replicas.borrow();
--- a/crates/relay/src/gateway/metrics.rs
+++ b/crates/relay/src/gateway/metrics.rs
@@ -197,6 +197,7 @@
             AttemptFailure::NotRun => "not_run",
             AttemptFailure::MayHaveRun => "may_have_run",
             AttemptFailure::ReplicaEnded => "replica_ended",
+            AttemptFailure::ReplicaGone => "replica_gone",
         };
         self.failed_attempts.with_label_values(&[end]).inc();
     }
--- a/crates/relay/src/gateway/mod.rs
+++ b/crates/relay/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod directory;
 mod drain;
 mod events;
+mod failed_attempt;
 mod forward;
 mod header_names;
 mod in_flight;
--- a/crates/relay/src/gateway/stream.rs
+++ b/crates/relay/src/gateway/stream.rs
@@ -8,14 +8,13 @@
 use ibisdale_telemetry::record_event;
 use smol::Timer;
 
-use super::attempt::{
-    FailedAttempt, ReplicaResponse, RetryState, check_response_head, try_replica,
-};
+use super::attempt::{ReplicaResponse, RetryState, check_response_head, try_replica};
 use super::body::{ResponseAborted, ResponseBody};
 use super::budget::BudgetReservation;
 use super::caller_request::{CallerRequest, response_headers};
 use super::crashes::examine_failure;
 use super::events::EventSplitter;
+use super::failed_attempt::FailedAttempt;
 use super::forward::{record_failure, select_replica};
 use super::in_flight::ReplicaRequestGuard;
 use super::origins::announce_origin;
--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests of gateways on loopback, between callers and scripted replicas.
 
+mod attempts;
 mod budgets;
 mod crashes;
 mod datagrams;
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -102,6 +102,7 @@
         route("/read/", ExecutionSemantics::Repeatable, 2),
         route("/act/", ExecutionSemantics::Once, 3),
         route("/stream/", ExecutionSemantics::StreamResumable, 1),
+        route("/talk/", ExecutionSemantics::StreamResumable, 2),
         RouteRule {
             keeps_turns: true,
             ..route("/turn/", ExecutionSemantics::StreamOnce, 1)
