--- a/crates/relay/src/gateway/origins.rs
+++ b/crates/relay/src/gateway/origins.rs
@@ -18,11 +18,15 @@
 };
 use crate::plan::ExecutionSemantics;
 
-/// Number of other VMs that receive a copy of a stream's origin.
+/// Number of other VMs that receive a copy of a stream's origin while one version serves; a
+/// stream that nobody knows can then still go on.
 const ORIGIN_COPIES: usize = 3;
+/// Number of copies while streams of several versions are under way; the whole of a small
+/// fleet, so that the origin is known as long as one VM runs.
+const ORIGIN_COPIES_MIXED: usize = 8;
 /// Number of other VMs that are queried: those with a copy, and the VM that sent the copies,
 /// which may rank among them for this VM.
-const ORIGIN_LOOKUPS: usize = ORIGIN_COPIES + 1;
+const ORIGIN_LOOKUPS: usize = ORIGIN_COPIES_MIXED + 1;
 
 /// Records where the stream of a client attempt began.
 pub(crate) fn record_origin(gateway: &Gateway, attempt: AttemptKey, origin: StreamOrigin) {
@@ -68,7 +72,12 @@
         service: retry.service.clone(),
         software_version: retry.replica_version.clone(),
     };
-    for peer in origin_homes(gateway, attempt, ORIGIN_COPIES) {
+    let copies = if has_sole_version(gateway, &origin.service) {
+        ORIGIN_COPIES
+    } else {
+        ORIGIN_COPIES_MIXED
+    };
+    for peer in origin_homes(gateway, attempt, copies) {
         let origin = origin.clone();
         spawn_send(gateway, PeerMessage::StreamBegan { attempt, origin }, peer);
     }
@@ -175,6 +184,13 @@
     homes.iter().map(MemberFacts::peer_address).collect()
 }
 
+/// Returns whether all streams of a service that can still be taken up began at one version.
+fn has_sole_version(gateway: &Gateway, service: &[u8]) -> bool {
+    let (now_ms, window_ms) = (gateway.now_ms(), gateway.resume_window_ms());
+    let versions = gateway.state.versions.borrow();
+    versions.sole_version(service, window_ms, now_ms).is_some()
+}
+
 fn is_list_current(gateway: &Gateway) -> bool {
     let members = gateway.state.members.borrow();
     let (known, silent) = members.count(gateway.now_ms());
--- a/crates/relay/tests/gateway/budgets.rs
+++ b/crates/relay/tests/gateway/budgets.rs
@@ -126,7 +126,7 @@
 fn counts_are_kept_when_two_vms_restart_one_after_the_other() {
     let replica = replica();
     let store = StoreStandIn::default();
-    let mut fleet = start_fleet_with(&replica, 4, &store);
+    let mut fleet = start_fleet_with(&[&replica], 4, &store);
     let mut load = ProgramLoad::new();
     load.send(&fleet[0], 2);
     load.send(&fleet[1], 2);
--- a/crates/relay/tests/gateway/fleet_support.rs
+++ b/crates/relay/tests/gateway/fleet_support.rs
@@ -89,12 +89,12 @@
 
 /// Starts `count` gateways that know each other and share a store.
 pub(crate) fn start_fleet(replica: &ScriptedReplica, count: usize) -> Vec<TestGateway> {
-    start_fleet_with(replica, count, &StoreStandIn::default())
+    start_fleet_with(&[replica], count, &StoreStandIn::default())
 }
 
 /// Starts `count` gateways that know each other and share `store`.
 pub(crate) fn start_fleet_with(
-    replica: &ScriptedReplica,
+    replicas: &[&ScriptedReplica],
     count: usize,
     store: &StoreStandIn,
 ) -> Vec<TestGateway> {
@@ -105,7 +105,7 @@
             store: store.clone(),
             ..TestGatewayOptions::default()
         };
-        fleet.push(TestGateway::start_with(&[replica], options));
+        fleet.push(TestGateway::start_with(replicas, options));
     }
     for vm in &fleet {
         vm.wait_for_vms(count);
--- a/crates/relay/tests/gateway/versions.rs
+++ b/crates/relay/tests/gateway/versions.rs
@@ -1,6 +1,6 @@
 //! Streams at replicas of two software versions.
 
-use crate::fleet_support::StoreStandIn;
+use crate::fleet_support::{StoreStandIn, start_fleet_with};
 use crate::support::{ScriptedReplica, TestGateway, TestGatewayOptions, header};
 
 /// Number of streams that each test begins, at replicas chosen at random.
@@ -107,6 +107,31 @@
     }
 }
 
+/// Guards against streams that are lost with all VMs but one, which had not been told of them.
+#[test]
+fn stream_goes_on_at_the_only_vm_that_survives() {
+    let replicas = [replica("v1", true), replica("v2", true)];
+    let mut fleet = start_fleet_with(&replicas.each_ref(), 7, &StoreStandIn::default());
+    let survivor = fleet.pop().unwrap();
+    let broken_off = |number: usize| fleet[0].call(&request(&format!("a{number}"), ""));
+    let responses: Vec<_> = (0..STREAMS).map(broken_off).collect();
+    for vm in fleet {
+        vm.kill();
+    }
+    for (number, response) in responses.iter().enumerate() {
+        let headers = format!("Last-Event-Id: 2\r\nt-resumes: a{number}\r\n");
+        survivor.call(&request(&format!("b{number}"), &headers));
+        let version = event_versions(response)[0];
+        let reached = |replica: &ScriptedReplica| {
+            let requests = replica.requests();
+            let mut attempts = requests.iter().map(|text| header(text, "t-attempt"));
+            attempts.any(|attempt| attempt == Some(&format!("b{number}")))
+        };
+        let expected = [version == "v1", version == "v2"];
+        assert_eq!(replicas.each_ref().map(reached), expected, "{number}");
+    }
+}
+
 #[test]
 fn stream_that_nobody_knows_is_refused_while_two_versions_serve() {
     let replicas = [replica("v1", false), replica("v2", false)];
