--- a/crates/relay/src/decide/outage.rs
+++ b/crates/relay/src/decide/outage.rs
@@ -2,13 +2,45 @@
 //!
 //! Answers the load after an outage: the service may have dropped the entries of replicas
 //! that are still there, but not while it answered other VMs. A replica that is kept
-//! although it was removed gets requests after it has stopped serving.
+//! although it was removed gets requests after it has stopped serving. A VM that was cut
+//! off from the other VMs as well can't tell until it hears from them again.
 
 use std::time::{Duration, Instant};
 
 /// Largest difference between the times at which VMs detect the start or the end of the
 /// same outage.
 const DETECTION_SKEW: Duration = Duration::from_millis(800);
+/// Longest time between two answers of the service for which its answers count as unbroken; a
+/// reader's watch returns at least once a second.
+const ANSWER_GAP_MAX: Duration = Duration::from_millis(1_200);
+
+/// When the service answered any VM; times are since the boot of this VM.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AnswerRecord {
+    latest: Option<Duration>,
+    /// First answer after the last gap of more than [`ANSWER_GAP_MAX`].
+    unbroken_since: Duration,
+}
+
+impl AnswerRecord {
+    /// Records an answer; one from before the latest is ignored.
+    pub fn record(&mut self, at: Duration) {
+        match self.latest {
+            Some(latest) if at <= latest => return,
+            Some(latest) if at <= latest + ANSWER_GAP_MAX => {}
+            _ => self.unbroken_since = at,
+        }
+        self.latest = Some(at);
+    }
+
+    /// Returns for how long the service has answered without a gap; `None` if it no longer
+    /// does.
+    #[must_use]
+    pub fn unbroken_for(&self, now: Duration) -> Option<Duration> {
+        let is_recent = self.latest? + ANSWER_GAP_MAX >= now;
+        is_recent.then(|| now.saturating_sub(self.unbroken_since))
+    }
+}
 
 /// An outage as this VM sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,6 +48,8 @@
     began_at: Instant,
     /// Earliest known contact of another VM that can't be from before the outage.
     peer_contact_at: Option<Instant>,
+    /// Earliest time since which the service has answered another VM without a gap.
+    peer_answers_since: Option<Instant>,
 }
 
 impl ServiceOutage {
@@ -25,6 +59,7 @@
         Self {
             began_at,
             peer_contact_at: None,
+            peer_answers_since: None,
         }
     }
 
@@ -42,11 +77,24 @@
         }
     }
 
+    /// Records since when the service has answered another VM without a gap.
+    pub fn record_peer_answers(&mut self, since: Instant) {
+        let earliest = self.peer_answers_since.get_or_insert(since);
+        *earliest = since.min(*earliest);
+    }
+
+    /// Returns whether the service answered another VM all along.
+    #[must_use]
+    pub fn has_unbroken_answers(&self) -> bool {
+        self.peer_answers_since
+            .is_some_and(|since| since < self.began_at)
+    }
+
     /// Returns whether the service answered other VMs in the midst of an outage that ends
     /// now.
     #[must_use]
     pub fn is_local(&self, now: Instant) -> bool {
-        self.peer_contact_at
-            .is_some_and(|contact_at| contact_at + DETECTION_SKEW < now)
+        let contact_at = self.peer_contact_at;
+        self.has_unbroken_answers() || contact_at.is_some_and(|at| at + DETECTION_SKEW < now)
     }
 }
--- a/crates/relay/src/gateway/boot_time.rs
+++ b/crates/relay/src/gateway/boot_time.rs
@@ -23,6 +23,11 @@
         Self(Duration::new(seconds, nanoseconds))
     }
 
+    /// Returns the time since the boot.
+    pub(crate) fn since_boot(self) -> Duration {
+        self.0
+    }
+
     pub(crate) fn elapsed(self) -> Duration {
         Self::now().0.saturating_sub(self.0)
     }
--- /dev/null
+++ b/crates/relay/src/gateway/feed_contact.rs
@@ -0,0 +1,82 @@
+//! When the key-value service answered this VM and the others.
+
+use std::time::{Duration, Instant};
+
+use super::boot_time::BootTime;
+use super::state::Gateway;
+
+impl Gateway {
+    /// Records that the key-value service has just confirmed the configuration.
+    pub fn confirm_feed(&self) {
+        let now = BootTime::now();
+        self.state.feed_confirmed_at.set(Some(now));
+        record_answer(self, now);
+    }
+
+    /// Returns the time since the key-value service last confirmed the configuration to any
+    /// VM.
+    #[must_use]
+    pub fn feed_age(&self) -> Option<Duration> {
+        let own = self.state.feed_confirmed_at.get();
+        let latest = own.max(self.state.peer_feed_confirmed_at.get());
+        latest.map(BootTime::elapsed)
+    }
+
+    /// Returns when the key-value service last confirmed the configuration to any other VM.
+    #[must_use]
+    pub fn peer_feed_confirmed_at(&self) -> Option<Instant> {
+        let age = self.state.peer_feed_confirmed_at.get()?.elapsed();
+        Instant::now().checked_sub(age)
+    }
+
+    /// Forgets what the other VMs have said of the service's answers to them, so that only what
+    /// they say from now on counts.
+    pub fn forget_peer_answers(&self) {
+        self.state.peer_answers_since.set(None);
+    }
+
+    /// Returns since when the key-value service has answered another VM without a gap; `None`
+    /// if no VM has said so.
+    #[must_use]
+    pub fn peer_answers_since(&self) -> Option<Instant> {
+        let time = self.state.peer_answers_since.get()?.elapsed();
+        Instant::now().checked_sub(time)
+    }
+
+    /// Returns whether this VM knows others, live or silent.
+    #[must_use]
+    pub fn has_peers(&self) -> bool {
+        let (known, _) = self.state.members.borrow().count(self.now_ms());
+        known > 0
+    }
+}
+
+/// Returns for how long the key-value service has answered the VMs without a gap.
+pub(crate) fn answered_for(gateway: &Gateway) -> Option<Duration> {
+    let answers = gateway.state.answers.get();
+    answers.unbroken_for(BootTime::now().since_boot())
+}
+
+/// Records what a peer says of the key-value service: the time since it last confirmed the
+/// configuration to any VM, and the time for which it has answered without a gap.
+pub(crate) fn record_peer_feed(gateway: &Gateway, age_ms: Option<u64>, answers_ms: Option<u64>) {
+    let now = BootTime::now();
+    if let Some(age_ms) = age_ms {
+        let at = now.before(Duration::from_millis(age_ms));
+        let latest = &gateway.state.peer_feed_confirmed_at;
+        latest.set(latest.get().max(Some(at)));
+        record_answer(gateway, at);
+    }
+    if let Some(answers_ms) = answers_ms {
+        let since = now.before(Duration::from_millis(answers_ms));
+        let earliest = &gateway.state.peer_answers_since;
+        let known = earliest.get();
+        earliest.set(Some(known.map_or(since, |known| known.min(since))));
+    }
+}
+
+fn record_answer(gateway: &Gateway, at: BootTime) {
+    let mut answers = gateway.state.answers.get();
+    answers.record(at.since_boot());
+    gateway.state.answers.set(answers);
+}
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -49,6 +49,8 @@
         /// Time since the key-value service last confirmed the configuration to any VM, in
         /// milliseconds.
         feed_age_ms: Option<u64>,
+        /// Time for which that service has answered the VMs without a gap, in milliseconds.
+        answers_ms: Option<u64>,
         quota: Vec<AdmissionCounters>,
         /// Requests that the VM has in flight, by replica.
         in_flight: Vec<InFlightCount>,
--- a/crates/relay/src/gateway/mod.rs
+++ b/crates/relay/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod drain;
 mod events;
 mod failed_attempt;
+mod feed_contact;
 mod forward;
 mod header_names;
 mod in_flight;
--- a/crates/relay/src/gateway/peer_link.rs
+++ b/crates/relay/src/gateway/peer_link.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddrV4;
 
 use super::caller_request::millis;
+use super::feed_contact::answered_for;
 use super::limits::recent_limits;
 use super::message::PeerMessage;
 use super::state::Gateway;
@@ -58,6 +59,7 @@
         plan_version,
         replicas_version: gateway.state.replicas_version.get(),
         feed_age_ms: gateway.feed_age().map(millis),
+        answers_ms: answered_for(gateway).map(millis),
         quota: gateway
             .state
             .quota
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -7,9 +7,9 @@
 use smol::Timer;
 
 use super::admit::admit_as_home;
-use super::boot_time::BootTime;
 use super::budget_copies::{handle_budget_message, restore_copies};
 use super::ceilings::store_in_batch;
+use super::feed_contact::record_peer_feed;
 use super::limits::{grant_as_home, merge_limits, send_limits};
 use super::message::{GrantRequest, PeerMessage};
 use super::origins::record_origin;
@@ -149,6 +149,7 @@
             plan_version,
             replicas_version,
             feed_age_ms,
+            answers_ms,
             quota,
             in_flight,
             counts_lost_at,
@@ -157,7 +158,7 @@
         } => {
             merge_limits(gateway, &limits);
             merge_suspects(gateway, &suspects, "peer");
-            record_peer_feed(gateway, feed_age_ms);
+            record_peer_feed(gateway, feed_age_ms, answers_ms);
             record_peer_in_flight(gateway, facts.key(), in_flight);
             gateway.merge_counts_lost_at(counts_lost_at);
             let versions = (plan_version, replicas_version);
@@ -285,18 +286,6 @@
     });
 }
 
-/// Records when the key-value service last confirmed the configuration to any peer.
-fn record_peer_feed(gateway: &Gateway, age_ms: Option<u64>) {
-    let Some(age_ms) = age_ms else {
-        return;
-    };
-    let at = BootTime::now().before(Duration::from_millis(age_ms));
-    let latest = &gateway.state.peer_feed_confirmed_at;
-    if latest.get().is_none_or(|known| known < at) {
-        latest.set(Some(at));
-    }
-}
-
 fn record_peer_in_flight(gateway: &Gateway, peer: VmKey, in_flight: Vec<InFlightCount>) {
     let now_ms = gateway.now_ms();
     let mut replicas = gateway.state.replicas.borrow_mut();
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -28,9 +28,9 @@
 use super::response_memory::ResponseMemory;
 use super::state_transfer;
 use crate::decide::{
-    AccountCopy, BudgetLedger, CeilingClaim, ClaimOutcome, GrantLedger, GrantOutcome, LimitTable,
-    MemberFacts, MemberTable, OriginTable, ProgramKey, QuotaLedger, QuotaTolerance, RateRefusal,
-    RecentDecisions, ReplicaInfo, ReplicaTable, RunLedger, StreamOrigin, SuspectTable,
+    AccountCopy, AnswerRecord, BudgetLedger, CeilingClaim, ClaimOutcome, GrantLedger, GrantOutcome,
+    LimitTable, MemberFacts, MemberTable, OriginTable, ProgramKey, QuotaLedger, QuotaTolerance,
+    RateRefusal, RecentDecisions, ReplicaInfo, ReplicaTable, RunLedger, StreamOrigin, SuspectTable,
     VersionHistory, VmKey, VmLoss, hash_bytes, is_reader, reader_rank,
 };
 use crate::plan::DeploymentPlan;
@@ -106,6 +106,11 @@
     /// When the key-value service last confirmed the configuration to this VM.
     pub(crate) feed_confirmed_at: Cell<Option<BootTime>>,
     pub(crate) peer_feed_confirmed_at: Cell<Option<BootTime>>,
+    /// When the key-value service answered any VM.
+    pub(crate) answers: Cell<AnswerRecord>,
+    /// Earliest time since which it has answered another VM without a gap, of those that
+    /// were heard since this was last asked for.
+    pub(crate) peer_answers_since: Cell<Option<BootTime>>,
     pub(crate) suspensions: SuspensionWatch,
     pub(crate) replicas_version: Cell<u64>,
     pub(crate) replicas: RefCell<ReplicaTable>,
@@ -212,6 +217,8 @@
             plan_revision: Cell::new(0),
             feed_confirmed_at: Cell::new(None),
             peer_feed_confirmed_at: Cell::new(None),
+            answers: Cell::default(),
+            peer_answers_since: Cell::new(None),
             suspensions: SuspensionWatch::start(),
             replicas_version: Cell::new(0),
             replicas: RefCell::default(),
@@ -332,20 +339,6 @@
         self.state.plan_revision.set(revision);
     }
 
-    /// Records that the key-value service has just confirmed the configuration.
-    pub fn confirm_feed(&self) {
-        self.state.feed_confirmed_at.set(Some(BootTime::now()));
-    }
-
-    /// Returns the time since the key-value service last confirmed the configuration to any
-    /// VM.
-    #[must_use]
-    pub fn feed_age(&self) -> Option<Duration> {
-        let own = self.state.feed_confirmed_at.get();
-        let latest = own.max(self.state.peer_feed_confirmed_at.get());
-        latest.map(BootTime::elapsed)
-    }
-
     /// Returns whether this VM is a reader, which watches the key-value service itself.
     #[must_use]
     pub fn is_reader(&self) -> bool {
@@ -367,13 +360,6 @@
         self.state.replicas.borrow().infos().cloned().collect()
     }
 
-    /// Returns when the key-value service last confirmed the configuration to any other VM.
-    #[must_use]
-    pub fn peer_feed_confirmed_at(&self) -> Option<Instant> {
-        let age = self.state.peer_feed_confirmed_at.get()?.elapsed();
-        Instant::now().checked_sub(age)
-    }
-
     /// Returns whether the configuration is recent enough to prove that an unknown key or
     /// route does not exist.
     pub(crate) fn is_plan_current(&self) -> bool {
--- a/crates/relay/tests/outage.rs
+++ b/crates/relay/tests/outage.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use ibisdale_relay::decide::ServiceOutage;
+use ibisdale_relay::decide::{AnswerRecord, ServiceOutage};
 use rstest::rstest;
 
 /// Plays an outage of 7 s in which the service answers other VMs at the given times, in
@@ -28,3 +28,41 @@
     }
     assert_eq!(outage.is_local(at(7_000)), expected);
 }
+
+/// Guards against a VM that was cut off from the others too and kept replicas that had been
+/// removed meanwhile.
+#[rstest]
+#[case::answered_all_along(-60_000, true)]
+#[case::outage_of_all(6_900, false)]
+#[case::noticed_later_by_others(900, false)]
+fn outage_is_local_if_a_peer_says_that_it_was_answered_all_along(
+    #[case] answers_since_ms: i64,
+    #[case] expected: bool,
+) {
+    let before = Instant::now();
+    let at = |ms: i64| before + Duration::from_millis(u64::try_from(ms + 100_000).unwrap());
+    let mut outage = ServiceOutage::new(at(0));
+    outage.record_peer_answers(at(6_950));
+    outage.record_peer_answers(at(answers_since_ms));
+    assert_eq!(outage.is_local(at(7_000)), expected);
+}
+
+/// Plays answers at the given times, in milliseconds, and asks at 10 s for how long they came
+/// without a gap.
+#[rstest]
+#[case::every_second((0..=9).map(|second| second * 1_000).collect(), Some(10_000))]
+#[case::gap(vec![0, 1_000, 5_000, 6_000, 7_000, 8_000, 9_000], Some(5_000))]
+#[case::late_news_of_an_earlier_answer(vec![0, 5_000, 1_000, 6_000, 7_100, 8_200, 9_300], Some(5_000))]
+#[case::no_longer(vec![0, 1_000, 2_000], None)]
+#[case::never(vec![], None)]
+fn answers_are_unbroken_since_the_last_gap(
+    #[case] answers_ms: Vec<u64>,
+    #[case] expected_ms: Option<u64>,
+) {
+    let mut record = AnswerRecord::default();
+    for at_ms in answers_ms {
+        record.record(Duration::from_millis(at_ms));
+    }
+    let unbroken = record.unbroken_for(Duration::from_secs(10));
+    assert_eq!(unbroken, expected_ms.map(Duration::from_millis));
+}
