--- a/crates/turns/src/client.rs
+++ b/crates/turns/src/client.rs
@@ -160,9 +160,14 @@
 
     /// Makes copies of a turn on enough holders and returns whether they are on disk.
     ///
-    /// `limit` is the longest time to wait.
-    pub async fn keep(&self, turn: KeptTurn, limit: Duration) -> bool {
+    /// A turn that continues another one is placed with it, whichever program continues it: a
+    /// holder extends the retention of the earlier turns only if it has them. `limit` is the
+    /// longest time to wait.
+    pub async fn keep(&self, mut turn: KeptTurn, limit: Duration) -> bool {
         let started = Instant::now();
+        if let Some(placement) = self.placement_of(turn.previous) {
+            turn.placement = placement;
+        }
         let mut plan = CopyPlan::new(self.ranked(turn.placement), self.options.tolerated);
         let request = Rc::new(HolderRequest::Store {
             turns: vec![turn.clone()],
@@ -208,6 +213,12 @@
         is_kept
     }
 
+    /// Returns the placement of a turn whose chain was looked up for a request.
+    fn placement_of(&self, key: Option<TurnKey>) -> Option<u64> {
+        let state = self.state.borrow();
+        state.cache.get(key?).map(|turn| turn.placement)
+    }
+
     fn log_refused_copy(
         &self,
         turn: &KeptTurn,
--- a/crates/turns/src/turn.rs
+++ b/crates/turns/src/turn.rs
@@ -65,8 +65,8 @@
     pub key: TurnKey,
     /// Key of the turn that it continues, if any.
     pub previous: Option<TurnKey>,
-    /// Hash that ranks the holders of the turn; the same for all turns of a program, so
-    /// that one holder has the whole chain.
+    /// Hash that ranks the holders of the turn; the same for all turns of a chain, so
+    /// that one holder has them all.
     pub placement: u64,
     /// Time for which the turn is kept, in milliseconds.
     pub retain_ms: u64,
