--- a/crates/relay/src/decide/budget/account.rs
+++ b/crates/relay/src/decide/budget/account.rs
@@ -119,7 +119,7 @@
         }
     }
 
-    /// Returns what this VM tells others.
+    /// Returns the copy that is sent to other VMs.
     pub(super) fn copy(&self, now_ms: u64) -> AccountCopy {
         AccountCopy {
             epoch: self.epoch,
--- a/crates/relay/src/decide/budget/losses.rs
+++ b/crates/relay/src/decide/budget/losses.rs
@@ -9,7 +9,7 @@
     pub vm: VmKey,
     /// Start time of the process that was lost; 0 if unknown.
     pub incarnation: u64,
-    /// When it was last heard, in milliseconds.
+    /// Time of its last heartbeat, in milliseconds.
     pub at_ms: u64,
 }
 
--- a/crates/relay/src/decide/budget/share.rs
+++ b/crates/relay/src/decide/budget/share.rs
@@ -1,4 +1,4 @@
-//! Shares of a program's usage and what VMs tell each other of its account.
+//! Shares of a program's usage, and the copies of its account that VMs exchange.
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/relay/src/decide/origins.rs
+++ b/crates/relay/src/decide/origins.rs
@@ -85,7 +85,7 @@
 ///
 /// A stream whose origin is not `known` goes on only if a single version can have begun it by
 /// `history` and by `recorded`, the stored record as read since the request arrived. The list
-/// of a VM that was out of step does not hold the versions that joined meanwhile.
+/// of a VM that was out of step lacks the versions that have joined since.
 ///
 /// # Errors
 ///
--- a/crates/relay/src/decide/outage.rs
+++ b/crates/relay/src/decide/outage.rs
@@ -2,8 +2,8 @@
 //!
 //! Answers the load after an outage: the service may have dropped the entries of replicas
 //! that are still there, but not while it answered other VMs. A replica that is kept
-//! although it was removed gets requests after it has stopped serving. A VM that was cut
-//! off from the other VMs as well can't tell until it hears from them again.
+//! although it was removed gets requests after it has stopped serving. A VM that was also
+//! cut off from the other VMs has to ask them first.
 
 use std::time::{Duration, Instant};
 
--- a/crates/relay/src/gateway/feed_contact.rs
+++ b/crates/relay/src/gateway/feed_contact.rs
@@ -29,14 +29,14 @@
         Instant::now().checked_sub(age)
     }
 
-    /// Forgets what the other VMs have said of the service's answers to them, so that only what
-    /// they say from now on counts.
+    /// Discards the reports of other VMs on the service's answers to them, so that only later
+    /// reports count.
     pub fn forget_peer_answers(&self) {
         self.state.peer_answers_since.set(None);
     }
 
     /// Returns since when the key-value service has answered another VM without a gap; `None`
-    /// if no VM has said so.
+    /// if no VM has reported it.
     #[must_use]
     pub fn peer_answers_since(&self) -> Option<Instant> {
         let time = self.state.peer_answers_since.get()?.elapsed();
@@ -57,7 +57,7 @@
     answers.unbroken_for(BootTime::now().since_boot())
 }
 
-/// Records what a peer says of the key-value service: the time since it last confirmed the
+/// Records a peer's report on the key-value service: the time since it last confirmed the
 /// configuration to any VM, and the time for which it has answered without a gap.
 pub(crate) fn record_peer_feed(gateway: &Gateway, age_ms: Option<u64>, answers_ms: Option<u64>) {
     let now = BootTime::now();
--- a/crates/relay/src/gateway/origins.rs
+++ b/crates/relay/src/gateway/origins.rs
@@ -21,8 +21,8 @@
 /// Number of other VMs that receive a copy of a stream's origin while one version serves; a
 /// stream that nobody knows can then still go on.
 const ORIGIN_COPIES: usize = 3;
-/// Number of copies while streams of several versions are under way; the whole of a small
-/// fleet, so that the origin is known as long as one VM runs.
+/// Number of copies while streams of several versions are under way; covers a small fleet,
+/// so that the origin is known as long as one VM runs.
 const ORIGIN_COPIES_MIXED: usize = 8;
 /// Number of other VMs that are queried: those with a copy, and the VM that sent the copies,
 /// which may rank among them for this VM.
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -108,8 +108,8 @@
     pub(crate) peer_feed_confirmed_at: Cell<Option<BootTime>>,
     /// When the key-value service answered any VM.
     pub(crate) answers: Cell<AnswerRecord>,
-    /// Earliest time since which it has answered another VM without a gap, of those that
-    /// were heard since this was last asked for.
+    /// Earliest time since which it has answered another VM without a gap; `None` until a
+    /// VM has reported one since [`Gateway::forget_peer_answers`].
     pub(crate) peer_answers_since: Cell<Option<BootTime>>,
     pub(crate) suspensions: SuspensionWatch,
     pub(crate) replicas_version: Cell<u64>,
--- a/crates/relay/tests/gateway/versions.rs
+++ b/crates/relay/tests/gateway/versions.rs
@@ -107,7 +107,7 @@
     }
 }
 
-/// Guards against streams that are lost with all VMs but one, which had not been told of them.
+/// Guards against streams that are lost with all VMs but one, which had no copy of their origin.
 #[test]
 fn stream_goes_on_at_the_only_vm_that_survives() {
     let replicas = [replica("v1", true), replica("v2", true)];
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -235,7 +235,7 @@
     FeedLost = 2107, Warn, "feed_lost",
         ["prefix", "call", "error", "revision"], "A prefix of the key-value service could not be read or watched.";
     FeedRegained = 2108, Info, "feed_regained",
-        ["prefix", "revision", "outage_ms"], "A prefix of the key-value service can be read and watched again.";
+        ["prefix", "revision", "outage_ms", "local"], "A prefix of the key-value service can be read and watched again; `local` if it answered other VMs in the meantime.";
     FeedGap = 2109, Warn, "feed_gap",
         ["revision"], "Changes under a prefix of the key-value service may have been missed; the whole prefix is read again.";
     VmHeard = 2110, Info, "vm_heard",
