--- a/crates/relay/src/decide/outage.rs
+++ b/crates/relay/src/decide/outage.rs
@@ -50,6 +50,8 @@
     peer_contact_at: Option<Instant>,
     /// Earliest time since which the service has answered another VM without a gap.
     peer_answers_since: Option<Instant>,
+    /// Whether this VM did not hear the other VMs either.
+    is_isolated: bool,
 }
 
 impl ServiceOutage {
@@ -60,6 +62,7 @@
             began_at,
             peer_contact_at: None,
             peer_answers_since: None,
+            is_isolated: false,
         }
     }
 
@@ -77,6 +80,17 @@
         }
     }
 
+    /// Records that this VM does not hear the other VMs during the outage.
+    pub fn record_isolation(&mut self) {
+        self.is_isolated = true;
+    }
+
+    /// Returns whether only the other VMs can tell whether the service answered them.
+    #[must_use]
+    pub fn needs_peer_report(&self) -> bool {
+        self.is_isolated && !self.has_unbroken_answers()
+    }
+
     /// Records since when the service has answered another VM without a gap.
     pub fn record_peer_answers(&mut self, since: Instant) {
         let earliest = self.peer_answers_since.get_or_insert(since);
--- a/crates/relay/src/gateway/feed_contact.rs
+++ b/crates/relay/src/gateway/feed_contact.rs
@@ -5,6 +5,10 @@
 use super::boot_time::BootTime;
 use super::state::Gateway;
 
+/// Time without a state of any other VM after which this VM counts as isolated; several
+/// gossip rounds.
+const ISOLATED_AFTER: Duration = Duration::from_millis(800);
+
 impl Gateway {
     /// Records that the key-value service has just confirmed the configuration.
     pub fn confirm_feed(&self) {
@@ -43,11 +47,12 @@
         Instant::now().checked_sub(time)
     }
 
-    /// Returns whether this VM knows others, live or silent.
+    /// Returns whether this VM knows others and has heard none of them for some rounds.
     #[must_use]
-    pub fn has_peers(&self) -> bool {
+    pub fn is_isolated(&self) -> bool {
         let (known, _) = self.state.members.borrow().count(self.now_ms());
-        known > 0
+        let heard_at = self.state.peer_state_at.get();
+        known > 0 && heard_at.is_none_or(|at| at.elapsed() > ISOLATED_AFTER)
     }
 }
 
@@ -61,6 +66,7 @@
 /// configuration to any VM, and the time for which it has answered without a gap.
 pub(crate) fn record_peer_feed(gateway: &Gateway, age_ms: Option<u64>, answers_ms: Option<u64>) {
     let now = BootTime::now();
+    gateway.state.peer_state_at.set(Some(now));
     if let Some(age_ms) = age_ms {
         let at = now.before(Duration::from_millis(age_ms));
         let latest = &gateway.state.peer_feed_confirmed_at;
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -111,6 +111,8 @@
     /// Earliest time since which it has answered another VM without a gap; `None` until a
     /// VM has reported one since [`Gateway::forget_peer_answers`].
     pub(crate) peer_answers_since: Cell<Option<BootTime>>,
+    /// When the last state of another VM arrived.
+    pub(crate) peer_state_at: Cell<Option<BootTime>>,
     pub(crate) suspensions: SuspensionWatch,
     pub(crate) replicas_version: Cell<u64>,
     pub(crate) replicas: RefCell<ReplicaTable>,
@@ -219,6 +221,7 @@
             peer_feed_confirmed_at: Cell::new(None),
             answers: Cell::default(),
             peer_answers_since: Cell::new(None),
+            peer_state_at: Cell::new(None),
             suspensions: SuspensionWatch::start(),
             replicas_version: Cell::new(0),
             replicas: RefCell::default(),
--- a/crates/relay/tests/outage.rs
+++ b/crates/relay/tests/outage.rs
@@ -42,9 +42,13 @@
     let before = Instant::now();
     let at = |ms: i64| before + Duration::from_millis(u64::try_from(ms + 100_000).unwrap());
     let mut outage = ServiceOutage::new(at(0));
+    assert!(!outage.needs_peer_report(), "the other VMs are heard");
+    outage.record_isolation();
     outage.record_peer_answers(at(6_950));
+    assert!(outage.needs_peer_report());
     outage.record_peer_answers(at(answers_since_ms));
     assert_eq!(outage.is_local(at(7_000)), expected);
+    assert_eq!(outage.needs_peer_report(), !expected);
 }
 
 /// Plays answers at the given times, in milliseconds, and asks at 10 s for how long they came
