--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -32,7 +32,7 @@
 };
 pub use members::{HOMES_MAX, HomeCandidate, MemberFacts, MemberTable, RankedPeer, VmKey};
 pub use origins::{AttemptKey, OriginRefusal, OriginTable, decide_origin};
-pub use outage::{AnswerRecord, ServiceOutage};
+pub use outage::{AnswerRecord, ServiceOutage, may_be_cut_off};
 pub use placement::{PlacementChoice, PlacementInput, choose_replicas};
 pub use quota::{
     AdmissionCounters, ProgramStage, QuotaLedger, QuotaTolerance, RateRefusal, RefusalCause,
--- a/crates/relay/src/decide/outage.rs
+++ b/crates/relay/src/decide/outage.rs
@@ -14,6 +14,20 @@
 /// reader's watch returns at least once a second.
 const ANSWER_GAP_MAX: Duration = Duration::from_millis(1_200);
 
+/// Time without a state of any other VM after which this VM counts as cut off; several gossip
+/// rounds.
+const CUT_OFF_AFTER: Duration = Duration::from_millis(800);
+
+/// Returns whether this VM may be cut off from most other VMs, of which it knows `known` and
+/// takes `silent` for silent; `since_heard` is the time since any of them sent its state.
+///
+/// VMs that are cut off together may still hear each other.
+#[must_use]
+pub fn may_be_cut_off(known: usize, silent: usize, since_heard: Option<Duration>) -> bool {
+    let hears_none = since_heard.is_none_or(|time| time > CUT_OFF_AFTER);
+    known > 0 && (hears_none || 2 * silent >= known)
+}
+
 /// When the service answered any VM; times are since the boot of this VM.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct AnswerRecord {
@@ -50,8 +64,8 @@
     peer_contact_at: Option<Instant>,
     /// Earliest time since which the service has answered another VM without a gap.
     peer_answers_since: Option<Instant>,
-    /// Whether this VM did not hear the other VMs either.
-    is_isolated: bool,
+    /// Whether this VM may have been cut off from most other VMs too.
+    was_cut_off: bool,
 }
 
 impl ServiceOutage {
@@ -62,7 +76,7 @@
             began_at,
             peer_contact_at: None,
             peer_answers_since: None,
-            is_isolated: false,
+            was_cut_off: false,
         }
     }
 
@@ -80,15 +94,15 @@
         }
     }
 
-    /// Records that this VM does not hear the other VMs during the outage.
-    pub fn record_isolation(&mut self) {
-        self.is_isolated = true;
+    /// Records that this VM may be cut off from most other VMs during the outage.
+    pub fn record_cut(&mut self) {
+        self.was_cut_off = true;
     }
 
     /// Returns whether only the other VMs can tell whether the service answered them.
     #[must_use]
     pub fn needs_peer_report(&self) -> bool {
-        self.is_isolated && !self.has_unbroken_answers()
+        self.was_cut_off && !self.has_unbroken_answers()
     }
 
     /// Records since when the service has answered another VM without a gap.
--- a/crates/relay/src/gateway/feed_contact.rs
+++ b/crates/relay/src/gateway/feed_contact.rs
@@ -4,10 +4,7 @@
 
 use super::boot_time::BootTime;
 use super::state::Gateway;
-
-/// Time without a state of any other VM after which this VM counts as isolated; several
-/// gossip rounds.
-const ISOLATED_AFTER: Duration = Duration::from_millis(800);
+use crate::decide::may_be_cut_off;
 
 impl Gateway {
     /// Records that the key-value service has just confirmed the configuration.
@@ -47,12 +44,12 @@
         Instant::now().checked_sub(time)
     }
 
-    /// Returns whether this VM knows others and has heard none of them for some rounds.
+    /// Returns whether this VM may be cut off from most other VMs.
     #[must_use]
-    pub fn is_isolated(&self) -> bool {
-        let (known, _) = self.state.members.borrow().count(self.now_ms());
+    pub fn may_be_cut_off(&self) -> bool {
+        let (known, silent) = self.state.members.borrow().count(self.now_ms());
         let heard_at = self.state.peer_state_at.get();
-        known > 0 && heard_at.is_none_or(|at| at.elapsed() > ISOLATED_AFTER)
+        may_be_cut_off(known, silent, heard_at.map(BootTime::elapsed))
     }
 }
 
--- a/crates/relay/tests/outage.rs
+++ b/crates/relay/tests/outage.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use ibisdale_relay::decide::{AnswerRecord, ServiceOutage};
+use ibisdale_relay::decide::{AnswerRecord, ServiceOutage, may_be_cut_off};
 use rstest::rstest;
 
 /// Plays an outage of 7 s in which the service answers other VMs at the given times, in
@@ -43,7 +43,7 @@
     let at = |ms: i64| before + Duration::from_millis(u64::try_from(ms + 100_000).unwrap());
     let mut outage = ServiceOutage::new(at(0));
     assert!(!outage.needs_peer_report(), "the other VMs are heard");
-    outage.record_isolation();
+    outage.record_cut();
     outage.record_peer_answers(at(6_950));
     assert!(outage.needs_peer_report());
     outage.record_peer_answers(at(answers_since_ms));
@@ -70,3 +70,22 @@
     let unbroken = record.unbroken_for(Duration::from_secs(10));
     assert_eq!(unbroken, expected_ms.map(Duration::from_millis));
 }
+
+/// Guards against VMs that are cut off together and take the outage of their group for one of
+/// all, since they still hear each other.
+#[rstest]
+#[case::in_contact(53, 0, Some(100), false)]
+#[case::other_group_is_cut_off(53, 9, Some(100), false)]
+#[case::in_a_group_that_is_cut_off(53, 45, Some(100), true)]
+#[case::heard_none_for_a_second(53, 0, Some(1_000), true)]
+#[case::heard_none_yet(53, 0, None, true)]
+#[case::only_vm(0, 0, None, false)]
+fn vm_that_hears_less_than_half_may_be_cut_off(
+    #[case] known: usize,
+    #[case] silent: usize,
+    #[case] since_heard_ms: Option<u64>,
+    #[case] expected: bool,
+) {
+    let since_heard = since_heard_ms.map(Duration::from_millis);
+    assert_eq!(may_be_cut_off(known, silent, since_heard), expected);
+}
