Send no new requests to evacuated failure domains

Cause: operators need to empty a failure domain without ending its replicas. Change: the feed passes the names under op/evacuate/ and the revision to the gateway before it decodes the configuration. ReplicaTable keeps them, marks the replicas there and accepts no request for them. The readers announce a change at once, and every state message carries the set; only a higher revision replaces it. A service without another replica refuses with 503 and Retry-After 1 s. Names are limited to 200 bytes, 256 of them and 8,192 bytes together. Events 2124 and 2125, two gauges and a counter.

--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -4,6 +4,8 @@
 //! since the start of the process unless stated otherwise.
 
 mod budget;
+mod evacuation;
+mod in_flight_counts;
 mod limits;
 mod members;
 mod origins;
@@ -26,6 +28,8 @@
     ClaimOutcome, ClaimStatus, HomeRole, ProgramKey, StoredCeiling, TakeoverFinding, TakeoverInput,
     VmLoss, VmProcess, assess_takeover, may_have_lost_pair,
 };
+pub use evacuation::{DomainSelection, EvacuationChange, EvacuationReport, EvacuationTable};
+pub use in_flight_counts::InFlightCount;
 pub use limits::{
     GrantCandidate, GrantLedger, GrantOutcome, GrantQuery, GrantShare, LimitChange, LimitReport,
     LimitStatement, LimitTable, StartKey,
@@ -39,9 +43,7 @@
     WindowReport, WorkspaceKey,
 };
 pub use readers::{is_reader, reader_rank};
-pub use replicas::{
-    AttemptOutcome, InFlightCount, ReplicaInfo, ReplicaKey, ReplicaLoad, ReplicaTable,
-};
+pub use replicas::{AttemptOutcome, ReplicaInfo, ReplicaKey, ReplicaLoad, ReplicaTable};
 pub use replies::RecentDecisions;
 pub use retry::{AttemptFailure, RetryDecision, RetryInput, decide_retry};
 pub use rotation::{PeerRotation, ROUND_MS, rounds_per_pass};
--- a/crates/relay/src/decide/replicas.rs
+++ b/crates/relay/src/decide/replicas.rs
@@ -1,12 +1,14 @@
 //! State and load of each replica.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
+use super::evacuation::{EvacuationChange, EvacuationTable};
+use super::in_flight_counts::{InFlightCount, PeerInFlight, truncate_hash};
 use super::limits::StartKey;
 use super::members::VmKey;
 use ibisdale_core::{hash_bytes, rendezvous_weight};
@@ -81,23 +83,6 @@
     pub slots: u32,
 }
 
-/// Number of in-flight requests of one VM at a replica.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Deserialize, Serialize)]
-pub struct InFlightCount {
-    /// Truncated hash of the replica's identifier.
-    pub replica_hash: u32,
-    /// Number of requests sent and not finished.
-    pub requests: u32,
-}
-
-/// In-flight counts last received from another VM.
-#[derive(Clone, Debug, Default)]
-struct PeerInFlight {
-    counts: Vec<InFlightCount>,
-    received_ms: u64,
-}
-
 /// Outcome of an attempt, used to judge the health of the replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptOutcome {
@@ -119,6 +104,8 @@
     pub(crate) info: ReplicaInfo,
     /// Whether the replica has announced in a response that it is shutting down.
     is_leaving: bool,
+    /// Whether the replica's failure domain is evacuated.
+    pub(crate) is_evacuated: bool,
     pub(crate) start: StartKey,
     pub(crate) hash: u64,
     pub(crate) in_flight: u32,
@@ -137,6 +124,7 @@
     fn new(info: ReplicaInfo, is_leaving: bool) -> Self {
         Self {
             is_leaving,
+            is_evacuated: false,
             start: info.start_key(),
             hash: hash_bytes(&info.id),
             info,
@@ -154,7 +142,7 @@
     /// `required`, if one is required.
     pub(crate) fn accepts(&self, required: Option<&[u8]>) -> bool {
         let has_version = required.is_none_or(|required| self.info.software_version == required);
-        has_version && !self.info.is_draining && !self.is_leaving
+        has_version && !self.info.is_draining && !self.is_leaving && !self.is_evacuated
     }
 
     pub(crate) fn is_ejected(&self, now_ms: u64) -> bool {
@@ -202,6 +190,7 @@
     /// of the service comes back.
     leaving: VecDeque<(Bytes, u64)>,
     peers: HashMap<VmKey, PeerInFlight>,
+    evacuations: EvacuationTable,
 }
 
 impl ReplicaTable {
@@ -241,9 +230,35 @@
             let keys = self.by_service.entry(state.info.service.clone());
             keys.or_default().push(key);
         }
+        self.mark_evacuated();
         changes
     }
 
+    /// Replaces the evacuated failure domains; replicas there accept no new requests.
+    pub fn apply_evacuations(
+        &mut self,
+        domains: BTreeSet<Bytes>,
+        revision: u64,
+    ) -> EvacuationChange {
+        let change = self.evacuations.apply(domains, revision);
+        if !change.is_empty() {
+            self.mark_evacuated();
+        }
+        change
+    }
+
+    fn mark_evacuated(&mut self) {
+        for state in self.replicas.values_mut() {
+            state.is_evacuated = self.evacuations.contains(&state.info.domain);
+        }
+    }
+
+    /// Returns the evacuated failure domains.
+    #[must_use]
+    pub fn evacuations(&self) -> &EvacuationTable {
+        &self.evacuations
+    }
+
     /// Returns the replicas of a service.
     #[must_use]
     pub fn service_replicas(&self, service: &[u8]) -> &[ReplicaKey] {
@@ -336,6 +351,15 @@
         self.replicas.get(key)
     }
 
+    pub(crate) fn states(&self) -> impl Iterator<Item = &ReplicaState> {
+        self.replicas.values()
+    }
+
+    pub(crate) fn service_states(&self, service: &[u8]) -> impl Iterator<Item = &ReplicaState> {
+        let keys = self.service_replicas(service).iter();
+        keys.filter_map(|key| self.replicas.get(*key))
+    }
+
     /// Records that a request is sent to a replica.
     pub fn begin_request(&mut self, key: ReplicaKey, prompt_tokens: u64) {
         if let Some(state) = self.replicas.get_mut(key) {
@@ -444,13 +468,6 @@
     }
 }
 
-/// Truncates a hash to save space in messages; a collision only makes the load of the
-/// replicas involved inexact.
-#[expect(clippy::cast_possible_truncation, reason = "only the lower half is used")]
-fn truncate_hash(hash: u64) -> u32 {
-    hash as u32
-}
-
 /// Differences between two lists of replicas.
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaChanges {
--- a/crates/relay/src/gateway/forward.rs
+++ b/crates/relay/src/gateway/forward.rs
@@ -16,6 +16,7 @@
 use super::budget::BudgetReservation;
 use super::caller_request::{CallerRequest, millis, response_headers};
 use super::crashes::examine_failure;
+use super::evacuation::refuse_without_replica;
 use super::failed_attempt::FailedAttempt;
 use super::limits::{GrantResult, ask_for_grant, is_limited};
 use super::response_memory::HeldBytes;
@@ -215,7 +216,8 @@
 ) -> Result<ReplicaKey, GatewayError> {
     let choice = choose(gateway, request, retry, retry_same_replica);
     if choice.limited.is_empty() {
-        return choice.open.ok_or(GatewayError::unavailable("no replica"));
+        let refuse = || refuse_without_replica(gateway, &retry.service);
+        return choice.open.ok_or_else(refuse);
     }
     let (limited, is_final) = (&choice.limited, choice.open.is_none());
     match ask_for_grant(gateway, request, &retry.service, limited, is_final).await {
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -27,6 +27,7 @@
 use super::budget::{ReserveOutcome, reserve};
 use super::caller_request::{CallerRequest, header_str, millis};
 use super::directory::{directory_response, readiness_response};
+use super::evacuation::update_evacuation_gauges;
 use super::forward::forward;
 use super::in_flight::CallerRequestGuard;
 use super::limits::expire_limits;
@@ -199,6 +200,7 @@
     let version = gateway.plan().map_or(0, |plan| plan.get_version());
     let in_flight = gateway.state.in_flight.get();
     record_member_ages(gateway);
+    update_evacuation_gauges(gateway);
     let limited = gateway.state.limits.borrow().limited_count();
     gateway.state.metrics.set_limited_replicas(limited);
     let (suspects, condemned) = gateway.state.suspects.borrow().count();
--- a/crates/relay/src/gateway/metrics.rs
+++ b/crates/relay/src/gateway/metrics.rs
@@ -31,6 +31,7 @@
     unreadable_limits: IntCounter,
     limited_replicas: Gauge,
     suspects: SuspectMetrics,
+    evacuations: EvacuationMetrics,
     oldest_heartbeat_seconds: Gauge,
     silent_vms: Gauge,
     in_flight: Gauge,
@@ -79,6 +80,38 @@
     }
 }
 
+/// Metrics of evacuated failure domains.
+#[derive(Debug)]
+struct EvacuationMetrics {
+    domains: Gauge,
+    in_flight: Gauge,
+    refused: IntCounter,
+}
+
+impl EvacuationMetrics {
+    fn register(registry: &Registry) -> Self {
+        Self {
+            domains: register_gauge(
+                registry,
+                "ibisdale_gateway_evacuated_domains",
+                "Failure domains that operators have evacuated.",
+            ),
+            in_flight: register_gauge(
+                registry,
+                "ibisdale_gateway_evacuated_requests_in_flight",
+                "Requests of this VM that still run at replicas of evacuated domains.",
+            ),
+            refused: register(
+                registry,
+                IntCounter::new(
+                    "ibisdale_gateway_evacuated_refused_total",
+                    "Requests refused because all replicas are in evacuated domains.",
+                ),
+            ),
+        }
+    }
+}
+
 impl GatewayMetrics {
     /// Creates and registers all metrics.
     ///
@@ -150,6 +183,7 @@
                 "Replicas that name a limit of requests per second.",
             ),
             suspects: SuspectMetrics::register(&registry),
+            evacuations: EvacuationMetrics::register(&registry),
             oldest_heartbeat_seconds: register_gauge(
                 &registry,
                 "ibisdale_gateway_oldest_heartbeat_seconds",
@@ -232,6 +266,16 @@
         self.suspects.condemned.set(condemned as f64);
     }
 
+    pub(crate) fn count_evacuated_request(&self) {
+        self.evacuations.refused.inc();
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "at most 256")]
+    pub(crate) fn set_evacuations(&self, domains: usize, in_flight: u32) {
+        self.evacuations.domains.set(domains as f64);
+        self.evacuations.in_flight.set(f64::from(in_flight));
+    }
+
     #[expect(clippy::cast_precision_loss, reason = "a few thousand replicas")]
     pub(crate) fn set_limited_replicas(&self, count: usize) {
         self.limited_replicas.set(count as f64);
--- a/crates/relay/src/gateway/mod.rs
+++ b/crates/relay/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod crashes;
 mod directory;
 mod drain;
+mod evacuation;
 mod events;
 mod failed_attempt;
 mod feed_contact;
--- a/crates/relay/src/gateway/peer_link.rs
+++ b/crates/relay/src/gateway/peer_link.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddrV4;
 
 use super::caller_request::millis;
+use super::evacuation::evacuation_report;
 use super::feed_contact::answered_for;
 use super::limits::recent_limits;
 use super::message::PeerMessage;
@@ -69,6 +70,7 @@
         counts_lost_at: gateway.state.counts_lost_at.get(),
         limits: recent_limits(gateway),
         suspects: recent_suspects(gateway),
+        evacuations: evacuation_report(gateway),
     };
     let Some(data) = encode(&message) else {
         return;
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -9,6 +9,7 @@
 use super::admit::admit_as_home;
 use super::budget_copies::{handle_budget_message, restore_copies};
 use super::ceilings::store_in_batch;
+use super::evacuation::merge_evacuations;
 use super::feed_contact::record_peer_feed;
 use super::limits::{grant_as_home, merge_limits, send_limits};
 use super::message::{GrantRequest, PeerMessage};
@@ -155,7 +156,9 @@
             counts_lost_at,
             limits,
             suspects,
+            evacuations,
         } => {
+            merge_evacuations(gateway, evacuations);
             merge_limits(gateway, &limits);
             merge_suspects(gateway, &suspects, "peer");
             record_peer_feed(gateway, feed_age_ms, answers_ms);
--- a/crates/relay/tests/gateway/fleet_support.rs
+++ b/crates/relay/tests/gateway/fleet_support.rs
@@ -19,7 +19,10 @@
 /// What a test does to the process of a gateway.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum VmCommand {
+    /// Lets its thread stand still for a time.
     Freeze(Duration),
+    /// Passes on evacuated domains and their revision as the feed does.
+    Evacuate(&'static [&'static str], u64),
     Kill,
 }
 
--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod datagrams;
 mod endless;
+mod evacuation;
 mod fleet;
 mod fleet_support;
 mod holder_support;
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -36,9 +36,9 @@
 /// Difference between the first ports of processes with consecutive ids.
 const PORTS_PER_PROCESS: u32 = 128;
 /// Interval at which the directory is polled.
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
+pub(crate) const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum number of polls before a test fails.
-const POLLS_MAX: u32 = 600;
+pub(crate) const POLLS_MAX: u32 = 600;
 
 const fn name(text: &'static str) -> HeaderName {
     HeaderName::from_static(text)
@@ -131,6 +131,8 @@
 pub(crate) struct ScriptedReplica {
     pub(crate) address: SocketAddr,
     software_version: &'static str,
+    pub(crate) service: &'static str,
+    pub(crate) domain: &'static str,
     requests: Arc<Mutex<Vec<String>>>,
 }
 
@@ -154,9 +156,8 @@
             }
         });
         Self {
-            address,
-            software_version: "v1",
             requests,
+            ..Self::at(address)
         }
     }
 
@@ -165,6 +166,8 @@
         Self {
             address,
             software_version: "v1",
+            service: "service",
+            domain: "east",
             requests: Arc::default(),
         }
     }
@@ -238,7 +241,7 @@
     pub(crate) directory: SocketAddr,
     pub(crate) peer_address: SocketAddrV4,
     store: StoreStandIn,
-    commands: Option<Sender<VmCommand>>,
+    pub(crate) commands: Option<Sender<VmCommand>>,
     thread: Option<thread::JoinHandle<()>>,
 }
 
@@ -271,9 +274,9 @@
             .map(|(index, replica)| ReplicaInfo {
                 id: Bytes::from(format!("replica-{index}")),
                 started_ms: 1,
-                service: Bytes::from_static(b"service"),
+                service: Bytes::from_static(replica.service.as_bytes()),
                 address: replica.address,
-                domain: Bytes::from_static(b"east"),
+                domain: Bytes::from_static(replica.domain.as_bytes()),
                 software_version: Bytes::from_static(replica.software_version.as_bytes()),
                 slots: 4,
                 is_draining: false,
@@ -321,13 +324,8 @@
 
     /// Polls the directory until it lists `count` VMs.
     pub(crate) fn wait_for_vms(&self, count: usize) {
-        let text = "GET /addresses HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
         for _ in 0..POLLS_MAX {
-            let mut stream = TcpStream::connect(self.directory).unwrap();
-            stream.write_all(text.as_bytes()).unwrap();
-            let mut response = String::new();
-            stream.read_to_string(&mut response).unwrap();
-            if response.ends_with(&format!("\r\n\r\n{count} 0")) {
+            if self.lists_vms(count) {
                 return;
             }
             thread::sleep(POLL_INTERVAL);
@@ -335,6 +333,16 @@
         panic!("the directory did not list {count} VMs in time");
     }
 
+    /// Returns whether the directory lists `count` VMs.
+    pub(crate) fn lists_vms(&self, count: usize) -> bool {
+        let text = "GET /addresses HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        let mut stream = TcpStream::connect(self.directory).unwrap();
+        stream.write_all(text.as_bytes()).unwrap();
+        let mut response = String::new();
+        stream.read_to_string(&mut response).unwrap();
+        response.ends_with(&format!("\r\n\r\n{count} 0"))
+    }
+
     /// Returns the ceilings of all writes so far, one list per write.
     pub(crate) fn ceilings(&self) -> Vec<Vec<u64>> {
         self.store.writes()
@@ -470,6 +478,12 @@
     while let Ok(command) = commands.recv().await {
         match command {
             VmCommand::Freeze(time) => thread::sleep(time),
+            VmCommand::Evacuate(domains, revision) => {
+                let domains = domains
+                    .iter()
+                    .map(|domain| Bytes::from_static(domain.as_bytes()));
+                gateway.set_evacuated_domains(domains.collect(), revision);
+            }
             VmCommand::Kill => return,
         }
     }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -275,6 +275,12 @@
         ["count", "revision"], "Requests that are refused because they have ended replicas were written to the key-value service.";
     EntriesUnreadable = 2123, Warn, "entries_unreadable",
         ["key", "error", "new", "count"], "Entries of replicas could not be decoded and were skipped: `count` in all, `new` of them since the last line, of which `key` is the first.";
+    EvacuationChanged = 2124, Info, "evacuation_changed",
+        ["domain", "evacuated", "revision", "source", "replicas", "running"],
+        "The evacuation of a failure domain began or ended; `source` is the store or a peer, `replicas` the number of known replicas there (0 if the domain is unknown), `running` that of the VM's requests in flight there.";
+    EvacuationIgnored = 2125, Warn, "evacuation_ignored",
+        ["domain", "count", "revision"],
+        "Names of evacuated domains were ignored because they are empty, too long or too many: `count` in all, of which `domain` is the first.";
 
     RequestEnded = 2201, Info, "request_ended",
         ["request", "program", "route", "workspace", "status", "reason", "replica", "sends",
