--- a/crates/relay/src/gateway/attempt.rs
+++ b/crates/relay/src/gateway/attempt.rs
@@ -294,10 +294,13 @@
     Ok(())
 }
 
-/// Returns whether a replica is listed and may get the request.
+/// Returns whether a replica is listed and may get the request; its entry may have changed to
+/// a service that is not on the request's route.
 pub(crate) fn is_available(gateway: &Gateway, retry: &RetryState, replica: ReplicaKey) -> bool {
     let replicas = gateway.state.replicas.borrow();
-    replicas.accepts(replica, retry.required_version.as_deref())
+    let info = replicas.get_info(replica);
+    let is_on_route = info.is_some_and(|info| info.service == retry.service);
+    is_on_route && replicas.accepts(replica, retry.required_version.as_deref())
 }
 
 /// Reads the head of the response to this request.
