Let a test of evacuations end where it fails

Cause: a further request to the evacuated domain waited for a channel that was closed after the test's threads, so a broken version hung instead of failing. Change: the channel is closed before.

--- a/crates/relay/tests/gateway/evacuation.rs
+++ b/crates/relay/tests/gateway/evacuation.rs
@@ -125,7 +125,8 @@
         arrival.recv().unwrap();
         gateway.evacuate(&["east"], 6);
         resume.send(()).unwrap();
+        // A further request to the domain must not wait, so that the test ends.
+        drop(resume);
     });
-    drop(resume);
     assert_eq!(east.requests().len(), 1);
 }
