Limit requests to cold replicas over all VMs

Cold replicas crash well above the rate that the configuration gives, and each VM alone could not know what the others send. They now need a grant of a home of their service, as replicas that name a limit do, at a rate that keeps the bound of one second. Replicas become cold by their entries, a response header, or the return of their failure domain.

--- a/crates/relay/src/decide/limits/grants.rs
+++ b/crates/relay/src/decide/limits/grants.rs
@@ -18,10 +18,13 @@
 
 /// Part of a limit that a home grants, by its rank, in percent; those of a lower rank are asked
 /// while the first one does not answer.
-const GRANT_PERCENT: [f64; HOMES_MAX] = [100.0, 25.0, 10.0];
+pub(crate) const GRANT_PERCENT: [f64; HOMES_MAX] = [100.0, 25.0, 10.0];
 /// Time whose requests a home may grant at once beyond the first one, if none were asked for
 /// before, in seconds.
 const BURST_S: f64 = 1.0;
+/// Number of requests to a cold replica that a home may grant at once; see
+/// `ColdTolerance::granted_per_s`.
+pub(crate) const COLD_BURST: f64 = 1.0;
 /// Smallest part of a replica's burst that must be available for a program to begin there.
 const BEGIN_PART_MIN: f64 = 0.7;
 /// Weight of a request in the average of the requests' work.
@@ -40,6 +43,19 @@
     pub start: StartKey,
     /// Limit of the replica in requests per second; `None` if it has ended.
     pub per_s: Option<f64>,
+    /// Whether the replica is cold, so that its limit applies to each single second.
+    pub is_cold: bool,
+}
+
+impl GrantCandidate {
+    /// Returns the number of requests that a home may grant at once.
+    fn capacity(&self) -> f64 {
+        if self.is_cold {
+            COLD_BURST
+        } else {
+            capacity(self.per_s.unwrap_or_default())
+        }
+    }
 }
 
 /// Part of the limits that a VM grants at a time.
@@ -52,6 +68,11 @@
     pub vm_count: usize,
     /// Number of these VMs that are silent.
     pub silent_count: usize,
+    /// Number of VMs that were silent until recently.
+    pub returned_count: usize,
+    /// Whether this VM, if it is the first home, has been so for long enough that an earlier
+    /// one has learned of it.
+    pub is_settled: bool,
 }
 
 impl GrantShare {
@@ -61,6 +82,24 @@
         let [vm_count, silent_count] = [self.vm_count, self.silent_count].map(|count| count as f64);
         percent / 100.0 * (1.0 - silent_count / vm_count.max(1.0))
     }
+
+    /// Returns the part for cold replicas, whose limit leaves no room for the time in which VMs
+    /// differ in who is the home.
+    ///
+    /// A first home grants the part of the second one until it is settled, and a VM that has
+    /// returned counts as silent for as long. The square keeps the sum of the parts near 1 if VMs
+    /// that are cut off are removed from the list of the others and not from their own.
+    fn cold_part(self) -> f64 {
+        let rank = self.rank.max(usize::from(!self.is_settled));
+        let silent_count = self.silent_count + self.returned_count;
+        let heard = Self {
+            rank: 0,
+            silent_count: silent_count.min(self.vm_count),
+            ..self
+        };
+        let heard_part = heard.part();
+        GRANT_PERCENT[rank.min(HOMES_MAX - 1)] / 100.0 * heard_part * heard_part
+    }
 }
 
 /// Decision of a home on a request.
@@ -113,11 +152,11 @@
     }
 
     /// Adds what may be granted since the last request.
-    fn renew(&mut self, per_s: f64, part: f64, now_ms: u64) {
+    fn renew(&mut self, granted_per_s: f64, capacity: f64, now_ms: u64) {
         #[expect(clippy::cast_precision_loss, reason = "below 2^53")]
         let elapsed_s = now_ms.saturating_sub(self.updated_ms) as f64 / 1_000.0;
-        let renewed = self.available + elapsed_s * per_s * part;
-        self.available = renewed.min(capacity(per_s));
+        let renewed = self.available + elapsed_s * granted_per_s;
+        self.available = renewed.min(capacity);
         self.updated_ms = now_ms;
     }
 
@@ -193,7 +232,7 @@
         share: GrantShare,
         now_ms: u64,
     ) -> GrantOutcome {
-        let part = share.part();
+        let (part, cold_part) = (share.part(), share.cold_part());
         let (mut total_per_s, mut total_available) = (0.0, 0.0);
         for candidate in query.candidates {
             let Some(per_s) = candidate.per_s else {
@@ -201,7 +240,8 @@
             };
             let bucket = self.buckets.entry(candidate.start);
             let bucket = bucket.or_insert_with(|| GrantBucket::new(now_ms));
-            bucket.renew(per_s, part, now_ms);
+            let part = if candidate.is_cold { cold_part } else { part };
+            bucket.renew(per_s * part, candidate.capacity(), now_ms);
             total_per_s += per_s * part;
             total_available += bucket.available;
         }
@@ -229,7 +269,7 @@
         let takes_any = query.affinity.is_none() || query.is_refusal_final;
         let mut first = None;
         for candidate in query.candidates {
-            let burst = capacity(candidate.per_s.unwrap_or_default()) - 1.0;
+            let burst = candidate.capacity() - 1.0;
             let bucket = self.buckets.get_mut(&candidate.start)?;
             if bucket.serves(query.affinity) {
                 if bucket.available >= 1.0 {
@@ -260,7 +300,7 @@
     }
 }
 
-/// Returns the number of requests that a home may grant at once.
+/// Returns the number of requests that a home may grant at once to a replica that names a limit.
 fn capacity(per_s: f64) -> f64 {
     1.0 + per_s * BURST_S
 }
--- a/crates/relay/src/decide/members.rs
+++ b/crates/relay/src/decide/members.rs
@@ -73,6 +73,8 @@
     is_silence_reported: bool,
     /// Until when the VM is not asked as home, since it did not answer.
     unanswered_until_ms: u64,
+    /// When the VM was heard again after it had been silent; 0 if never.
+    returned_ms: u64,
 }
 
 /// A VM that may be asked as the home of a workspace.
@@ -119,6 +121,7 @@
                     is_registered: true,
                     is_silence_reported: false,
                     unanswered_until_ms: 0,
+                    returned_ms: 0,
                 }
             });
             state.is_registered = true;
@@ -165,6 +168,9 @@
                 if has_returned {
                     self.changed_ms = now_ms;
                 }
+                if was_silent {
+                    state.returned_ms = now_ms;
+                }
                 state.facts = facts;
                 state.last_heartbeat_ms = now_ms;
                 state.unanswered_until_ms = 0;
@@ -178,6 +184,7 @@
                     is_registered: false,
                     is_silence_reported: false,
                     unanswered_until_ms: 0,
+                    returned_ms: 0,
                 };
                 self.members.insert(key, state);
                 true
@@ -300,6 +307,35 @@
         (all, all - self.live(now_ms).count())
     }
 
+    /// Returns the number of live VMs that were silent until recently: for less than the time
+    /// after which a VM is silent, in which all VMs have been heard again.
+    #[must_use]
+    pub fn returned_count(&self, now_ms: u64) -> usize {
+        let settle_ms = self.silent_after_ms();
+        let states = self.members.values();
+        let is_returned = |state: &&MemberState| {
+            state.returned_ms > 0
+                && now_ms.saturating_sub(state.returned_ms) < settle_ms
+                && self.is_state_live(state, now_ms)
+        };
+        states.filter(is_returned).count()
+    }
+
+    /// Returns whether all VMs that rank before `own` as home of `key` have been silent, and
+    /// `own` has been running, for at least the time after which a VM is silent. An earlier home
+    /// has then learned of this one or has lost contact to it.
+    #[must_use]
+    pub fn is_settled_home(&self, own: VmKey, key: u64, started_ms: u64, now_ms: u64) -> bool {
+        let settle_ms = self.silent_after_ms();
+        let own_weight = rendezvous_weight(key, own);
+        let mut states = self.members.iter();
+        now_ms.saturating_sub(started_ms) >= settle_ms
+            && states.all(|(vm, state)| {
+                let silence_ms = now_ms.saturating_sub(state.last_heartbeat_ms);
+                rendezvous_weight(key, *vm) < own_weight || silence_ms > 2 * settle_ms
+            })
+    }
+
     /// Returns the age of the oldest heartbeat among the VMs that are not silent, in
     /// milliseconds; 0 if there are none.
     #[must_use]
--- a/crates/relay/src/decide/placement.rs
+++ b/crates/relay/src/decide/placement.rs
@@ -11,9 +11,10 @@
 //! choices), if possible in this VM's failure domain. This keeps queues short even though
 //! the load caused by other VMs is taken only from the load reports in responses.
 //!
-//! Whether a replica that names a limit has room is known only to a home of the service (see
+//! Whether a replica that names a limit or is cold has room is known only to a home of the service (see
 //! `limits`), so those that would be preferred to the chosen one are returned apart.
 
+use super::cold::ColdTable;
 use super::limits::LimitTable;
 use super::replicas::{ReplicaKey, ReplicaState, ReplicaTable};
 use ibisdale_core::rendezvous_weight;
@@ -38,6 +39,8 @@
     pub domain: &'a [u8],
     /// Replicas that must not be chosen.
     pub excluded: &'a [ReplicaKey],
+    /// Cold replicas, which are limited like those that name a limit.
+    pub cold: Option<&'a ColdTable>,
     /// Random number for spillover and for sampling two replicas.
     pub random: u64,
 }
@@ -45,10 +48,10 @@
 /// Replicas chosen for a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PlacementChoice {
-    /// Replicas that name a limit and are preferred to `open`, the best one first; they get the
+    /// Replicas that name a limit or are cold and are preferred to `open`, the best one first; they get the
     /// request only if a home grants it.
     pub limited: Vec<ReplicaKey>,
-    /// Replica that names no limit; `None` if none is eligible.
+    /// Replica that has no limit; `None` if none is eligible.
     pub open: Option<ReplicaKey>,
 }
 
@@ -75,10 +78,10 @@
         .copied()
         .collect();
     let candidates = if usable.is_empty() { eligible } else { usable };
-    let (limited, open): (Vec<_>, Vec<_>) = candidates
-        .iter()
-        .copied()
-        .partition(|(_, state)| limits.limit(state.start).is_some());
+    let (limited, open): (Vec<_>, Vec<_>) = candidates.iter().copied().partition(|(_, state)| {
+        let is_cold = |cold: &ColdTable| cold.limit(state.start, now_ms).is_some();
+        limits.limit(state.start).is_some() || input.cold.is_some_and(is_cold)
+    });
     if limited.is_empty() {
         return PlacementChoice {
             limited: Vec::new(),
--- a/crates/relay/src/decide/replicas.rs
+++ b/crates/relay/src/decide/replicas.rs
@@ -55,6 +55,9 @@
     pub slots: u32,
     /// Whether the replica is draining and accepts no new requests.
     pub is_draining: bool,
+    /// Time for which the replica was still cold when its entry was written, in milliseconds; 0
+    /// if it was not.
+    pub cold_left_ms: u64,
 }
 
 impl ReplicaInfo {
--- a/crates/relay/src/gateway/attempt.rs
+++ b/crates/relay/src/gateway/attempt.rs
@@ -13,6 +13,7 @@
 use smol::Timer;
 
 use super::caller_request::{CallerRequest, header_str, millis};
+use super::cold::{is_cold, record_cold_response};
 use super::failed_attempt::FailedAttempt;
 use super::in_flight::ReplicaRequestGuard;
 use super::limits::{ObservedResponse, is_limited, record_limit};
@@ -20,7 +21,8 @@
 use super::state::{Gateway, lossy_string};
 use super::suspects::standing;
 use crate::decide::{
-    AttemptFailure, AttemptOutcome, ReplicaInfo, ReplicaKey, ReplicaLoad, RetryInput, StreamOrigin,
+    AttemptFailure, AttemptOutcome, COLD_GRANT_MAX_AGE_MS, ReplicaInfo, ReplicaKey, ReplicaLoad,
+    RetryInput, StreamOrigin,
 };
 use crate::http1::{ExchangeError, Http1Connection, ResponseHead, serialize_parts};
 use crate::plan::{ExecutionSemantics, RouteRule};
@@ -88,11 +90,16 @@
     /// Home that granted it.
     pub(crate) by: &'static str,
     pub(crate) granted_ms: u64,
+    /// When the home was asked; it has granted the request later.
+    pub(crate) asked_ms: u64,
 }
 
 impl ReplicaGrant {
-    fn is_valid(&self, replica: ReplicaKey, now_ms: u64) -> bool {
-        self.replica == replica && now_ms.saturating_sub(self.granted_ms) <= GRANT_MAX_AGE_MS
+    fn is_valid(&self, replica: ReplicaKey, is_cold: bool, now_ms: u64) -> bool {
+        let is_recent = now_ms.saturating_sub(self.granted_ms) <= GRANT_MAX_AGE_MS;
+        // The bound of a cold replica is for one second, so requests must not bunch up.
+        let is_recent_for_cold = now_ms.saturating_sub(self.asked_ms) <= COLD_GRANT_MAX_AGE_MS;
+        self.replica == replica && is_recent && (!is_cold || is_recent_for_cold)
     }
 }
 
@@ -222,6 +229,7 @@
                 sent_ms: is_matching.then_some(sent_ms),
             };
             record_limit(gateway, request, &observed);
+            record_cold_response(gateway, &request.attempt_id, &observed);
         })
         .await
     };
@@ -263,8 +271,15 @@
     retry: &mut RetryState,
     replica: ReplicaKey,
 ) -> Result<(), FailedAttempt> {
+    let start = gateway
+        .state
+        .replicas
+        .borrow()
+        .get_info(replica)
+        .map(ReplicaInfo::start_key);
+    let is_cold = start.is_some_and(|start| is_cold(gateway, start));
     let grant = retry.grant.take();
-    let grant = grant.filter(|grant| grant.is_valid(replica, gateway.now_ms()));
+    let grant = grant.filter(|grant| grant.is_valid(replica, is_cold, gateway.now_ms()));
     if grant.is_none() && is_limited(gateway, replica) {
         // It was not known to be limited when it was selected, or the grant has expired.
         return Err(FailedAttempt::new(
--- a/crates/relay/src/gateway/forward.rs
+++ b/crates/relay/src/gateway/forward.rs
@@ -219,10 +219,15 @@
     }
     let (limited, is_final) = (&choice.limited, choice.open.is_none());
     match ask_for_grant(gateway, request, &retry.service, limited, is_final).await {
-        GrantResult::Granted(replica, by) => {
+        GrantResult::Granted {
+            replica,
+            by,
+            asked_ms,
+        } => {
             retry.grant = Some(ReplicaGrant {
                 replica,
                 by,
+                asked_ms,
                 granted_ms: gateway.now_ms(),
             });
             Ok(replica)
@@ -251,12 +256,14 @@
     }
     let replicas = gateway.state.replicas.borrow();
     let limits = gateway.state.limits.borrow();
+    let cold = gateway.state.cold.borrow();
     let input = PlacementInput {
         service: &retry.service,
         software_version: retry.required_version.as_deref(),
         affinity: request.affinity,
         domain: &gateway.state.options.facts.domain,
         excluded: &retry.excluded,
+        cold: Some(&cold),
         random: rand::rng().random(),
     };
     choose_replicas(&replicas, &limits, &input, gateway.now_ms())
--- a/crates/relay/src/gateway/header_names.rs
+++ b/crates/relay/src/gateway/header_names.rs
@@ -33,6 +33,8 @@
     pub replica_leaving: HeaderName,
     /// Requests per second that a replica in need takes from all VMs together.
     pub replica_limit: HeaderName,
+    /// Time for which a replica stays cold, in milliseconds.
+    pub replica_cold: HeaderName,
     /// Set by a replica that has not run the request.
     pub not_run: HeaderName,
     /// Priority of the request at an engine, set by the gateway.
--- a/crates/relay/src/gateway/limits.rs
+++ b/crates/relay/src/gateway/limits.rs
@@ -1,4 +1,5 @@
-//! Limits that replicas name in their responses, and grants for requests to limited replicas.
+//! Limits that replicas name in their responses, and grants for requests to replicas that name a
+//! limit or are cold.
 
 use std::net::SocketAddrV4;
 
@@ -6,13 +7,14 @@
 use ibisdale_telemetry::record_event;
 
 use super::caller_request::CallerRequest;
-use super::message::{GrantRequest, PeerMessage};
+use super::cold::{effective_limit, is_cold, merge_cold};
+use super::message::{CandidateReport, GrantRequest, PeerMessage};
 use super::peer_link::{peer_addresses, send, spawn_send};
 use super::rpc::call_peer;
 use super::state::{Gateway, lossy_string};
 use crate::decide::{
-    GrantCandidate, GrantOutcome, GrantQuery, GrantShare, HOMES_MAX, HomeCandidate, LimitChange,
-    LimitReport, LimitStatement, ReplicaInfo, ReplicaKey, hash_bytes,
+    ColdReport, GrantCandidate, GrantOutcome, GrantQuery, GrantShare, HOMES_MAX, HomeCandidate,
+    LimitChange, LimitReport, LimitStatement, ReplicaInfo, ReplicaKey, hash_bytes,
 };
 
 /// Maximum number of limits in one message; each takes at most 30 bytes.
@@ -129,22 +131,30 @@
     let now_ms = gateway.now_ms();
     limits.expire(is_listed, now_ms);
     let mut grants = gateway.state.grants.borrow_mut();
-    grants.retain(|start| limits.limit(start).is_some(), now_ms);
+    let mut cold = gateway.state.cold.borrow_mut();
+    cold.expire(is_listed, now_ms);
+    let is_limited = |start| limits.limit(start).is_some() || cold.limit(start, now_ms).is_some();
+    grants.retain(is_limited, now_ms);
 }
 
-/// Returns whether a replica is known to name a limit.
+/// Returns whether a replica is known to name a limit or to be cold.
 pub(crate) fn is_limited(gateway: &Gateway, replica: ReplicaKey) -> bool {
     let replicas = gateway.state.replicas.borrow();
-    let limits = gateway.state.limits.borrow();
     let info = replicas.get_info(replica);
-    info.is_some_and(|info| limits.limit(info.start_key()).is_some())
+    info.is_some_and(|info| effective_limit(gateway, info.start_key()).is_some())
 }
 
 /// Result of asking for a grant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum GrantResult {
-    /// The replica takes the request; the name tells which home has granted it.
-    Granted(ReplicaKey, &'static str),
+    /// The replica takes the request.
+    Granted {
+        replica: ReplicaKey,
+        /// Home that has granted it.
+        by: &'static str,
+        /// When that home was asked, in milliseconds.
+        asked_ms: u64,
+    },
     /// No replica takes the request before this time has passed, in milliseconds.
     Refused { after_ms: u64 },
 }
@@ -169,13 +179,8 @@
     is_refusal_final: bool,
 ) -> GrantResult {
     let now_ms = gateway.now_ms();
-    let candidates: Vec<(ReplicaKey, LimitReport)> = {
-        let replicas = gateway.state.replicas.borrow();
-        let limits = gateway.state.limits.borrow();
-        let report = |key| limits.report(replicas.get_info(key)?.start_key(), now_ms);
-        let reports = limited.iter().filter_map(|key| Some((*key, report(*key)?)));
-        reports.take(CANDIDATES_MAX).collect()
-    };
+    let candidates = describe_candidates(gateway, limited, now_ms);
+    let cause = limit_cause(&candidates);
     let grant_request = GrantRequest {
         service: hash_bytes(service),
         affinity: request.affinity,
@@ -200,17 +205,22 @@
         refusal.by = home_role(&home);
         let facts = home.facts.as_ref();
         refusal.home = facts.map_or_else(String::new, |facts| lossy_string(&facts.name));
+        let asked_ms = gateway.now_ms();
         let outcome = ask_home(gateway, &home, &grant_request).await;
         if let Some(GrantOutcome::NoRoom { after_ms }) = outcome {
             refusal.after_ms = after_ms;
         }
-        record_decision(gateway, request, service, outcome, &refusal);
+        record_decision(gateway, request, (service, cause), outcome, &refusal);
         match outcome {
             None => {}
             Some(GrantOutcome::Granted(start)) => {
                 let mut granted = candidates.iter();
                 if let Some((replica, _)) = granted.find(|(_, report)| report.start == start) {
-                    return GrantResult::Granted(*replica, refusal.by);
+                    return GrantResult::Granted {
+                        replica: *replica,
+                        by: refusal.by,
+                        asked_ms,
+                    };
                 }
                 break;
             }
@@ -226,6 +236,7 @@
             by = refusal.by,
             home = refusal.home,
             after_ms = refusal.after_ms,
+            cause = cause,
         );
     }
     GrantResult::Refused {
@@ -233,12 +244,50 @@
     }
 }
 
+/// Returns what this VM knows of the limits of `limited`.
+fn describe_candidates(
+    gateway: &Gateway,
+    limited: &[ReplicaKey],
+    now_ms: u64,
+) -> Vec<(ReplicaKey, CandidateReport)> {
+    let replicas = gateway.state.replicas.borrow();
+    let limits = gateway.state.limits.borrow();
+    let cold = gateway.state.cold.borrow();
+    let describe = |key: &ReplicaKey| {
+        let start = replicas.get_info(*key)?.start_key();
+        let named = limits.report(start, now_ms);
+        let report = CandidateReport {
+            start,
+            named: named.map(|report| (report.per_s, report.age_ms)),
+            cold_left_ms: cold
+                .report(start, now_ms)
+                .map_or(0, |report| report.left_ms),
+        };
+        Some((*key, report))
+    };
+    let described = limited.iter().filter_map(describe);
+    described.take(CANDIDATES_MAX).collect()
+}
+
+/// Returns why replicas are limited: `named`, `cold`, or `both` if there are both kinds.
+fn limit_cause(candidates: &[(ReplicaKey, CandidateReport)]) -> &'static str {
+    let mut reports = candidates.iter().map(|(_, report)| report);
+    let has_cold = reports.clone().any(|report| report.cold_left_ms > 0);
+    let names_limit = |(per_s, _): (Option<f64>, u64)| per_s.is_some();
+    let has_named = reports.any(|report| report.named.is_some_and(names_limit));
+    match (has_named, has_cold) {
+        (true, true) => "both",
+        (false, true) => "cold",
+        _ => "named",
+    }
+}
+
 /// Logs and counts the decision of the home that was asked last; `outcome` is `None` if it did
 /// not answer.
 fn record_decision(
     gateway: &Gateway,
     request: &CallerRequest,
-    service: &[u8],
+    (service, cause): (&[u8], &'static str),
     outcome: Option<GrantOutcome>,
     refusal: &GrantRefusal,
 ) {
@@ -256,6 +305,7 @@
         home = refusal.home,
         outcome = name,
         after_ms = refusal.after_ms,
+        cause = cause,
     );
 }
 
@@ -299,7 +349,7 @@
     request: &GrantRequest,
     rank: usize,
 ) -> GrantOutcome {
-    merge_limits(gateway, &request.candidates);
+    merge_candidates(gateway, request);
     let now_ms = gateway.now_ms();
     let share = {
         let members = gateway.state.members.borrow();
@@ -311,15 +361,17 @@
             rank: rank.max(own_rank.unwrap_or(HOMES_MAX - 1)),
             vm_count: known_count + 1,
             silent_count,
+            returned_count: members.returned_count(now_ms),
+            // Times are measured from the start of this process.
+            is_settled: members.is_settled_home(own_key, request.service, 0, now_ms),
         }
     };
-    let limits = gateway.state.limits.borrow();
     let candidates = request.candidates.iter().map(|report| GrantCandidate {
         start: report.start,
-        per_s: limits.limit(report.start),
+        per_s: effective_limit(gateway, report.start),
+        is_cold: is_cold(gateway, report.start),
     });
     let candidates: Vec<_> = candidates.collect();
-    drop(limits);
     let query = GrantQuery {
         service: request.service,
         affinity: request.affinity,
@@ -330,3 +382,23 @@
     let mut grants = gateway.state.grants.borrow_mut();
     grants.grant(&query, share, now_ms)
 }
+
+/// Takes over what the VM that asks for a grant knows of the candidates.
+fn merge_candidates(gateway: &Gateway, request: &GrantRequest) {
+    let reports = request.candidates.iter();
+    let named = reports.filter_map(|report| {
+        let (per_s, age_ms) = report.named?;
+        Some(LimitReport {
+            start: report.start,
+            per_s,
+            age_ms,
+        })
+    });
+    merge_limits(gateway, &named.collect::<Vec<_>>());
+    let cold = request.candidates.iter().map(|report| ColdReport {
+        start: report.start,
+        service: request.service,
+        left_ms: report.cold_left_ms,
+    });
+    merge_cold(gateway, cold);
+}
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -201,6 +201,8 @@
     record_member_ages(gateway);
     let limited = gateway.state.limits.borrow().limited_count();
     gateway.state.metrics.set_limited_replicas(limited);
+    let cold = gateway.state.cold.borrow().count(gateway.now_ms());
+    gateway.state.metrics.set_cold_replicas(cold);
     let (suspects, condemned) = gateway.state.suspects.borrow().count();
     gateway.state.metrics.set_suspects(suspects, condemned);
     let body = gateway
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -6,11 +6,23 @@
 
 use crate::decide::{
     AccountCopy, AdmissionCounters, AttemptKey, BudgetShare, BudgetVerdict, CeilingClaim,
-    ClaimOutcome, GrantOutcome, InFlightCount, LimitReport, MemberFacts, ProgramKey, ProgramStage,
-    RateRefusal, RequestFingerprint, RunDecision, RunQuery, StreamOrigin, SuspectReport, VmKey,
-    WindowReport, WorkspaceKey,
+    ClaimOutcome, ColdReport, GrantOutcome, InFlightCount, LimitReport, MemberFacts, ProgramKey,
+    ProgramStage, RateRefusal, RequestFingerprint, RunDecision, RunQuery, StartKey, StreamOrigin,
+    SuspectReport, VmKey, WindowReport, WorkspaceKey,
 };
 
+/// A limited replica that could take a request, with what the sender knows of its limits.
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct CandidateReport {
+    pub(crate) start: StartKey,
+    /// Limit that the replica has named, and the time since the response that said so, in
+    /// milliseconds.
+    pub(crate) named: Option<(Option<f64>, u64)>,
+    /// Time for which the replica stays cold, in milliseconds; 0 if it is not.
+    pub(crate) cold_left_ms: u64,
+}
+
 /// A request that a home may grant to one of several limited replicas.
 #[derive(Clone, Debug)]
 #[derive(Deserialize, Serialize)]
@@ -22,7 +34,7 @@
     /// Work of the request at an engine, in prompt tokens; 0 if unknown.
     pub(crate) work: u64,
     /// Replicas that could take the request, the preferred one first.
-    pub(crate) candidates: Vec<LimitReport>,
+    pub(crate) candidates: Vec<CandidateReport>,
     /// Whether the caller is refused if none has room.
     pub(crate) is_refusal_final: bool,
 }
@@ -195,6 +207,9 @@
     },
     /// Reply to `EndRun`.
     RunEnded { call_id: u64 },
+    /// Replicas that a response has shown to be cold, or all that the sender knows if the receiver
+    /// was unknown, silent or restarted.
+    Cold { cold: Vec<ColdReport> },
     /// Requests the receiver's `State`, since its heartbeat is overdue.
     Probe,
 }
--- a/crates/relay/src/gateway/metrics.rs
+++ b/crates/relay/src/gateway/metrics.rs
@@ -30,6 +30,7 @@
     grant_decisions: IntCounterVec,
     unreadable_limits: IntCounter,
     limited_replicas: Gauge,
+    cold_replicas: Gauge,
     suspects: SuspectMetrics,
     oldest_heartbeat_seconds: Gauge,
     silent_vms: Gauge,
@@ -149,6 +150,11 @@
                 "ibisdale_gateway_limited_replicas",
                 "Replicas that name a limit of requests per second.",
             ),
+            cold_replicas: register_gauge(
+                &registry,
+                "ibisdale_gateway_cold_replicas",
+                "Cold replicas of services that limit requests to them.",
+            ),
             suspects: SuspectMetrics::register(&registry),
             oldest_heartbeat_seconds: register_gauge(
                 &registry,
@@ -237,6 +243,11 @@
         self.limited_replicas.set(count as f64);
     }
 
+    #[expect(clippy::cast_precision_loss, reason = "a few thousand replicas")]
+    pub(crate) fn set_cold_replicas(&self, count: usize) {
+        self.cold_replicas.set(count as f64);
+    }
+
     pub(crate) fn set_member_ages(&self, oldest_heartbeat: Duration, silent_vms: u32) {
         self.oldest_heartbeat_seconds
             .set(oldest_heartbeat.as_secs_f64());
--- a/crates/relay/src/gateway/mod.rs
+++ b/crates/relay/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod budget_home;
 mod caller_request;
 mod ceilings;
+mod cold;
 mod count_losses;
 mod crashes;
 mod directory;
@@ -39,6 +40,7 @@
 mod turns;
 
 pub use body::{ResponseAborted, ResponseBody};
+pub use cold::record_domain_return;
 pub use directory::{DirectoryQuery, DirectoryRule};
 pub use drain::drain;
 pub use events::{EventSplitter, StreamEvent};
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -9,6 +9,7 @@
 use super::admit::admit_as_home;
 use super::budget_copies::{handle_budget_message, restore_copies};
 use super::ceilings::store_in_batch;
+use super::cold::{merge_cold, send_cold};
 use super::feed_contact::record_peer_feed;
 use super::limits::{grant_as_home, merge_limits, send_limits};
 use super::message::{GrantRequest, PeerMessage};
@@ -191,6 +192,7 @@
             counters,
         } => record_admissions(gateway, vm, incarnation, &counters),
         PeerMessage::Limits { limits } => merge_limits(gateway, &limits),
+        PeerMessage::Cold { cold } => merge_cold(gateway, cold.into_iter()),
         PeerMessage::RequestGrant {
             call_id,
             rank,
@@ -350,6 +352,7 @@
         send_counters(gateway, sender);
         send_peer_list(gateway, peers, &window_reports, sender);
         send_limits(gateway, sender);
+        send_cold(gateway, sender);
         send_suspects(gateway, sender);
     }
     let own_version = gateway.plan().map_or(0, |plan| plan.get_version());
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -18,6 +18,7 @@
 use super::boot_time::{BootTime, SuspensionWatch};
 use super::caller_request::millis;
 use super::ceilings::CeilingBatch;
+use super::cold::{record_cold_entries, set_cold_rules};
 use super::directory::DirectoryRule;
 use super::header_names::HeaderNames;
 use super::message::{PeerMessage, RunReply};
@@ -28,10 +29,11 @@
 use super::response_memory::ResponseMemory;
 use super::state_transfer;
 use crate::decide::{
-    AccountCopy, AnswerRecord, BudgetLedger, CeilingClaim, ClaimOutcome, GrantLedger, GrantOutcome,
-    LimitTable, MemberFacts, MemberTable, OriginTable, ProgramKey, QuotaLedger, QuotaTolerance,
-    RateRefusal, RecentDecisions, ReplicaInfo, ReplicaTable, RunLedger, StreamOrigin, SuspectTable,
-    VersionHistory, VmKey, VmLoss, hash_bytes, is_reader, reader_rank,
+    AccountCopy, AnswerRecord, BudgetLedger, CeilingClaim, ClaimOutcome, ColdTable, ColdTolerance,
+    GrantLedger, GrantOutcome, LimitTable, MemberFacts, MemberTable, OriginTable, ProgramKey,
+    QuotaLedger, QuotaTolerance, RateRefusal, RecentDecisions, ReplicaInfo, ReplicaTable,
+    RunLedger, StreamOrigin, SuspectTable, VersionHistory, VmKey, VmLoss, hash_bytes, is_reader,
+    reader_rank,
 };
 use crate::plan::DeploymentPlan;
 
@@ -88,6 +90,8 @@
     pub feed_max_age: Duration,
     /// Amount by which workspaces' rates may be exceeded.
     pub quota_tolerance: QuotaTolerance,
+    /// Excess over the rate of cold replicas that the operators allow.
+    pub cold_tolerance: ColdTolerance,
     /// Number of VMs with a disk that may be lost at the same time without losing a turn.
     pub tolerated_holders: usize,
     /// Memory for recent turns, in bytes.
@@ -117,6 +121,7 @@
     pub(crate) replicas_version: Cell<u64>,
     pub(crate) replicas: RefCell<ReplicaTable>,
     pub(crate) limits: RefCell<LimitTable>,
+    pub(crate) cold: RefCell<ColdTable>,
     pub(crate) versions: RefCell<VersionHistory>,
     pub(crate) origins: RefCell<OriginTable>,
     /// Requests that wait for the next read of the recorded origins.
@@ -226,6 +231,7 @@
             replicas_version: Cell::new(0),
             replicas: RefCell::default(),
             limits: RefCell::default(),
+            cold: RefCell::default(),
             versions: RefCell::new(if is_first_start {
                 VersionHistory::complete()
             } else {
@@ -337,6 +343,7 @@
             .quota
             .borrow_mut()
             .set_rates(rates, self.now_ms());
+        set_cold_rules(self, &plan);
         *self.state.plan.borrow_mut() = Rc::new(plan);
         self.state.has_plan.set(true);
         self.state.plan_revision.set(revision);
@@ -390,6 +397,7 @@
                 draining = replica.is_draining,
             );
         }
+        record_cold_entries(self, changes.added.iter().chain(&changes.changed));
         for (key, replica) in &changes.removed {
             self.state.pool.remove_replica(*key);
             record_event!(
--- a/crates/relay/src/plan/service.rs
+++ b/crates/relay/src/plan/service.rs
@@ -16,7 +16,7 @@
 }
 
 /// A service that requests are routed to.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct ServiceSpec {
     /// Name of the service.
@@ -25,4 +25,9 @@
     pub connections_max: u32,
     /// Engine properties; `None` if the replicas are not model engines.
     pub engine: Option<EngineSpec>,
+    /// Time for which a replica is cold after its start or return, in milliseconds.
+    pub cold_time_ms: u64,
+    /// Requests per second that a cold replica tolerates from all VMs together; 0 if cold replicas
+    /// are not limited.
+    pub cold_per_s: f64,
 }
--- a/crates/relay/tests/gateway/limits.rs
+++ b/crates/relay/tests/gateway/limits.rs
@@ -4,7 +4,7 @@
 
 use rstest::rstest;
 
-use crate::support::{ScriptedReplica, header, start_pair};
+use crate::support::{COLD_PER_S, ScriptedReplica, header, start_pair};
 
 /// Limit that the limited replica names, in requests per second.
 const LIMIT_PER_S: f64 = 0.5;
@@ -88,3 +88,32 @@
         assert!((0.1..=4.0).contains(&retry_after), "{response}");
     }
 }
+
+/// Guards against VMs that send to a replica at its usual rate after it has said that it is cold,
+/// and against a header that is no number.
+#[rstest]
+#[case::cold("t-cold: 60000\r\n", true)]
+#[case::huge("t-cold: 99999999999999999999999\r\n", true)]
+#[case::not_cold("t-cold: 0\r\n", false)]
+#[case::negative("t-cold: -5\r\n", false)]
+#[case::text("t-cold: soon\r\n", false)]
+fn replica_that_says_it_is_cold_gets_only_granted_requests(
+    #[case] headers: &'static str,
+    #[case] is_limited: bool,
+) {
+    let (cold, open) = (replica(headers), replica(""));
+    let vms: [_; 2] = start_pair(&[&cold, &open]).into();
+    let started = Instant::now();
+    for vm in vms.iter().cycle().take(60) {
+        let response = vm.call(&request("/read/x"));
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+    let got = f64::from(u32::try_from(cold.requests().len()).unwrap());
+    let allowed = COLD_PER_S * (started.elapsed().as_secs_f64() + 1.0) + 5.0;
+    // Of 60 requests, an open replica gets about 30.
+    assert!(
+        !is_limited || got <= allowed,
+        "{got} requests, {allowed} allowed"
+    );
+    assert!(is_limited || got > 10.0, "{got} requests");
+}
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http::HeaderName;
 use http::request::Parts;
-use ibisdale_relay::decide::{MemberFacts, QuotaTolerance, ReplicaInfo};
+use ibisdale_relay::decide::{ColdTolerance, MemberFacts, QuotaTolerance, ReplicaInfo};
 use ibisdale_relay::gateway::{
     DirectoryQuery, DirectoryRule, DurableStore, Gateway, GatewayOptions, HeaderNames,
     ListenAddresses, drain,
@@ -44,6 +44,9 @@
     HeaderName::from_static(text)
 }
 
+/// Requests per second that a cold replica of the service tolerates.
+pub(crate) const COLD_PER_S: f64 = 2.0;
+
 fn header_names() -> HeaderNames {
     HeaderNames {
         attempt: name("t-attempt"),
@@ -59,6 +62,7 @@
         replica_load: name("t-load"),
         replica_leaving: name("t-leaving"),
         replica_limit: name("t-limit"),
+        replica_cold: name("t-cold"),
         not_run: name("t-not-run"),
         engine_priority: name("t-priority"),
         program: name("t-program"),
@@ -112,6 +116,8 @@
         name: Bytes::from_static(b"service"),
         connections_max: 100,
         engine: None,
+        cold_time_ms: 5_000,
+        cold_per_s: COLD_PER_S,
     };
     let workspace = WorkspaceSpec {
         name: Bytes::from_static(b"workspace"),
@@ -277,6 +283,7 @@
                 software_version: Bytes::from_static(replica.software_version.as_bytes()),
                 slots: 4,
                 is_draining: false,
+                cold_left_ms: 0,
             })
             .collect();
         let (commands, received) = bounded(1);
@@ -442,6 +449,10 @@
         is_first_start,
         feed_max_age: Duration::from_hours(1),
         quota_tolerance: QuotaTolerance::default(),
+        cold_tolerance: ColdTolerance {
+            excess: 1.5,
+            slack: 5.0,
+        },
         tolerated_holders: 0,
         turn_cache_bytes: 1_000_000,
     };
--- a/crates/relay/tests/gossip/limits.rs
+++ b/crates/relay/tests/gossip/limits.rs
@@ -234,12 +234,15 @@
             rank: rank.max(own_rank.unwrap_or(HOMES_MAX - 1)),
             vm_count: known_count + 1,
             silent_count,
+            returned_count: 0,
+            is_settled: true,
         };
         let candidates: Vec<_> = reports
             .iter()
             .map(|report| GrantCandidate {
                 start: report.start,
                 per_s: state.limits.limit(report.start),
+                is_cold: false,
             })
             .collect();
         let query = GrantQuery {
--- a/crates/relay/tests/gossip/main.rs
+++ b/crates/relay/tests/gossip/main.rs
@@ -1,5 +1,6 @@
 //! Rate limits and membership of fleets in which a gossip round reaches a part of the VMs.
 
+mod cold;
 mod fleet;
 mod limits;
 mod suspects;
--- a/crates/relay/tests/grants.rs
+++ b/crates/relay/tests/grants.rs
@@ -7,6 +7,8 @@
     rank: 0,
     vm_count: 8,
     silent_count: 0,
+    returned_count: 0,
+    is_settled: true,
 };
 
 /// Asks for a grant for one of two replicas, which name `per_s` requests per second.
@@ -18,7 +20,11 @@
     now_ms: u64,
 ) -> GrantOutcome {
     let per_s = Some(per_s);
-    let candidates = [1, 2].map(|start| GrantCandidate { start, per_s });
+    let candidates = [1, 2].map(|start| GrantCandidate {
+        start,
+        per_s,
+        is_cold: false,
+    });
     let query = GrantQuery {
         service: SERVICE,
         affinity,
--- a/crates/relay/tests/origins.rs
+++ b/crates/relay/tests/origins.rs
@@ -27,6 +27,7 @@
         software_version: Bytes::from(version),
         slots: 4,
         is_draining,
+        cold_left_ms: 0,
     }
 }
 
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -35,6 +35,7 @@
         software_version: Bytes::from_static(b"v1"),
         slots: SLOTS,
         is_draining: false,
+        cold_left_ms: 0,
     }
 }
 
@@ -51,6 +52,7 @@
         affinity,
         domain: b"east",
         excluded: &[],
+        cold: None,
         random,
     }
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -276,6 +276,13 @@
     EntriesUnreadable = 2123, Warn, "entries_unreadable",
         ["key", "error", "new", "count"], "Entries of replicas could not be decoded and were skipped: `count` in all, `new` of them since the last line, of which `key` is the first.";
 
+    ReplicaCold = 2126, Info, "replica_cold",
+        ["replica", "service", "left_ms", "source", "count", "request"],
+        "`count` replicas, of which `replica` is the first, have become cold and get only granted requests; `source` is the list of replicas (entry), the response to `request` or another VM (peer).";
+    DomainCold = 2127, Info, "domain_cold",
+        ["domain", "replicas"],
+        "Requests may be sent to a failure domain again; `replicas` of its replicas are cold from now on.";
+
     RequestEnded = 2201, Info, "request_ended",
         ["request", "program", "route", "workspace", "status", "reason", "replica", "sends",
             "granted_by", "plan", "feed_age_ms", "admitted_by", "home", "first_ms", "elapsed_ms"],
@@ -302,11 +309,11 @@
         ["request", "resumes", "known", "current", "recorded", "version", "refusal"],
         "At which software version a stream that a caller takes up may go on, or why it may not; `current` tells whether the list of replicas could be relied on, `recorded` the number of versions in the stored record, 0 if it was not read.";
     GrantDecided = 2210, Debug, "grant_decided",
-        ["request", "service", "by", "home", "outcome", "after_ms"],
-        "A home decided whether one of the limited replicas takes a request.";
+        ["request", "service", "by", "home", "outcome", "after_ms", "cause"],
+        "A home decided whether one of the limited replicas takes a request; `cause` tells whether they name a limit (`named`), are cold (`cold`), or there are both (`both`).";
     LimitRefused = 2211, Info, "limit_refused",
-        ["request", "service", "limited", "by", "home", "after_ms"],
-        "A request was refused because all replicas that could take it name a limit and none has room; the caller was told to return after `after_ms`.";
+        ["request", "service", "limited", "by", "home", "after_ms", "cause"],
+        "A request was refused because all replicas that could take it name a limit or are cold (`cause`) and none has room; the caller was told to return after `after_ms`.";
 
     CondemnedRefused = 2212, Warn, "condemned_refused",
         ["request", "fingerprint", "crashes", "age_ms", "after_ms"],
