Describe the bound of cold replicas and refuse grants at an unknown rate

A home that had just started and had no configuration granted everything for a replica that the asking VM knows to be cold. It now grants nothing. The gossip test counts requests by the period in which grants may be used, which is the worst case of their way.

--- a/crates/relay/src/gateway/limits.rs
+++ b/crates/relay/src/gateway/limits.rs
@@ -366,12 +366,10 @@
             is_settled: members.is_settled_home(own_key, request.service, 0, now_ms),
         }
     };
-    let candidates = request.candidates.iter().map(|report| GrantCandidate {
-        start: report.start,
-        per_s: effective_limit(gateway, report.start),
-        is_cold: is_cold(gateway, report.start),
-    });
-    let candidates: Vec<_> = candidates.collect();
+    let candidates = request.candidates.iter();
+    let candidates: Vec<_> = candidates
+        .map(|report| describe_limit(gateway, report))
+        .collect();
     let query = GrantQuery {
         service: request.service,
         affinity: request.affinity,
@@ -383,6 +381,19 @@
     grants.grant(&query, share, now_ms)
 }
 
+/// Returns the limit of a candidate, after what the VM that asks knows has been taken over.
+fn describe_limit(gateway: &Gateway, report: &CandidateReport) -> GrantCandidate {
+    let is_cold = is_cold(gateway, report.start);
+    // A home that has just started may not have the configuration with the rate yet.
+    let is_rate_unknown = report.cold_left_ms > 0 && !is_cold;
+    let per_s = effective_limit(gateway, report.start);
+    GrantCandidate {
+        start: report.start,
+        per_s: if is_rate_unknown { Some(0.0) } else { per_s },
+        is_cold: is_cold || is_rate_unknown,
+    }
+}
+
 /// Takes over what the VM that asks for a grant knows of the candidates.
 fn merge_candidates(gateway: &Gateway, request: &GrantRequest) {
     let reports = request.candidates.iter();
--- a/crates/relay/tests/gossip/cold.rs
+++ b/crates/relay/tests/gossip/cold.rs
@@ -18,9 +18,9 @@
 const COLD_MS: u64 = 20_000;
 /// Longest time after which a VM learns that the replicas are cold.
 const VIEW_AGE_MAX_MS: u64 = 300;
-/// Longest time from asking for a grant until the request is at the replica: the age at which a
-/// grant expires and the jitter that the granted rate allows for.
-const TRANSIT_MAX_MS: u64 = COLD_GRANT_MAX_AGE_MS + 50;
+/// Period in which requests were granted that may reach a replica within a second: they are sent
+/// until their grant expires, and the granted rate allows for a jitter of 50 ms.
+const PERIOD_MS: u64 = 1_000 + COLD_GRANT_MAX_AGE_MS + 50;
 const PER_S: f64 = 17.0;
 const TOLERANCE: ColdTolerance = ColdTolerance {
     excess: 1.5,
@@ -49,8 +49,8 @@
     now_ms: u64,
     /// Whether VMs that do not know that the replicas are cold send to them.
     is_listed: bool,
-    /// When each replica got a request.
-    arrivals: Vec<Vec<u64>>,
+    /// When requests to each replica were granted, or sent without a grant.
+    sent_ms: Vec<Vec<u64>>,
     refused: usize,
 }
 
@@ -63,7 +63,7 @@
             random,
             now_ms: 1,
             is_listed: true,
-            arrivals: vec![Vec::new(); 36],
+            sent_ms: vec![Vec::new(); 36],
             refused: 0,
         };
         (0..size).for_each(|vm| fleet.register_all(vm));
@@ -80,7 +80,7 @@
 
     /// Makes all replicas cold; the VMs learn it one after the other.
     fn turn_cold(&mut self) {
-        self.arrivals.iter_mut().for_each(Vec::clear);
+        self.sent_ms.iter_mut().for_each(Vec::clear);
         for vm in &mut self.vms {
             let age_ms = self.random.random_range(0..VIEW_AGE_MAX_MS);
             vm.learns_ms = Some(self.now_ms + age_ms);
@@ -170,8 +170,7 @@
             self.refused += 1;
             return;
         };
-        let transit_ms = self.random.random_range(0..TRANSIT_MAX_MS);
-        self.arrivals[usize::try_from(replica).unwrap()].push(self.now_ms + transit_ms);
+        self.sent_ms[usize::try_from(replica).unwrap()].push(self.now_ms);
     }
 
     fn ask_for_grant(&mut self, vm: usize, first: u64) -> Option<u64> {
@@ -224,18 +223,16 @@
         }
     }
 
-    /// Returns the largest number of requests that a replica got in any second, and the number of
-    /// all requests.
-    fn arrived(&mut self) -> (usize, usize) {
-        let mut worst = 0;
-        for arrivals in &mut self.arrivals {
-            arrivals.sort_unstable();
-            for (index, start_ms) in arrivals.iter().enumerate() {
-                let later = &arrivals[index..];
-                worst = worst.max(later.partition_point(|at_ms| *at_ms < start_ms + 1_000));
-            }
-        }
-        (worst, self.arrivals.iter().map(Vec::len).sum())
+    /// Returns the largest number of requests that may reach a replica in any second, and the
+    /// number of all requests.
+    fn count_sent(&self) -> (usize, usize) {
+        let worst = self.sent_ms.iter().flat_map(|sent_ms| {
+            sent_ms.iter().enumerate().map(|(index, start_ms)| {
+                sent_ms[index..].partition_point(|at_ms| *at_ms < start_ms + PERIOD_MS)
+            })
+        });
+        let count = self.sent_ms.iter().map(Vec::len).sum();
+        (worst.max().unwrap_or(0), count)
     }
 }
 
@@ -338,7 +335,7 @@
         }
     }
     fleet.run(3_500, per_s);
-    let (worst, count) = fleet.arrived();
+    let (worst, count) = fleet.count_sent();
     assert!(
         worst <= BOUND,
         "{worst} requests in a second, {count} in all"
