--- a/crates/relay/src/gateway/cold.rs
+++ b/crates/relay/src/gateway/cold.rs
@@ -91,20 +91,28 @@
     }
 }
 
-/// Reads a whole number of milliseconds; `None` if it is missing or anything else. A number that
+/// Reads a decimal number of milliseconds; `None` if it is missing or anything else. A number that
 /// is too large for the type is read as the largest one.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the cast saturates for large numbers"
+)]
 fn read_left_ms(gateway: &Gateway, headers: &HeaderMap) -> Option<u64> {
     let value = headers.get(&gateway.state.options.header_names.replica_cold)?;
     let text = value.to_str().ok()?.trim();
-    let is_number = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
-    is_number.then(|| text.parse().unwrap_or(u64::MAX))
+    let mut bytes = text.bytes();
+    let is_decimal = bytes.all(|byte| byte.is_ascii_digit() || byte == b'.');
+    let number: Option<f64> = text.parse().ok();
+    number.filter(|_| is_decimal).map(|number| number as u64)
 }
 
 /// Takes over what other VMs know.
-pub(crate) fn merge_cold(gateway: &Gateway, reports: impl Iterator<Item = ColdReport>) {
+pub(crate) fn merge_cold(gateway: &Gateway, reports: &[ColdReport]) {
     let now_ms = gateway.now_ms();
     let mut table = gateway.state.cold.borrow_mut();
     let new: Vec<_> = reports
+        .iter()
         .filter(|report| table.merge(report, now_ms))
         .collect();
     let replicas = gateway.state.replicas.borrow();
--- a/crates/relay/src/gateway/limits.rs
+++ b/crates/relay/src/gateway/limits.rs
@@ -7,7 +7,7 @@
 use ibisdale_telemetry::record_event;
 
 use super::caller_request::CallerRequest;
-use super::cold::{effective_limit, is_cold, merge_cold};
+use super::cold::{effective_limit, is_cold};
 use super::message::{CandidateReport, GrantRequest, PeerMessage};
 use super::peer_link::{peer_addresses, send, spawn_send};
 use super::rpc::call_peer;
@@ -406,10 +406,15 @@
         })
     });
     merge_limits(gateway, &named.collect::<Vec<_>>());
-    let cold = request.candidates.iter().map(|report| ColdReport {
-        start: report.start,
-        service: request.service,
-        left_ms: report.cold_left_ms,
-    });
-    merge_cold(gateway, cold);
+    // Not logged: VMs whose views differ until the cold time ends would cause a line each time.
+    let mut cold = gateway.state.cold.borrow_mut();
+    let now_ms = gateway.now_ms();
+    for report in &request.candidates {
+        let report = ColdReport {
+            start: report.start,
+            service: request.service,
+            left_ms: report.cold_left_ms,
+        };
+        cold.merge(&report, now_ms);
+    }
 }
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -192,7 +192,7 @@
             counters,
         } => record_admissions(gateway, vm, incarnation, &counters),
         PeerMessage::Limits { limits } => merge_limits(gateway, &limits),
-        PeerMessage::Cold { cold } => merge_cold(gateway, cold.into_iter()),
+        PeerMessage::Cold { cold } => merge_cold(gateway, &cold),
         PeerMessage::RequestGrant {
             call_id,
             rank,
--- a/crates/relay/tests/gateway/limits.rs
+++ b/crates/relay/tests/gateway/limits.rs
@@ -94,6 +94,7 @@
 #[rstest]
 #[case::cold("t-cold: 60000\r\n", true)]
 #[case::huge("t-cold: 99999999999999999999999\r\n", true)]
+#[case::decimal("t-cold: 60000.5\r\n", true)]
 #[case::not_cold("t-cold: 0\r\n", false)]
 #[case::negative("t-cold: -5\r\n", false)]
 #[case::text("t-cold: soon\r\n", false)]
