--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -4,6 +4,7 @@
 //! since the start of the process unless stated otherwise.
 
 mod budget;
+mod cold;
 mod evacuation;
 mod in_flight_counts;
 mod limits;
@@ -28,6 +29,7 @@
     ClaimOutcome, ClaimStatus, HomeRole, ProgramKey, StoredCeiling, TakeoverFinding, TakeoverInput,
     VmLoss, VmProcess, assess_takeover, may_have_lost_pair,
 };
+pub use cold::{COLD_GRANT_MAX_AGE_MS, ColdReport, ColdRule, ColdTable, ColdTolerance};
 pub use evacuation::{DomainSelection, EvacuationChange, EvacuationReport, EvacuationTable};
 pub use in_flight_counts::InFlightCount;
 pub use limits::{
--- a/crates/relay/src/gateway/evacuation.rs
+++ b/crates/relay/src/gateway/evacuation.rs
@@ -6,6 +6,7 @@
 use ibisdale_telemetry::record_event;
 
 use super::admit::GatewayError;
+use super::cold::record_domain_return;
 use super::state::{Gateway, lossy_string};
 use crate::decide::{DomainSelection, EvacuationReport};
 
@@ -111,6 +112,7 @@
 /// from another VM.
 fn handle_domain_return(gateway: &Gateway, domain: &Bytes, origin: ChangeOrigin) {
     log_change(gateway, domain, false, origin);
+    record_domain_return(gateway, domain);
 }
 
 fn log_change(gateway: &Gateway, domain: &Bytes, is_evacuated: bool, origin: ChangeOrigin) {
