Read the ceilings only for a takeover that needs them, once for many losses

Every VM read all ceilings after each loss or restart that it detected, whether or not it became home of a program. A takeover waits up to 400 ms for the read and is otherwise decided as before.

--- a/crates/relay/src/decide/budget/mod.rs
+++ b/crates/relay/src/decide/budget/mod.rs
@@ -19,12 +19,14 @@
 
 mod account;
 mod ceiling;
+mod ceiling_reads;
 mod ledger;
 mod losses;
 mod share;
 mod takeover;
 
 pub use ceiling::{CeilingClaim, ClaimOutcome, ClaimStatus, StoredCeiling};
+pub use ceiling_reads::{CeilingRead, CeilingReads};
 pub use ledger::{BudgetLedger, BudgetVerdict};
 pub use losses::{VmLoss, may_have_lost_pair};
 pub use share::{AccountCopy, BudgetShare, HomeRole, ProgramKey, VmProcess};
--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -22,9 +22,9 @@
 pub use ibisdale_core::{hash_bytes, rendezvous_weight};
 
 pub use budget::{
-    AccountCopy, AccountReply, BudgetLedger, BudgetShare, BudgetVerdict, CeilingClaim,
-    ClaimOutcome, ClaimStatus, HomeRole, ProgramKey, StoredCeiling, TakeoverFinding, TakeoverInput,
-    VmLoss, VmProcess, assess_takeover, may_have_lost_pair,
+    AccountCopy, AccountReply, BudgetLedger, BudgetShare, BudgetVerdict, CeilingClaim, CeilingRead,
+    CeilingReads, ClaimOutcome, ClaimStatus, HomeRole, ProgramKey, StoredCeiling, TakeoverFinding,
+    TakeoverInput, VmLoss, VmProcess, assess_takeover, may_have_lost_pair,
 };
 pub use limits::{
     GrantCandidate, GrantLedger, GrantOutcome, GrantQuery, GrantShare, LimitChange, LimitReport,
--- a/crates/relay/src/gateway/budget_home.rs
+++ b/crates/relay/src/gateway/budget_home.rs
@@ -36,6 +36,17 @@
     Unanswered,
 }
 
+/// Result of an attempt to become a program's home.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TakeoverOutcome {
+    /// This VM is the home.
+    Done,
+    /// The other VMs are not known yet.
+    UnknownFleet,
+    /// Counts may be lost, and the stored ceilings have not been read since.
+    NeedsCeilings,
+}
+
 /// Lets the decisions on one program follow each other; removes the lock when nobody waits.
 struct ProgramLock<'a> {
     gateway: &'a Gateway,
@@ -183,9 +194,30 @@
 
 /// Makes this VM the program's home; returns `false` if it can't know yet what was granted.
 async fn take_over(gateway: &Gateway, program: ProgramKey, budget: u64) -> bool {
+    let mut outcome = try_take_over(gateway, program, budget, true).await;
+    if outcome == TakeoverOutcome::NeedsCeilings {
+        gateway.await_ceilings().await;
+        outcome = try_take_over(gateway, program, budget, false).await;
+    }
+    outcome == TakeoverOutcome::Done
+}
+
+/// Makes this VM the program's home if it knows the stored ceilings or does not need them.
+///
+/// If `may_wait` is false, it also does so where only some VMs lost their counts, since it then
+/// stores a record before it grants a call.
+async fn try_take_over(
+    gateway: &Gateway,
+    program: ProgramKey,
+    budget: u64,
+    may_wait: bool,
+) -> TakeoverOutcome {
     let has_lost_counts = gateway.has_recent_count_loss();
-    if !gateway.knows_fleet() || gateway.needs_ceilings() && has_lost_counts {
-        return false;
+    if !gateway.knows_fleet() {
+        return TakeoverOutcome::UnknownFleet;
+    }
+    if gateway.needs_ceilings() && has_lost_counts {
+        return TakeoverOutcome::NeedsCeilings;
     }
     let peers = peers_to_ask(gateway, program);
     let asked = peers.len();
@@ -194,7 +226,7 @@
     let (own, copy) = {
         let budgets = gateway.state.budgets.borrow();
         if budgets.is_home(program) {
-            return true;
+            return TakeoverOutcome::Done;
         }
         (budgets.process(), budgets.copy(program, now_ms))
     };
@@ -230,6 +262,10 @@
         })
     };
     merge_replies(gateway, program, &replies[..answered]);
+    if may_wait && finding.may_miss_tokens && gateway.needs_ceilings() {
+        // A ceiling from before the loss may be lower than what was granted since.
+        return TakeoverOutcome::NeedsCeilings;
+    }
     let mut budgets = gateway.state.budgets.borrow_mut();
     budgets.take_over(program, budget, finding, now_ms);
     if asked > 0 || finding.needs_record {
@@ -245,7 +281,7 @@
             uncertain = finding.may_miss_tokens,
         );
     }
-    true
+    TakeoverOutcome::Done
 }
 
 /// Returns the VMs that may know a program.
--- a/crates/relay/src/gateway/count_losses.rs
+++ b/crates/relay/src/gateway/count_losses.rs
@@ -4,11 +4,13 @@
 //! die at once. After such a loss, each program is assumed to have spent its stored
 //! ceiling, or the part of its budget that needs no ceiling if none is stored.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use smol::Timer;
 
 use super::caller_request::millis;
 use super::state::Gateway;
-use crate::decide::{ProgramKey, ROUND_MS, StoredCeiling, VmKey, VmLoss};
+use crate::decide::{CeilingRead, ProgramKey, ROUND_MS, StoredCeiling, VmKey, VmLoss};
 
 /// Time within which VM failures count as one event, in milliseconds; longer than the
 /// silence after which a failure is detected.
@@ -18,12 +20,17 @@
 /// Time after the start within which peers report the last loss of counts, in
 /// milliseconds; a few gossip rounds.
 const PEER_REPORT_TIMEOUT_MS: u64 = 1_000;
+/// Time for which a decision waits for a read of the stored ceilings; shorter than the time in
+/// which a home decides, and longer than further losses are awaited before a read.
+const CEILINGS_WAIT: Duration = Duration::from_millis(400);
+/// Interval at which a decision checks whether the read has ended.
+const CEILINGS_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 impl Gateway {
     /// Records that a VM is silent; its process may still run.
     pub(crate) fn record_vm_silence(&self, loss: VmLoss) {
         self.add_loss(loss);
-        self.state.ceilings_read_at_ms.set(None);
+        self.record_uncovered_loss();
     }
 
     /// Records that a VM has restarted, which loses the counts of its process `earlier`.
@@ -52,7 +59,7 @@
         if restarts.len() * 4 >= vm_count * 3 {
             self.state.counts_lost_at.set(Some(wall_ms()));
         }
-        self.state.ceilings_read_at_ms.set(None);
+        self.record_uncovered_loss();
     }
 
     /// Records that a VM is heard whose process started at `incarnation`.
@@ -142,23 +149,57 @@
         }
     }
 
-    /// Returns whether the stored ceilings have to be read, which is the case after a
-    /// restart and after each failure of a VM.
+    fn record_uncovered_loss(&self) {
+        let now_ms = self.now_ms();
+        self.state.ceiling_reads.borrow_mut().record_loss(now_ms);
+    }
+
+    /// Returns whether the stored ceilings have not been read since the last loss of a VM or
+    /// the start of this one.
+    pub(crate) fn needs_ceilings(&self) -> bool {
+        self.state.ceiling_reads.borrow().is_needed()
+    }
+
+    /// Requests a read of the stored ceilings, since this VM has to act as home of a program
+    /// whose counts may be lost.
+    fn request_ceilings(&self) {
+        self.state.ceiling_reads.borrow_mut().request();
+    }
+
+    /// Waits for a read of the stored ceilings that covers all losses detected so far, for a
+    /// limited time.
+    pub(crate) async fn await_ceilings(&self) {
+        let started = Instant::now();
+        while self.needs_ceilings() && started.elapsed() < CEILINGS_WAIT {
+            // A read that starts now may not cover a loss that is detected meanwhile.
+            self.request_ceilings();
+            Timer::after(CEILINGS_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Starts a read of the stored ceilings if one is due.
     #[must_use]
-    pub fn needs_ceilings(&self) -> bool {
-        self.state.ceilings_read_at_ms.get().is_none()
+    pub fn start_ceiling_read(&self) -> Option<CeilingRead> {
+        let now_ms = self.now_ms();
+        self.state.ceiling_reads.borrow_mut().start(now_ms)
+    }
+
+    /// Records that a read of the stored ceilings has failed.
+    pub fn record_failed_read(&self, read: CeilingRead) {
+        self.state.ceiling_reads.borrow_mut().fail(read);
     }
 
-    /// Records the stored token ceilings of programs, and that they have been read.
+    /// Records the stored token ceilings of programs, which `read` has returned.
     pub fn record_stored_ceilings(
         &self,
+        read: CeilingRead,
         ceilings: impl Iterator<Item = (ProgramKey, StoredCeiling)>,
     ) {
         let mut budgets = self.state.budgets.borrow_mut();
         for (program, ceiling) in ceilings {
             budgets.record_ceiling(program, ceiling);
         }
-        self.state.ceilings_read_at_ms.set(Some(self.now_ms()));
+        self.state.ceiling_reads.borrow_mut().complete(read);
     }
 }
 
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -28,10 +28,10 @@
 use super::response_memory::ResponseMemory;
 use super::state_transfer;
 use crate::decide::{
-    AccountCopy, AnswerRecord, BudgetLedger, CeilingClaim, ClaimOutcome, GrantLedger, GrantOutcome,
-    LimitTable, MemberFacts, MemberTable, OriginTable, ProgramKey, QuotaLedger, QuotaTolerance,
-    RateRefusal, RecentDecisions, ReplicaInfo, ReplicaTable, RunLedger, StreamOrigin, SuspectTable,
-    VersionHistory, VmKey, VmLoss, hash_bytes, is_reader, reader_rank,
+    AccountCopy, AnswerRecord, BudgetLedger, CeilingClaim, CeilingReads, ClaimOutcome, GrantLedger,
+    GrantOutcome, LimitTable, MemberFacts, MemberTable, OriginTable, ProgramKey, QuotaLedger,
+    QuotaTolerance, RateRefusal, RecentDecisions, ReplicaInfo, ReplicaTable, RunLedger,
+    StreamOrigin, SuspectTable, VersionHistory, VmKey, VmLoss, hash_bytes, is_reader, reader_rank,
 };
 use crate::plan::DeploymentPlan;
 
@@ -128,7 +128,7 @@
     /// VMs that have restarted recently, with the time at which this was noticed.
     pub(crate) restarts: RefCell<Vec<(VmKey, u64)>>,
     pub(crate) counts_lost_at: Cell<Option<u64>>,
-    pub(crate) ceilings_read_at_ms: Cell<Option<u64>>,
+    pub(crate) ceiling_reads: RefCell<CeilingReads>,
     pub(crate) quota: RefCell<QuotaLedger>,
     pub(crate) quota_decisions: RefCell<RecentDecisions<Option<RateRefusal>>>,
     pub(crate) grants: RefCell<GrantLedger>,
@@ -186,10 +186,12 @@
         let budgets = BudgetLedger::new(options.facts.key(), options.facts.incarnation);
         let quota = QuotaLedger::new(options.quota_tolerance, options.is_first_start);
         let is_first_start = options.is_first_start;
+        let mut ceiling_reads = CeilingReads::default();
         let lost_vms = if options.is_first_start {
             Vec::new()
         } else {
             // The counts of this VM's previous process are lost.
+            ceiling_reads.record_loss(0);
             vec![VmLoss {
                 vm: options.facts.key(),
                 incarnation: 0,
@@ -238,7 +240,7 @@
             lost_vms: RefCell::new(lost_vms),
             restarts: RefCell::default(),
             counts_lost_at: Cell::new(is_first_start.then_some(0)),
-            ceilings_read_at_ms: Cell::new(is_first_start.then_some(1)),
+            ceiling_reads: RefCell::new(ceiling_reads),
             quota: RefCell::new(quota),
             quota_decisions: RefCell::default(),
             grants: RefCell::default(),
