--- a/crates/relay/src/decide/members.rs
+++ b/crates/relay/src/decide/members.rs
@@ -73,6 +73,8 @@
     is_silence_reported: bool,
     /// Until when the VM is not asked as home, since it did not answer.
     unanswered_until_ms: u64,
+    /// Whether the VM reports that the key-value service refuses its calls.
+    is_store_lost: bool,
 }
 
 /// A VM that may be asked as the home of a workspace.
@@ -119,6 +121,7 @@
                     is_registered: true,
                     is_silence_reported: false,
                     unanswered_until_ms: 0,
+                    is_store_lost: false,
                 }
             });
             state.is_registered = true;
@@ -178,6 +181,7 @@
                     is_registered: false,
                     is_silence_reported: false,
                     unanswered_until_ms: 0,
+                    is_store_lost: false,
                 };
                 self.members.insert(key, state);
                 true
@@ -288,6 +292,22 @@
             .map(|state| &state.facts)
     }
 
+    /// Records whether a VM reports that the key-value service refuses its calls.
+    pub fn set_store_lost(&mut self, vm: VmKey, is_store_lost: bool) {
+        if let Some(state) = self.members.get_mut(&vm) {
+            state.is_store_lost = is_store_lost;
+        }
+    }
+
+    /// Returns the live VMs, each with whether the key-value service refuses its calls.
+    pub fn store_contacts(&self, now_ms: u64) -> impl Iterator<Item = (VmKey, bool)> + Clone {
+        let silent_after_ms = self.silent_after_ms();
+        let live = self.members.iter().filter(move |(_, state)| {
+            now_ms.saturating_sub(state.last_heartbeat_ms) <= silent_after_ms
+        });
+        live.map(|(vm, state)| (*vm, state.is_store_lost))
+    }
+
     /// Returns all known VMs.
     pub fn all(&self) -> impl Iterator<Item = &MemberFacts> {
         self.members.values().map(|state| &state.facts)
--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -38,7 +38,7 @@
     AdmissionCounters, ProgramStage, QuotaLedger, QuotaTolerance, RateRefusal, RefusalCause,
     WindowReport, WorkspaceKey,
 };
-pub use readers::{is_reader, reader_rank};
+pub use readers::{ReaderCandidate, ReaderRanks, ReaderRole, is_reader, reader_rank};
 pub use replicas::{
     AttemptOutcome, InFlightCount, ReplicaInfo, ReplicaKey, ReplicaLoad, ReplicaTable,
 };
--- a/crates/relay/src/decide/readers.rs
+++ b/crates/relay/src/decide/readers.rs
@@ -3,7 +3,8 @@
 //! Each change completes every watch, and each watch is a billed call, so if every VM
 //! watched, the number of calls would be proportional to the number of VMs times the
 //! number of changes. Only a few VMs, the readers, watch; the others get changes from
-//! them and start to watch when the readers lose contact with the service.
+//! them and start to watch when the readers lose contact with the service. A reader that the
+//! service refuses reports it, and the next VM in the order replaces it.
 
 use super::members::VmKey;
 use ibisdale_core::{hash_bytes, rendezvous_weight};
@@ -20,6 +21,10 @@
 /// Number of ranks after the readers beyond which the delay no longer grows; VMs of higher
 /// ranks take over together.
 const TAKEOVER_STAGGER_MAX_RANKS: u64 = 10;
+/// Number of ranks, those of the readers included, that replace readers which report that they
+/// are refused. The limit keeps an outage for all VMs from making each of them call the
+/// service at once; if the service refuses half of the VMs, one fleet in 65,536 exceeds it.
+const REPLACEMENT_RANKS: usize = 16;
 
 /// Returns the number of `others` that precede `vm` in the order of rendezvous weights.
 #[must_use]
@@ -45,3 +50,64 @@
         TAKEOVER_DELAY_MS + TAKEOVER_STAGGER_MS * later_ranks.min(TAKEOVER_STAGGER_MAX_RANKS);
     contact_age_ms.is_none_or(|age_ms| age_ms > delay_ms)
 }
+
+/// A VM that may watch the service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReaderCandidate {
+    /// The VM.
+    pub vm: VmKey,
+    /// Whether the VM reports that the service refuses its calls or does not answer them.
+    pub is_store_lost: bool,
+}
+
+/// Reason for which a VM watches the service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReaderRole {
+    /// It is one of the first VMs.
+    First,
+    /// It replaces one of the first VMs, which the service refuses.
+    Replacement,
+    /// No VM has had contact with the service for some time.
+    Substitute,
+}
+
+/// Ranks of a VM among the live VMs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReaderRanks {
+    all: usize,
+    /// Rank among the VMs that are not refused; `None` if the VM is refused.
+    served: Option<usize>,
+}
+
+impl ReaderRanks {
+    /// Determines the ranks of `own` among itself and `others`.
+    #[must_use]
+    pub fn new(
+        own: ReaderCandidate,
+        others: impl Iterator<Item = ReaderCandidate> + Clone,
+    ) -> Self {
+        let all = reader_rank(own.vm, others.clone().map(|other| other.vm));
+        let served = others.filter(|other| !other.is_store_lost);
+        Self {
+            all,
+            served: (!own.is_store_lost).then(|| reader_rank(own.vm, served.map(|vm| vm.vm))),
+        }
+    }
+
+    /// Returns the role of the VM; `None` if it does not watch the service.
+    ///
+    /// The first VMs go on to watch while they are refused, since they have to detect when the
+    /// refusals end. `contact_age_ms` is as for [`is_reader`].
+    #[must_use]
+    pub fn role(self, contact_age_ms: Option<u64>) -> Option<ReaderRole> {
+        let is_replacement =
+            self.all < REPLACEMENT_RANKS && self.served.is_some_and(|served| served < READER_COUNT);
+        if self.all < READER_COUNT {
+            return Some(ReaderRole::First);
+        }
+        if is_replacement {
+            return Some(ReaderRole::Replacement);
+        }
+        is_reader(self.all, contact_age_ms).then_some(ReaderRole::Substitute)
+    }
+}
--- a/crates/relay/src/gateway/feed_contact.rs
+++ b/crates/relay/src/gateway/feed_contact.rs
@@ -3,10 +3,55 @@
 use std::time::{Duration, Instant};
 
 use super::boot_time::BootTime;
+use super::caller_request::millis;
 use super::state::Gateway;
-use crate::decide::may_be_cut_off;
+use crate::decide::{ReaderCandidate, ReaderRanks, ReaderRole, may_be_cut_off};
 
 impl Gateway {
+    /// Returns whether this VM is a reader, which watches the key-value service itself.
+    #[must_use]
+    pub fn is_reader(&self) -> bool {
+        self.reader_role().is_some()
+    }
+
+    /// Returns the reason for which this VM is a reader; `None` if it is none.
+    #[must_use]
+    pub fn reader_role(&self) -> Option<ReaderRole> {
+        let members = self.state.members.borrow();
+        let own = ReaderCandidate {
+            vm: self.state.options.facts.key(),
+            is_store_lost: self.is_store_lost(),
+        };
+        let others = members.store_contacts(self.now_ms());
+        let others = others.map(|(vm, is_store_lost)| ReaderCandidate { vm, is_store_lost });
+        ReaderRanks::new(own, others).role(self.feed_age().map(millis))
+    }
+
+    /// Returns whether the key-value service refuses this VM's calls or does not answer them.
+    #[must_use]
+    pub fn is_store_lost(&self) -> bool {
+        self.state.lost_feeds.get() > 0
+    }
+
+    /// Records that a feed of this VM has lost contact with the key-value service, and reports
+    /// the first one to all VMs at once.
+    pub fn record_feed_lost(&self) {
+        let lost_feeds = self.state.lost_feeds.get();
+        self.state.lost_feeds.set(lost_feeds + 1);
+        if lost_feeds == 0 {
+            self.announce();
+        }
+    }
+
+    /// Records that a lost feed has contact again, and reports the last one to all VMs at once.
+    pub fn record_feed_regained(&self) {
+        let lost_feeds = self.state.lost_feeds.get();
+        self.state.lost_feeds.set(lost_feeds.saturating_sub(1));
+        if lost_feeds == 1 {
+            self.announce();
+        }
+    }
+
     /// Records that the key-value service has just confirmed the configuration.
     pub fn confirm_feed(&self) {
         let now = BootTime::now();
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -51,6 +51,8 @@
         feed_age_ms: Option<u64>,
         /// Time for which that service has answered the VMs without a gap, in milliseconds.
         answers_ms: Option<u64>,
+        /// Whether that service refuses the VM's calls or does not answer them.
+        is_store_lost: bool,
         quota: Vec<AdmissionCounters>,
         /// Requests that the VM has in flight, by replica.
         in_flight: Vec<InFlightCount>,
--- a/crates/relay/src/gateway/peer_link.rs
+++ b/crates/relay/src/gateway/peer_link.rs
@@ -60,6 +60,7 @@
         replicas_version: gateway.state.replicas_version.get(),
         feed_age_ms: gateway.feed_age().map(millis),
         answers_ms: answered_for(gateway).map(millis),
+        is_store_lost: gateway.is_store_lost(),
         quota: gateway
             .state
             .quota
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -150,6 +150,7 @@
             replicas_version,
             feed_age_ms,
             answers_ms,
+            is_store_lost,
             quota,
             in_flight,
             counts_lost_at,
@@ -160,6 +161,7 @@
             merge_suspects(gateway, &suspects, "peer");
             record_peer_feed(gateway, feed_age_ms, answers_ms);
             record_peer_in_flight(gateway, facts.key(), in_flight);
+            record_peer_store_lost(gateway, facts.key(), is_store_lost);
             gateway.merge_counts_lost_at(counts_lost_at);
             let versions = (plan_version, replicas_version);
             handle_state(gateway, facts, versions, &quota, sender);
@@ -292,6 +294,12 @@
     replicas.record_peer_in_flight(peer, in_flight, now_ms);
 }
 
+/// Records whether a known VM is refused by the key-value service.
+fn record_peer_store_lost(gateway: &Gateway, peer: VmKey, is_store_lost: bool) {
+    let mut members = gateway.state.members.borrow_mut();
+    members.set_store_lost(peer, is_store_lost);
+}
+
 /// Records a VM's counters of the time at which it learned of this process.
 fn record_baseline(gateway: &Gateway, vm: VmKey, incarnation: u64, counters: &[AdmissionCounters]) {
     let mut quota = gateway.state.quota.borrow_mut();
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -31,7 +31,7 @@
     AccountCopy, AnswerRecord, BudgetLedger, CeilingClaim, CeilingReads, ClaimOutcome, GrantLedger,
     GrantOutcome, LimitTable, MemberFacts, MemberTable, OriginTable, ProgramKey, QuotaLedger,
     QuotaTolerance, RateRefusal, RecentDecisions, ReplicaInfo, ReplicaTable, RunLedger,
-    StreamOrigin, SuspectTable, VersionHistory, VmKey, VmLoss, hash_bytes, is_reader, reader_rank,
+    StreamOrigin, SuspectTable, VersionHistory, VmKey, VmLoss, hash_bytes,
 };
 use crate::plan::DeploymentPlan;
 
@@ -113,6 +113,8 @@
     pub(crate) peer_answers_since: Cell<Option<BootTime>>,
     /// When the last state of another VM arrived.
     pub(crate) peer_state_at: Cell<Option<BootTime>>,
+    /// Number of this VM's feeds whose calls the key-value service refuses or does not answer.
+    pub(crate) lost_feeds: Cell<u32>,
     pub(crate) suspensions: SuspensionWatch,
     pub(crate) replicas_version: Cell<u64>,
     pub(crate) replicas: RefCell<ReplicaTable>,
@@ -224,6 +226,7 @@
             answers: Cell::default(),
             peer_answers_since: Cell::new(None),
             peer_state_at: Cell::new(None),
+            lost_feeds: Cell::new(0),
             suspensions: SuspensionWatch::start(),
             replicas_version: Cell::new(0),
             replicas: RefCell::default(),
@@ -344,15 +347,6 @@
         self.state.plan_revision.set(revision);
     }
 
-    /// Returns whether this VM is a reader, which watches the key-value service itself.
-    #[must_use]
-    pub fn is_reader(&self) -> bool {
-        let members = self.state.members.borrow();
-        let own = self.state.options.facts.key();
-        let others = members.live(self.now_ms()).map(MemberFacts::key);
-        is_reader(reader_rank(own, others), self.feed_age().map(millis))
-    }
-
     /// Sends this VM's state to all other VMs at once.
     pub fn announce(&self) {
         let cloned = self.clone();
--- a/crates/relay/src/gateway/state_transfer.rs
+++ b/crates/relay/src/gateway/state_transfer.rs
@@ -119,7 +119,7 @@
     }
     let fetcher = gateway.clone();
     gateway.spawn(async move {
-        if fetcher.is_reader() {
+        if fetcher.is_reader() && !fetcher.is_store_lost() {
             Timer::after(OWN_FEED_DELAY).await;
         }
         if part.current_version(&fetcher) < version
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -275,6 +275,11 @@
         ["count", "revision"], "Requests that are refused because they have ended replicas were written to the key-value service.";
     EntriesUnreadable = 2123, Warn, "entries_unreadable",
         ["key", "error", "new", "count"], "Entries of replicas could not be decoded and were skipped: `count` in all, `new` of them since the last line, of which `key` is the first.";
+    StoreLost = 2130, Warn, "store_lost",
+        ["prefix", "call", "error"],
+        "The key-value service refuses this VM's calls or answers them late; another VM reads it instead.";
+    StoreServed = 2131, Info, "store_served",
+        ["prefix", "lost_ms"], "The key-value service answers this VM's calls again, or the VM has not called it for some time.";
 
     RequestEnded = 2201, Info, "request_ended",
         ["request", "program", "route", "workspace", "status", "reason", "replica", "sends",
