Merge readers that the store refuses, and fewer reads of ceilings

Cause: all readers may be refused while the store serves other VMs, and every VM read all ceilings after each loss.

--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -25,9 +25,9 @@
 pub use ibisdale_core::{hash_bytes, rendezvous_weight};
 
 pub use budget::{
-    AccountCopy, AccountReply, BudgetLedger, BudgetShare, BudgetVerdict, CeilingClaim,
-    ClaimOutcome, ClaimStatus, HomeRole, ProgramKey, StoredCeiling, TakeoverFinding, TakeoverInput,
-    VmLoss, VmProcess, assess_takeover, may_have_lost_pair,
+    AccountCopy, AccountReply, BudgetLedger, BudgetShare, BudgetVerdict, CeilingClaim, CeilingRead,
+    CeilingReads, ClaimOutcome, ClaimStatus, HomeRole, ProgramKey, StoredCeiling, TakeoverFinding,
+    TakeoverInput, VmLoss, VmProcess, assess_takeover, may_have_lost_pair,
 };
 pub use cold::{COLD_GRANT_MAX_AGE_MS, ColdReport, ColdRule, ColdTable, ColdTolerance};
 pub use evacuation::{DomainSelection, EvacuationChange, EvacuationReport, EvacuationTable};
@@ -44,7 +44,7 @@
     AdmissionCounters, ProgramStage, QuotaLedger, QuotaTolerance, RateRefusal, RefusalCause,
     WindowReport, WorkspaceKey,
 };
-pub use readers::{is_reader, reader_rank};
+pub use readers::{ReaderCandidate, ReaderRanks, ReaderRole, is_reader, reader_rank};
 pub use replicas::{AttemptOutcome, ReplicaInfo, ReplicaKey, ReplicaLoad, ReplicaTable};
 pub use replies::RecentDecisions;
 pub use retry::{AttemptFailure, RetryDecision, RetryInput, decide_retry};
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -29,11 +29,10 @@
 use super::response_memory::ResponseMemory;
 use super::state_transfer;
 use crate::decide::{
-    AccountCopy, AnswerRecord, BudgetLedger, CeilingClaim, ClaimOutcome, ColdTable, ColdTolerance,
-    GrantLedger, GrantOutcome, LimitTable, MemberFacts, MemberTable, OriginTable, ProgramKey,
-    QuotaLedger, QuotaTolerance, RateRefusal, RecentDecisions, ReplicaInfo, ReplicaTable,
-    RunLedger, StreamOrigin, SuspectTable, VersionHistory, VmKey, VmLoss, hash_bytes, is_reader,
-    reader_rank,
+    AccountCopy, AnswerRecord, BudgetLedger, CeilingClaim, CeilingReads, ClaimOutcome, ColdTable,
+    ColdTolerance, GrantLedger, GrantOutcome, LimitTable, MemberFacts, MemberTable, OriginTable,
+    ProgramKey, QuotaLedger, QuotaTolerance, RateRefusal, RecentDecisions, ReplicaInfo,
+    ReplicaTable, RunLedger, StreamOrigin, SuspectTable, VersionHistory, VmKey, VmLoss, hash_bytes,
 };
 use crate::plan::DeploymentPlan;
 
@@ -117,6 +116,8 @@
     pub(crate) peer_answers_since: Cell<Option<BootTime>>,
     /// When the last state of another VM arrived.
     pub(crate) peer_state_at: Cell<Option<BootTime>>,
+    /// Number of this VM's feeds whose calls the key-value service refuses or does not answer.
+    pub(crate) lost_feeds: Cell<u32>,
     pub(crate) suspensions: SuspensionWatch,
     pub(crate) replicas_version: Cell<u64>,
     pub(crate) replicas: RefCell<ReplicaTable>,
@@ -133,7 +134,7 @@
     /// VMs that have restarted recently, with the time at which this was noticed.
     pub(crate) restarts: RefCell<Vec<(VmKey, u64)>>,
     pub(crate) counts_lost_at: Cell<Option<u64>>,
-    pub(crate) ceilings_read_at_ms: Cell<Option<u64>>,
+    pub(crate) ceiling_reads: RefCell<CeilingReads>,
     pub(crate) quota: RefCell<QuotaLedger>,
     pub(crate) quota_decisions: RefCell<RecentDecisions<Option<RateRefusal>>>,
     pub(crate) grants: RefCell<GrantLedger>,
@@ -191,10 +192,12 @@
         let budgets = BudgetLedger::new(options.facts.key(), options.facts.incarnation);
         let quota = QuotaLedger::new(options.quota_tolerance, options.is_first_start);
         let is_first_start = options.is_first_start;
+        let mut ceiling_reads = CeilingReads::default();
         let lost_vms = if options.is_first_start {
             Vec::new()
         } else {
             // The counts of this VM's previous process are lost.
+            ceiling_reads.record_loss(0);
             vec![VmLoss {
                 vm: options.facts.key(),
                 incarnation: 0,
@@ -227,6 +230,7 @@
             answers: Cell::default(),
             peer_answers_since: Cell::new(None),
             peer_state_at: Cell::new(None),
+            lost_feeds: Cell::new(0),
             suspensions: SuspensionWatch::start(),
             replicas_version: Cell::new(0),
             replicas: RefCell::default(),
@@ -244,7 +248,7 @@
             lost_vms: RefCell::new(lost_vms),
             restarts: RefCell::default(),
             counts_lost_at: Cell::new(is_first_start.then_some(0)),
-            ceilings_read_at_ms: Cell::new(is_first_start.then_some(1)),
+            ceiling_reads: RefCell::new(ceiling_reads),
             quota: RefCell::new(quota),
             quota_decisions: RefCell::default(),
             grants: RefCell::default(),
@@ -349,15 +353,6 @@
         self.state.plan_revision.set(revision);
     }
 
-    /// Returns whether this VM is a reader, which watches the key-value service itself.
-    #[must_use]
-    pub fn is_reader(&self) -> bool {
-        let members = self.state.members.borrow();
-        let own = self.state.options.facts.key();
-        let others = members.live(self.now_ms()).map(MemberFacts::key);
-        is_reader(reader_rank(own, others), self.feed_age().map(millis))
-    }
-
     /// Sends this VM's state to all other VMs at once.
     pub fn announce(&self) {
         let cloned = self.clone();
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -288,6 +288,11 @@
     DomainCold = 2127, Info, "domain_cold",
         ["domain", "replicas"],
         "Requests may be sent to a failure domain again; `replicas` of its replicas are cold from now on.";
+    StoreLost = 2130, Warn, "store_lost",
+        ["prefix", "call", "error"],
+        "The key-value service refuses this VM's calls or answers them late; another VM reads it instead.";
+    StoreServed = 2131, Info, "store_served",
+        ["prefix", "lost_ms"], "The key-value service answers this VM's calls again, or the VM has not called it for some time.";
 
     RequestEnded = 2201, Info, "request_ended",
         ["request", "program", "route", "workspace", "status", "reason", "replica", "sends",
