Call the store only as a reader while it answers no VM, and spread the attempts

Cause: in an outage of 6 s with 77 VMs every VM went on calling the store: both watches of each VM, claims of ceilings that the writer could not store, reads of ceilings and writes of the software versions.

--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -44,7 +44,10 @@
     AdmissionCounters, ProgramStage, QuotaLedger, QuotaTolerance, RateRefusal, RefusalCause,
     WindowReport, WorkspaceKey,
 };
-pub use readers::{ReaderCandidate, ReaderRanks, ReaderRole, is_reader, reader_rank};
+pub use readers::{
+    ReaderCandidate, ReaderRanks, ReaderRole, is_reader, is_unavailable, reader_rank,
+    substitute_retry_ms,
+};
 pub use replicas::{AttemptOutcome, ReplicaInfo, ReplicaKey, ReplicaLoad, ReplicaTable};
 pub use replies::RecentDecisions;
 pub use retry::{AttemptFailure, RetryDecision, RetryInput, decide_retry};
--- a/crates/relay/src/decide/readers.rs
+++ b/crates/relay/src/decide/readers.rs
@@ -26,6 +26,32 @@
 /// service at once; if the service refuses half of the VMs, one fleet in 65,536 exceeds it.
 const REPLACEMENT_RANKS: usize = 16;
 
+/// Time since the last successful call of any VM to the service after which it counts as
+/// unavailable, in milliseconds; longer than the time after which other VMs take over as readers,
+/// so that some of them have tried.
+const UNAVAILABLE_AFTER_MS: u64 = 2_000;
+/// Time between two attempts of a substitute for each VM of the fleet, in milliseconds; with it,
+/// all substitutes together call the service 40 times per second.
+const SUBSTITUTE_RETRY_MS_PER_VM: u64 = 25;
+/// Maximum time between two attempts of a substitute, in milliseconds.
+const SUBSTITUTE_RETRY_MAX_MS: u64 = 4_000;
+
+/// Returns whether the service is taken to answer no VM, so that only readers call it.
+///
+/// The service bills refused calls too, and each VM retries on behalf of each program.
+/// `contact_age_ms` is as for [`is_reader`].
+#[must_use]
+pub fn is_unavailable(contact_age_ms: Option<u64>) -> bool {
+    contact_age_ms.is_some_and(|age_ms| age_ms > UNAVAILABLE_AFTER_MS)
+}
+
+/// Returns the time between two attempts of a VM that is a [`ReaderRole::Substitute`] in a fleet
+/// of `vms` VMs, in milliseconds.
+#[must_use]
+pub fn substitute_retry_ms(vms: usize) -> u64 {
+    (vms as u64 * SUBSTITUTE_RETRY_MS_PER_VM).min(SUBSTITUTE_RETRY_MAX_MS)
+}
+
 /// Returns the number of `others` that precede `vm` in the order of rendezvous weights.
 #[must_use]
 pub fn reader_rank(vm: VmKey, others: impl Iterator<Item = VmKey>) -> usize {
--- a/crates/relay/src/gateway/ceilings.rs
+++ b/crates/relay/src/gateway/ceilings.rs
@@ -109,7 +109,12 @@
 }
 
 /// Stores a ceiling together with others that arrive within [`BATCH_DELAY`].
+///
+/// Fails at once while the store answers no VM.
 pub(crate) async fn store_in_batch(gateway: &Gateway, claim: CeilingClaim) -> ClaimOutcome {
+    if gateway.is_store_unavailable() {
+        return ClaimOutcome::Failed;
+    }
     let (waiter, result) = bounded(1);
     let has_to_schedule = {
         let mut batch = gateway.state.ceiling_batch.borrow_mut();
--- a/crates/relay/src/gateway/count_losses.rs
+++ b/crates/relay/src/gateway/count_losses.rs
@@ -170,7 +170,10 @@
     /// limited time.
     pub(crate) async fn await_ceilings(&self) {
         let started = Instant::now();
-        while self.needs_ceilings() && started.elapsed() < CEILINGS_WAIT {
+        while self.needs_ceilings()
+            && !self.is_store_unavailable()
+            && started.elapsed() < CEILINGS_WAIT
+        {
             // A read that starts now may not cover a loss that is detected meanwhile.
             self.request_ceilings();
             Timer::after(CEILINGS_POLL_INTERVAL).await;
--- a/crates/relay/src/gateway/feed_contact.rs
+++ b/crates/relay/src/gateway/feed_contact.rs
@@ -5,7 +5,9 @@
 use super::boot_time::BootTime;
 use super::caller_request::millis;
 use super::state::Gateway;
-use crate::decide::{ReaderCandidate, ReaderRanks, ReaderRole, may_be_cut_off};
+use crate::decide::{
+    ReaderCandidate, ReaderRanks, ReaderRole, is_unavailable, may_be_cut_off, substitute_retry_ms,
+};
 
 impl Gateway {
     /// Returns whether this VM is a reader, which watches the key-value service itself.
@@ -27,6 +29,17 @@
         ReaderRanks::new(own, others).role(self.feed_age().map(millis))
     }
 
+    /// Returns the time between two attempts to read the key-value service if this VM is only a
+    /// substitute; zero otherwise.
+    #[must_use]
+    pub fn substitute_retry_delay(&self) -> Duration {
+        if self.reader_role() != Some(ReaderRole::Substitute) {
+            return Duration::ZERO;
+        }
+        let (others, _) = self.state.members.borrow().count(self.now_ms());
+        Duration::from_millis(substitute_retry_ms(others + 1))
+    }
+
     /// Returns whether the key-value service refuses this VM's calls or does not answer them.
     #[must_use]
     pub fn is_store_lost(&self) -> bool {
@@ -68,6 +81,13 @@
         latest.map(BootTime::elapsed)
     }
 
+    /// Returns whether the key-value service has answered no VM for a while; only readers call it
+    /// until it answers again.
+    #[must_use]
+    pub fn is_store_unavailable(&self) -> bool {
+        is_unavailable(self.feed_age().map(millis))
+    }
+
     /// Returns when the key-value service last confirmed the configuration to any other VM.
     #[must_use]
     pub fn peer_feed_confirmed_at(&self) -> Option<Instant> {
--- a/crates/relay/tests/readers.rs
+++ b/crates/relay/tests/readers.rs
@@ -1,6 +1,9 @@
 //! Selection of the VMs that watch the key-value service.
 
-use ibisdale_relay::decide::{ReaderCandidate, ReaderRanks, ReaderRole, is_reader, reader_rank};
+use ibisdale_relay::decide::{
+    ReaderCandidate, ReaderRanks, ReaderRole, is_reader, is_unavailable, reader_rank,
+    substitute_retry_ms,
+};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
@@ -161,3 +164,20 @@
         );
     }
 }
+
+/// All VMs called a service that answered none of them on behalf of each program: 1,700 refused
+/// calls in an outage of 6 s with 77 VMs.
+#[test]
+fn service_counts_as_unavailable_once_other_vms_have_taken_over() {
+    assert!(!is_unavailable(None));
+    assert!(!is_unavailable(Some(1_600)));
+    let first_age_ms = (0..).find(|age_ms| is_unavailable(Some(*age_ms))).unwrap();
+    assert!(count_readers(60, Some(first_age_ms)) > 3);
+}
+
+/// The refused calls of all VMs in an outage must not grow with the fleet.
+#[test]
+fn substitutes_together_try_at_a_bounded_rate() {
+    let intervals_ms = [1, 7, 77, 160, 360].map(substitute_retry_ms);
+    assert_eq!(intervals_ms, [25, 175, 1_925, 4_000, 4_000]);
+}
