Add an account of the memory for clients

Change: ClientMemory grants bytes for bodies and held responses out of one capacity. An eighth is reserved for bodies of at most 64 KiB. When memory is short, unfinished bodies with less progress lose theirs, and a body with the least progress is refused itself. Complete bodies keep theirs. Not used yet.

--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -4,6 +4,7 @@
 //! since the start of the process unless stated otherwise.
 
 mod budget;
+mod client_memory;
 mod limits;
 mod members;
 mod origins;
@@ -26,6 +27,7 @@
     ClaimOutcome, ClaimStatus, HomeRole, ProgramKey, StoredCeiling, TakeoverFinding, TakeoverInput,
     VmLoss, VmProcess, assess_takeover, may_have_lost_pair,
 };
+pub use client_memory::{BodyKey, ClientMemory, ClientMemoryUse, MemoryShortage};
 pub use limits::{
     GrantCandidate, GrantLedger, GrantOutcome, GrantQuery, GrantShare, LimitChange, LimitReport,
     LimitStatement, LimitTable, StartKey,
