Bound the memory that clients make a process hold

Buffers of unfinished bodies belong to the account, so that an eviction frees them at once; a guard releases the memory of a request. A buffer without an announced length grows by half its size. Held responses use the same account, up to 32 MiB as before. The limit of 10 s for a whole body becomes one for a pause in it. A refusal before the end of the body is sent with Connection: close, and what still arrives is discarded for up to 1 s or 16 MiB. Event 2215, a gauge of bytes by kind and a counter of refusals.

--- a/crates/relay/src/gateway/admit.rs
+++ b/crates/relay/src/gateway/admit.rs
@@ -2,13 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::header::{CONTENT_LENGTH, HOST, RETRY_AFTER};
 use http::request::Parts;
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use ibisdale_telemetry::record_event;
 use smol::Timer;
 
@@ -16,6 +16,7 @@
 use super::caller_request::{CallerRequest, bearer_key, build_request, header_str};
 use super::message::PeerMessage;
 use super::peer_link::spawn_report;
+use super::request_memory::HeldBody;
 use super::rpc::call_peer;
 use super::state::{Gateway, lossy_string};
 use crate::decide::{HomeCandidate, ProgramStage, RateRefusal, WorkspaceKey, hash_bytes};
@@ -29,11 +30,12 @@
 /// Maximum number of bytes of a refused request's body that are read and
 /// discarded; 4 times the default `body_max_bytes` and 16 times the largest that a
 /// deployment sets.
-const DISCARD_MAX_BYTES: usize = 16 * 1_024 * 1_024;
+pub(crate) const DISCARD_MAX_BYTES: usize = 16 * 1_024 * 1_024;
 /// Maximum time for which the body of a refused request is read.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
-/// Maximum time for receiving a request's body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum time without data of a request's body; the whole body may take longer while memory
+/// is free.
+const BODY_PAUSE_MAX: Duration = Duration::from_secs(10);
 
 /// An error response created by the gateway instead of a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,6 +63,11 @@
         }
     }
 
+    /// Creates the error for a body above the configured limit.
+    pub(crate) const fn too_large() -> Self {
+        Self::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
+    }
+
     /// Builds the HTTP response, with the reason as its body.
     pub(crate) fn into_response(self) -> Response<ResponseBody> {
         let mut response = Response::new(ResponseBody::whole(self.reason));
@@ -121,10 +128,7 @@
         .and_then(|value| value.to_str().ok())
         .and_then(|text| text.parse().ok());
     if length.is_some_and(|length| length > limits.body_max_bytes) {
-        return Err(GatewayError::new(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the body is too large",
-        ));
+        return Err(GatewayError::too_large());
     }
     let workspace_name = workspace.map(|workspace| &workspace.name);
     let mut request = build_request(
@@ -159,67 +163,68 @@
     }
 }
 
-/// Reads the body of a request, up to the configured size limit.
+/// Reads the body of a request, up to the configured size limit, into memory that the account
+/// of the process grants.
 pub(crate) async fn read_body(
     gateway: &Gateway,
     body: &mut Incoming,
-) -> Result<Bytes, GatewayError> {
+) -> Result<(Bytes, HeldBody), GatewayError> {
     let plan = gateway.plan();
     let limit = plan.map_or(0, |plan| plan.get_limits().body_max_bytes);
-    let read = collect_body(body, limit);
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if announced > limit {
+        return Err(GatewayError::too_large());
+    }
+    let held = HeldBody::begin(gateway, announced, limit)?;
+    while let Some(frame) = next_frame(body, &held).await? {
+        // Trailers are not forwarded.
+        if let Ok(data) = frame.into_data() {
+            held.append(&data)?;
+        }
+    }
+    let bytes = held.complete()?;
+    Ok((bytes, held))
+}
+
+/// Waits for the next part of a body, unless the body loses its memory or its sender stops.
+async fn next_frame(
+    body: &mut Incoming,
+    held: &HeldBody,
+) -> Result<Option<Frame<Bytes>>, GatewayError> {
+    let frame = async {
+        let frame = body.frame().await.transpose();
+        frame.map_err(|_| GatewayError::new(StatusCode::BAD_REQUEST, "the body can't be read"))
+    };
+    let evicted = async { Err(held.wait_for_eviction().await) };
     let timed_out = async {
-        Timer::after(BODY_TIMEOUT).await;
+        Timer::after(BODY_PAUSE_MAX).await;
         let status = StatusCode::REQUEST_TIMEOUT;
         Err(GatewayError::new(status, "the body did not arrive in time"))
     };
-    read.or(timed_out).await
+    frame.or(evicted).or(timed_out).await
 }
 
-/// Collects a body in one buffer; frames are dropped as they are copied, so that a large body is
-/// held once.
-async fn collect_body(body: &mut Incoming, limit: usize) -> Result<Bytes, GatewayError> {
-    let too_large = || GatewayError::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
-    let expected = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    if expected > limit {
-        return Err(too_large());
-    }
-    let mut bytes = BytesMut::with_capacity(expected);
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else {
-            let status = StatusCode::BAD_REQUEST;
-            return Err(GatewayError::new(status, "the body can't be read"));
-        };
-        let Ok(data) = frame.into_data() else {
-            // Trailers are not forwarded.
-            continue;
-        };
-        if data.len() > limit - bytes.len() {
-            return Err(too_large());
-        }
-        bytes.extend_from_slice(&data);
-    }
-    Ok(bytes.freeze())
-}
-
-/// Reads and discards the body of a refused request.
+/// Reads and discards the body of a refused request; returns whether its end was read.
 ///
 /// Closing a connection that has unread data resets it, and the caller may lose the
 /// response.
-pub(crate) async fn discard_body(mut body: Incoming) {
+pub(crate) async fn discard_body(body: &mut Incoming) -> bool {
     let read = async {
         let mut left = DISCARD_MAX_BYTES;
         while let Some(Ok(frame)) = body.frame().await {
             let size = frame.data_ref().map_or(0, Bytes::len);
             if size > left {
-                return;
+                return false;
             }
             left -= size;
         }
+        true
     };
     let timed_out = async {
         Timer::after(DISCARD_TIMEOUT).await;
+        false
     };
-    read.or(timed_out).await;
+    read.or(timed_out).await
 }
 
 /// How a request was counted against its workspace's rate limit.
--- a/crates/relay/src/gateway/caller_request.rs
+++ b/crates/relay/src/gateway/caller_request.rs
@@ -13,6 +13,7 @@
 
 use super::boot_time::BootTime;
 use super::header_names::HeaderNames;
+use super::request_memory::HeldBody;
 use crate::decide::{ProgramKey, RequestIdentity, hash_bytes};
 use crate::plan::RouteRule;
 
@@ -74,6 +75,8 @@
     pub(crate) headers: HeaderMap,
     /// Body as the caller sent it.
     pub(crate) input: Bytes,
+    /// Memory of the input in the account of the process.
+    pub(crate) held_input: Option<HeldBody>,
     /// Body to send to a replica; longer than the input if the turn continues another.
     pub(crate) body: Bytes,
     /// Identifier of the turn that this one continues.
@@ -159,6 +162,7 @@
         target: target.to_owned(),
         headers: forwarded_headers(headers, header_names, workspace.map(Bytes::as_ref)),
         input: Bytes::new(),
+        held_input: None,
         body: Bytes::new(),
         previous_turn: headers
             .get(&header_names.previous_turn)
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -7,8 +7,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures_lite::FutureExt;
 use futures_lite::future::zip;
+use futures_lite::{AsyncReadExt, FutureExt};
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -19,8 +19,8 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use super::admit::{
-    GatewayError, HOME_UNREACHABLE_RETRY_MS, RateAdmission, admit_head, check_rate_limit,
-    discard_body, read_body,
+    DISCARD_MAX_BYTES, DISCARD_TIMEOUT, GatewayError, HOME_UNREACHABLE_RETRY_MS, RateAdmission,
+    admit_head, check_rate_limit, discard_body, read_body,
 };
 use super::attempt::RetryState;
 use super::body::{ResponseAborted, ResponseBody};
@@ -141,12 +141,18 @@
         .plan()
         .map(|plan| plan.get_limits())
         .unwrap_or_default();
+    let stream = smol::net::TcpStream::from(stream);
+    let rest = stream.clone();
+    let has_unread = Rc::new(Cell::new(false));
     let service_gateway = gateway.clone();
+    let unread = Rc::clone(&has_unread);
     let service = service_fn(move |request| {
         let response = handler(service_gateway.clone(), request);
         let gateway = service_gateway.clone();
+        let unread = Rc::clone(&unread);
         async move {
             let mut response = response.await;
+            unread.set(response.extensions().get::<UnreadBody>().is_some());
             if gateway.state.is_draining.get() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
@@ -172,6 +178,9 @@
         connection.as_mut().graceful_shutdown();
         connection.await
     };
+    if has_unread.get() {
+        discard_rest(rest).await;
+    }
     if let Err(error) = result {
         record_event!(ConnectionFailed, peer = peer, error = error);
     }
@@ -203,6 +212,8 @@
     gateway.state.metrics.set_limited_replicas(limited);
     let (suspects, condemned) = gateway.state.suspects.borrow().count();
     gateway.state.metrics.set_suspects(suspects, condemned);
+    let usage = gateway.state.request_memory.account.borrow().usage();
+    gateway.state.metrics.set_client_memory(&usage);
     let body = gateway
         .state
         .metrics
@@ -223,29 +234,66 @@
         let started = Instant::now();
         let (parts, mut body) = request.into_parts();
         let record = RequestRecord::begin(&gateway, started);
-        let admitted = match admit_head(&gateway, &parts, started) {
-            Ok(mut request) => match read_body(&gateway, &mut body).await {
-                Ok(body) => {
-                    request.body = body.clone();
-                    request.input = body;
-                    Ok(request)
-                }
-                Err(refusal) => Err((refusal, Some(request))),
-            },
-            Err(refusal) => Err((refusal, None)),
-        };
-        match admitted {
-            Ok(request) => serve_request(&gateway, request, record).await,
-            Err((refusal, request)) => {
-                discard_body(body).await;
+        let mut request = match admit_head(&gateway, &parts, started) {
+            Ok(request) => request,
+            Err(refusal) => {
+                let is_read = discard_body(&mut body).await;
                 let id = header_str(&parts.headers, &gateway.state.options.header_names.attempt);
-                let request = request.map(Rc::new);
-                record.refuse(id, request.as_deref(), refusal)
+                let response = record.refuse(id, None, refusal);
+                return if is_read {
+                    response
+                } else {
+                    close_after(response)
+                };
+            }
+        };
+        match read_body(&gateway, &mut body).await {
+            Ok((body, held)) => {
+                request.body = body.clone();
+                request.input = body;
+                request.held_input = Some(held);
+                serve_request(&gateway, request, record).await
+            }
+            Err(refusal) => {
+                let id = request.attempt_id.clone();
+                close_after(record.refuse(&id, Some(&request), refusal))
             }
         }
     })
 }
 
+/// Marker of a response that is sent before the body of its request is read whole.
+#[derive(Clone, Copy, Debug)]
+struct UnreadBody;
+
+/// Closes the connection after a response to a request whose body is not read to its end.
+fn close_after(mut response: Response<ResponseBody>) -> Response<ResponseBody> {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response.extensions_mut().insert(UnreadBody);
+    response
+}
+
+/// Reads and discards what a client still sends after a refusal.
+///
+/// Closing a connection that has unread data resets it, and the client may lose the response.
+async fn discard_rest(mut stream: smol::net::TcpStream) {
+    let read = async {
+        let mut buffer = [0_u8; 4_096];
+        let mut left = DISCARD_MAX_BYTES;
+        while let Ok(size) = stream.read(&mut buffer).await {
+            if size == 0 || size > left {
+                return;
+            }
+            left -= size;
+        }
+    };
+    let timed_out = async {
+        Timer::after(DISCARD_TIMEOUT).await;
+    };
+    read.or(timed_out).await;
+}
+
 async fn serve_request(
     gateway: &Gateway,
     mut request: CallerRequest,
--- a/crates/relay/src/gateway/metrics.rs
+++ b/crates/relay/src/gateway/metrics.rs
@@ -5,12 +5,13 @@
 use bytes::Bytes;
 use prometheus::core::Collector;
 use prometheus::{
-    Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+    Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry,
+    TextEncoder,
 };
 
 use ibisdale_turns::ClientMetrics;
 
-use crate::decide::AttemptFailure;
+use crate::decide::{AttemptFailure, ClientMemoryUse};
 
 /// Upper bounds of the latency buckets, in seconds.
 const BUCKETS_SECONDS: [f64; 14] = [
@@ -31,6 +32,7 @@
     unreadable_limits: IntCounter,
     limited_replicas: Gauge,
     suspects: SuspectMetrics,
+    memory: MemoryMetrics,
     oldest_heartbeat_seconds: Gauge,
     silent_vms: Gauge,
     in_flight: Gauge,
@@ -79,6 +81,36 @@
     }
 }
 
+/// Metrics of the memory that clients make the process hold.
+#[derive(Debug)]
+struct MemoryMetrics {
+    client_bytes: GaugeVec,
+    refused_bodies: IntCounterVec,
+}
+
+impl MemoryMetrics {
+    fn register(registry: &Registry) -> Self {
+        Self {
+            client_bytes: register(
+                registry,
+                GaugeVec::new(
+                    Opts::new(
+                        "ibisdale_gateway_client_bytes",
+                        "Bytes held for clients, by kind.",
+                    ),
+                    &["kind"],
+                ),
+            ),
+            refused_bodies: register_counters(
+                registry,
+                "ibisdale_gateway_refused_bodies_total",
+                "Requests refused because memory for their body was short, by reason.",
+                &["reason"],
+            ),
+        }
+    }
+}
+
 impl GatewayMetrics {
     /// Creates and registers all metrics.
     ///
@@ -150,6 +182,7 @@
                 "Replicas that name a limit of requests per second.",
             ),
             suspects: SuspectMetrics::register(&registry),
+            memory: MemoryMetrics::register(&registry),
             oldest_heartbeat_seconds: register_gauge(
                 &registry,
                 "ibisdale_gateway_oldest_heartbeat_seconds",
@@ -237,6 +270,26 @@
         self.limited_replicas.set(count as f64);
     }
 
+    #[expect(clippy::cast_precision_loss, reason = "the memory of a process")]
+    pub(crate) fn set_client_memory(&self, usage: &ClientMemoryUse) {
+        let kinds = [
+            ("unfinished_bodies", usage.unfinished),
+            ("complete_bodies", usage.complete),
+            ("responses", usage.responses),
+        ];
+        for (kind, bytes) in kinds {
+            let gauge = self.memory.client_bytes.with_label_values(&[kind]);
+            gauge.set(bytes as f64);
+        }
+    }
+
+    pub(crate) fn count_refused_body(&self, reason: &str) {
+        self.memory
+            .refused_bodies
+            .with_label_values(&[reason])
+            .inc();
+    }
+
     pub(crate) fn set_member_ages(&self, oldest_heartbeat: Duration, silent_vms: u32) {
         self.oldest_heartbeat_seconds
             .set(oldest_heartbeat.as_secs_f64());
--- a/crates/relay/src/gateway/mod.rs
+++ b/crates/relay/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod peer_list;
 mod peers;
 mod pool;
+mod request_memory;
 mod response_memory;
 mod rpc;
 mod runs;
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -25,7 +25,7 @@
 use super::origin_record::OriginWaiter;
 use super::peer_link;
 use super::pool::ConnectionPool;
-use super::response_memory::ResponseMemory;
+use super::request_memory::RequestMemory;
 use super::state_transfer;
 use crate::decide::{
     AccountCopy, AnswerRecord, BudgetLedger, CeilingClaim, ClaimOutcome, GrantLedger, GrantOutcome,
@@ -92,6 +92,8 @@
     pub tolerated_holders: usize,
     /// Memory for recent turns, in bytes.
     pub turn_cache_bytes: usize,
+    /// Memory for bodies of requests and for responses that are held until complete, in bytes.
+    pub client_memory_bytes: usize,
 }
 
 pub(crate) struct GatewayState {
@@ -148,7 +150,7 @@
     pub(crate) ceiling_writes: RefCell<HashMap<ProgramKey, Receiver<()>>>,
     pub(crate) ceiling_batch: RefCell<CeilingBatch>,
     pub(crate) pool: ConnectionPool,
-    pub(crate) response_memory: ResponseMemory,
+    pub(crate) request_memory: RequestMemory,
     pub(crate) pending_peer_calls: RefCell<HashMap<u64, Sender<PeerMessage>>>,
     pub(crate) next_call_id: Cell<u64>,
     pub(crate) is_fetching_plan: Cell<bool>,
@@ -204,6 +206,7 @@
             domain: options.facts.domain.clone(),
             cache_bytes: options.turn_cache_bytes,
         };
+        let request_memory = RequestMemory::new(options.client_memory_bytes);
         let turns = TurnClient::new(
             turn_options,
             HolderLinks::new(&executor),
@@ -254,7 +257,7 @@
             ceiling_writes: RefCell::default(),
             ceiling_batch: RefCell::default(),
             pool: ConnectionPool::default(),
-            response_memory: ResponseMemory::default(),
+            request_memory,
             pending_peer_calls: RefCell::default(),
             next_call_id: Cell::new(first_call_id),
             is_fetching_plan: Cell::new(false),
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -257,6 +257,8 @@
     pub(crate) store: StoreStandIn,
     /// Name and start time of a process that starts after an earlier one was killed.
     pub(crate) restart: Option<(String, u64)>,
+    /// Memory for bodies and responses, in bytes.
+    pub(crate) client_memory_bytes: Option<usize>,
 }
 
 impl TestGateway {
@@ -444,6 +446,7 @@
         quota_tolerance: QuotaTolerance::default(),
         tolerated_holders: 0,
         turn_cache_bytes: 1_000_000,
+        client_memory_bytes: test_options.client_memory_bytes.unwrap_or(64_000_000),
     };
     let socket = Async::<UdpSocket>::bind(peer_address).unwrap();
     let gateway = Gateway::new(options, executor, socket);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -317,6 +317,9 @@
     BudgetRoleRefused = 2214, Info, "budget_role_refused",
         ["program", "epoch", "witness_epoch", "total_before", "total"],
         "The witness of a program's budget knows a later epoch of its home's role than `epoch`, or tokens that this VM did not count; it asks again before it grants.";
+    BodiesEvicted = 2215, Info, "bodies_evicted",
+        ["evicted", "size", "held", "capacity"],
+        "Unfinished bodies of requests lost their memory to one that has made more progress and needs `size` bytes; their requests were refused.";
 
     ChainAssembled = 2301, Info, "chain_assembled",
         ["request", "previous", "turns", "cached", "bytes", "elapsed_ms"],
