Describe the memory for clients

The rows come from the generator of the page, since a test compares it with the page. Measured: tests reference_page (2) and catalogues (4) pass.

--- a/crates/settings/src/table/reference.rs
+++ b/crates/settings/src/table/reference.rs
@@ -30,6 +30,23 @@
 
 ";
 
+/// Limits of an entry VM, whose settings file is not in the format of the key table.
+const VM_LIMITS: &str = "
+## Limits of an entry VM
+
+The platform writes the settings file of `ibisdale-vm`, in TOML. The other limits follow from
+these:
+
+| key or limit | default | meaning |
+| --- | --- | --- |
+| `limits.memory_mb` | `128` | Memory of the process, in MB. |
+| cached turns | `limits.memory_mb` / 12 | Memory for recent turns. |
+| memory for clients | 3/4 of what 16 MB for the process and the cached turns leave, at least 1/8 of `limits.memory_mb` | Bodies of requests and responses that are held until complete. An eighth is reserved for bodies of at most 64 KiB. |
+| held responses | 32 MiB, at most what bodies leave free | A response may hold half of it, the next one half of the rest. |
+| pause in a body | 10 s | Longest time without data of a request's body; then it is refused with 408. |
+| discarded after a refusal | 1 s and 16 MiB | What is still read of a refused request before its connection is closed. |
+";
+
 /// Renders the reference page of all settings as Markdown.
 #[must_use]
 pub fn render_reference() -> String {
@@ -37,6 +54,7 @@
     write_table(&mut page, key_specs(SettingsSchema::Fleet));
     page.push_str(DAEMON_INTRODUCTION);
     write_table(&mut page, key_specs(SettingsSchema::Daemon));
+    page.push_str(VM_LIMITS);
     page
 }
 
