Limit the connections of clients

Change: each listener has a limit from limits.max_fds and limits.memory_mb. Above it, the connection that has been without a request for longest is closed, or the new one if all have requests. The listeners for readiness, directory and metrics have limits of their own. Event 2216 once a second at most and listener, a gauge and a counter.

--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -5,6 +5,7 @@
 
 mod budget;
 mod client_memory;
+mod connections;
 mod limits;
 mod members;
 mod origins;
@@ -28,6 +29,7 @@
     VmLoss, VmProcess, assess_takeover, may_have_lost_pair,
 };
 pub use client_memory::{BodyKey, ClientMemory, ClientMemoryUse, MemoryShortage};
+pub use connections::{ConnectionKey, ConnectionTable, ConnectionsBusy};
 pub use limits::{
     GrantCandidate, GrantLedger, GrantOutcome, GrantQuery, GrantShare, LimitChange, LimitReport,
     LimitStatement, LimitTable, StartKey,
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -1,31 +1,27 @@
-//! Listeners, accepted connections and the handling of their requests.
+//! Listeners and the handling of requests.
 
 use std::cell::Cell;
 use std::future::Future;
-use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
+use std::net::{SocketAddr, SocketAddrV4, TcpListener};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use futures_lite::future::zip;
-use futures_lite::{AsyncReadExt, FutureExt};
-use http::header::CONNECTION;
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use ibisdale_telemetry::record_event;
 use smol::{Async, Timer};
-use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use super::admit::{
-    DISCARD_MAX_BYTES, DISCARD_TIMEOUT, GatewayError, HOME_UNREACHABLE_RETRY_MS, RateAdmission,
-    admit_head, check_rate_limit, discard_body, read_body,
+    GatewayError, HOME_UNREACHABLE_RETRY_MS, RateAdmission, admit_head, check_rate_limit,
+    discard_body, read_body,
 };
 use super::attempt::RetryState;
-use super::body::{ResponseAborted, ResponseBody};
+use super::body::ResponseBody;
 use super::budget::{ReserveOutcome, reserve};
 use super::caller_request::{CallerRequest, header_str, millis};
+use super::client_connections::{ClientConnections, accept, close_after};
 use super::directory::{directory_response, readiness_response};
 use super::forward::forward;
 use super::in_flight::CallerRequestGuard;
@@ -38,10 +34,8 @@
 use crate::decide::ProgramStage;
 use crate::plan::ExecutionSemantics;
 
-/// Pause after a failed accept, for example when file descriptors run out.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Minimum that hyper accepts as `max_buf_size`, in bytes.
-const HEAD_BUFFER_MIN_BYTES: usize = 8_192;
+/// The maximum of the connections for requests divided by this is that of each other listener.
+const OTHER_CONNECTIONS_DIVISOR: usize = 8;
 /// Interval at which expired connections, budgets of programs and origins of streams are
 /// removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
@@ -59,8 +53,8 @@
     pub metrics: Option<SocketAddrV4>,
 }
 
-type ResponseFuture = Pin<Box<dyn Future<Output = Response<ResponseBody>>>>;
-type RequestHandler = fn(Gateway, Request<Incoming>) -> ResponseFuture;
+pub(crate) type ResponseFuture = Pin<Box<dyn Future<Output = Response<ResponseBody>>>>;
+pub(crate) type RequestHandler = fn(Gateway, Request<Incoming>) -> ResponseFuture;
 
 impl Gateway {
     /// Opens the listeners and starts serving requests.
@@ -75,14 +69,16 @@
         self.spawn(peers::receive(self.clone()));
         self.spawn(peers::run_gossip(self.clone()));
         self.spawn(remove_expired(self.clone()));
-        self.open_listener(Some(addresses.entry), handle_request)?;
-        self.open_listener(addresses.ready, |gateway, request| {
+        let entry_max = self.state.options.client_connections_max;
+        let other_max = entry_max / OTHER_CONNECTIONS_DIVISOR + 1;
+        self.open_listener(Some(addresses.entry), entry_max, handle_request)?;
+        self.open_listener(addresses.ready, other_max, |gateway, request| {
             Box::pin(async move { readiness_response(&gateway, &request.into_parts().0) })
         })?;
-        self.open_listener(addresses.directory, |gateway, request| {
+        self.open_listener(addresses.directory, other_max, |gateway, request| {
             Box::pin(async move { directory_response(&gateway, &request.into_parts().0) })
         })?;
-        self.open_listener(addresses.metrics, |gateway, _| {
+        self.open_listener(addresses.metrics, other_max, |gateway, _| {
             Box::pin(async move { metrics_response(&gateway) })
         })?;
         record_event!(
@@ -98,94 +94,21 @@
     fn open_listener(
         &self,
         address: Option<SocketAddrV4>,
+        connections_max: usize,
         handler: RequestHandler,
     ) -> std::io::Result<()> {
         let Some(address) = address else {
             return Ok(());
         };
         let listener = Async::<TcpListener>::bind(SocketAddr::V4(address))?;
-        self.spawn(accept(self.clone(), listener, handler));
+        let connections = ClientConnections::new(connections_max);
+        let mut all = self.state.connections.borrow_mut();
+        all.push(Rc::clone(&connections));
+        self.spawn(accept(self.clone(), connections, listener, handler));
         Ok(())
     }
 }
 
-async fn accept(gateway: Gateway, listener: Async<TcpListener>, handler: RequestHandler) {
-    loop {
-        let stop = async {
-            // Returns when the drain closes the channel.
-            let _ = gateway.state.shutdown_signal.recv().await;
-            None
-        };
-        match stop.or(async { Some(listener.accept().await) }).await {
-            None => return,
-            Some(Ok((stream, peer))) => {
-                if stream.get_ref().set_nodelay(true).is_ok() {
-                    gateway.spawn(serve(gateway.clone(), stream, peer, handler));
-                }
-            }
-            Some(Err(error)) => {
-                log::warn!("failed to accept a connection: {error}");
-                Timer::after(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
-async fn serve(
-    gateway: Gateway,
-    stream: Async<TcpStream>,
-    peer: SocketAddr,
-    handler: RequestHandler,
-) {
-    let limits = gateway
-        .plan()
-        .map(|plan| plan.get_limits())
-        .unwrap_or_default();
-    let stream = smol::net::TcpStream::from(stream);
-    let rest = stream.clone();
-    let has_unread = Rc::new(Cell::new(false));
-    let service_gateway = gateway.clone();
-    let unread = Rc::clone(&has_unread);
-    let service = service_fn(move |request| {
-        let response = handler(service_gateway.clone(), request);
-        let gateway = service_gateway.clone();
-        let unread = Rc::clone(&unread);
-        async move {
-            let mut response = response.await;
-            unread.set(response.extensions().get::<UnreadBody>().is_some());
-            if gateway.state.is_draining.get() {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(CONNECTION, close);
-            }
-            Ok::<_, ResponseAborted>(response)
-        }
-    });
-    let connection = http1::Builder::new()
-        .timer(SmolTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
-        .max_buf_size(limits.head_max_bytes.max(HEAD_BUFFER_MIN_BYTES))
-        .serve_connection(FuturesIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let close = async {
-        // Returns when the drain closes the channel.
-        let _ = gateway.state.shutdown_signal.recv().await;
-        None
-    };
-    let ended = async { Some(connection.as_mut().await) };
-    let result = if let Some(result) = ended.or(close).await {
-        result
-    } else {
-        connection.as_mut().graceful_shutdown();
-        connection.await
-    };
-    if has_unread.get() {
-        discard_rest(rest).await;
-    }
-    if let Err(error) = result {
-        record_event!(ConnectionFailed, peer = peer, error = error);
-    }
-}
-
 /// Periodically removes expired connections, budgets of programs and origins of streams.
 async fn remove_expired(gateway: Gateway) {
     loop {
@@ -201,6 +124,8 @@
         expire_origins(&gateway);
         expire_limits(&gateway);
         gateway.state.suspects.borrow_mut().expire(now_ms);
+        let all = gateway.state.connections.borrow();
+        all.iter().for_each(|connections| connections.report());
     }
 }
 
@@ -214,6 +139,9 @@
     gateway.state.metrics.set_suspects(suspects, condemned);
     let usage = gateway.state.request_memory.account.borrow().usage();
     gateway.state.metrics.set_client_memory(&usage);
+    let connections = gateway.state.connections.borrow();
+    let count = connections.iter().map(|connections| connections.count());
+    gateway.state.metrics.set_connections(count.sum());
     let body = gateway
         .state
         .metrics
@@ -262,38 +190,6 @@
     })
 }
 
-/// Marker of a response that is sent before the body of its request is read whole.
-#[derive(Clone, Copy, Debug)]
-struct UnreadBody;
-
-/// Closes the connection after a response to a request whose body is not read to its end.
-fn close_after(mut response: Response<ResponseBody>) -> Response<ResponseBody> {
-    let close = HeaderValue::from_static("close");
-    response.headers_mut().insert(CONNECTION, close);
-    response.extensions_mut().insert(UnreadBody);
-    response
-}
-
-/// Reads and discards what a client still sends after a refusal.
-///
-/// Closing a connection that has unread data resets it, and the client may lose the response.
-async fn discard_rest(mut stream: smol::net::TcpStream) {
-    let read = async {
-        let mut buffer = [0_u8; 4_096];
-        let mut left = DISCARD_MAX_BYTES;
-        while let Ok(size) = stream.read(&mut buffer).await {
-            if size == 0 || size > left {
-                return;
-            }
-            left -= size;
-        }
-    };
-    let timed_out = async {
-        Timer::after(DISCARD_TIMEOUT).await;
-    };
-    read.or(timed_out).await;
-}
-
 async fn serve_request(
     gateway: &Gateway,
     mut request: CallerRequest,
--- a/crates/relay/src/gateway/metrics.rs
+++ b/crates/relay/src/gateway/metrics.rs
@@ -86,6 +86,8 @@
 struct MemoryMetrics {
     client_bytes: GaugeVec,
     refused_bodies: IntCounterVec,
+    connections: Gauge,
+    closed_connections: IntCounterVec,
 }
 
 impl MemoryMetrics {
@@ -107,6 +109,17 @@
                 "Requests refused because memory for their body was short, by reason.",
                 &["reason"],
             ),
+            connections: register_gauge(
+                registry,
+                "ibisdale_gateway_client_connections",
+                "Open connections of clients.",
+            ),
+            closed_connections: register_counters(
+                registry,
+                "ibisdale_gateway_closed_connections_total",
+                "Connections closed because there were too many, idle or new ones.",
+                &["kind"],
+            ),
         }
     }
 }
@@ -283,6 +296,16 @@
         }
     }
 
+    #[expect(clippy::cast_precision_loss, reason = "at most the descriptors")]
+    pub(crate) fn set_connections(&self, count: usize) {
+        self.memory.connections.set(count as f64);
+    }
+
+    pub(crate) fn count_closed_connection(&self, kind: &str) {
+        let counter = self.memory.closed_connections.with_label_values(&[kind]);
+        counter.inc();
+    }
+
     pub(crate) fn count_refused_body(&self, reason: &str) {
         self.memory
             .refused_bodies
--- a/crates/relay/src/gateway/mod.rs
+++ b/crates/relay/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod budget_home;
 mod caller_request;
 mod ceilings;
+mod client_connections;
 mod count_losses;
 mod crashes;
 mod directory;
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -18,6 +18,7 @@
 use super::boot_time::{BootTime, SuspensionWatch};
 use super::caller_request::millis;
 use super::ceilings::CeilingBatch;
+use super::client_connections::ClientConnections;
 use super::directory::DirectoryRule;
 use super::header_names::HeaderNames;
 use super::message::{PeerMessage, RunReply};
@@ -94,6 +95,8 @@
     pub turn_cache_bytes: usize,
     /// Memory for bodies of requests and for responses that are held until complete, in bytes.
     pub client_memory_bytes: usize,
+    /// Maximum number of connections on which clients send requests.
+    pub client_connections_max: usize,
 }
 
 pub(crate) struct GatewayState {
@@ -151,6 +154,8 @@
     pub(crate) ceiling_batch: RefCell<CeilingBatch>,
     pub(crate) pool: ConnectionPool,
     pub(crate) request_memory: RequestMemory,
+    /// Connections of clients, by listener.
+    pub(crate) connections: RefCell<Vec<Rc<ClientConnections>>>,
     pub(crate) pending_peer_calls: RefCell<HashMap<u64, Sender<PeerMessage>>>,
     pub(crate) next_call_id: Cell<u64>,
     pub(crate) is_fetching_plan: Cell<bool>,
@@ -258,6 +263,7 @@
             ceiling_batch: RefCell::default(),
             pool: ConnectionPool::default(),
             request_memory,
+            connections: RefCell::default(),
             pending_peer_calls: RefCell::default(),
             next_call_id: Cell::new(first_call_id),
             is_fetching_plan: Cell::new(false),
--- /dev/null
+++ b/crates/relay/tests/connections.rs
@@ -0,0 +1,38 @@
+//! Decisions on the limit of clients' connections.
+
+use ibisdale_relay::decide::{ConnectionTable, ConnectionsBusy};
+
+/// Guards against idle connections that keep new clients out.
+#[test]
+fn connection_without_a_request_for_longest_is_closed_first() {
+    let mut table = ConnectionTable::new(3);
+    let (busy, _) = table.open(1).unwrap();
+    let (kept, _) = table.open(2).unwrap();
+    let (silent, _) = table.open(3).unwrap();
+    table.begin_request(busy);
+    table.begin_request(kept);
+    table.end_request(kept, 500);
+    let (newest, closed) = table.open(2_000).unwrap();
+    assert_eq!(closed, Some(silent));
+    assert_eq!(table.open(2_001).unwrap().1, Some(kept));
+    assert_eq!(table.open(2_002).unwrap().1, Some(newest));
+    assert_eq!(table.count(), 3);
+}
+
+/// Guards against requests and the ends of responses that are cut off by new connections.
+#[test]
+fn connections_in_use_are_not_closed() {
+    let mut table = ConnectionTable::new(2);
+    let (busy, _) = table.open(1).unwrap();
+    let (answered, _) = table.open(1).unwrap();
+    table.begin_request(busy);
+    table.begin_request(answered);
+    table.begin_request(answered);
+    table.end_request(answered, 10);
+    assert_eq!(table.open(60_000), Err(ConnectionsBusy));
+    table.end_request(answered, 60_000);
+    assert_eq!(table.open(60_999), Err(ConnectionsBusy));
+    assert_eq!(table.open(61_000).unwrap().1, Some(answered));
+    table.remove(busy);
+    assert_eq!(table.open(61_001).unwrap().1, None);
+}
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -447,6 +447,7 @@
         tolerated_holders: 0,
         turn_cache_bytes: 1_000_000,
         client_memory_bytes: test_options.client_memory_bytes.unwrap_or(64_000_000),
+        client_connections_max: 1_000,
     };
     let socket = Async::<UdpSocket>::bind(peer_address).unwrap();
     let gateway = Gateway::new(options, executor, socket);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -320,6 +320,9 @@
     BodiesEvicted = 2215, Info, "bodies_evicted",
         ["evicted", "size", "held", "capacity"],
         "Unfinished bodies of requests lost their memory to one that has made more progress and needs `size` bytes; their requests were refused.";
+    ConnectionsClosed = 2216, Info, "connections_closed",
+        ["idle", "new", "open", "max"],
+        "A listener had as many connections of clients as are allowed, and closed idle ones, or new ones where none was idle; the counts are those since the last line.";
 
     ChainAssembled = 2301, Info, "chain_assembled",
         ["request", "previous", "turns", "cached", "bytes", "elapsed_ms"],
