Begin the timeout of a route when the body is complete

Cause: a legal body without a deadline that arrives in more than the route's timeout was answered 503 although memory was free: the timeout counted from the head. Change: the timeout counts from the complete body. A deadline that the caller names counts from the head as before.

--- a/crates/relay/src/gateway/caller_request.rs
+++ b/crates/relay/src/gateway/caller_request.rs
@@ -76,13 +76,15 @@
     /// Body as the caller sent it.
     pub(crate) input: Bytes,
     /// Memory of the input in the account of the process.
-    pub(crate) held_input: Option<HeldBody>,
+    held_input: Option<HeldBody>,
     /// Body to send to a replica; longer than the input if the turn continues another.
     pub(crate) body: Bytes,
     /// Identifier of the turn that this one continues.
     pub(crate) previous_turn: Option<Bytes>,
     pub(crate) started: Instant,
     pub(crate) deadline: BootTime,
+    /// Deadline that the caller requested.
+    requested_deadline: Option<BootTime>,
     /// Hash by which related requests are sent to the same replica.
     pub(crate) affinity: Option<u64>,
     pub(crate) declared_tokens: DeclaredTokens,
@@ -103,6 +105,15 @@
         })
     }
 
+    /// Sets the complete body, with which the timeout of the route begins: a client may send it
+    /// slowly.
+    pub(crate) fn set_input(&mut self, input: Bytes, held: HeldBody) {
+        self.body = input.clone();
+        self.input = input;
+        self.held_input = Some(held);
+        self.deadline = earlier_deadline(&self.route, BootTime::now(), self.requested_deadline);
+    }
+
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.time_left()
     }
@@ -145,9 +156,10 @@
     started: Instant,
 ) -> CallerRequest {
     let headers = &parts.headers;
-    let timeout = Duration::from_millis(route.timeout_ms);
-    let requested_timeout =
-        header_number(headers, &header_names.deadline_ms).map(Duration::from_millis);
+    let arrived = BootTime::now().before(started.elapsed());
+    let requested_timeout = header_number(headers, &header_names.deadline_ms);
+    let requested_deadline =
+        requested_timeout.map(|timeout| arrived.after(Duration::from_millis(timeout)));
     let declared_tokens = declared_tokens(headers, header_names);
     let program_id = header_str(headers, &header_names.program).to_owned();
     let budget = header_number(headers, &header_names.token_budget);
@@ -168,9 +180,8 @@
             .get(&header_names.previous_turn)
             .map(|value| Bytes::copy_from_slice(value.as_bytes())),
         started,
-        deadline: BootTime::now()
-            .before(started.elapsed())
-            .after(requested_timeout.map_or(timeout, |requested| requested.min(timeout))),
+        deadline: earlier_deadline(route, arrived, requested_deadline),
+        requested_deadline,
         affinity: affinity_hash(headers, header_names, route, &program_id),
         declared_tokens,
         budget: budget.map(|budget| BudgetRequest {
@@ -185,6 +196,16 @@
     }
 }
 
+/// Returns the earlier of the caller's deadline and the end of the route's timeout.
+fn earlier_deadline(
+    route: &RouteRule,
+    began: BootTime,
+    requested_deadline: Option<BootTime>,
+) -> BootTime {
+    let deadline = began.after(Duration::from_millis(route.timeout_ms));
+    requested_deadline.map_or(deadline, |requested| requested.min(deadline))
+}
+
 fn declared_tokens(headers: &HeaderMap, header_names: &HeaderNames) -> DeclaredTokens {
     let mut numbers = header_str(headers, &header_names.token_usage).split(',');
     let mut next = || numbers.next().and_then(|text| text.trim().parse().ok());
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -177,9 +177,7 @@
         };
         match read_body(&gateway, &mut body).await {
             Ok((body, held)) => {
-                request.body = body.clone();
-                request.input = body;
-                request.held_input = Some(held);
+                request.set_input(body, held);
                 serve_request(&gateway, request, record).await
             }
             Err(refusal) => {
--- a/crates/relay/tests/gateway/client_memory.rs
+++ b/crates/relay/tests/gateway/client_memory.rs
@@ -74,3 +74,19 @@
         thread::sleep(STALL);
     }
 }
+
+/// Guards against a slow client whose body takes longer than the timeout of the route.
+#[test]
+fn slow_body_is_served_while_memory_is_free() {
+    let replica = start_replica();
+    let gateway = start_gateway(&replica);
+    let text = message(800).replace("/act/", "/brief/");
+    let (first, last) = text.split_at(text.len() - 1);
+    let mut stream = TcpStream::connect(gateway.entry).unwrap();
+    stream.write_all(first.as_bytes()).unwrap();
+    thread::sleep(2 * STALL);
+    stream.write_all(last.as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+}
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -102,6 +102,10 @@
         route("/read/", ExecutionSemantics::Repeatable, 2),
         route("/act/", ExecutionSemantics::Once, 3),
         route("/stream/", ExecutionSemantics::StreamResumable, 1),
+        RouteRule {
+            timeout_ms: 2_000,
+            ..route("/brief/", ExecutionSemantics::Once, 1)
+        },
         route("/talk/", ExecutionSemantics::StreamResumable, 2),
         RouteRule {
             keeps_turns: true,
