--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -4,7 +4,9 @@
 //! since the start of the process unless stated otherwise.
 
 mod budget;
+mod client_memory;
 mod cold;
+mod connections;
 mod evacuation;
 mod in_flight_counts;
 mod limits;
@@ -29,7 +31,9 @@
     CeilingReads, ClaimOutcome, ClaimStatus, HomeRole, ProgramKey, StoredCeiling, TakeoverFinding,
     TakeoverInput, VmLoss, VmProcess, assess_takeover, may_have_lost_pair,
 };
+pub use client_memory::{BodyKey, ClientMemory, ClientMemoryUse, MemoryShortage};
 pub use cold::{COLD_GRANT_MAX_AGE_MS, ColdReport, ColdRule, ColdTable, ColdTolerance};
+pub use connections::{ConnectionKey, ConnectionTable, ConnectionsBusy};
 pub use evacuation::{DomainSelection, EvacuationChange, EvacuationReport, EvacuationTable};
 pub use in_flight_counts::InFlightCount;
 pub use limits::{
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -1,31 +1,27 @@
-//! Listeners, accepted connections and the handling of their requests.
+//! Listeners and the handling of requests.
 
 use std::cell::Cell;
 use std::future::Future;
-use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
+use std::net::{SocketAddr, SocketAddrV4, TcpListener};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures_lite::FutureExt;
 use futures_lite::future::zip;
-use http::header::CONNECTION;
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use ibisdale_telemetry::record_event;
 use smol::{Async, Timer};
-use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use super::admit::{
     GatewayError, HOME_UNREACHABLE_RETRY_MS, RateAdmission, admit_head, check_rate_limit,
     discard_body, read_body,
 };
 use super::attempt::RetryState;
-use super::body::{ResponseAborted, ResponseBody};
+use super::body::ResponseBody;
 use super::budget::{ReserveOutcome, reserve};
 use super::caller_request::{CallerRequest, header_str, millis};
+use super::client_connections::{ClientConnections, accept, close_after};
 use super::directory::{directory_response, readiness_response};
 use super::evacuation::update_evacuation_gauges;
 use super::forward::forward;
@@ -39,10 +35,8 @@
 use crate::decide::ProgramStage;
 use crate::plan::ExecutionSemantics;
 
-/// Pause after a failed accept, for example when file descriptors run out.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Minimum that hyper accepts as `max_buf_size`, in bytes.
-const HEAD_BUFFER_MIN_BYTES: usize = 8_192;
+/// The maximum of the connections for requests divided by this is that of each other listener.
+const OTHER_CONNECTIONS_DIVISOR: usize = 8;
 /// Interval at which expired connections, budgets of programs and origins of streams are
 /// removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
@@ -60,8 +54,8 @@
     pub metrics: Option<SocketAddrV4>,
 }
 
-type ResponseFuture = Pin<Box<dyn Future<Output = Response<ResponseBody>>>>;
-type RequestHandler = fn(Gateway, Request<Incoming>) -> ResponseFuture;
+pub(crate) type ResponseFuture = Pin<Box<dyn Future<Output = Response<ResponseBody>>>>;
+pub(crate) type RequestHandler = fn(Gateway, Request<Incoming>) -> ResponseFuture;
 
 impl Gateway {
     /// Opens the listeners and starts serving requests.
@@ -76,14 +70,16 @@
         self.spawn(peers::receive(self.clone()));
         self.spawn(peers::run_gossip(self.clone()));
         self.spawn(remove_expired(self.clone()));
-        self.open_listener(Some(addresses.entry), handle_request)?;
-        self.open_listener(addresses.ready, |gateway, request| {
+        let entry_max = self.state.options.client_connections_max;
+        let other_max = entry_max / OTHER_CONNECTIONS_DIVISOR + 1;
+        self.open_listener(Some(addresses.entry), entry_max, handle_request)?;
+        self.open_listener(addresses.ready, other_max, |gateway, request| {
             Box::pin(async move { readiness_response(&gateway, &request.into_parts().0) })
         })?;
-        self.open_listener(addresses.directory, |gateway, request| {
+        self.open_listener(addresses.directory, other_max, |gateway, request| {
             Box::pin(async move { directory_response(&gateway, &request.into_parts().0) })
         })?;
-        self.open_listener(addresses.metrics, |gateway, _| {
+        self.open_listener(addresses.metrics, other_max, |gateway, _| {
             Box::pin(async move { metrics_response(&gateway) })
         })?;
         record_event!(
@@ -99,85 +95,21 @@
     fn open_listener(
         &self,
         address: Option<SocketAddrV4>,
+        connections_max: usize,
         handler: RequestHandler,
     ) -> std::io::Result<()> {
         let Some(address) = address else {
             return Ok(());
         };
         let listener = Async::<TcpListener>::bind(SocketAddr::V4(address))?;
-        self.spawn(accept(self.clone(), listener, handler));
+        let connections = ClientConnections::new(connections_max);
+        let mut all = self.state.connections.borrow_mut();
+        all.push(Rc::clone(&connections));
+        self.spawn(accept(self.clone(), connections, listener, handler));
         Ok(())
     }
 }
 
-async fn accept(gateway: Gateway, listener: Async<TcpListener>, handler: RequestHandler) {
-    loop {
-        let stop = async {
-            // Returns when the drain closes the channel.
-            let _ = gateway.state.shutdown_signal.recv().await;
-            None
-        };
-        match stop.or(async { Some(listener.accept().await) }).await {
-            None => return,
-            Some(Ok((stream, peer))) => {
-                if stream.get_ref().set_nodelay(true).is_ok() {
-                    gateway.spawn(serve(gateway.clone(), stream, peer, handler));
-                }
-            }
-            Some(Err(error)) => {
-                log::warn!("failed to accept a connection: {error}");
-                Timer::after(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
-async fn serve(
-    gateway: Gateway,
-    stream: Async<TcpStream>,
-    peer: SocketAddr,
-    handler: RequestHandler,
-) {
-    let limits = gateway
-        .plan()
-        .map(|plan| plan.get_limits())
-        .unwrap_or_default();
-    let service_gateway = gateway.clone();
-    let service = service_fn(move |request| {
-        let response = handler(service_gateway.clone(), request);
-        let gateway = service_gateway.clone();
-        async move {
-            let mut response = response.await;
-            if gateway.state.is_draining.get() {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(CONNECTION, close);
-            }
-            Ok::<_, ResponseAborted>(response)
-        }
-    });
-    let connection = http1::Builder::new()
-        .timer(SmolTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
-        .max_buf_size(limits.head_max_bytes.max(HEAD_BUFFER_MIN_BYTES))
-        .serve_connection(FuturesIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let close = async {
-        // Returns when the drain closes the channel.
-        let _ = gateway.state.shutdown_signal.recv().await;
-        None
-    };
-    let ended = async { Some(connection.as_mut().await) };
-    let result = if let Some(result) = ended.or(close).await {
-        result
-    } else {
-        connection.as_mut().graceful_shutdown();
-        connection.await
-    };
-    if let Err(error) = result {
-        record_event!(ConnectionFailed, peer = peer, error = error);
-    }
-}
-
 /// Periodically removes expired connections, budgets of programs and origins of streams.
 async fn remove_expired(gateway: Gateway) {
     loop {
@@ -193,6 +125,8 @@
         expire_origins(&gateway);
         expire_limits(&gateway);
         gateway.state.suspects.borrow_mut().expire(now_ms);
+        let all = gateway.state.connections.borrow();
+        all.iter().for_each(|connections| connections.report());
     }
 }
 
@@ -207,6 +141,11 @@
     gateway.state.metrics.set_cold_replicas(cold);
     let (suspects, condemned) = gateway.state.suspects.borrow().count();
     gateway.state.metrics.set_suspects(suspects, condemned);
+    let usage = gateway.state.request_memory.account.borrow().usage();
+    gateway.state.metrics.set_client_memory(&usage);
+    let connections = gateway.state.connections.borrow();
+    let count = connections.iter().map(|connections| connections.count());
+    gateway.state.metrics.set_connections(count.sum());
     let body = gateway
         .state
         .metrics
@@ -227,24 +166,27 @@
         let started = Instant::now();
         let (parts, mut body) = request.into_parts();
         let record = RequestRecord::begin(&gateway, started);
-        let admitted = match admit_head(&gateway, &parts, started) {
-            Ok(mut request) => match read_body(&gateway, &mut body).await {
-                Ok(body) => {
-                    request.body = body.clone();
-                    request.input = body;
-                    Ok(request)
-                }
-                Err(refusal) => Err((refusal, Some(request))),
-            },
-            Err(refusal) => Err((refusal, None)),
-        };
-        match admitted {
-            Ok(request) => serve_request(&gateway, request, record).await,
-            Err((refusal, request)) => {
-                discard_body(body).await;
+        let mut request = match admit_head(&gateway, &parts, started) {
+            Ok(request) => request,
+            Err(refusal) => {
+                let is_read = discard_body(&mut body).await;
                 let id = header_str(&parts.headers, &gateway.state.options.header_names.attempt);
-                let request = request.map(Rc::new);
-                record.refuse(id, request.as_deref(), refusal)
+                let response = record.refuse(id, None, refusal);
+                return if is_read {
+                    response
+                } else {
+                    close_after(response)
+                };
+            }
+        };
+        match read_body(&gateway, &mut body).await {
+            Ok((body, held)) => {
+                request.set_input(body, held);
+                serve_request(&gateway, request, record).await
+            }
+            Err(refusal) => {
+                let id = request.attempt_id.clone();
+                close_after(record.refuse(&id, Some(&request), refusal))
             }
         }
     })
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -106,6 +106,10 @@
         route("/read/", ExecutionSemantics::Repeatable, 2),
         route("/act/", ExecutionSemantics::Once, 3),
         route("/stream/", ExecutionSemantics::StreamResumable, 1),
+        RouteRule {
+            timeout_ms: 2_000,
+            ..route("/brief/", ExecutionSemantics::Once, 1)
+        },
         route("/talk/", ExecutionSemantics::StreamResumable, 2),
         RouteRule {
             keeps_turns: true,
@@ -266,6 +270,8 @@
     pub(crate) store: StoreStandIn,
     /// Name and start time of a process that starts after an earlier one was killed.
     pub(crate) restart: Option<(String, u64)>,
+    /// Memory for bodies and responses, in bytes.
+    pub(crate) client_memory_bytes: Option<usize>,
 }
 
 impl TestGateway {
@@ -463,6 +469,8 @@
         },
         tolerated_holders: 0,
         turn_cache_bytes: 1_000_000,
+        client_memory_bytes: test_options.client_memory_bytes.unwrap_or(64_000_000),
+        client_connections_max: 1_000,
     };
     let socket = Async::<UdpSocket>::bind(peer_address).unwrap();
     let gateway = Gateway::new(options, executor, socket);
