Add a table of learned replica speeds and use it in the choice of a replica

Replicas of a service differ in speed long before they are full, and the choice only knew their load. The table averages measured times, quantizes speeds to steps with hysteresis and gives the weights of rendezvous hashing. It has no inputs yet, so no choice changes.

--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -11,6 +11,7 @@
 mod placement;
 mod quota;
 mod readers;
+mod replica_speed;
 mod replicas;
 mod replies;
 mod retry;
@@ -39,6 +40,9 @@
     WindowReport, WorkspaceKey,
 };
 pub use readers::{is_reader, reader_rank};
+pub use replica_speed::{
+    SpeedReport, SpeedSpan, SpeedTable, StepChange, read_momentary_factor, truncate_start,
+};
 pub use replicas::{
     AttemptOutcome, InFlightCount, ReplicaInfo, ReplicaKey, ReplicaLoad, ReplicaTable,
 };
--- a/crates/relay/src/decide/placement.rs
+++ b/crates/relay/src/decide/placement.rs
@@ -11,10 +11,17 @@
 //! choices), if possible in this VM's failure domain. This keeps queues short even though
 //! the load caused by other VMs is taken only from the load reports in responses.
 //!
+//! Replicas of known speed (see `replica_speed`) are preferred by more programs the faster they are,
+//! and of two random ones the one with the shorter expected time is chosen. Where all speeds are
+//! equal, the choice is the same as without them.
+//!
 //! Whether a replica that names a limit has room is known only to a home of the service (see
 //! `limits`), so those that would be preferred to the chosen one are returned apart.
 
+use std::cmp::Reverse;
+
 use super::limits::LimitTable;
+use super::replica_speed::SpeedTable;
 use super::replicas::{ReplicaKey, ReplicaState, ReplicaTable};
 use ibisdale_core::rendezvous_weight;
 
@@ -23,6 +30,9 @@
 const SPILLOVER_MARGIN_SHARE: f64 = 0.15;
 /// Minimum load above the mean at which requests spill over, in requests.
 const SPILLOVER_MARGIN_MIN: f64 = 2.0;
+/// One in this many requests without affinity ignores the speeds, so that the recovery of a slow
+/// replica is observed.
+const SPEED_IGNORED_ONE_IN: u64 = 16;
 
 /// Inputs to the choice of a replica.
 #[derive(Clone, Debug, Default)]
@@ -82,13 +92,13 @@
     if limited.is_empty() {
         return PlacementChoice {
             limited: Vec::new(),
-            open: choose_open(&open, input, now_ms),
+            open: choose_open(&table.speeds, &open, input, now_ms),
         };
     }
     if let Some(affinity) = input.affinity {
-        prefer_by_affinity(&limited, &open, affinity, input, now_ms)
+        prefer_by_affinity(&table.speeds, (&limited, &open), affinity, input, now_ms)
     } else {
-        prefer_less_loaded(&candidates, &limited, &open, input, now_ms)
+        prefer_less_loaded(&table.speeds, &candidates, (&limited, &open), input, now_ms)
     }
 }
 
@@ -96,21 +106,23 @@
 
 /// Prefers the limited replicas that rank before the one chosen among the others.
 fn prefer_by_affinity(
-    limited: &[Candidate<'_>],
-    open: &[Candidate<'_>],
+    speeds: &SpeedTable,
+    (limited, open): (&[Candidate<'_>], &[Candidate<'_>]),
     affinity: u64,
     input: &PlacementInput<'_>,
     now_ms: u64,
 ) -> PlacementChoice {
-    let weight = |state: &ReplicaState| rendezvous_weight(affinity, state.hash);
-    let chosen = choose_open(open, input, now_ms);
+    let chosen = choose_open(speeds, open, input, now_ms);
     let chosen_state = open.iter().find(|(key, _)| Some(*key) == chosen);
-    let chosen_weight = chosen_state.map(|(_, state)| weight(state));
-    let mut preferred: Vec<_> = limited.to_vec();
-    preferred.retain(|(_, state)| Some(weight(state)) > chosen_weight);
-    preferred.sort_by_key(|(_, state)| std::cmp::Reverse(weight(state)));
+    let chosen_rank = chosen_state.map(|(_, state)| AffinityRank::new(speeds, affinity, state));
+    let mut preferred: Vec<_> = limited
+        .iter()
+        .map(|(key, state)| (AffinityRank::new(speeds, affinity, state), (*key, *state)))
+        .collect();
+    preferred.retain(|(rank, _)| chosen_rank.is_none_or(|chosen| rank.precedes(&chosen)));
+    preferred.sort_by(|(first, _), (second, _)| first.compare(second));
     PlacementChoice {
-        limited: preferred.into_iter().map(|(key, _)| key).collect(),
+        limited: preferred.into_iter().map(|(_, (key, _))| key).collect(),
         open: chosen,
     }
 }
@@ -118,13 +130,13 @@
 /// Prefers the limited replica that would be chosen if none were limited, and all of them if
 /// there is no other one.
 fn prefer_less_loaded(
+    speeds: &SpeedTable,
     candidates: &[Candidate<'_>],
-    limited: &[Candidate<'_>],
-    open: &[Candidate<'_>],
+    (limited, open): (&[Candidate<'_>], &[Candidate<'_>]),
     input: &PlacementInput<'_>,
     now_ms: u64,
 ) -> PlacementChoice {
-    let best = choose_less_loaded_of_two(candidates, input, now_ms);
+    let best = choose_less_loaded_of_two(speeds, candidates, input, now_ms);
     let mut preferred: Vec<_> = limited.iter().map(|(key, _)| *key).collect();
     let Some(position) = preferred.iter().position(|key| Some(*key) == best) else {
         return PlacementChoice {
@@ -138,22 +150,69 @@
     }
     PlacementChoice {
         limited: preferred,
-        open: choose_less_loaded_of_two(open, input, now_ms),
+        open: choose_less_loaded_of_two(speeds, open, input, now_ms),
     }
 }
 
 fn choose_open(
+    speeds: &SpeedTable,
     open: &[Candidate<'_>],
     input: &PlacementInput<'_>,
     now_ms: u64,
 ) -> Option<ReplicaKey> {
     match input.affinity {
-        Some(affinity) => choose_by_affinity(open, affinity, input.random, now_ms),
-        None => choose_less_loaded_of_two(open, input, now_ms),
+        Some(affinity) => choose_by_affinity(speeds, open, affinity, input.random, now_ms),
+        None => choose_less_loaded_of_two(speeds, open, input, now_ms),
+    }
+}
+
+/// Rank of a replica for an affinity key in weighted rendezvous hashing.
+#[derive(Clone, Copy, Debug)]
+struct AffinityRank {
+    /// Smaller for better ranks; exponentially distributed, divided by the weight.
+    score: f64,
+    /// Order of scores that are equal after rounding.
+    hash: u64,
+}
+
+impl AffinityRank {
+    fn new(speeds: &SpeedTable, affinity: u64, state: &ReplicaState) -> Self {
+        let hash = rendezvous_weight(affinity, state.hash);
+        // Equal weights keep the order of the hashes, since the logarithm is monotonic.
+        #[expect(clippy::cast_precision_loss, reason = "ties are broken by the hash")]
+        let uniform = (hash as f64 + 0.5) / 2.0_f64.powi(64);
+        Self {
+            score: -uniform.ln() / speeds.weight(state.start),
+            hash,
+        }
+    }
+
+    fn compare(&self, other: &Self) -> std::cmp::Ordering {
+        let by_score = self.score.total_cmp(&other.score);
+        by_score.then(Reverse(self.hash).cmp(&Reverse(other.hash)))
+    }
+
+    fn precedes(&self, other: &Self) -> bool {
+        self.compare(other).is_lt()
     }
 }
 
+/// Returns the load up to which a replica gets requests of programs that prefer it.
+///
+/// The margin above the mean is larger for fast replicas, but does not let them get more requests
+/// than they have slots.
+fn load_limit(speeds: &SpeedTable, state: &ReplicaState, mean_load: f64) -> f64 {
+    let slots = f64::from(state.slots());
+    let margin = (slots * SPILLOVER_MARGIN_SHARE).max(SPILLOVER_MARGIN_MIN);
+    let usual_limit = mean_load + margin;
+    let speed = speeds.speed(state.start);
+    // Load counts whole requests, so one less than the slots still leaves room for one.
+    let limit_max = usual_limit.max(slots - 1.0);
+    (mean_load + margin * speed).min(limit_max)
+}
+
 fn choose_by_affinity(
+    speeds: &SpeedTable,
     candidates: &[Candidate<'_>],
     affinity: u64,
     random: u64,
@@ -166,22 +225,26 @@
         .sum();
     #[expect(clippy::cast_precision_loss, reason = "a few thousand replicas")]
     let mean_load = f64::from(total_load) / replica_count.max(1) as f64;
-    let mut ranked: Vec<_> = candidates.to_vec();
-    ranked.sort_by_key(|(_, state)| std::cmp::Reverse(rendezvous_weight(affinity, state.hash)));
+    let mut ranked: Vec<_> = candidates
+        .iter()
+        .map(|(key, state)| (AffinityRank::new(speeds, affinity, state), (*key, *state)))
+        .collect();
+    ranked.sort_by(|(first, _), (second, _)| first.compare(second));
+    let ranked: Vec<Candidate<'_>> = ranked.into_iter().map(|(_, found)| found).collect();
     // The counts of other VMs are several hundred milliseconds old. If all VMs
     // stopped sending to a busy replica at the same time, it would become idle and the
     // next one overloaded, so the probability of skipping a replica grows with its excess
     // load instead. A replica whose report-based load exceeds the mean by more than the
     // margin is skipped whatever the sample.
     let should_use = |state: &ReplicaState, random: u64| {
-        let margin = (f64::from(state.slots()) * SPILLOVER_MARGIN_SHARE).max(SPILLOVER_MARGIN_MIN);
-        if f64::from(state.report_based_load(now_ms)) > mean_load + margin {
+        let limit = load_limit(speeds, state, mean_load);
+        if f64::from(state.report_based_load(now_ms)) > limit {
             return false;
         }
         let load = f64::from(state.max_load_estimate(now_ms));
         #[expect(clippy::cast_precision_loss, reason = "16 bits are exact in an f64")]
         let sample = (random & 0xFFFF) as f64 / 65_536.0;
-        load * sample <= mean_load + margin
+        load * sample <= limit
     };
     let chosen = ranked.iter().enumerate().find(|(rank, (_, state))| {
         // The hash serves as a separate random number for each rank.
@@ -193,6 +256,7 @@
 }
 
 fn choose_less_loaded_of_two(
+    speeds: &SpeedTable,
     candidates: &[Candidate<'_>],
     input: &PlacementInput<'_>,
     now_ms: u64,
@@ -215,10 +279,32 @@
     let utilization = |state: &ReplicaState| {
         f64::from(state.report_based_load(now_ms)) / f64::from(state.slots())
     };
-    let is_second_less_loaded = utilization(second.1) < utilization(first.1);
-    Some(if is_second_less_loaded {
-        second.0
-    } else {
-        first.0
-    })
+    let is_second_better = is_second_faster(speeds, (first.1, second.1), input.random, now_ms)
+        .unwrap_or_else(|| utilization(second.1) < utilization(first.1));
+    Some(if is_second_better { second.0 } else { first.0 })
+}
+
+/// Returns whether the second of two replicas has the shorter expected time; `None` if their
+/// speeds are equal or are ignored for this request.
+fn is_second_faster(
+    speeds: &SpeedTable,
+    (first, second): (&ReplicaState, &ReplicaState),
+    random: u64,
+    now_ms: u64,
+) -> Option<bool> {
+    let factor = |state: &ReplicaState| speeds.time_factor(state.start, now_ms);
+    let (first_factor, second_factor) = (factor(first), factor(second));
+    let are_equal = first_factor.total_cmp(&second_factor).is_eq();
+    if are_equal || rendezvous_weight(random, 0).is_multiple_of(SPEED_IGNORED_ONE_IN) {
+        return None;
+    }
+    let load = |state: &ReplicaState| state.max_load_estimate(now_ms);
+    let is_full = |state: &ReplicaState| load(state) >= state.slots();
+    if is_full(first) != is_full(second) {
+        return Some(is_full(first));
+    }
+    let expected_time = |state: &ReplicaState, factor: f64| {
+        factor * (1.0 + f64::from(load(state)) / f64::from(state.slots()))
+    };
+    Some(expected_time(second, second_factor) < expected_time(first, first_factor))
 }
--- a/crates/relay/src/decide/replicas.rs
+++ b/crates/relay/src/decide/replicas.rs
@@ -9,6 +9,7 @@
 
 use super::limits::StartKey;
 use super::members::VmKey;
+use super::replica_speed::SpeedTable;
 use ibisdale_core::{hash_bytes, rendezvous_weight};
 
 slotmap::new_key_type! {
@@ -202,6 +203,8 @@
     /// of the service comes back.
     leaving: VecDeque<(Bytes, u64)>,
     peers: HashMap<VmKey, PeerInFlight>,
+    /// Learned speeds of the listed replicas.
+    pub speeds: SpeedTable,
 }
 
 impl ReplicaTable {
@@ -241,6 +244,9 @@
             let keys = self.by_service.entry(state.info.service.clone());
             keys.or_default().push(key);
         }
+        let states = self.replicas.values();
+        let starts = states.map(|state| (state.start, hash_bytes(&state.info.service)));
+        self.speeds.set_replicas(starts);
         changes
     }
 
