Learn the speed of replicas and exchange it among the VMs

The fourth number of the load header enables the part for a service. Event intervals of engines and response times of other services are averaged, reported in each gossip round and merged.

--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -4,6 +4,7 @@
 //! since the start of the process unless stated otherwise.
 
 mod budget;
+mod event_pace;
 mod limits;
 mod members;
 mod origins;
@@ -27,6 +28,7 @@
     ClaimOutcome, ClaimStatus, HomeRole, ProgramKey, StoredCeiling, TakeoverFinding, TakeoverInput,
     VmLoss, VmProcess, assess_takeover, may_have_lost_pair,
 };
+pub use event_pace::EventPace;
 pub use limits::{
     GrantCandidate, GrantLedger, GrantOutcome, GrantQuery, GrantShare, LimitChange, LimitReport,
     LimitStatement, LimitTable, StartKey,
--- a/crates/relay/src/decide/replica_speed.rs
+++ b/crates/relay/src/decide/replica_speed.rs
@@ -256,6 +256,13 @@
         self.enabled.insert(replica.service)
     }
 
+    /// Returns whether the part is enabled for the service of a replica.
+    #[must_use]
+    pub fn is_enabled(&self, start: StartKey) -> bool {
+        let replica = self.replicas.get(&truncate_start(start));
+        replica.is_some_and(|replica| self.enabled.contains(&replica.service))
+    }
+
     /// Records the time per unit of work that this VM has measured, in microseconds.
     pub fn record_time(&mut self, start: StartKey, unit_us: u64, now_ms: u64) {
         let Some(replica) = self.replicas.get_mut(&truncate_start(start)) else {
@@ -270,16 +277,19 @@
         replica.all.add(unit_us, now_ms);
     }
 
-    /// Merges what another VM has measured; returns the services that this enables.
+    /// Merges what another VM has measured; returns the truncated starts whose reports
+    /// enable the part for their service.
     ///
     /// Reports of replicas that are not listed are ignored.
-    pub fn merge(&mut self, reports: &[SpeedReport], now_ms: u64) -> usize {
-        let enabled_before = self.enabled.len();
+    pub fn merge(&mut self, reports: &[SpeedReport], now_ms: u64) -> Vec<u32> {
+        let mut enabling = Vec::new();
         for report in reports.iter().take(REPORTS_MAX) {
             let Some(replica) = self.replicas.get_mut(&report.start_hash) else {
                 continue;
             };
-            self.enabled.insert(replica.service);
+            if self.enabled.insert(replica.service) {
+                enabling.push(report.start_hash);
+            }
             self.merged_ms = Some(now_ms);
             if report.factor_percent > 0 {
                 let (min, max) = FACTOR_RANGE;
@@ -293,7 +303,7 @@
                 replica.all.add(report.unit_us.into(), at_ms);
             }
         }
-        self.enabled.len() - enabled_before
+        enabling
     }
 
     /// Returns what this VM has measured within the last `max_age_ms`, the latest first.
@@ -336,8 +346,10 @@
             let Some(median_us) = medians.get(&replica.service) else {
                 continue;
             };
-            if !replica.all.is_recent(TIME_MAX_AGE_MS, now_ms) {
-                replica.all.samples = 0;
+            for average in [&mut replica.own, &mut replica.all] {
+                if !average.is_recent(TIME_MAX_AGE_MS, now_ms) {
+                    *average = AverageTime::default();
+                }
             }
             let speed = replica.known_unit_us(now_ms);
             let speed = speed.map_or(1.0, |unit_us| median_us.map_or(1.0, |us| us / unit_us));
--- a/crates/relay/src/gateway/attempt.rs
+++ b/crates/relay/src/gateway/attempt.rs
@@ -17,6 +17,7 @@
 use super::in_flight::ReplicaRequestGuard;
 use super::limits::{ObservedResponse, is_limited, record_limit};
 use super::runs::RunPermit;
+use super::speeds::record_momentary_factor;
 use super::state::{Gateway, lossy_string};
 use super::suspects::standing;
 use crate::decide::{
@@ -44,6 +45,8 @@
     pub(crate) connection: Http1Connection,
     pub(crate) head: ResponseHead,
     pub(crate) guard: ReplicaRequestGuard,
+    /// When the request was sent, in microseconds since the start of the process.
+    pub(crate) sent_us: u64,
 }
 
 /// State of a request's attempts and retries.
@@ -206,6 +209,7 @@
     }
     let headers = request_headers(gateway, request, &info.id, left, last_event);
     let sent_ms = gateway.now_ms();
+    let sent_us = gateway.now_us();
     retry.sent_ms = sent_ms;
     let parts = serialize_parts(&request.method, &request.target, &headers, &request.body);
     let timeout = response_timeout(request, retry, left);
@@ -243,6 +247,7 @@
         }
     };
     record_load(gateway, replica, &head.headers);
+    record_momentary_factor(gateway, &info, (head.status, &head.headers));
     let header_names = &gateway.state.options.header_names;
     if head.headers.contains_key(&header_names.not_run) || head.status == 421 {
         guard.finish(refusal_outcome(head.status));
@@ -254,6 +259,7 @@
         connection,
         head,
         guard,
+        sent_us,
     })
 }
 
--- a/crates/relay/src/gateway/forward.rs
+++ b/crates/relay/src/gateway/forward.rs
@@ -20,6 +20,7 @@
 use super::limits::{GrantResult, ask_for_grant, is_limited};
 use super::response_memory::HeldBytes;
 use super::runs::{RunPermission, get_permit};
+use super::speeds::{WorkUnit, record_work_time};
 use super::state::Gateway;
 use super::stream::EventRelay;
 use super::suspects::{record_served, standing};
@@ -275,6 +276,7 @@
         mut connection,
         mut head,
         guard,
+        sent_us,
     } = response;
     let replica = guard.replica();
     let timeout = request.time_left();
@@ -296,6 +298,10 @@
             return Err(FailedAttempt::exchange(&error));
         }
     };
+    if (200..300).contains(&head.status) {
+        let elapsed_us = gateway.now_us().saturating_sub(sent_us);
+        record_work_time(gateway, replica, WorkUnit::Response, elapsed_us);
+    }
     guard.finish(AttemptOutcome::Answered);
     if head.is_keep_alive {
         gateway.state.pool.put(replica, connection, &head.headers);
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -31,6 +31,7 @@
 use super::in_flight::CallerRequestGuard;
 use super::limits::expire_limits;
 use super::origins::{expire_origins, find_origin};
+use super::speeds::set_speed_metrics;
 use super::state::{Gateway, lossy_string};
 use super::suspects::refuse_condemned;
 use super::turns::assemble_body;
@@ -203,6 +204,7 @@
     gateway.state.metrics.set_limited_replicas(limited);
     let (suspects, condemned) = gateway.state.suspects.borrow().count();
     gateway.state.metrics.set_suspects(suspects, condemned);
+    set_speed_metrics(gateway);
     let body = gateway
         .state
         .metrics
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -7,8 +7,8 @@
 use crate::decide::{
     AccountCopy, AdmissionCounters, AttemptKey, BudgetShare, BudgetVerdict, CeilingClaim,
     ClaimOutcome, GrantOutcome, InFlightCount, LimitReport, MemberFacts, ProgramKey, ProgramStage,
-    RateRefusal, RequestFingerprint, RunDecision, RunQuery, StreamOrigin, SuspectReport, VmKey,
-    WindowReport, WorkspaceKey,
+    RateRefusal, RequestFingerprint, RunDecision, RunQuery, SpeedReport, StreamOrigin,
+    SuspectReport, VmKey, WindowReport, WorkspaceKey,
 };
 
 /// A request that a home may grant to one of several limited replicas.
@@ -61,6 +61,8 @@
         limits: Vec<LimitReport>,
         /// Recent changes of what the VM knows of suspected requests.
         suspects: Vec<SuspectReport>,
+        /// What the VM has measured of the speed of replicas.
+        speeds: Vec<SpeedReport>,
     },
     /// Known VMs and recent request counts, sent to a VM that was unknown, silent or
     /// restarted.
--- a/crates/relay/src/gateway/metrics.rs
+++ b/crates/relay/src/gateway/metrics.rs
@@ -10,7 +10,7 @@
 
 use ibisdale_turns::ClientMetrics;
 
-use crate::decide::AttemptFailure;
+use crate::decide::{AttemptFailure, SpeedSpan};
 
 /// Upper bounds of the latency buckets, in seconds.
 const BUCKETS_SECONDS: [f64; 14] = [
@@ -31,6 +31,7 @@
     unreadable_limits: IntCounter,
     limited_replicas: Gauge,
     suspects: SuspectMetrics,
+    speeds: SpeedMetrics,
     oldest_heartbeat_seconds: Gauge,
     silent_vms: Gauge,
     in_flight: Gauge,
@@ -79,6 +80,36 @@
     }
 }
 
+/// Metrics of the learned speed of replicas.
+#[derive(Debug)]
+struct SpeedMetrics {
+    min: Gauge,
+    max: Gauge,
+    report_age_seconds: Gauge,
+}
+
+impl SpeedMetrics {
+    fn register(registry: &Registry) -> Self {
+        Self {
+            min: register_gauge(
+                registry,
+                "ibisdale_gateway_replica_speed_min",
+                "Learned speed of the slowest replica relative to the median of its service.",
+            ),
+            max: register_gauge(
+                registry,
+                "ibisdale_gateway_replica_speed_max",
+                "Learned speed of the fastest replica relative to the median of its service.",
+            ),
+            report_age_seconds: register_gauge(
+                registry,
+                "ibisdale_gateway_replica_speed_report_age_seconds",
+                "Time since another VM last reported the speed of a replica; -1 if never.",
+            ),
+        }
+    }
+}
+
 impl GatewayMetrics {
     /// Creates and registers all metrics.
     ///
@@ -150,6 +181,7 @@
                 "Replicas that name a limit of requests per second.",
             ),
             suspects: SuspectMetrics::register(&registry),
+            speeds: SpeedMetrics::register(&registry),
             oldest_heartbeat_seconds: register_gauge(
                 &registry,
                 "ibisdale_gateway_oldest_heartbeat_seconds",
@@ -237,6 +269,14 @@
         self.limited_replicas.set(count as f64);
     }
 
+    pub(crate) fn set_replica_speeds(&self, span: SpeedSpan, report_age_ms: Option<u64>) {
+        self.speeds.min.set(span.min);
+        self.speeds.max.set(span.max);
+        let age = report_age_ms.map(Duration::from_millis);
+        let age_seconds = age.map_or(-1.0, |age| age.as_secs_f64());
+        self.speeds.report_age_seconds.set(age_seconds);
+    }
+
     pub(crate) fn set_member_ages(&self, oldest_heartbeat: Duration, silent_vms: u32) {
         self.oldest_heartbeat_seconds
             .set(oldest_heartbeat.as_secs_f64());
--- a/crates/relay/src/gateway/mod.rs
+++ b/crates/relay/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 mod response_memory;
 mod rpc;
 mod runs;
+mod speeds;
 mod state;
 mod state_transfer;
 mod stream;
--- a/crates/relay/src/gateway/peer_link.rs
+++ b/crates/relay/src/gateway/peer_link.rs
@@ -7,6 +7,7 @@
 use super::feed_contact::answered_for;
 use super::limits::recent_limits;
 use super::message::PeerMessage;
+use super::speeds::recent_speeds;
 use super::state::Gateway;
 use super::suspects::recent_suspects;
 use crate::decide::{AdmissionCounters, MemberFacts, rounds_per_pass};
@@ -69,6 +70,7 @@
         counts_lost_at: gateway.state.counts_lost_at.get(),
         limits: recent_limits(gateway),
         suspects: recent_suspects(gateway),
+        speeds: recent_speeds(gateway),
     };
     let Some(data) = encode(&message) else {
         return;
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -18,6 +18,7 @@
 };
 use super::peer_list::{handle_peer_list, send_counters, send_peer_list};
 use super::runs::{decide_run, end_run};
+use super::speeds::{merge_speeds, update_speeds};
 use super::state::{Gateway, lossy_string};
 use super::state_transfer::{self, StatePart};
 use super::suspects::{merge_suspects, send_suspects};
@@ -73,6 +74,7 @@
     gateway.state.run_decisions.borrow_mut().expire(now_ms);
     gateway.state.role_replies.borrow_mut().expire(now_ms);
     record_silent_vms(gateway, now_ms);
+    update_speeds(gateway);
     gateway.init_counts_lost_at();
     if gateway.state.are_copies_due.take() {
         let cloned = gateway.clone();
@@ -155,9 +157,11 @@
             counts_lost_at,
             limits,
             suspects,
+            speeds,
         } => {
             merge_limits(gateway, &limits);
             merge_suspects(gateway, &suspects, "peer");
+            merge_speeds(gateway, &speeds);
             record_peer_feed(gateway, feed_age_ms, answers_ms);
             record_peer_in_flight(gateway, facts.key(), in_flight);
             gateway.merge_counts_lost_at(counts_lost_at);
--- a/crates/relay/src/gateway/stream.rs
+++ b/crates/relay/src/gateway/stream.rs
@@ -19,10 +19,11 @@
 use super::in_flight::ReplicaRequestGuard;
 use super::origins::announce_origin;
 use super::response_memory::HeldBytes;
+use super::speeds::{WorkUnit, record_work_time};
 use super::state::{Gateway, lossy_string};
 use super::suspects::{record_progress, record_served};
 use super::turns::{TurnOutput, keep_turn};
-use crate::decide::{AttemptOutcome, RetryDecision};
+use crate::decide::{AttemptOutcome, EventPace, RetryDecision};
 use crate::http1::{BodyDecoder, ExchangeError, Http1Connection, ResponseHead};
 
 /// Maximum size of an event, in bytes.
@@ -36,6 +37,7 @@
     head: ResponseHead,
     /// Whether the replica has sent a complete event.
     has_progress: bool,
+    pace: EventPace,
 }
 
 /// An event stream that is relayed to a caller.
@@ -88,6 +90,7 @@
                 guard: response.guard,
                 head: response.head,
                 has_progress: false,
+                pace: EventPace::default(),
             }),
             splitter: EventSplitter::default(),
             held: HeldBytes::new(gateway),
@@ -200,6 +203,7 @@
     async fn read_events(&mut self) -> Result<Option<(Bytes, u64)>, ExchangeError> {
         loop {
             if let Some(events) = self.take_events()? {
+                self.record_pace(events.1);
                 if let Some(source) = &mut self.source
                     && !std::mem::replace(&mut source.has_progress, true)
                 {
@@ -214,6 +218,7 @@
                 });
             }
             let timeout = self.request.time_left();
+            let started_us = self.gateway.now_us();
             let Some(source) = &mut self.source else {
                 return Ok(None);
             };
@@ -225,6 +230,8 @@
             match read.or(timed_out).await? {
                 Some(data) => {
                     source.guard.remove_pending_prompt();
+                    let ended_us = self.gateway.now_us();
+                    source.pace.record_read(started_us, ended_us);
                     self.splitter.push(&data);
                 }
                 None if self.splitter.has_partial() => return Err(ExchangeError::Truncated),
@@ -237,6 +244,17 @@
         }
     }
 
+    /// Records the time per event of the replica, if it is known for the last data.
+    fn record_pace(&mut self, event_count: u64) {
+        let Some(source) = &mut self.source else {
+            return;
+        };
+        if let Some(event_us) = source.pace.record_events(event_count) {
+            let replica = source.guard.replica();
+            record_work_time(&self.gateway, replica, WorkUnit::Event, event_us);
+        }
+    }
+
     /// Takes the complete events from the buffer and checks that their ids are
     /// consecutive.
     fn take_events(&mut self) -> Result<Option<(Bytes, u64)>, ExchangeError> {
@@ -315,6 +333,7 @@
                         guard: response.guard,
                         head: response.head,
                         has_progress: false,
+                        pace: EventPace::default(),
                     });
                     let after = last.unwrap_or_default();
                     self.record_resumption(None, after);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -276,6 +276,13 @@
     EntriesUnreadable = 2123, Warn, "entries_unreadable",
         ["key", "error", "new", "count"], "Entries of replicas could not be decoded and were skipped: `count` in all, `new` of them since the last line, of which `key` is the first.";
 
+    SpeedStepChanged = 2128, Info, "speed_step_changed",
+        ["replica", "service", "step", "before", "changes"],
+        "The learned speed of a replica moved to another step (0: that of the median, positive: faster); `changes` replicas changed in this round, of which at most 8 are logged.";
+    SpeedsEnabled = 2129, Info, "speeds_enabled",
+        ["service", "replica", "source"],
+        "The choice of replicas of the service takes learned speeds into account from now on, since `replica` reported how long work takes on its machine; `source` is its response or another VM.";
+
     RequestEnded = 2201, Info, "request_ended",
         ["request", "program", "route", "workspace", "status", "reason", "replica", "sends",
             "granted_by", "plan", "feed_age_ms", "admitted_by", "home", "first_ms", "elapsed_ms"],
