--- a/crates/relay/src/decide/placement.rs
+++ b/crates/relay/src/decide/placement.rs
@@ -30,6 +30,9 @@
 const SPILLOVER_MARGIN_SHARE: f64 = 0.15;
 /// Minimum load above the mean at which requests spill over, in requests.
 const SPILLOVER_MARGIN_MIN: f64 = 2.0;
+/// Load up to which fast replicas may exceed the usual limit, as a fraction of their slots; the
+/// rest is room for requests that the counts of other VMs do not contain yet.
+const FAST_LOAD_SHARE: f64 = 0.6;
 /// One in this many requests without affinity ignores the speeds, so that the recovery of a slow
 /// replica is observed.
 const SPEED_IGNORED_ONE_IN: u64 = 16;
@@ -199,16 +202,15 @@
 
 /// Returns the load up to which a replica gets requests of programs that prefer it.
 ///
-/// The margin above the mean is larger for fast replicas, but does not let them get more requests
-/// than they have slots.
+/// The margin scales with the speed. Fast replicas may also exceed the mean in proportion to their
+/// speed, but only while they are well below their slots.
 fn load_limit(speeds: &SpeedTable, state: &ReplicaState, mean_load: f64) -> f64 {
     let slots = f64::from(state.slots());
     let margin = (slots * SPILLOVER_MARGIN_SHARE).max(SPILLOVER_MARGIN_MIN);
     let usual_limit = mean_load + margin;
     let speed = speeds.speed(state.start);
-    // Load counts whole requests, so one less than the slots still leaves room for one.
-    let limit_max = usual_limit.max(slots - 1.0);
-    (mean_load + margin * speed).min(limit_max)
+    let limit_max = usual_limit.max(slots * FAST_LOAD_SHARE);
+    ((mean_load + margin) * speed.max(1.0)).min(limit_max)
 }
 
 fn choose_by_affinity(
--- a/crates/relay/src/decide/replica_speed.rs
+++ b/crates/relay/src/decide/replica_speed.rs
@@ -47,9 +47,15 @@
 const STEP_MIN_MS: u64 = 2_000;
 /// Maximum number of reports in a message.
 const REPORTS_MAX: usize = 64;
-/// Exponent of the speed in the weight of rendezvous hashing. Replicas are mostly far below their
-/// slots, so fast ones get more than in proportion to their speed.
-const WEIGHT_EXPONENT: i32 = 2;
+/// Exponent of the speed in the weight of rendezvous hashing while replicas are far below their
+/// slots, so that fast ones get more than in proportion to their speed.
+const IDLE_WEIGHT_EXPONENT: f64 = 2.0;
+/// Exponent of the speed in that weight otherwise. With a larger one, fast replicas were filled
+/// above their slots and their programs moved to others.
+const BUSY_WEIGHT_EXPONENT: f64 = 0.5;
+/// Shares of the slots in use above which a service is busy and below which it is no longer. They
+/// are far apart, since each change moves programs.
+const BUSY_UTILIZATION: (f64, f64) = (0.45, 0.3);
 
 /// Reads the number in which a replica reports how long work takes on its machine.
 ///
@@ -222,6 +228,8 @@
     replicas: HashMap<u32, ReplicaSpeed>,
     /// Services of which a replica has reported a factor.
     enabled: HashSet<u64>,
+    /// Services that use much of their slots.
+    busy: HashSet<u64>,
     /// When a peer's report was last merged.
     merged_ms: Option<u64>,
 }
@@ -336,6 +344,16 @@
         recent.into_iter().map(|(_, report)| report).collect()
     }
 
+    /// Records the share of a service's slots that is in use.
+    pub fn record_utilization(&mut self, service: u64, utilization: f64) {
+        let (busy_above, idle_below) = BUSY_UTILIZATION;
+        if utilization > busy_above {
+            self.busy.insert(service);
+        } else if utilization < idle_below {
+            self.busy.remove(&service);
+        }
+    }
+
     /// Updates the steps of all replicas and returns the changes.
     ///
     /// A replica whose speed is not known returns to the step of the usual speed.
@@ -397,7 +415,15 @@
     /// Returns the weight of a replica in rendezvous hashing.
     #[must_use]
     pub fn weight(&self, start: StartKey) -> f64 {
-        self.speed(start).powi(WEIGHT_EXPONENT)
+        let Some(replica) = self.replicas.get(&truncate_start(start)) else {
+            return 1.0;
+        };
+        let exponent = if self.busy.contains(&replica.service) {
+            BUSY_WEIGHT_EXPONENT
+        } else {
+            IDLE_WEIGHT_EXPONENT
+        };
+        STEP_RATIO.powf(exponent * f64::from(replica.step))
     }
 
     /// Returns the time that work currently takes at a replica, relative to the median; small
--- a/crates/relay/src/decide/replicas.rs
+++ b/crates/relay/src/decide/replicas.rs
@@ -9,7 +9,7 @@
 
 use super::limits::StartKey;
 use super::members::VmKey;
-use super::replica_speed::SpeedTable;
+use super::replica_speed::{SpeedTable, StepChange};
 use ibisdale_core::{hash_bytes, rendezvous_weight};
 
 slotmap::new_key_type! {
@@ -440,6 +440,21 @@
         }
     }
 
+    /// Updates the learned speeds of all replicas and returns the changes of their steps.
+    pub fn update_speeds(&mut self, now_ms: u64) -> Vec<StepChange> {
+        for (service, keys) in &self.by_service {
+            let states = keys.iter().filter_map(|key| self.replicas.get(*key));
+            let (mut load, mut slots) = (0.0, 0.0);
+            for state in states {
+                load += f64::from(state.max_load_estimate(now_ms));
+                slots += f64::from(state.slots());
+            }
+            let service = hash_bytes(service);
+            self.speeds.record_utilization(service, load / slots);
+        }
+        self.speeds.update_steps(now_ms)
+    }
+
     /// Records a load report of a replica.
     pub fn record_load(&mut self, key: ReplicaKey, load: ReplicaLoad, now_ms: u64) {
         if let Some(state) = self.replicas.get_mut(key) {
--- a/crates/relay/src/gateway/speeds.rs
+++ b/crates/relay/src/gateway/speeds.rs
@@ -106,7 +106,7 @@
 pub(crate) fn update_speeds(gateway: &Gateway) {
     let now_ms = gateway.now_ms();
     let mut replicas = gateway.state.replicas.borrow_mut();
-    let changes = replicas.speeds.update_steps(now_ms);
+    let changes = replicas.update_speeds(now_ms);
     for change in changes.iter().take(LOGGED_CHANGES_MAX) {
         let mut infos = replicas.infos();
         let found = infos.find(|info| truncate_start(info.start_key()) == change.start_hash);
