--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -8,6 +8,7 @@
 mod cold;
 mod connections;
 mod evacuation;
+mod event_pace;
 mod in_flight_counts;
 mod limits;
 mod members;
@@ -16,6 +17,7 @@
 mod placement;
 mod quota;
 mod readers;
+mod replica_speed;
 mod replicas;
 mod replies;
 mod retry;
@@ -35,6 +37,7 @@
 pub use cold::{COLD_GRANT_MAX_AGE_MS, ColdReport, ColdRule, ColdTable, ColdTolerance};
 pub use connections::{ConnectionKey, ConnectionTable, ConnectionsBusy};
 pub use evacuation::{DomainSelection, EvacuationChange, EvacuationReport, EvacuationTable};
+pub use event_pace::EventPace;
 pub use in_flight_counts::InFlightCount;
 pub use limits::{
     GrantCandidate, GrantLedger, GrantOutcome, GrantQuery, GrantShare, LimitChange, LimitReport,
@@ -52,6 +55,9 @@
     ReaderCandidate, ReaderRanks, ReaderRole, is_reader, is_unavailable, reader_rank,
     substitute_retry_ms,
 };
+pub use replica_speed::{
+    SpeedReport, SpeedSpan, SpeedTable, StepChange, read_momentary_factor, truncate_start,
+};
 pub use replicas::{AttemptOutcome, ReplicaInfo, ReplicaKey, ReplicaLoad, ReplicaTable};
 pub use replies::RecentDecisions;
 pub use retry::{AttemptFailure, RetryDecision, RetryInput, decide_retry};
--- a/crates/relay/src/decide/replicas.rs
+++ b/crates/relay/src/decide/replicas.rs
@@ -11,6 +11,7 @@
 use super::in_flight_counts::{InFlightCount, PeerInFlight, truncate_hash};
 use super::limits::StartKey;
 use super::members::VmKey;
+use super::replica_speed::{SpeedTable, StepChange};
 use ibisdale_core::{hash_bytes, rendezvous_weight};
 
 slotmap::new_key_type! {
@@ -194,6 +195,8 @@
     leaving: VecDeque<(Bytes, u64)>,
     peers: HashMap<VmKey, PeerInFlight>,
     evacuations: EvacuationTable,
+    /// Learned speeds of the listed replicas.
+    pub speeds: SpeedTable,
 }
 
 impl ReplicaTable {
@@ -234,6 +237,9 @@
             keys.or_default().push(key);
         }
         self.mark_evacuated();
+        let states = self.replicas.values();
+        let starts = states.map(|state| (state.start, hash_bytes(&state.info.service)));
+        self.speeds.set_replicas(starts);
         changes
     }
 
@@ -461,6 +467,21 @@
         }
     }
 
+    /// Updates the learned speeds of all replicas and returns the changes of their steps.
+    pub fn update_speeds(&mut self, now_ms: u64) -> Vec<StepChange> {
+        for (service, keys) in &self.by_service {
+            let states = keys.iter().filter_map(|key| self.replicas.get(*key));
+            let (mut load, mut slots) = (0.0, 0.0);
+            for state in states {
+                load += f64::from(state.max_load_estimate(now_ms));
+                slots += f64::from(state.slots());
+            }
+            let service = hash_bytes(service);
+            self.speeds.record_utilization(service, load / slots);
+        }
+        self.speeds.update_steps(now_ms)
+    }
+
     /// Records a load report of a replica.
     pub fn record_load(&mut self, key: ReplicaKey, load: ReplicaLoad, now_ms: u64) {
         if let Some(state) = self.replicas.get_mut(key) {
--- a/crates/relay/src/gateway/attempt.rs
+++ b/crates/relay/src/gateway/attempt.rs
@@ -18,6 +18,7 @@
 use super::in_flight::ReplicaRequestGuard;
 use super::limits::{ObservedResponse, is_limited, record_limit};
 use super::runs::RunPermit;
+use super::speeds::record_momentary_factor;
 use super::state::{Gateway, lossy_string};
 use super::suspects::standing;
 use crate::decide::{
@@ -250,7 +251,7 @@
             return Err(FailedAttempt::exchange(&error));
         }
     };
-    record_load(gateway, replica, &head.headers);
+    record_load(gateway, (replica, &info), &head);
     let header_names = &gateway.state.options.header_names;
     if head.headers.contains_key(&header_names.not_run) || head.status == 421 {
         guard.finish(refusal_outcome(head.status));
@@ -418,8 +419,16 @@
     }
 }
 
-fn record_load(gateway: &Gateway, replica: ReplicaKey, headers: &HeaderMap) {
-    let text = header_str(headers, &gateway.state.options.header_names.replica_load);
+fn record_load(
+    gateway: &Gateway,
+    (replica, info): (ReplicaKey, &ReplicaInfo),
+    head: &ResponseHead,
+) {
+    record_momentary_factor(gateway, info, head);
+    let text = header_str(
+        &head.headers,
+        &gateway.state.options.header_names.replica_load,
+    );
     let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
     let mut next = || numbers.next().flatten();
     if let (Some(running), Some(waiting), Some(slots)) = (next(), next(), next()) {
--- a/crates/relay/src/gateway/forward.rs
+++ b/crates/relay/src/gateway/forward.rs
@@ -21,6 +21,7 @@
 use super::limits::{GrantResult, ask_for_grant, is_limited};
 use super::response_memory::HeldBytes;
 use super::runs::{RunPermission, get_permit};
+use super::speeds::{WorkUnit, record_work_time};
 use super::state::Gateway;
 use super::stream::EventRelay;
 use super::suspects::{record_served, standing};
@@ -74,17 +75,19 @@
                     Err(failed) => failed,
                 }
             }
-            Ok(response) => match read_full_response(gateway, request, response).await {
-                Ok(response) => {
-                    record_served(gateway, request, &retry.replica_id);
-                    return ForwardResult {
-                        response,
-                        reason: "answered",
-                        is_streaming: false,
-                    };
+            Ok(response) => {
+                match read_full_response(gateway, request, response, retry.sent_ms).await {
+                    Ok(response) => {
+                        record_served(gateway, request, &retry.replica_id);
+                        return ForwardResult {
+                            response,
+                            reason: "answered",
+                            is_streaming: false,
+                        };
+                    }
+                    Err(failed) => failed,
                 }
-                Err(failed) => failed,
-            },
+            }
             Err(failed) => failed,
         };
         examine_failure(gateway, request, retry, replica, &mut failed).await;
@@ -279,6 +282,7 @@
     gateway: &Gateway,
     request: &CallerRequest,
     response: ReplicaResponse,
+    sent_ms: u64,
 ) -> Result<Response<ResponseBody>, FailedAttempt> {
     let ReplicaResponse {
         mut connection,
@@ -305,6 +309,10 @@
             return Err(FailedAttempt::exchange(&error));
         }
     };
+    if (200..300).contains(&head.status) {
+        let elapsed_ms = gateway.now_ms().saturating_sub(sent_ms);
+        record_work_time(gateway, replica, WorkUnit::Response, 1_000 * elapsed_ms);
+    }
     guard.finish(AttemptOutcome::Answered);
     if head.is_keep_alive {
         gateway.state.pool.put(replica, connection, &head.headers);
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -28,6 +28,7 @@
 use super::in_flight::CallerRequestGuard;
 use super::limits::expire_limits;
 use super::origins::{expire_origins, find_origin};
+use super::speeds::set_speed_metrics;
 use super::state::{Gateway, lossy_string};
 use super::suspects::refuse_condemned;
 use super::turns::assemble_body;
@@ -146,6 +147,7 @@
     let connections = gateway.state.connections.borrow();
     let count = connections.iter().map(|connections| connections.count());
     gateway.state.metrics.set_connections(count.sum());
+    set_speed_metrics(gateway);
     let body = gateway
         .state
         .metrics
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -8,7 +8,7 @@
     AccountCopy, AdmissionCounters, AttemptKey, BudgetShare, BudgetVerdict, CeilingClaim,
     ClaimOutcome, ColdReport, EvacuationReport, GrantOutcome, InFlightCount, LimitReport,
     MemberFacts, ProgramKey, ProgramStage, RateRefusal, RequestFingerprint, RunDecision, RunQuery,
-    StartKey, StreamOrigin, SuspectReport, VmKey, WindowReport, WorkspaceKey,
+    SpeedReport, StartKey, StreamOrigin, SuspectReport, VmKey, WindowReport, WorkspaceKey,
 };
 
 /// A limited replica that could take a request, with what the sender knows of its limits.
@@ -77,6 +77,8 @@
         suspects: Vec<SuspectReport>,
         /// Failure domains that operators have evacuated.
         evacuations: EvacuationReport,
+        /// What the VM has measured of the speed of replicas.
+        speeds: Vec<SpeedReport>,
     },
     /// Known VMs and recent request counts, sent to a VM that was unknown, silent or
     /// restarted.
--- a/crates/relay/src/gateway/mod.rs
+++ b/crates/relay/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 mod response_memory;
 mod rpc;
 mod runs;
+mod speeds;
 mod state;
 mod state_transfer;
 mod stream;
--- a/crates/relay/src/gateway/peer_link.rs
+++ b/crates/relay/src/gateway/peer_link.rs
@@ -8,6 +8,7 @@
 use super::feed_contact::answered_for;
 use super::limits::recent_limits;
 use super::message::PeerMessage;
+use super::speeds::recent_speeds;
 use super::state::Gateway;
 use super::suspects::recent_suspects;
 use crate::decide::{AdmissionCounters, MemberFacts, rounds_per_pass};
@@ -72,6 +73,7 @@
         limits: recent_limits(gateway),
         suspects: recent_suspects(gateway),
         evacuations: evacuation_report(gateway),
+        speeds: recent_speeds(gateway),
     };
     let Some(data) = encode(&message) else {
         return;
