--- a/crates/relay/tests/cold.rs
+++ b/crates/relay/tests/cold.rs
@@ -106,20 +106,18 @@
 }
 
 /// Guards against rates that are not numbers or exceed what a replica tolerates.
-#[rstest]
-#[case::small_rate_is_granted_in_full(2.0, 1.5, 5.0, 2.0)]
-#[case::huge_slack(17.0, 1.5, 1e300, 17.0)]
-#[case::bound_below_what_the_homes_retain(1.0, 1.0, 0.0, 0.0)]
-#[case::no_number(17.0, f64::NAN, 5.0, 0.0)]
-#[case::negative(17.0, -1.0, 0.0, 0.0)]
-fn granted_rate_follows_from_the_bound(
-    #[case] per_s: f64,
-    #[case] excess: f64,
-    #[case] slack: f64,
-    #[case] expected: f64,
-) {
-    let granted = ColdTolerance { excess, slack }.granted_per_s(per_s);
-    assert!((granted - expected).abs() < 1e-9, "{granted}");
+#[test]
+fn granted_rate_follows_from_the_bound() {
+    let bounds = [(2.0, 1.5, 5.0), (17.0, 1.5, 1e300), (1.0, 1.0, 0.0)];
+    let invalid = [(17.0, f64::NAN, 5.0), (17.0, -1.0, 0.0)];
+    let granted = bounds
+        .into_iter()
+        .chain(invalid)
+        .map(|(per_s, excess, slack)| {
+            let tolerance = ColdTolerance { excess, slack };
+            tolerance.granted_per_s(per_s).to_string()
+        });
+    assert_eq!(granted.collect::<Vec<_>>(), ["2", "17", "0", "0", "0"]);
 }
 
 /// Guards against homes of three ranks whose grants, used at the end of their validity or at
@@ -140,17 +138,18 @@
         candidates: &candidates,
         is_refusal_final: false,
     };
+    let whole = GrantShare {
+        rank: 0,
+        vm_count: 8,
+        silent_count: 0,
+        returned_count: 0,
+        is_settled: true,
+    };
     let mut granted_ms = Vec::new();
     // The homes grant nothing for 2 s, so that they have retained what they may.
     for now_ms in (0..10).chain(2_000..6_000) {
         for (rank, ledger) in ledgers.iter_mut().enumerate() {
-            let share = GrantShare {
-                rank,
-                vm_count: 8,
-                silent_count: 0,
-                returned_count: 0,
-                is_settled: true,
-            };
+            let share = GrantShare { rank, ..whole };
             while matches!(
                 ledger.grant(&query, share, now_ms),
                 GrantOutcome::Granted(_)
--- a/crates/relay/tests/gossip/cold.rs
+++ b/crates/relay/tests/gossip/cold.rs
@@ -1,20 +1,15 @@
 //! A fleet whose VMs limit requests to cold replicas as the gateway does.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
-
-use bytes::Bytes;
 use ibisdale_relay::decide::{
     COLD_GRANT_MAX_AGE_MS, ColdReport, ColdRule, ColdTable, ColdTolerance, GrantCandidate,
-    GrantLedger, GrantOutcome, GrantQuery, GrantShare, HOMES_MAX, HomeCandidate, MemberFacts,
-    MemberTable, PeerRotation, ROUND_MS,
+    GrantOutcome, GrantQuery, GrantShare, HOMES_MAX,
 };
-use rand::{Rng, SeedableRng};
-use rand_pcg::Pcg64;
+use rand::Rng;
 use rstest::rstest;
 
-const SERVICE: u64 = 11;
+use crate::limits::{LimitFleet, SERVICE, STEP_MS, start_vm};
+
 const REPLICAS: u64 = 36;
-const STEP_MS: u64 = 10;
 const COLD_MS: u64 = 20_000;
 /// Longest time after which a VM learns that the replicas are cold.
 const VIEW_AGE_MAX_MS: u64 = 300;
@@ -27,185 +22,124 @@
     slack: 5.0,
 };
 const BOUND: usize = 30;
-
-struct ColdVm {
-    facts: MemberFacts,
-    members: MemberTable,
-    rotation: PeerRotation,
-    cold: ColdTable,
-    grants: GrantLedger,
-    started_ms: u64,
-    next_round_ms: u64,
-    /// When the VM learns that the replicas are cold, unless it has.
-    learns_ms: Option<u64>,
-    is_up: bool,
-    /// VMs of different sides do not reach each other.
-    side: usize,
-}
+/// Part of the messages between VMs that are lost.
+const LOSS: f64 = 0.01;
 
 struct ColdFleet {
-    vms: Vec<ColdVm>,
-    random: Pcg64,
-    now_ms: u64,
+    fleet: LimitFleet,
+    /// What each VM knows of cold replicas, and when it learns that they are cold.
+    views: Vec<(ColdTable, Option<u64>)>,
     /// Whether VMs that do not know that the replicas are cold send to them.
     is_listed: bool,
     /// When requests to each replica were granted, or sent without a grant.
     sent_ms: Vec<Vec<u64>>,
-    refused: usize,
 }
 
 impl ColdFleet {
     fn new(size: usize) -> Self {
-        let mut random = Pcg64::seed_from_u64(20_261_206);
-        let vms = (0..size).map(|index| start_vm(index, 1, &mut random));
         let mut fleet = Self {
-            vms: vms.collect(),
-            random,
-            now_ms: 1,
+            fleet: LimitFleet::new(size, LOSS),
+            views: (0..size).map(|_| (empty_table(), None)).collect(),
             is_listed: true,
             sent_ms: vec![Vec::new(); 36],
-            refused: 0,
         };
-        (0..size).for_each(|vm| fleet.register_all(vm));
-        fleet.run(2_500, 0.0);
+        fleet.run(1_000, 0.0);
         fleet
     }
 
-    fn register_all(&mut self, vm: usize) {
-        let others = self.vms.iter().enumerate();
-        let others = others.filter(|(other, _)| *other != vm);
-        let facts = others.map(|(_, other)| other.facts.clone()).collect();
-        self.vms[vm].members.set_registered(facts, self.now_ms);
-    }
-
     /// Makes all replicas cold; the VMs learn it one after the other.
     fn turn_cold(&mut self) {
         self.sent_ms.iter_mut().for_each(Vec::clear);
-        for vm in &mut self.vms {
-            let age_ms = self.random.random_range(0..VIEW_AGE_MAX_MS);
-            vm.learns_ms = Some(self.now_ms + age_ms);
+        for (_, learns_ms) in &mut self.views {
+            let age_ms = self.fleet.random.random_range(0..VIEW_AGE_MAX_MS);
+            *learns_ms = Some(self.fleet.now_ms + age_ms);
         }
     }
 
+    /// Restarts a VM, which tells the others in its rounds.
     fn restart(&mut self, vm: usize) {
-        let side = self.vms[vm].side;
-        self.vms[vm] = start_vm(vm, self.now_ms, &mut self.random);
-        self.vms[vm].side = side;
-        self.vms[vm].learns_ms = Some(self.now_ms);
-        self.register_all(vm);
-    }
-
-    fn home(&self) -> usize {
-        let vm = self.vms.iter().position(|vm| vm.is_up).unwrap();
-        index_of(vm, &self.homes(vm)[0])
-    }
-
-    fn homes(&self, vm: usize) -> Vec<HomeCandidate> {
-        let (own, members) = (self.vms[vm].facts.key(), &self.vms[vm].members);
-        members.first_homes(own, SERVICE, self.now_ms)
-    }
-
-    fn reaches(&self, from: usize, to: usize) -> bool {
-        let [from, to] = [from, to].map(|vm| &self.vms[vm]);
-        from.is_up && to.is_up && from.side == to.side
-    }
-
-    fn run_round(&mut self, vm: usize) {
-        let state = &mut self.vms[vm];
-        state.next_round_ms += ROUND_MS;
-        state.members.take_newly_silent(self.now_ms);
-        let facts = state.facts.clone();
-        let peers = state.members.all().map(MemberFacts::peer_address);
-        let mut peers: Vec<SocketAddrV4> = peers.collect();
-        peers.sort_unstable();
-        for peer in state.rotation.next_round(&peers) {
-            let peer = usize::from(peer.port());
-            // One message in a hundred is lost.
-            if self.reaches(vm, peer) && self.random.random_range(0..100) > 0 {
-                let members = &mut self.vms[peer].members;
-                members.record_heartbeat(facts.clone(), self.now_ms);
-            }
-        }
+        let now_ms = self.fleet.now_ms;
+        let side = self.fleet.vms[vm].side;
+        self.fleet.vms[vm] = start_vm(vm, now_ms, &mut self.fleet.random);
+        self.fleet.vms[vm].side = side;
+        self.fleet.register_all(vm);
+        self.views[vm] = (empty_table(), Some(now_ms));
     }
 
     /// Sends `per_s` requests per second to random VMs.
     fn run(&mut self, duration_ms: u64, per_s: f64) {
-        let end_ms = self.now_ms + duration_ms;
+        let end_ms = self.fleet.now_ms + duration_ms;
         let mut due = 0.0;
-        while self.now_ms < end_ms {
-            for vm in 0..self.vms.len() {
-                if self.vms[vm].is_up && self.vms[vm].next_round_ms <= self.now_ms {
-                    self.run_round(vm);
-                }
-                if self.vms[vm]
-                    .learns_ms
-                    .is_some_and(|at_ms| at_ms <= self.now_ms)
-                {
-                    self.vms[vm].learns_ms = None;
-                    let merge = |start| self.vms[vm].cold.merge(&report(start), self.now_ms);
+        while self.fleet.now_ms < end_ms {
+            self.fleet.run(STEP_MS, 0.0);
+            let now_ms = self.fleet.now_ms;
+            for (cold, learns_ms) in &mut self.views {
+                if learns_ms.take_if(|at_ms| *at_ms <= now_ms).is_some() {
+                    let merge = |start| cold.merge(&report(start), now_ms);
                     (0..REPLICAS).map(merge).for_each(drop);
                 }
             }
             due += per_s * 0.01;
             while due >= 1.0 {
                 due -= 1.0;
-                let vm = self.random.random_range(0..self.vms.len());
-                if self.vms[vm].is_up {
+                let vm = self.fleet.random.random_range(0..self.views.len());
+                if self.fleet.vms[vm].is_up {
                     self.send_request(vm);
                 }
             }
-            self.now_ms += STEP_MS;
         }
     }
 
     fn send_request(&mut self, vm: usize) {
-        let first = self.random.random_range(0..REPLICAS);
-        let is_cold = self.vms[vm].cold.limit(first, self.now_ms).is_some();
+        let first = self.fleet.random.random_range(0..REPLICAS);
+        let now_ms = self.fleet.now_ms;
+        let is_cold = self.views[vm].0.limit(first, now_ms).is_some();
         let replica = if is_cold {
             self.ask_for_grant(vm, first)
         } else {
             self.is_listed.then_some(first)
         };
-        let Some(replica) = replica else {
-            self.refused += 1;
-            return;
-        };
-        self.sent_ms[usize::try_from(replica).unwrap()].push(self.now_ms);
+        if let Some(replica) = replica {
+            self.sent_ms[usize::try_from(replica).unwrap()].push(now_ms);
+        }
     }
 
     fn ask_for_grant(&mut self, vm: usize, first: u64) -> Option<u64> {
-        let (own, members) = (self.vms[vm].facts.key(), &self.vms[vm].members);
-        for home in members.homes_to_ask(own, SERVICE, self.now_ms) {
-            let asked = index_of(vm, &home);
-            if self.reaches(vm, asked) {
+        let now_ms = self.fleet.now_ms;
+        let (own, members) = (self.fleet.vms[vm].facts.key(), &self.fleet.vms[vm].members);
+        for home in members.homes_to_ask(own, SERVICE, now_ms) {
+            let asked = LimitFleet::index(vm, &home);
+            if self.fleet.reaches(vm, asked) {
                 return self.grant(asked, home.rank, first);
             }
-            let key = self.vms[asked].facts.key();
-            self.vms[vm].members.record_unanswered(key, self.now_ms);
+            let key = self.fleet.vms[asked].facts.key();
+            self.fleet.vms[vm].members.record_unanswered(key, now_ms);
         }
         None
     }
 
     fn grant(&mut self, home: usize, rank: usize, first: u64) -> Option<u64> {
-        let homes = self.homes(home);
+        let homes = self.fleet.homes(home);
         let own_rank = homes.iter().position(|candidate| candidate.facts.is_none());
-        let now_ms = self.now_ms;
-        let state = &mut self.vms[home];
-        let (own, members) = (state.facts.key(), &state.members);
+        let now_ms = self.fleet.now_ms;
+        let state = &mut self.fleet.vms[home];
+        let (facts, members) = (&state.facts, &state.members);
         let (known_count, silent_count) = members.count(now_ms);
+        let is_settled = members.is_settled_home(facts.key(), SERVICE, facts.incarnation, now_ms);
         let share = GrantShare {
             rank: rank.max(own_rank.unwrap_or(HOMES_MAX - 1)),
             vm_count: known_count + 1,
             silent_count,
             returned_count: members.returned_count(now_ms),
-            is_settled: members.is_settled_home(own, SERVICE, state.started_ms, now_ms),
+            is_settled,
         };
+        let cold = &mut self.views[home].0;
         let candidates = (0..REPLICAS).map(|step| {
             let start = (first + step) % REPLICAS;
-            state.cold.merge(&report(start), now_ms);
+            cold.merge(&report(start), now_ms);
             GrantCandidate {
                 start,
-                per_s: state.cold.limit(start, now_ms),
+                per_s: cold.limit(start, now_ms),
                 is_cold: true,
             }
         });
@@ -236,11 +170,6 @@
     }
 }
 
-fn index_of(vm: usize, home: &HomeCandidate) -> usize {
-    let facts = home.facts.as_ref();
-    facts.map_or(vm, |facts| usize::from(facts.peer_port))
-}
-
 fn report(start: u64) -> ColdReport {
     ColdReport {
         start,
@@ -249,35 +178,14 @@
     }
 }
 
-fn start_vm(index: usize, now_ms: u64, random: &mut Pcg64) -> ColdVm {
-    let port = u16::try_from(index).unwrap();
+fn empty_table() -> ColdTable {
     let mut cold = ColdTable::default();
     let rule = ColdRule {
         cold_time_ms: COLD_MS,
         granted_per_s: TOLERANCE.granted_per_s(PER_S),
     };
     cold.set_rules([(SERVICE, rule)].into_iter());
-    ColdVm {
-        facts: MemberFacts {
-            name: Bytes::from(format!("vm-{index}")),
-            incarnation: now_ms,
-            ip: Ipv4Addr::LOCALHOST,
-            peer_port: port,
-            entry_port: port,
-            domain: Bytes::new(),
-            region: Bytes::new(),
-            is_serving: true,
-        },
-        members: MemberTable::default(),
-        rotation: PeerRotation::default(),
-        cold,
-        grants: GrantLedger::default(),
-        started_ms: now_ms,
-        next_round_ms: now_ms + random.random_range(0..ROUND_MS),
-        learns_ms: None,
-        is_up: true,
-        side: 0,
-    }
+    cold
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -290,7 +198,7 @@
     /// The home restarts every 700 ms.
     HomesRestart,
     /// The fleet falls into this many parts, which all reach the replicas, and joins again.
-    Split(usize),
+    Split(u8),
 }
 
 /// Guards against fleets that crash cold replicas: a domain of 36 that returns at once, or
@@ -320,18 +228,23 @@
     match event {
         ColdEvent::Calm | ColdEvent::WhileServing => {}
         ColdEvent::HomeStops => {
-            let home = fleet.home();
-            fleet.vms[home].is_up = false;
+            let home = fleet.fleet.home();
+            fleet.fleet.vms[home].is_up = false;
         }
         ColdEvent::HomesRestart => (0..4).for_each(|_| {
-            let home = fleet.home();
+            let home = fleet.fleet.home();
             fleet.restart(home);
             fleet.run(700, per_s);
         }),
         ColdEvent::Split(parts) => {
-            (0..size).for_each(|vm| fleet.vms[vm].side = vm % parts);
+            fleet
+                .fleet
+                .vms
+                .iter_mut()
+                .zip((0..parts).cycle())
+                .for_each(|(vm, side)| vm.side = side);
             fleet.run(4_000, per_s);
-            (0..size).for_each(|vm| fleet.vms[vm].side = 0);
+            fleet.fleet.vms.iter_mut().for_each(|vm| vm.side = 0);
         }
     }
     fleet.run(3_500, per_s);
--- a/crates/relay/tests/gossip/limits.rs
+++ b/crates/relay/tests/gossip/limits.rs
@@ -11,30 +11,30 @@
 use rand_pcg::Pcg64;
 use rstest::rstest;
 
-const SERVICE: u64 = 11;
+pub(crate) const SERVICE: u64 = 11;
 const REPLICAS: u64 = 5;
-const STEP_MS: u64 = 10;
+pub(crate) const STEP_MS: u64 = 10;
 const RESPONSE_MS: u64 = 100;
 const REPEAT_MS: u64 = 3_000;
 /// Time after the first response with a limit from which the limit binds.
 const LEARN_MS: u64 = 3_000;
 
-struct LimitVm {
-    facts: MemberFacts,
-    members: MemberTable,
+pub(crate) struct LimitVm {
+    pub(crate) facts: MemberFacts,
+    pub(crate) members: MemberTable,
     rotation: PeerRotation,
     limits: LimitTable,
-    grants: GrantLedger,
+    pub(crate) grants: GrantLedger,
     next_round_ms: u64,
-    is_up: bool,
+    pub(crate) is_up: bool,
     /// VMs of different sides do not reach each other.
-    side: u8,
+    pub(crate) side: u8,
 }
 
-struct LimitFleet {
-    vms: Vec<LimitVm>,
-    random: Pcg64,
-    now_ms: u64,
+pub(crate) struct LimitFleet {
+    pub(crate) vms: Vec<LimitVm>,
+    pub(crate) random: Pcg64,
+    pub(crate) now_ms: u64,
     loss: f64,
     /// Limit that all replicas name.
     per_s: Option<f64>,
@@ -47,7 +47,7 @@
 }
 
 impl LimitFleet {
-    fn new(size: usize, loss: f64) -> Self {
+    pub(crate) fn new(size: usize, loss: f64) -> Self {
         let mut random = Pcg64::seed_from_u64(20_261_204);
         let vms = (0..size).map(|index| start_vm(index, 1, &mut random));
         let mut fleet = Self {
@@ -65,7 +65,7 @@
         fleet
     }
 
-    fn register_all(&mut self, vm: usize) {
+    pub(crate) fn register_all(&mut self, vm: usize) {
         let others = self
             .vms
             .iter()
@@ -83,24 +83,24 @@
         (0..self.vms.len()).for_each(|peer| self.send_state(vm, peer));
     }
 
-    fn home(&self) -> usize {
+    pub(crate) fn home(&self) -> usize {
         let vm = self.vms.iter().position(|vm| vm.is_up).unwrap();
         Self::index(vm, &self.homes(vm)[0])
     }
 
-    fn homes(&self, vm: usize) -> Vec<HomeCandidate> {
+    pub(crate) fn homes(&self, vm: usize) -> Vec<HomeCandidate> {
         let state = &self.vms[vm];
         state
             .members
             .first_homes(state.facts.key(), SERVICE, self.now_ms)
     }
 
-    fn index(vm: usize, home: &HomeCandidate) -> usize {
+    pub(crate) fn index(vm: usize, home: &HomeCandidate) -> usize {
         let facts = home.facts.as_ref();
         facts.map_or(vm, |facts| usize::from(facts.peer_port))
     }
 
-    fn reaches(&self, from: usize, to: usize) -> bool {
+    pub(crate) fn reaches(&self, from: usize, to: usize) -> bool {
         let [from, to] = [from, to].map(|vm| &self.vms[vm]);
         from.is_up && to.is_up && from.side == to.side
     }
@@ -144,7 +144,7 @@
     }
 
     /// Sends `per_s` requests per second to random VMs.
-    fn run(&mut self, duration_ms: u64, per_s: f64) {
+    pub(crate) fn run(&mut self, duration_ms: u64, per_s: f64) {
         let end_ms = self.now_ms + duration_ms;
         let mut due = 0.0;
         while self.now_ms < end_ms {
@@ -284,7 +284,7 @@
     }
 }
 
-fn start_vm(index: usize, now_ms: u64, random: &mut Pcg64) -> LimitVm {
+pub(crate) fn start_vm(index: usize, now_ms: u64, random: &mut Pcg64) -> LimitVm {
     let port = u16::try_from(index).unwrap();
     LimitVm {
         facts: MemberFacts {
