--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -7,6 +7,7 @@
 mod event_pace;
 mod limits;
 mod members;
+mod momentary_factor;
 mod origins;
 mod outage;
 mod placement;
@@ -34,6 +35,7 @@
     LimitStatement, LimitTable, StartKey,
 };
 pub use members::{HOMES_MAX, HomeCandidate, MemberFacts, MemberTable, RankedPeer, VmKey};
+pub use momentary_factor::read_momentary_factor;
 pub use origins::{AttemptKey, OriginRefusal, OriginTable, decide_origin};
 pub use outage::{AnswerRecord, ServiceOutage, may_be_cut_off};
 pub use placement::{PlacementChoice, PlacementInput, choose_replicas};
@@ -42,9 +44,7 @@
     WindowReport, WorkspaceKey,
 };
 pub use readers::{is_reader, reader_rank};
-pub use replica_speed::{
-    SpeedReport, SpeedSpan, SpeedTable, StepChange, read_momentary_factor, truncate_start,
-};
+pub use replica_speed::{SpeedReport, SpeedSpan, SpeedTable, StepChange, truncate_start};
 pub use replicas::{
     AttemptOutcome, InFlightCount, ReplicaInfo, ReplicaKey, ReplicaLoad, ReplicaTable,
 };
--- a/crates/relay/src/decide/replica_speed.rs
+++ b/crates/relay/src/decide/replica_speed.rs
@@ -14,17 +14,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::limits::StartKey;
+use super::momentary_factor::{FACTOR_RANGE, MomentaryFactor};
 
-/// Range of the number that a replica reports; other numbers are ignored.
-const REPORTED_RANGE: (f64, f64) = (1.0, 10_000.0);
-/// Reported number of a machine on which work takes the usual time.
-const REPORTED_USUAL: f64 = 100.0;
-/// Range of the momentary factor.
-const FACTOR_RANGE: (f64, f64) = (0.25, 8.0);
 /// Range of the momentary factor that counts as usual.
 const FACTOR_USUAL_RANGE: (f64, f64) = (0.8, 1.25);
-/// Time after which a momentary factor is discarded, in milliseconds.
-const FACTOR_MAX_AGE_MS: u64 = 1_500;
 /// Minimum weight of a reported factor in the usual factor of the replica; the first factors have
 /// larger ones, so that a wrong one that is always reported is corrected soon.
 const USUAL_FACTOR_WEIGHT_MIN: f64 = 0.02;
@@ -61,22 +54,6 @@
 /// are far apart, since each change moves programs.
 const BUSY_UTILIZATION: (f64, f64) = (0.45, 0.3);
 
-/// Reads the number in which a replica reports how long work takes on its machine.
-///
-/// Returns the factor relative to the usual time, or `None` if the text is no decimal from 1 to
-/// 10,000.
-#[must_use]
-pub fn read_momentary_factor(text: &str) -> Option<f64> {
-    let is_decimal = |byte: u8| byte.is_ascii_digit() || byte == b'.';
-    if !text.bytes().all(is_decimal) {
-        return None;
-    }
-    let number: f64 = text.parse().ok()?;
-    let (min, max) = REPORTED_RANGE;
-    let is_valid = (min..=max).contains(&number);
-    is_valid.then(|| (number / REPORTED_USUAL).clamp(FACTOR_RANGE.0, FACTOR_RANGE.1))
-}
-
 /// What a VM has measured of one replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
@@ -143,19 +120,6 @@
     }
 }
 
-/// Momentary factor and when it was reported.
-#[derive(Clone, Copy, Debug)]
-struct MomentaryFactor {
-    factor: f64,
-    at_ms: u64,
-}
-
-impl MomentaryFactor {
-    fn is_recent(&self, now_ms: u64) -> bool {
-        now_ms.saturating_sub(self.at_ms) <= FACTOR_MAX_AGE_MS
-    }
-}
-
 /// What is known of one start of a replica.
 #[derive(Clone, Debug)]
 struct ReplicaSpeed {
--- a/crates/relay/tests/replica_speed.rs
+++ b/crates/relay/tests/replica_speed.rs
@@ -276,8 +276,8 @@
     (1.0, 1.0)
 }
 
-/// Guards against a choice that serves fewer requests in time, fills replicas above their slots or
-/// moves more programs than one without speeds.
+/// Guards against a choice that serves fewer requests in time or fills replicas above their slots
+/// more often than one without speeds. The snapshots also show how many programs moved.
 #[rstest]
 #[case::three_speeds_7("three_speeds_7", 7, 150, true, three_speeds)]
 #[case::three_speeds_75("three_speeds_75", 75, 150, true, three_speeds)]
