--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -12,6 +12,7 @@
 mod in_flight_counts;
 mod limits;
 mod members;
+mod momentary_factor;
 mod origins;
 mod outage;
 mod placement;
@@ -44,6 +45,7 @@
     LimitStatement, LimitTable, StartKey,
 };
 pub use members::{HOMES_MAX, HomeCandidate, MemberFacts, MemberTable, RankedPeer, VmKey};
+pub use momentary_factor::read_momentary_factor;
 pub use origins::{AttemptKey, OriginRefusal, OriginTable, decide_origin};
 pub use outage::{AnswerRecord, ServiceOutage, may_be_cut_off};
 pub use placement::{PlacementChoice, PlacementInput, choose_replicas};
@@ -55,9 +57,7 @@
     ReaderCandidate, ReaderRanks, ReaderRole, is_reader, is_unavailable, reader_rank,
     substitute_retry_ms,
 };
-pub use replica_speed::{
-    SpeedReport, SpeedSpan, SpeedTable, StepChange, read_momentary_factor, truncate_start,
-};
+pub use replica_speed::{SpeedReport, SpeedSpan, SpeedTable, StepChange, truncate_start};
 pub use replicas::{AttemptOutcome, ReplicaInfo, ReplicaKey, ReplicaLoad, ReplicaTable};
 pub use replies::RecentDecisions;
 pub use retry::{AttemptFailure, RetryDecision, RetryInput, decide_retry};
