Send changes of the store contact at once only where roles depend on them

In an outage for all VMs each of them loses contact; if each sent its state to all others, 360 VMs would exchange 130,000 messages.

--- a/crates/relay/src/decide/readers.rs
+++ b/crates/relay/src/decide/readers.rs
@@ -94,6 +94,12 @@
         }
     }
 
+    /// Returns whether the role of other VMs depends on whether the service refuses this one.
+    #[must_use]
+    pub fn concerns_others(self) -> bool {
+        self.all < REPLACEMENT_RANKS
+    }
+
     /// Returns the role of the VM; `None` if it does not watch the service.
     ///
     /// The first VMs go on to watch while they are refused, since they have to detect when the
@@ -101,7 +107,7 @@
     #[must_use]
     pub fn role(self, contact_age_ms: Option<u64>) -> Option<ReaderRole> {
         let is_replacement =
-            self.all < REPLACEMENT_RANKS && self.served.is_some_and(|served| served < READER_COUNT);
+            self.concerns_others() && self.served.is_some_and(|served| served < READER_COUNT);
         if self.all < READER_COUNT {
             return Some(ReaderRole::First);
         }
--- a/crates/relay/src/gateway/feed_contact.rs
+++ b/crates/relay/src/gateway/feed_contact.rs
@@ -17,6 +17,10 @@
     /// Returns the reason for which this VM is a reader; `None` if it is none.
     #[must_use]
     pub fn reader_role(&self) -> Option<ReaderRole> {
+        self.reader_ranks().role(self.feed_age().map(millis))
+    }
+
+    fn reader_ranks(&self) -> ReaderRanks {
         let members = self.state.members.borrow();
         let own = ReaderCandidate {
             vm: self.state.options.facts.key(),
@@ -24,7 +28,7 @@
         };
         let others = members.store_contacts(self.now_ms());
         let others = others.map(|(vm, is_store_lost)| ReaderCandidate { vm, is_store_lost });
-        ReaderRanks::new(own, others).role(self.feed_age().map(millis))
+        ReaderRanks::new(own, others)
     }
 
     /// Returns whether the key-value service refuses this VM's calls or does not answer them.
@@ -34,20 +38,31 @@
     }
 
     /// Records that a feed of this VM has lost contact with the key-value service, and reports
-    /// the first one to all VMs at once.
+    /// the first one to all VMs at once if their roles depend on it.
     pub fn record_feed_lost(&self) {
         let lost_feeds = self.state.lost_feeds.get();
         self.state.lost_feeds.set(lost_feeds + 1);
         if lost_feeds == 0 {
-            self.announce();
+            self.announce_store_contact();
         }
     }
 
-    /// Records that a lost feed has contact again, and reports the last one to all VMs at once.
+    /// Records that a lost feed has contact again, and reports the last one to all VMs at once if
+    /// their roles depend on it.
     pub fn record_feed_regained(&self) {
         let lost_feeds = self.state.lost_feeds.get();
         self.state.lost_feeds.set(lost_feeds.saturating_sub(1));
         if lost_feeds == 1 {
+            self.announce_store_contact();
+        }
+    }
+
+    /// Sends this VM's state to all others if their roles depend on its contact.
+    ///
+    /// In an outage for all VMs, each of them loses contact; if each sent its state to all, a
+    /// fleet of 360 would exchange 130,000 messages within a second.
+    fn announce_store_contact(&self) {
+        if self.reader_ranks().concerns_others() {
             self.announce();
         }
     }
--- a/crates/relay/tests/readers.rs
+++ b/crates/relay/tests/readers.rs
@@ -65,7 +65,7 @@
     assert_eq!(count(readers), by_age.max(6));
 }
 
-/// What the store does with the calls of a VM in the simulation.
+/// What the store does with a VM's calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StoreView {
     Serves,
