--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -208,17 +208,8 @@
             request,
         } => handle_grant_request(gateway, call_id, &request, rank, sender),
         PeerMessage::Suspects { suspects } => merge_suspects(gateway, &suspects, "peer"),
-        PeerMessage::RequestRun { call_id, query } => {
-            handle_run_request(gateway, call_id, &query, sender);
-        }
-        PeerMessage::EndRun {
-            call_id,
-            vm,
-            fingerprint,
-            suspects,
-        } => {
-            end_run(gateway, vm, fingerprint, &suspects);
-            spawn_send(gateway, PeerMessage::RunEnded { call_id }, sender);
+        PeerMessage::RequestRun { .. } | PeerMessage::EndRun { .. } => {
+            handle_run_message(gateway, message, sender);
         }
         PeerMessage::Probe => spawn_send_state(gateway, sender),
         PeerMessage::Store { call_id, claim } => handle_store(gateway, call_id, claim, sender),
@@ -272,6 +263,25 @@
     spawn_send(gateway, message, sender);
 }
 
+/// Handles the messages of VMs that send suspected requests to the home of the suspects.
+fn handle_run_message(gateway: &Gateway, message: PeerMessage, sender: SocketAddrV4) {
+    match message {
+        PeerMessage::RequestRun { call_id, query } => {
+            handle_run_request(gateway, call_id, &query, sender);
+        }
+        PeerMessage::EndRun {
+            call_id,
+            vm,
+            fingerprint,
+            suspects,
+        } => {
+            end_run(gateway, vm, fingerprint, &suspects);
+            spawn_send(gateway, PeerMessage::RunEnded { call_id }, sender);
+        }
+        _ => {}
+    }
+}
+
 fn handle_run_request(gateway: &Gateway, call_id: u64, query: &RunQuery, sender: SocketAddrV4) {
     let decide = || decide_run(gateway, query);
     let mut decisions = gateway.state.run_decisions.borrow_mut();
