--- a/crates/relay/tests/evacuation.rs
+++ b/crates/relay/tests/evacuation.rs
@@ -38,6 +38,7 @@
         software_version: Bytes::from_static(b"v1"),
         slots: 4,
         is_draining: false,
+        cold_left_ms: 0,
     });
     infos.collect()
 }
--- a/crates/relay/tests/replica_speed.rs
+++ b/crates/relay/tests/replica_speed.rs
@@ -38,6 +38,7 @@
         software_version: Bytes::from_static(b"v1"),
         slots: SLOTS,
         is_draining: false,
+        cold_left_ms: 0,
     });
     table.replace(infos.collect());
     table
