Refuse the request with the longest stalled body for a new connection

Cause: clients that leave a body unfinished on each allowed connection kept ordinary callers out until the pause of 10 s ended their requests. Change: where all connections have requests in progress, the one whose body has been without data for longest, at least a second, is refused and makes room.

--- a/crates/relay/src/decide/client_memory.rs
+++ b/crates/relay/src/decide/client_memory.rs
@@ -21,6 +21,9 @@
 /// slowly make room for it.
 const ASSUMED_BYTES_PER_S: u64 = 64 * 1_024;
 
+/// Time without data from which a body may lose its place to a new connection, in milliseconds.
+const STALLED_MS: u64 = 1_000;
+
 new_key_type! {
     /// Key of a body in the account.
     pub struct BodyKey;
@@ -141,6 +144,18 @@
         Ok(evicted)
     }
 
+    /// Removes the unfinished body that has been without data for longest if it is stalled;
+    /// returns its key.
+    pub fn evict_stalled(&mut self, now_ms: u64) -> Option<BodyKey> {
+        let entries = self.bodies.iter();
+        let stalled = entries.filter(|(_, entry)| {
+            !entry.is_complete && now_ms.saturating_sub(entry.last_data_ms) >= STALLED_MS
+        });
+        let (key, _) = stalled.min_by_key(|(_, entry)| entry.last_data_ms)?;
+        self.remove_body(key);
+        Some(key)
+    }
+
     /// Marks a body as complete, with `size` bytes; it then keeps its memory until it is removed.
     pub fn complete_body(&mut self, key: BodyKey, size: usize) {
         self.set_held(key, size);
--- a/crates/relay/src/decide/connections.rs
+++ b/crates/relay/src/decide/connections.rs
@@ -81,11 +81,15 @@
             self.entries.remove(key);
             closed = Some(key);
         }
-        let key = self.entries.insert(ConnectionEntry {
+        Ok((self.insert(now_ms), closed))
+    }
+
+    /// Adds a connection in place of one that is about to be closed.
+    pub fn insert(&mut self, now_ms: u64) -> ConnectionKey {
+        self.entries.insert(ConnectionEntry {
             state: ConnectionState::New,
             since_ms: now_ms,
-        });
-        Ok((key, closed))
+        })
     }
 
     /// Records that a request has arrived on a connection.
--- a/crates/relay/src/gateway/client_connections.rs
+++ b/crates/relay/src/gateway/client_connections.rs
@@ -80,10 +80,16 @@
 }
 
 impl OpenConnection {
-    /// Admits a new connection, for which an idle one may be closed; `None` if all are busy.
+    /// Admits a new connection, for which an idle one may be closed, or one whose request has a
+    /// stalled body; `None` if all others are busy.
     fn admit(gateway: &Gateway, connections: &Rc<ClientConnections>) -> Option<Self> {
         let (idle, new) = connections.closed.get();
-        let opened = connections.table.borrow_mut().open(gateway.now_ms());
+        let now_ms = gateway.now_ms();
+        let mut opened = connections.table.borrow_mut().open(now_ms);
+        if opened.is_err() && gateway.state.request_memory.evict_stalled(now_ms) {
+            // The response to the refused request is still to be sent.
+            opened = Ok((connections.table.borrow_mut().insert(now_ms), None));
+        }
         let Ok((key, closed_key)) = opened else {
             connections.closed.set((idle, new + 1));
             gateway.state.metrics.count_closed_connection("new");
--- a/crates/relay/src/gateway/request_memory.rs
+++ b/crates/relay/src/gateway/request_memory.rs
@@ -36,6 +36,13 @@
             buffers: RefCell::default(),
         }
     }
+
+    /// Refuses the request whose body has been without data for longest, if there is one that is
+    /// stalled, and so closes its connection; returns whether there was one.
+    pub(crate) fn evict_stalled(&self, now_ms: u64) -> bool {
+        let evicted = self.account.borrow_mut().evict_stalled(now_ms);
+        evicted.is_some_and(|key| self.buffers.borrow_mut().remove(key).is_some())
+    }
 }
 
 /// Memory that the body of a request holds; released when dropped.
--- a/crates/relay/tests/client_memory.rs
+++ b/crates/relay/tests/client_memory.rs
@@ -138,3 +138,17 @@
     }
     assert_eq!(memory.usage(), ClientMemoryUse::default());
 }
+
+/// A new connection must not close one whose client sends slowly, or whose body is complete.
+#[test]
+fn only_stalled_bodies_lose_their_place() {
+    let mut memory = ClientMemory::new(8 * MB);
+    let complete = memory.begin_body(0);
+    memory.complete_body(complete, 100);
+    let first = memory.begin_body(0);
+    let slow = memory.begin_body(0);
+    memory.record_data(slow, 1, 900);
+    assert_eq!(memory.evict_stalled(999), None);
+    assert_eq!(memory.evict_stalled(1_500), Some(first));
+    assert_eq!(memory.evict_stalled(1_500), None);
+}
