Try to store ceilings once a second while the store answers no VM

The age of the feed alone does not show that writes fail. Change: only a VM whose own write has failed within the last second refuses claims at once.

--- a/crates/relay/src/gateway/ceilings.rs
+++ b/crates/relay/src/gateway/ceilings.rs
@@ -7,7 +7,7 @@
 //! home VM. To limit the write load, one VM, the writer, stores the ceilings of all homes
 //! in batches. A home writes its own ceilings if the writer does not reply or fails.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ibisdale_telemetry::record_event;
 use smol::Timer;
@@ -21,12 +21,16 @@
 /// Time for which ceilings are collected before they are written; short compared with the
 /// time to a call's first token.
 const BATCH_DELAY: Duration = Duration::from_millis(15);
+/// Time after a failed write in which no other one is tried while the store answers no VM.
+const FAILURE_PAUSE: Duration = Duration::from_secs(1);
 
 /// Ceilings to store in the next write.
 #[derive(Debug, Default)]
 pub(crate) struct CeilingBatch {
     pending: Vec<PendingCeiling>,
     is_write_scheduled: bool,
+    /// When the last write failed, unless a later one succeeded.
+    failed_at: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -110,9 +114,11 @@
 
 /// Stores a ceiling together with others that arrive within [`BATCH_DELAY`].
 ///
-/// Fails at once while the store answers no VM.
+/// Fails at once while the store answers no VM and a write has failed a short time ago.
 pub(crate) async fn store_in_batch(gateway: &Gateway, claim: CeilingClaim) -> ClaimOutcome {
-    if gateway.is_store_unavailable() {
+    let failed_at = gateway.state.ceiling_batch.borrow().failed_at;
+    let has_failed = failed_at.is_some_and(|at| at.elapsed() < FAILURE_PAUSE);
+    if has_failed && gateway.is_store_unavailable() {
         return ClaimOutcome::Failed;
     }
     let (waiter, result) = bounded(1);
@@ -138,6 +144,8 @@
     for chunk in pending.chunks(store.ceilings_max) {
         let claims = chunk.iter().map(|item| item.claim).collect();
         let outcomes = (store.store_ceilings)(claims).await;
+        let has_failed = outcomes.contains(&ClaimOutcome::Failed);
+        gateway.state.ceiling_batch.borrow_mut().failed_at = has_failed.then(Instant::now);
         for (item, outcome) in chunk.iter().zip(outcomes) {
             for waiter in &item.waiters {
                 // Fails if the waiting caller was cancelled.
