--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -18,6 +18,7 @@
 mod placement;
 mod quota;
 mod readers;
+mod replica_changes;
 mod replica_speed;
 mod replicas;
 mod replies;
--- a/crates/relay/src/decide/replicas.rs
+++ b/crates/relay/src/decide/replicas.rs
@@ -11,6 +11,7 @@
 use super::in_flight_counts::{InFlightCount, PeerInFlight, truncate_hash};
 use super::limits::StartKey;
 use super::members::VmKey;
+use super::replica_changes::ReplicaChanges;
 use super::replica_speed::{SpeedTable, StepChange};
 use ibisdale_core::{hash_bytes, rendezvous_weight};
 
@@ -491,14 +492,3 @@
         }
     }
 }
-
-/// Differences between two lists of replicas.
-#[derive(Clone, Debug, Default)]
-pub struct ReplicaChanges {
-    /// Added replicas.
-    pub added: Vec<ReplicaInfo>,
-    /// Replicas with changed properties.
-    pub changed: Vec<ReplicaInfo>,
-    /// Removed replicas.
-    pub removed: Vec<(ReplicaKey, ReplicaInfo)>,
-}
