--- a/crates/relay/src/decide/cold.rs
+++ b/crates/relay/src/decide/cold.rs
@@ -3,7 +3,7 @@
 //!
 //! This module handles the load of replicas that crash under their usual rate while they are
 //! cold, in particular a whole failure domain that returns at once. Such a replica gets only
-//! granted requests (see `limits`); this module tells until when it is cold and at which rate
+//! granted requests (see `limits`); this module determines until when it is cold and at which rate
 //! the homes of its service may grant requests.
 
 use std::collections::HashMap;
@@ -75,7 +75,7 @@
     pub granted_per_s: f64,
 }
 
-/// A cold replica, as a VM tells others.
+/// A cold replica, as reported to other VMs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 pub struct ColdReport {
@@ -134,7 +134,7 @@
             .collect()
     }
 
-    /// Returns what other VMs are told of a replica if it is cold and its service has a limit.
+    /// Returns the report of a replica to other VMs if it is cold and its service has a limit.
     #[must_use]
     pub fn report(&self, start: StartKey, now_ms: u64) -> Option<ColdReport> {
         self.limit(start, now_ms)?;
--- a/crates/relay/src/decide/in_flight_counts.rs
+++ b/crates/relay/src/decide/in_flight_counts.rs
@@ -1,4 +1,4 @@
-//! In-flight requests of each VM at the replicas, as the VMs tell each other.
+//! In-flight requests of each VM at the replicas, as the VMs exchange them.
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/relay/src/decide/placement.rs
+++ b/crates/relay/src/decide/placement.rs
@@ -11,9 +11,9 @@
 //! choices), if possible in this VM's failure domain. This keeps queues short even though
 //! the load caused by other VMs is taken only from the load reports in responses.
 //!
-//! Replicas of known speed (see `replica_speed`) are preferred by more programs the faster they are,
-//! and of two random ones the one with the shorter expected time is chosen. Where all speeds are
-//! equal, the choice is the same as without them.
+//! Replicas of known speed (see `replica_speed`) are preferred by more programs the faster they
+//! are, and of two random ones the one with the shorter expected time is chosen. Where all speeds
+//! are equal, the choice is the same as without them.
 //!
 //! Whether a replica that names a limit or is cold has room is known only to a home of the
 //! service (see `limits`), so those that would be preferred to the chosen one are returned apart.
@@ -61,8 +61,8 @@
 /// Replicas chosen for a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PlacementChoice {
-    /// Replicas that name a limit or are cold and are preferred to `open`, the best one first; they get the
-    /// request only if a home grants it.
+    /// Replicas that name a limit or are cold and are preferred to `open`, the best one first; they
+    /// get the request only if a home grants it.
     pub limited: Vec<ReplicaKey>,
     /// Replica that has no limit; `None` if none is eligible.
     pub open: Option<ReplicaKey>,
--- a/crates/relay/src/gateway/cold.rs
+++ b/crates/relay/src/gateway/cold.rs
@@ -63,7 +63,7 @@
     }
 }
 
-/// Records the remaining time that a response states, and tells all VMs if the replica was not
+/// Records the remaining time that a response states, and notifies all VMs if the replica was not
 /// known to be cold.
 pub(crate) fn record_cold_response(
     gateway: &Gateway,
--- a/crates/relay/src/gateway/count_losses.rs
+++ b/crates/relay/src/gateway/count_losses.rs
@@ -174,7 +174,7 @@
             && !self.is_store_unavailable()
             && started.elapsed() < CEILINGS_WAIT
         {
-            // A read that starts now may not cover a loss that is detected meanwhile.
+            // A read that starts now may not cover a loss that is detected during it.
             self.request_ceilings();
             Timer::after(CEILINGS_POLL_INTERVAL).await;
         }
--- a/crates/relay/src/gateway/evacuation.rs
+++ b/crates/relay/src/gateway/evacuation.rs
@@ -25,7 +25,7 @@
 
 impl Gateway {
     /// Replaces the evacuated failure domains unless the list is older than the one in force,
-    /// and tells all VMs of a change.
+    /// and notifies all VMs of a change.
     ///
     /// `revision` is that of the key-value store as of which the list is complete.
     pub fn set_evacuated_domains(&self, domains: BTreeSet<Bytes>, revision: u64) {
--- a/crates/relay/tests/gossip/cold.rs
+++ b/crates/relay/tests/gossip/cold.rs
@@ -193,7 +193,7 @@
     Calm,
     /// The replicas serve requests when they become cold.
     WhileServing,
-    /// The home stops for good.
+    /// The home stops and does not return.
     HomeStops,
     /// The home restarts every 700 ms.
     HomesRestart,
