--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -288,12 +288,6 @@
     DomainCold = 2127, Info, "domain_cold",
         ["domain", "replicas"],
         "Requests may be sent to a failure domain again; `replicas` of its replicas are cold from now on.";
-    StoreLost = 2130, Warn, "store_lost",
-        ["prefix", "call", "error"],
-        "The key-value service refuses this VM's calls or answers them late; another VM reads it instead.";
-    StoreServed = 2131, Info, "store_served",
-        ["prefix", "lost_ms"], "The key-value service answers this VM's calls again, or the VM has not called it for some time.";
-
     SpeedStepChanged = 2128, Info, "speed_step_changed",
         ["replica", "service", "step", "before", "changes"],
         "The learned speed of a replica moved to another step (0: that of the median, positive: faster); `changes` replicas changed in this round, of which at most 8 are logged.";
@@ -301,6 +295,12 @@
         ["service", "replica", "source"],
         "The choice of replicas of the service takes learned speeds into account from now on, since `replica` reported how long work takes on its machine; `source` is its response or another VM.";
 
+    StoreLost = 2130, Warn, "store_lost",
+        ["prefix", "call", "error"],
+        "The key-value service refuses this VM's calls or answers them late; another VM reads it instead.";
+    StoreServed = 2131, Info, "store_served",
+        ["prefix", "lost_ms"], "The key-value service answers this VM's calls again, or the VM has not called it for some time.";
+
     RequestEnded = 2201, Info, "request_ended",
         ["request", "program", "route", "workspace", "status", "reason", "replica", "sends",
             "granted_by", "plan", "feed_age_ms", "admitted_by", "home", "first_ms", "elapsed_ms"],
