Add crowds of clients that do not read, pipeline, come back or only connect

Cause: the account counts request bodies and responses until they are complete; what waits for clients, and connections of the other addresses, was measured by hand only. Descriptors were counted once, after the crowd. The crowds and bounds of the six earlier tests are unchanged.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,5 +1,6 @@
 //! Small stand-ins for the platform, model engines and plain services, for tests and demonstrations.
 
+mod crowd;
 mod engine;
 mod host;
 mod keys;
@@ -8,6 +9,10 @@
 mod service;
 mod vms;
 
+pub use crowd::{
+    ClientCrowd, CrowdPlan, CrowdRequest, DescriptorWatch, ProcessUsage, UsageError, chunked_body,
+    exchange, pipelined,
+};
 pub use engine::{
     EngineCounters, EngineFault, EngineOptions, EngineRole, EngineServer, PromptMessage,
     compose_answer,
