Count responses until their clients have taken them, and connections until they are closed

What callers saw: clients that sent small requests and did not read responses of 3 MB took the process beyond its memory, so that the platform ends it, and all callers lose it. Cause: a response was counted only until it was complete; then hyper copied it whole into the write buffer of its connection, which kept that size. Of pipelined requests, a second response waited uncounted behind the first. Connections that were closed for others left the table at once, but their descriptors stayed open until their tasks ran, and those of other VMs had no limit. Change: the account and the limit of connections move to ibisdale-clients, which decides without a network and may be used from any thread. A response is handed over in pieces of 8 KiB and keeps its memory until the last one; the response whose client has read least gives way, as unfinished bodies do, and its connection is closed. A response with a length gets one buffer of that size. A listener accepts again once the connections that it closed for others are gone; refused requests linger only while there is room. The address for other VMs has a limit as well. Both are one commit, since responses give way by closing their connections. connection_without_a_request_for_longest_is_closed_first and connections_in_use_are_not_closed remove the closed connections, which now count until then; their checks are the same.

--- a/crates/relay/src/decide/connections.rs
+++ b/crates/clients/src/table.rs
@@ -19,7 +19,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionsBusy;
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ConnectionState {
     /// No request has arrived since the connection was opened.
     New,
@@ -27,6 +27,10 @@
     Busy(u32),
     /// The last response has been handed over.
     Idle,
+    /// A refusal has been sent, and the rest of the request is read and discarded.
+    Lingering,
+    /// It is to be closed for another one, but still open.
+    Closing,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -36,11 +40,16 @@
 }
 
 impl ConnectionEntry {
-    fn is_closable(&self, now_ms: u64) -> bool {
+    /// Returns whether the connection may be closed for another one, and the rank of its state:
+    /// idle connections come before those that linger, whose clients may lose a refusal.
+    fn close_rank(&self, now_ms: u64) -> Option<u8> {
         match self.state {
-            ConnectionState::New => true,
-            ConnectionState::Busy(_) => false,
-            ConnectionState::Idle => now_ms.saturating_sub(self.since_ms) >= RESPONSE_TIME_MS,
+            ConnectionState::New => Some(0),
+            ConnectionState::Idle => {
+                (now_ms.saturating_sub(self.since_ms) >= RESPONSE_TIME_MS).then_some(0)
+            }
+            ConnectionState::Lingering => Some(1),
+            ConnectionState::Busy(_) | ConnectionState::Closing => None,
         }
     }
 }
@@ -62,8 +71,9 @@
         }
     }
 
-    /// Adds a connection; returns its key and that of the connection that is closed for it, which
-    /// is no longer part of the table: the one that has been without a request for longest.
+    /// Adds a connection; returns its key and that of the connection that is to be closed for it:
+    /// the one that has been without a request for longest, or else the one that has lingered for
+    /// longest. That one counts as open until it is removed.
     ///
     /// # Errors
     ///
@@ -75,10 +85,13 @@
         let mut closed = None;
         if self.entries.len() >= self.max {
             let entries = self.entries.iter();
-            let closable = entries.filter(|(_, entry)| entry.is_closable(now_ms));
-            let oldest = closable.min_by_key(|(_, entry)| entry.since_ms);
-            let (key, _) = oldest.ok_or(ConnectionsBusy)?;
-            self.entries.remove(key);
+            let closable = entries.filter_map(|(key, entry)| {
+                let rank = entry.close_rank(now_ms)?;
+                Some((rank, entry.since_ms, key))
+            });
+            let first = closable.min_by_key(|(rank, since_ms, _)| (*rank, *since_ms));
+            let (_, _, key) = first.ok_or(ConnectionsBusy)?;
+            self.entries[key].state = ConnectionState::Closing;
             closed = Some(key);
         }
         Ok((self.insert(now_ms), closed))
@@ -92,12 +105,47 @@
         })
     }
 
+    /// Returns whether no more connections are open than are allowed.
+    #[must_use]
+    pub fn is_within_limit(&self) -> bool {
+        self.entries.len() <= self.max
+    }
+
+    /// Marks the connections that linger as closing, if more are open than are allowed; returns
+    /// their keys.
+    pub fn close_lingering(&mut self) -> Vec<ConnectionKey> {
+        let mut closed = Vec::new();
+        if self.is_within_limit() {
+            return closed;
+        }
+        for (key, entry) in &mut self.entries {
+            if entry.state == ConnectionState::Lingering {
+                entry.state = ConnectionState::Closing;
+                closed.push(key);
+            }
+        }
+        closed
+    }
+
+    /// Records that a refusal has been sent on a connection whose request is not read to its end.
+    pub fn linger(&mut self, key: ConnectionKey, now_ms: u64) {
+        if let Some(entry) = self.entries.get_mut(key)
+            && entry.state != ConnectionState::Closing
+        {
+            entry.since_ms = now_ms;
+            entry.state = ConnectionState::Lingering;
+        }
+    }
+
     /// Records that a request has arrived on a connection.
     pub fn begin_request(&mut self, key: ConnectionKey) {
         if let Some(entry) = self.entries.get_mut(key) {
             entry.state = match entry.state {
                 ConnectionState::Busy(count) => ConnectionState::Busy(count + 1),
-                ConnectionState::New | ConnectionState::Idle => ConnectionState::Busy(1),
+                ConnectionState::Closing => ConnectionState::Closing,
+                ConnectionState::New | ConnectionState::Idle | ConnectionState::Lingering => {
+                    ConnectionState::Busy(1)
+                }
             };
         }
     }
@@ -105,11 +153,12 @@
     /// Records that the response to a request has been handed over.
     pub fn end_request(&mut self, key: ConnectionKey, now_ms: u64) {
         if let Some(entry) = self.entries.get_mut(key) {
-            entry.since_ms = now_ms;
             entry.state = match entry.state {
+                ConnectionState::Closing => return,
                 ConnectionState::Busy(count) if count > 1 => ConnectionState::Busy(count - 1),
                 _ => ConnectionState::Idle,
             };
+            entry.since_ms = now_ms;
         }
     }
 
@@ -118,7 +167,7 @@
         self.entries.remove(key);
     }
 
-    /// Returns the number of open connections.
+    /// Returns the number of open connections, including those that are about to be closed.
     #[must_use]
     pub fn count(&self) -> usize {
         self.entries.len()
--- a/crates/relay/tests/connections.rs
+++ b/crates/clients/tests/connections.rs
@@ -1,6 +1,6 @@
 //! Decisions on the limit of clients' connections.
 
-use ibisdale_relay::decide::{ConnectionTable, ConnectionsBusy};
+use ibisdale_clients::{ConnectionTable, ConnectionsBusy};
 
 /// Guards against idle connections that keep new clients out.
 #[test]
@@ -14,8 +14,11 @@
     table.end_request(kept, 500);
     let (newest, closed) = table.open(2_000).unwrap();
     assert_eq!(closed, Some(silent));
+    table.remove(silent);
     assert_eq!(table.open(2_001).unwrap().1, Some(kept));
+    table.remove(kept);
     assert_eq!(table.open(2_002).unwrap().1, Some(newest));
+    table.remove(newest);
     assert_eq!(table.count(), 3);
 }
 
@@ -33,6 +36,36 @@
     table.end_request(answered, 60_000);
     assert_eq!(table.open(60_999), Err(ConnectionsBusy));
     assert_eq!(table.open(61_000).unwrap().1, Some(answered));
+    table.remove(answered);
     table.remove(busy);
     assert_eq!(table.open(61_001).unwrap().1, None);
 }
+
+/// Guards against connections that add up while those that are closed for them still have their
+/// descriptors.
+#[test]
+fn closed_connection_counts_until_it_is_removed() {
+    let mut table = ConnectionTable::new(1);
+    let (first, _) = table.open(0).unwrap();
+    assert_eq!(table.open(1).unwrap().1, Some(first));
+    assert!(!table.is_within_limit());
+    table.begin_request(first);
+    table.end_request(first, 2);
+    table.remove(first);
+    assert!(table.is_within_limit());
+}
+
+/// Guards against refusals that are cut off for new connections while others are idle.
+#[test]
+fn lingering_connection_is_closed_after_idle_ones() {
+    let mut table = ConnectionTable::new(2);
+    let (refused, _) = table.open(0).unwrap();
+    table.begin_request(refused);
+    table.end_request(refused, 1);
+    table.linger(refused, 1);
+    let (idle, _) = table.open(5).unwrap();
+    assert_eq!(table.open(6).unwrap().1, Some(idle));
+    assert_eq!(table.close_lingering(), [refused]);
+    table.remove(idle);
+    assert_eq!(table.close_lingering(), []);
+}
--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -4,9 +4,7 @@
 //! since the start of the process unless stated otherwise.
 
 mod budget;
-mod client_memory;
 mod cold;
-mod connections;
 mod evacuation;
 mod event_pace;
 mod in_flight_counts;
@@ -35,9 +33,7 @@
     CeilingReads, ClaimOutcome, ClaimStatus, HomeRole, ProgramKey, StoredCeiling, TakeoverFinding,
     TakeoverInput, VmLoss, VmProcess, assess_takeover, may_have_lost_pair,
 };
-pub use client_memory::{BodyKey, ClientMemory, ClientMemoryUse, MemoryShortage};
 pub use cold::{COLD_GRANT_MAX_AGE_MS, ColdReport, ColdRule, ColdTable, ColdTolerance};
-pub use connections::{ConnectionKey, ConnectionTable, ConnectionsBusy};
 pub use evacuation::{DomainSelection, EvacuationChange, EvacuationReport, EvacuationTable};
 pub use event_pace::EventPace;
 pub use in_flight_counts::InFlightCount;
--- a/crates/relay/src/gateway/admit.rs
+++ b/crates/relay/src/gateway/admit.rs
@@ -8,7 +8,8 @@
 use http::request::Parts;
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::Incoming;
+use ibisdale_clients::{BodyRefusal, HeldBody};
 use ibisdale_telemetry::record_event;
 use smol::Timer;
 
@@ -16,7 +17,6 @@
 use super::caller_request::{CallerRequest, bearer_key, build_request, header_str};
 use super::message::PeerMessage;
 use super::peer_link::spawn_report;
-use super::request_memory::HeldBody;
 use super::rpc::call_peer;
 use super::state::{Gateway, lossy_string};
 use crate::decide::{HomeCandidate, ProgramStage, RateRefusal, WorkspaceKey, hash_bytes};
@@ -33,9 +33,6 @@
 pub(crate) const DISCARD_MAX_BYTES: usize = 16 * 1_024 * 1_024;
 /// Maximum time for which the body of a refused request is read.
 pub(crate) const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
-/// Maximum time without data of a request's body; the whole body may take longer while memory
-/// is free.
-const BODY_PAUSE_MAX: Duration = Duration::from_secs(10);
 
 /// An error response created by the gateway instead of a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -171,37 +168,28 @@
 ) -> Result<(Bytes, HeldBody), GatewayError> {
     let plan = gateway.plan();
     let limit = plan.map_or(0, |plan| plan.get_limits().body_max_bytes);
-    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    if announced > limit {
-        return Err(GatewayError::too_large());
-    }
-    let held = HeldBody::begin(gateway, announced, limit)?;
-    while let Some(frame) = next_frame(body, &held).await? {
-        // Trailers are not forwarded.
-        if let Ok(data) = frame.into_data() {
-            held.append(&data)?;
-        }
-    }
-    let bytes = held.complete()?;
-    Ok((bytes, held))
+    let read = ibisdale_clients::read_body(&gateway.state.clients, body, limit).await;
+    read.map_err(|refusal| refuse_body(gateway, refusal))
 }
 
-/// Waits for the next part of a body, unless the body loses its memory or its sender stops.
-async fn next_frame(
-    body: &mut Incoming,
-    held: &HeldBody,
-) -> Result<Option<Frame<Bytes>>, GatewayError> {
-    let frame = async {
-        let frame = body.frame().await.transpose();
-        frame.map_err(|_| GatewayError::new(StatusCode::BAD_REQUEST, "the body can't be read"))
-    };
-    let evicted = async { Err(held.wait_for_eviction().await) };
-    let timed_out = async {
-        Timer::after(BODY_PAUSE_MAX).await;
-        let status = StatusCode::REQUEST_TIMEOUT;
-        Err(GatewayError::new(status, "the body did not arrive in time"))
-    };
-    frame.or(evicted).or(timed_out).await
+/// Returns the response to a request whose body is not read to its end. Where memory is short, it
+/// is usually free again soon, or at another VM at once.
+fn refuse_body(gateway: &Gateway, refusal: BodyRefusal) -> GatewayError {
+    let metrics = &gateway.state.metrics;
+    let reason = refusal.as_str();
+    match refusal {
+        BodyRefusal::TooLarge => GatewayError::too_large(),
+        BodyRefusal::Full => {
+            metrics.count_refused_body("full");
+            GatewayError::unavailable(reason)
+        }
+        BodyRefusal::Evicted => {
+            metrics.count_refused_body("evicted");
+            GatewayError::unavailable(reason)
+        }
+        BodyRefusal::Paused => GatewayError::new(StatusCode::REQUEST_TIMEOUT, reason),
+        BodyRefusal::Unreadable => GatewayError::new(StatusCode::BAD_REQUEST, reason),
+    }
 }
 
 /// Reads and discards the body of a refused request; returns whether its end was read.
--- a/crates/relay/src/gateway/body.rs
+++ b/crates/relay/src/gateway/body.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use futures_lite::Stream;
 use http_body::{Body, Frame, SizeHint};
+use ibisdale_clients::ResponseEvicted;
 
 /// Error that ends the body of a response that can't be completed.
 ///
@@ -23,6 +24,12 @@
 
 impl std::error::Error for ResponseAborted {}
 
+impl From<ResponseEvicted> for ResponseAborted {
+    fn from(_: ResponseEvicted) -> Self {
+        Self
+    }
+}
+
 type DataStream = Pin<Box<dyn Stream<Item = Result<Bytes, ResponseAborted>>>>;
 
 /// Body of a response, either complete or streamed.
--- a/crates/relay/src/gateway/caller_request.rs
+++ b/crates/relay/src/gateway/caller_request.rs
@@ -10,10 +10,10 @@
 };
 use http::request::Parts;
 use http::{HeaderMap, Method};
+use ibisdale_clients::HeldBody;
 
 use super::boot_time::BootTime;
 use super::header_names::HeaderNames;
-use super::request_memory::HeldBody;
 use crate::decide::{ProgramKey, RequestIdentity, hash_bytes};
 use crate::plan::RouteRule;
 
--- a/crates/relay/src/gateway/events.rs
+++ b/crates/relay/src/gateway/events.rs
@@ -2,6 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Largest buffer that is kept between events, in bytes.
+const KEPT_BUFFER_BYTES: usize = 8 * 1_024;
+
 /// A complete event as received, including the blank line that ends it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamEvent {
@@ -31,6 +34,19 @@
         !self.buffer.is_empty()
     }
 
+    /// Returns the memory of the buffer, in bytes.
+    #[must_use]
+    pub fn capacity(&self) -> usize {
+        self.buffer.capacity()
+    }
+
+    /// Releases the memory of a large buffer that is empty.
+    pub fn shrink(&mut self) {
+        if self.buffer.is_empty() && self.buffer.capacity() > KEPT_BUFFER_BYTES {
+            self.buffer = BytesMut::new();
+        }
+    }
+
     /// Returns the size of the incomplete event in the buffer, in bytes.
     #[must_use]
     pub fn partial_size(&self) -> usize {
--- a/crates/relay/src/gateway/forward.rs
+++ b/crates/relay/src/gateway/forward.rs
@@ -4,6 +4,7 @@
 
 use futures_lite::FutureExt;
 use http::{Response, StatusCode};
+use ibisdale_clients::HeldBytes;
 use ibisdale_telemetry::record_event;
 use rand::Rng;
 use smol::Timer;
@@ -19,7 +20,6 @@
 use super::evacuation::refuse_without_replica;
 use super::failed_attempt::FailedAttempt;
 use super::limits::{GrantResult, ask_for_grant, is_limited};
-use super::response_memory::HeldBytes;
 use super::runs::{RunPermission, get_permit};
 use super::speeds::{WorkUnit, record_work_time};
 use super::state::Gateway;
@@ -292,7 +292,7 @@
     let replica = guard.replica();
     let timeout = request.time_left();
     let checked = check_response_head(gateway, &head);
-    let mut held = HeldBytes::new(gateway);
+    let mut held = HeldBytes::new(&gateway.state.clients);
     let read = connection.read_body(&mut head.decoder, |size| held.resize(size));
     let timed_out = async {
         Timer::after(timeout).await;
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -10,6 +10,7 @@
 use futures_lite::future::zip;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use ibisdale_clients::ConnectionLimiter;
 use ibisdale_telemetry::record_event;
 use smol::{Async, Timer};
 
@@ -21,7 +22,7 @@
 use super::body::ResponseBody;
 use super::budget::{ReserveOutcome, reserve};
 use super::caller_request::{CallerRequest, header_str, millis};
-use super::client_connections::{ClientConnections, accept, close_after};
+use super::client_connections::{accept, close_after, report_closed};
 use super::directory::{directory_response, readiness_response};
 use super::evacuation::update_evacuation_gauges;
 use super::forward::forward;
@@ -36,8 +37,6 @@
 use crate::decide::ProgramStage;
 use crate::plan::ExecutionSemantics;
 
-/// The maximum of the connections for requests divided by this is that of each other listener.
-const OTHER_CONNECTIONS_DIVISOR: usize = 8;
 /// Interval at which expired connections, budgets of programs and origins of streams are
 /// removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
@@ -67,20 +66,26 @@
     pub fn listen(&self, addresses: &ListenAddresses) -> std::io::Result<()> {
         let peer_address = self.state.options.facts.peer_address();
         let peer_listener = Async::<TcpListener>::bind(peer_address)?;
-        self.spawn(state_transfer::serve(self.clone(), peer_listener));
+        let limits = self.state.options.client_limits;
+        let peer_limiter = self.add_limiter(limits.peer_connections());
+        self.spawn(state_transfer::serve(
+            self.clone(),
+            peer_limiter,
+            peer_listener,
+        ));
         self.spawn(peers::receive(self.clone()));
         self.spawn(peers::run_gossip(self.clone()));
         self.spawn(remove_expired(self.clone()));
-        let entry_max = self.state.options.client_connections_max;
-        let other_max = entry_max / OTHER_CONNECTIONS_DIVISOR + 1;
-        self.open_listener(Some(addresses.entry), entry_max, handle_request)?;
-        self.open_listener(addresses.ready, other_max, |gateway, request| {
+        let entry = self.add_limiter(limits.connections()).evicting_transfers();
+        self.open_listener(Some(addresses.entry), entry, handle_request)?;
+        let check_limiter = || self.add_limiter(limits.check_connections());
+        self.open_listener(addresses.ready, check_limiter(), |gateway, request| {
             Box::pin(async move { readiness_response(&gateway, &request.into_parts().0) })
         })?;
-        self.open_listener(addresses.directory, other_max, |gateway, request| {
+        self.open_listener(addresses.directory, check_limiter(), |gateway, request| {
             Box::pin(async move { directory_response(&gateway, &request.into_parts().0) })
         })?;
-        self.open_listener(addresses.metrics, other_max, |gateway, _| {
+        self.open_listener(addresses.metrics, check_limiter(), |gateway, _| {
             Box::pin(async move { metrics_response(&gateway) })
         })?;
         record_event!(
@@ -96,19 +101,23 @@
     fn open_listener(
         &self,
         address: Option<SocketAddrV4>,
-        connections_max: usize,
+        limiter: ConnectionLimiter,
         handler: RequestHandler,
     ) -> std::io::Result<()> {
         let Some(address) = address else {
             return Ok(());
         };
         let listener = Async::<TcpListener>::bind(SocketAddr::V4(address))?;
-        let connections = ClientConnections::new(connections_max);
-        let mut all = self.state.connections.borrow_mut();
-        all.push(Rc::clone(&connections));
-        self.spawn(accept(self.clone(), connections, listener, handler));
+        self.spawn(accept(self.clone(), limiter, listener, handler));
         Ok(())
     }
+
+    fn add_limiter(&self, connections_max: usize) -> ConnectionLimiter {
+        let limiter = ConnectionLimiter::new(connections_max, &self.state.clients);
+        let mut all = self.state.connections.borrow_mut();
+        all.push(limiter.clone());
+        limiter
+    }
 }
 
 /// Periodically removes expired connections, budgets of programs and origins of streams.
@@ -127,7 +136,8 @@
         expire_limits(&gateway);
         gateway.state.suspects.borrow_mut().expire(now_ms);
         let all = gateway.state.connections.borrow();
-        all.iter().for_each(|connections| connections.report());
+        all.iter()
+            .for_each(|limiter| report_closed(&gateway, limiter));
     }
 }
 
@@ -142,10 +152,11 @@
     gateway.state.metrics.set_cold_replicas(cold);
     let (suspects, condemned) = gateway.state.suspects.borrow().count();
     gateway.state.metrics.set_suspects(suspects, condemned);
-    let usage = gateway.state.request_memory.account.borrow().usage();
-    gateway.state.metrics.set_client_memory(&usage);
+    let clients = &gateway.state.clients;
+    let metrics = &gateway.state.metrics;
+    metrics.set_client_memory(&clients.usage(), clients.evicted_responses());
     let connections = gateway.state.connections.borrow();
-    let count = connections.iter().map(|connections| connections.count());
+    let count = connections.iter().map(ConnectionLimiter::count);
     gateway.state.metrics.set_connections(count.sum());
     set_speed_metrics(gateway);
     let body = gateway
--- a/crates/relay/src/gateway/metrics.rs
+++ b/crates/relay/src/gateway/metrics.rs
@@ -9,9 +9,10 @@
     TextEncoder,
 };
 
+use ibisdale_clients::ClientMemoryUse;
 use ibisdale_turns::ClientMetrics;
 
-use crate::decide::{AttemptFailure, ClientMemoryUse, SpeedSpan};
+use crate::decide::{AttemptFailure, SpeedSpan};
 
 /// Upper bounds of the latency buckets, in seconds.
 const BUCKETS_SECONDS: [f64; 14] = [
@@ -121,6 +122,7 @@
 struct MemoryMetrics {
     client_bytes: GaugeVec,
     refused_bodies: IntCounterVec,
+    evicted_responses: IntCounter,
     connections: Gauge,
     closed_connections: IntCounterVec,
 }
@@ -144,6 +146,13 @@
                 "Requests refused because memory for their body was short, by reason.",
                 &["reason"],
             ),
+            evicted_responses: register(
+                registry,
+                IntCounter::new(
+                    "ibisdale_gateway_evicted_responses_total",
+                    "Responses cut off because their clients did not read while memory was short.",
+                ),
+            ),
             connections: register_gauge(
                 registry,
                 "ibisdale_gateway_client_connections",
@@ -371,7 +380,9 @@
     }
 
     #[expect(clippy::cast_precision_loss, reason = "the memory of a process")]
-    pub(crate) fn set_client_memory(&self, usage: &ClientMemoryUse) {
+    pub(crate) fn set_client_memory(&self, usage: &ClientMemoryUse, evicted_responses: u64) {
+        let evicted = &self.memory.evicted_responses;
+        evicted.inc_by(evicted_responses.saturating_sub(evicted.get()));
         let kinds = [
             ("unfinished_bodies", usage.unfinished),
             ("complete_bodies", usage.complete),
@@ -388,9 +399,9 @@
         self.memory.connections.set(count as f64);
     }
 
-    pub(crate) fn count_closed_connection(&self, kind: &str) {
+    pub(crate) fn count_closed_connections(&self, kind: &str, count: u64) {
         let counter = self.memory.closed_connections.with_label_values(&[kind]);
-        counter.inc();
+        counter.inc_by(count);
     }
 
     pub(crate) fn count_refused_body(&self, reason: &str) {
--- a/crates/relay/src/gateway/mod.rs
+++ b/crates/relay/src/gateway/mod.rs
@@ -32,8 +32,6 @@
 mod peer_list;
 mod peers;
 mod pool;
-mod request_memory;
-mod response_memory;
 mod rpc;
 mod runs;
 mod speeds;
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use ibisdale_clients::{ClientAccount, ClientLimits, ConnectionLimiter};
 use ibisdale_telemetry::record_event;
 use ibisdale_turns::{ClientOptions, HolderInfo, HolderLinks, HolderTable, TurnClient};
 use smol::channel::{Receiver, Sender, bounded};
@@ -18,7 +19,6 @@
 use super::boot_time::{BootTime, SuspensionWatch};
 use super::caller_request::millis;
 use super::ceilings::CeilingBatch;
-use super::client_connections::ClientConnections;
 use super::cold::{record_cold_entries, set_cold_rules};
 use super::directory::DirectoryRule;
 use super::header_names::HeaderNames;
@@ -27,7 +27,6 @@
 use super::origin_record::OriginWaiter;
 use super::peer_link;
 use super::pool::ConnectionPool;
-use super::request_memory::RequestMemory;
 use super::state_transfer;
 use crate::decide::{
     AccountCopy, AnswerRecord, BudgetLedger, CeilingClaim, CeilingReads, ClaimOutcome, ColdTable,
@@ -96,10 +95,8 @@
     pub tolerated_holders: usize,
     /// Memory for recent turns, in bytes.
     pub turn_cache_bytes: usize,
-    /// Memory for bodies of requests and for responses that are held until complete, in bytes.
-    pub client_memory_bytes: usize,
-    /// Maximum number of connections on which clients send requests.
-    pub client_connections_max: usize,
+    /// Bounds on what clients may make the process hold.
+    pub client_limits: ClientLimits,
 }
 
 pub(crate) struct GatewayState {
@@ -159,9 +156,9 @@
     pub(crate) ceiling_writes: RefCell<HashMap<ProgramKey, Receiver<()>>>,
     pub(crate) ceiling_batch: RefCell<CeilingBatch>,
     pub(crate) pool: ConnectionPool,
-    pub(crate) request_memory: RequestMemory,
+    pub(crate) clients: ClientAccount,
     /// Connections of clients, by listener.
-    pub(crate) connections: RefCell<Vec<Rc<ClientConnections>>>,
+    pub(crate) connections: RefCell<Vec<ConnectionLimiter>>,
     pub(crate) pending_peer_calls: RefCell<HashMap<u64, Sender<PeerMessage>>>,
     pub(crate) next_call_id: Cell<u64>,
     pub(crate) is_fetching_plan: Cell<bool>,
@@ -219,7 +216,7 @@
             domain: options.facts.domain.clone(),
             cache_bytes: options.turn_cache_bytes,
         };
-        let request_memory = RequestMemory::new(options.client_memory_bytes);
+        let clients = ClientAccount::new(options.client_limits.memory_bytes());
         let turns = TurnClient::new(
             turn_options,
             HolderLinks::new(&executor),
@@ -272,7 +269,7 @@
             ceiling_writes: RefCell::default(),
             ceiling_batch: RefCell::default(),
             pool: ConnectionPool::default(),
-            request_memory,
+            clients,
             connections: RefCell::default(),
             pending_peer_calls: RefCell::default(),
             next_call_id: Cell::new(first_call_id),
--- a/crates/relay/src/gateway/state_transfer.rs
+++ b/crates/relay/src/gateway/state_transfer.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use ibisdale_clients::{ConnectionLimiter, HeldBytes, OpenConnection};
 use ibisdale_turns::HolderInfo;
 use rand::seq::IteratorRandom;
 use smol::{Async, Timer};
@@ -65,13 +66,25 @@
 }
 
 /// Serves the current state to VMs that request it.
-pub(crate) async fn serve(gateway: Gateway, listener: Async<TcpListener>) {
+pub(crate) async fn serve(
+    gateway: Gateway,
+    limiter: ConnectionLimiter,
+    listener: Async<TcpListener>,
+) {
     loop {
+        limiter.wait_for_room().await;
         match listener.accept().await {
             Ok((stream, peer)) => {
+                // Each transfer ends soon.
+                let open = limiter.admit_when_free().await;
                 let cloned = gateway.clone();
                 gateway.spawn(async move {
-                    if let Err(error) = with_timeout(send_part(&cloned, stream)).await {
+                    let closed = async {
+                        open.wait_for_close().await;
+                        Err(io::ErrorKind::ConnectionAborted.into())
+                    };
+                    let transfer = with_timeout(send_part(&cloned, &open, stream));
+                    if let Err(error) = transfer.or(closed).await {
                         log::debug!("failed to send state to {peer}: {error}");
                     }
                 });
@@ -84,9 +97,14 @@
     }
 }
 
-async fn send_part(gateway: &Gateway, mut stream: Async<TcpStream>) -> io::Result<()> {
+async fn send_part(
+    gateway: &Gateway,
+    open: &OpenConnection,
+    mut stream: Async<TcpStream>,
+) -> io::Result<()> {
     let mut code = [0_u8];
     stream.read_exact(&mut code).await?;
+    let _progress = open.begin_request();
     let data = if code[0] == StatePart::Replicas.code() {
         let version = gateway.state.replicas_version.get();
         postcard::to_stdvec(&(version, gateway.replica_infos()))
@@ -99,6 +117,10 @@
         postcard::to_stdvec(&(gateway.state.plan_revision.get(), plan.as_ref()))
     };
     let data = data.map_err(io::Error::other)?;
+    let mut held = HeldBytes::new(&gateway.state.clients);
+    if !held.resize(data.len()) {
+        return Err(io::ErrorKind::OutOfMemory.into());
+    }
     stream.write_all(&data).await
 }
 
--- a/crates/relay/src/gateway/stream.rs
+++ b/crates/relay/src/gateway/stream.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_lite::{FutureExt, stream};
 use http::{HeaderMap, Response, StatusCode};
+use ibisdale_clients::HeldBytes;
 use ibisdale_telemetry::record_event;
 use smol::Timer;
 
@@ -18,7 +19,6 @@
 use super::forward::{record_failure, select_replica};
 use super::in_flight::ReplicaRequestGuard;
 use super::origins::announce_origin;
-use super::response_memory::HeldBytes;
 use super::speeds::{WorkUnit, record_work_time};
 use super::state::{Gateway, lossy_string};
 use super::suspects::{record_progress, record_served};
@@ -93,7 +93,7 @@
                 pace: EventPace::default(),
             }),
             splitter: EventSplitter::default(),
-            held: HeldBytes::new(gateway),
+            held: HeldBytes::new(&gateway.state.clients),
             last_event: request.last_event,
             tokens_per_event,
             output: request.route.keeps_turns.then(TurnOutput::default),
@@ -212,7 +212,7 @@
                 return Ok(Some(events));
             }
             let partial_size = self.splitter.partial_size();
-            if partial_size > EVENT_MAX_BYTES || !self.held.resize(partial_size) {
+            if partial_size > EVENT_MAX_BYTES || !self.held.resize(self.splitter.capacity()) {
                 return Err(ExchangeError::InvalidResponse {
                     reason: "large event",
                 });
@@ -276,6 +276,7 @@
             data.extend_from_slice(&event.raw);
             count += 1;
         }
+        self.splitter.shrink();
         Ok((count > 0).then(|| (data.freeze(), count)))
     }
 
--- a/crates/relay/src/http1/connection.rs
+++ b/crates/relay/src/http1/connection.rs
@@ -137,8 +137,8 @@
         }
     }
 
-    /// Reads an entire body; `may_grow` is asked before each part is added to it and gets the
-    /// size of the body with that part, in bytes.
+    /// Reads an entire body; `may_grow` is asked before the buffer grows and gets its next
+    /// capacity, in bytes.
     ///
     /// # Errors
     ///
@@ -148,19 +148,25 @@
         decoder: &mut BodyDecoder,
         mut may_grow: impl FnMut(usize) -> bool,
     ) -> Result<Bytes, ExchangeError> {
-        let mut body = BytesMut::new();
+        let mut body = Vec::new();
         while let Some(data) = self.read_data(decoder).await? {
-            if !may_grow(body.len() + data.len()) {
-                return Err(ExchangeError::InvalidResponse {
-                    reason: "large body",
-                });
-            }
-            if body.is_empty() && *decoder == BodyDecoder::Done {
-                return Ok(data);
+            let needed = body.len() + data.len();
+            if needed > body.capacity() {
+                let capacity = next_capacity(body.capacity(), needed, decoder);
+                if !may_grow(capacity) {
+                    return Err(ExchangeError::InvalidResponse {
+                        reason: "large body",
+                    });
+                }
+                if body.is_empty() && *decoder == BodyDecoder::Done {
+                    return Ok(data);
+                }
+                body.reserve_exact(capacity - body.len());
             }
             body.extend_from_slice(&data);
         }
-        Ok(body.freeze())
+        body.shrink_to_fit();
+        Ok(Bytes::from(body))
     }
 
     /// Reads a body of at most `limit` bytes and discards it.
@@ -230,3 +236,16 @@
     sockopt::set_tcp_keepcnt(stream, 1)?;
     Ok(())
 }
+
+/// Returns the next capacity of the buffer of a body that has `needed` bytes so far: what is
+/// announced, or else half as much again.
+fn next_capacity(capacity: usize, needed: usize, decoder: &BodyDecoder) -> usize {
+    match decoder {
+        BodyDecoder::Done => needed,
+        BodyDecoder::Length(left) => {
+            let left = usize::try_from(*left).unwrap_or(usize::MAX);
+            needed.saturating_add(left)
+        }
+        _ => needed.max(capacity + capacity / 2),
+    }
+}
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use http::HeaderName;
 use http::request::Parts;
+use ibisdale_clients::ClientLimits;
 use ibisdale_relay::decide::{ColdTolerance, MemberFacts, QuotaTolerance, ReplicaInfo};
 use ibisdale_relay::gateway::{
     DirectoryQuery, DirectoryRule, DurableStore, Gateway, GatewayOptions, HeaderNames,
@@ -469,8 +470,8 @@
         },
         tolerated_holders: 0,
         turn_cache_bytes: 1_000_000,
-        client_memory_bytes: test_options.client_memory_bytes.unwrap_or(64_000_000),
-        client_connections_max: 1_000,
+        client_limits: ClientLimits::share(1_000.0, 1_000.0, 2_000.0)
+            .memory(test_options.client_memory_bytes.unwrap_or(64_000_000)),
     };
     let socket = Async::<UdpSocket>::bind(peer_address).unwrap();
     let gateway = Gateway::new(options, executor, socket);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -342,9 +342,9 @@
     BudgetRoleRefused = 2214, Info, "budget_role_refused",
         ["program", "epoch", "witness_epoch", "total_before", "total"],
         "The witness of a program's budget knows a later epoch of its home's role than `epoch`, or tokens that this VM did not count; it asks again before it grants.";
-    BodiesEvicted = 2215, Info, "bodies_evicted",
-        ["evicted", "size", "held", "capacity"],
-        "Unfinished bodies of requests lost their memory to one that has made more progress and needs `size` bytes; their requests were refused.";
+    TransfersEvicted = 2215, Info, "transfers_evicted",
+        ["bodies", "responses", "size", "held", "capacity"],
+        "Unfinished bodies of requests and responses that clients do not read lost their memory to a transfer that has made more progress and needs `size` bytes, or their place to a new connection (`size` 0); the requests were refused, the connections of the responses closed.";
     ConnectionsClosed = 2216, Info, "connections_closed",
         ["idle", "new", "open", "max"],
         "A listener had as many connections of clients as are allowed, and closed idle ones, or new ones where none was idle; the counts are those since the last line.";
