Bound the messages and connections of a VM with a disk

What callers saw: clients that connected to a VM with a disk, or left messages unfinished, took it beyond its memory and descriptors; turns that only it holds could not be continued. Cause: each connection was accepted and each message collected, whatever there were.

--- a/crates/relay/src/gateway/body.rs
+++ b/crates/relay/src/gateway/body.rs
@@ -50,7 +50,8 @@
 }
 
 impl ResponseBody {
-    pub(crate) fn whole(data: impl Into<Bytes>) -> Self {
+    /// Creates a complete body.
+    pub fn whole(data: impl Into<Bytes>) -> Self {
         let data = data.into();
         Self::Whole((!data.is_empty()).then_some(data))
     }
--- a/crates/relay/tests/gateway/holder_support.rs
+++ b/crates/relay/tests/gateway/holder_support.rs
@@ -40,6 +40,7 @@
             folder: folder.path().to_owned(),
             disk_bytes: 10_000_000,
             memory_bytes: 1_000_000,
+            client_limits: ibisdale_clients::ClientLimits::UNLIMITED,
             tolerated: 0,
             is_whole: true,
         };
--- a/crates/turns/benches/turns.rs
+++ b/crates/turns/benches/turns.rs
@@ -64,6 +64,7 @@
         folder: folder.to_owned(),
         disk_bytes: 10_000_000_000,
         memory_bytes: 10_000_000,
+        client_limits: ibisdale_clients::ClientLimits::UNLIMITED,
         tolerated: 0,
         is_whole: true,
     };
--- a/crates/turns/src/holder/server.rs
+++ b/crates/turns/src/holder/server.rs
@@ -4,6 +4,8 @@
 use std::net::TcpListener;
 use std::time::Duration;
 
+use futures_lite::FutureExt;
+use ibisdale_clients::{ConnectionLimiter, OpenConnection};
 use ibisdale_telemetry::record_event;
 use smol::channel::{Receiver, Sender, bounded};
 use smol::{Async, Timer};
@@ -12,7 +14,7 @@
 use super::state::TurnHolder;
 use crate::message::{HolderReply, HolderRequest, StoreOutcome};
 use crate::turn::TurnKey;
-use crate::wire::{encode_message, read_message, write_message};
+use crate::wire::{encode_message, read_held, read_length, write_message};
 
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -21,12 +23,24 @@
 
 /// Accepts connections until the process ends.
 pub(crate) async fn accept(holder: TurnHolder, listener: Async<TcpListener>) {
+    let limits = &holder.state.options.client_limits;
+    let limiter = ConnectionLimiter::new(limits.connections(), &holder.state.clients);
+    let limiter = limiter.evicting_transfers();
     loop {
+        limiter.wait_for_room().await;
         match listener.accept().await {
             Ok((stream, peer)) => {
+                let Some(open) = limiter.admit() else {
+                    log::debug!("closed a connection of {peer}: all others are in use");
+                    continue;
+                };
                 let server = holder.clone();
                 holder.spawn(async move {
-                    if let Err(error) = serve(&server, stream).await {
+                    let closed = async {
+                        open.wait_for_close().await;
+                        Err(io::ErrorKind::ConnectionAborted.into())
+                    };
+                    if let Err(error) = serve(&server, &open, stream).or(closed).await {
                         log::debug!("the connection of {peer} ended: {error}");
                     }
                 });
@@ -39,7 +53,11 @@
     }
 }
 
-async fn serve(holder: &TurnHolder, stream: Async<std::net::TcpStream>) -> io::Result<()> {
+async fn serve(
+    holder: &TurnHolder,
+    open: &OpenConnection,
+    stream: Async<std::net::TcpStream>,
+) -> io::Result<()> {
     stream.get_ref().set_nodelay(true)?;
     let stream = std::rc::Rc::new(stream);
     let (replies, outgoing) = bounded(REPLIES_MAX);
@@ -53,7 +71,10 @@
     });
     let mut reader = &*stream;
     loop {
-        let (call, request): (u64, HolderRequest) = read_message(&mut reader).await?;
+        let length = read_length(&mut reader).await?;
+        let progress = open.begin_request();
+        let read = read_held(&mut reader, length, &holder.state.clients);
+        let ((call, request), held): ((u64, HolderRequest), _) = read.await?;
         let (server, replies): (TurnHolder, Sender<Vec<u8>>) = (holder.clone(), replies.clone());
         holder.spawn(async move {
             let reply = handle(&server, request).await;
@@ -62,6 +83,7 @@
                 Ok(encoded) => drop(replies.send(encoded).await),
                 Err(error) => log::error!("failed to encode a reply: {error}"),
             }
+            drop((held, progress));
         });
     }
 }
--- a/crates/turns/src/holder/state.rs
+++ b/crates/turns/src/holder/state.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use ibisdale_clients::{ClientAccount, ClientLimits};
 use ibisdale_segments::{FrameLocation, StoreDisk, StoreError};
 use ibisdale_telemetry::record_event;
 use smol::channel::{Sender, unbounded};
@@ -42,6 +43,8 @@
     pub disk_bytes: u64,
     /// Memory for recent turns, in bytes.
     pub memory_bytes: usize,
+    /// Bounds on what connections may make the process hold.
+    pub client_limits: ClientLimits,
     /// Number of holders that may be lost at the same time without losing a turn.
     pub tolerated: usize,
     /// Whether the disk is known to hold all turns that were stored on this VM.
@@ -72,6 +75,8 @@
     /// Requests to store turns that have not been answered.
     pub(crate) stores_in_progress: Cell<usize>,
     pub(crate) disk_used: Cell<u64>,
+    /// Account of the messages that are being read or answered.
+    pub(crate) clients: ClientAccount,
 }
 
 impl TurnHolder {
@@ -122,6 +127,7 @@
             commits,
             stores_in_progress: Cell::new(0),
             disk_used: Cell::new(disk_used),
+            clients: ClientAccount::new(options.client_limits.memory_bytes()),
             options,
         };
         let holder = Self {
--- a/crates/turns/tests/holders.rs
+++ b/crates/turns/tests/holders.rs
@@ -79,6 +79,7 @@
             folder: self.folder.path().join("turns"),
             disk_bytes: 100_000_000,
             memory_bytes: 1_000,
+            client_limits: ibisdale_clients::ClientLimits::UNLIMITED,
             tolerated: 1,
             is_whole,
         };
