Count bodies that are lengthened by the turns that they continue

What callers saw: turns that continue others hold the joined body beside their own, uncounted, so that a crowd of short turns with long chains takes a VM beyond its memory. Cause: the account counts what clients send, and a joined body is built by the VM. Change: the joined body counts as a complete body until its request ends; without memory for it the turn is refused with 503 and Retry-After before it is sent to a replica. Measured: chain_beyond_the_memory_for_clients_is_refused_with_503_and_not_sent failed before (200, sent) and passes; 109 of 109 tests of the gateway pass.

--- a/crates/clients/src/account.rs
+++ b/crates/clients/src/account.rs
@@ -8,6 +8,7 @@
 use slotmap::SecondaryMap;
 use smol::channel::Sender;
 
+use crate::body::{BodyRefusal, HeldBody};
 use crate::limiter::ConnectionCloser;
 use crate::memory::{ClientMemory, ClientMemoryUse, MemoryShortage};
 use crate::yielding::{BodyKey, ResponseKey, TransferKey};
@@ -108,6 +109,19 @@
         self.lock().evicted_responses
     }
 
+    /// Counts a complete body of `size` bytes, which the process builds itself, until the guard is
+    /// dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the memory does not suffice.
+    pub fn hold_body(&self, size: usize) -> Result<HeldBody, BodyRefusal> {
+        let held = HeldBody::begin(self, 0, size)?;
+        held.count(size, size)?;
+        self.lock().memory.complete_body(held.key(), size);
+        Ok(held)
+    }
+
     /// Takes the memory of the stalled transfer that has been without data for longest, whose
     /// connection is then closed; returns whether there was one.
     #[must_use]
--- a/crates/clients/src/body.rs
+++ b/crates/clients/src/body.rs
@@ -100,6 +100,10 @@
         Ok(held)
     }
 
+    pub(crate) fn key(&self) -> BodyKey {
+        self.key
+    }
+
     /// Waits until the body has lost its memory.
     pub async fn wait_for_eviction(&self) -> BodyRefusal {
         // Returns when the buffer is dropped.
--- a/crates/clients/src/limiter.rs
+++ b/crates/clients/src/limiter.rs
@@ -86,14 +86,14 @@
             state.closed.0 += 1;
             state.close(closed_key);
         }
-        let (switch, closed) = bounded(1);
+        let (switch, receiver) = bounded(1);
         let closer = ConnectionCloser(switch);
         state.closers.insert(key, closer.clone());
         Some(OpenConnection {
             limiter: self.clone(),
             key,
             closer,
-            closed,
+            closed: receiver,
         })
     }
 
--- a/crates/relay/src/gateway/admit.rs
+++ b/crates/relay/src/gateway/admit.rs
@@ -174,7 +174,7 @@
 
 /// Returns the response to a request whose body is not read to its end. Where memory is short, it
 /// is usually free again soon, or at another VM at once.
-fn refuse_body(gateway: &Gateway, refusal: BodyRefusal) -> GatewayError {
+pub(crate) fn refuse_body(gateway: &Gateway, refusal: BodyRefusal) -> GatewayError {
     let metrics = &gateway.state.metrics;
     let reason = refusal.as_str();
     match refusal {
--- a/crates/relay/src/gateway/caller_request.rs
+++ b/crates/relay/src/gateway/caller_request.rs
@@ -77,6 +77,8 @@
     pub(crate) input: Bytes,
     /// Memory of the input in the account of the process.
     held_input: Option<HeldBody>,
+    /// Memory of the body where it is longer than the input.
+    held_body: Option<HeldBody>,
     /// Body to send to a replica; longer than the input if the turn continues another.
     pub(crate) body: Bytes,
     /// Identifier of the turn that this one continues.
@@ -114,6 +116,12 @@
         self.deadline = earlier_deadline(&self.route, BootTime::now(), self.requested_deadline);
     }
 
+    /// Sets the body to send to a replica, put together from other turns and the input.
+    pub(crate) fn set_assembled(&mut self, body: Bytes, held: Option<HeldBody>) {
+        self.body = body;
+        self.held_body = held;
+    }
+
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.time_left()
     }
@@ -175,6 +183,7 @@
         headers: forwarded_headers(headers, header_names, workspace.map(Bytes::as_ref)),
         input: Bytes::new(),
         held_input: None,
+        held_body: None,
         body: Bytes::new(),
         previous_turn: headers
             .get(&header_names.previous_turn)
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -259,7 +259,7 @@
         }
     }
     match body {
-        Ok(body) => request.body = body,
+        Ok((body, held)) => request.set_assembled(body, held),
         Err(refusal) => return record.refuse(&request.attempt_id, Some(&request), refusal),
     }
     let origin = match origin {
--- a/crates/relay/src/gateway/turns.rs
+++ b/crates/relay/src/gateway/turns.rs
@@ -5,10 +5,11 @@
 
 use bytes::{Bytes, BytesMut};
 use http::StatusCode;
+use ibisdale_clients::HeldBody;
 use ibisdale_telemetry::record_event;
 use ibisdale_turns::{ChainError, KeptTurn, TurnKey, join_chain};
 
-use super::admit::GatewayError;
+use super::admit::{GatewayError, refuse_body};
 use super::caller_request::{CallerRequest, millis};
 use super::state::Gateway;
 use crate::decide::hash_bytes;
@@ -37,20 +38,21 @@
 }
 
 /// Returns the body to send to a replica: for a turn that continues another, the inputs
-/// and outputs of that chain and then the caller's body.
+/// and outputs of that chain and then the caller's body, which the account of the process counts
+/// once more.
 ///
 /// A turn that could not be kept is refused at once. A turn is refused with 404 only if it is certain that the turn that it continues does
 /// not exist in the workspace, or else with 503.
 pub(crate) async fn assemble_body(
     gateway: &Gateway,
     request: &CallerRequest,
-) -> Result<Bytes, GatewayError> {
+) -> Result<(Bytes, Option<HeldBody>), GatewayError> {
     if request.route.keeps_turns && !gateway.state.turns.has_holders() {
         return Err(GatewayError::unavailable("no VM that keeps turns is known"));
     }
     let previous = request.previous_turn.as_ref();
     let Some(previous) = previous.filter(|_| request.route.keeps_turns) else {
-        return Ok(request.body.clone());
+        return Ok((request.body.clone(), None));
     };
     let started = Instant::now();
     let limit = LOOKUP_MAX.min(request.time_left() / LOOKUP_TIME_DIVISOR);
@@ -65,6 +67,11 @@
         .await;
     match result {
         Ok(chain) => {
+            let turns = chain.turns.iter();
+            let chain_size: usize = turns.map(KeptTurn::content_bytes).sum();
+            let size = chain_size + request.body.len();
+            let held = gateway.state.clients.hold_body(size);
+            let held = held.map_err(|refusal| refuse_body(gateway, refusal))?;
             let body = join_chain(&chain.turns, &request.body);
             record_event!(
                 ChainAssembled,
@@ -75,7 +82,7 @@
                 bytes = body.len(),
                 elapsed_ms = millis(started.elapsed()),
             );
-            Ok(body)
+            Ok((body, Some(held)))
         }
         Err(error) => {
             record_event!(
--- a/crates/relay/tests/gateway/turns.rs
+++ b/crates/relay/tests/gateway/turns.rs
@@ -155,6 +155,28 @@
     assert_eq!(replica.requests().len(), 1);
 }
 
+/// Guards against bodies that turns lengthen beyond the memory for clients.
+#[test]
+fn chain_beyond_the_memory_for_clients_is_refused_with_503_and_not_sent() {
+    let holder = TestHolder::start();
+    let replica = ScriptedReplica::start(|_, request| (turn_response(request), true));
+    let options = TestGatewayOptions {
+        holder: Some(holder.address),
+        client_memory_bytes: Some(1_200),
+        ..TestGatewayOptions::default()
+    };
+    let gateway = TestGateway::start_with(&[&replica], options);
+    let input = "x".repeat(450);
+    let first = gateway.call(&turn_request("a1", None, &input));
+    assert!(is_whole(&first), "{first:?}");
+    let refused = gateway.call(&turn_request("a2", Some("a1"), &input));
+    assert_eq!(status(&refused), "503", "{refused:?}");
+    assert!(refused.contains("retry-after: 0.100"), "{refused:?}");
+    assert_eq!(bodies(&replica).len(), 1);
+    let short = gateway.call(&turn_request("a3", Some("a1"), "x"));
+    assert!(is_whole(&short), "{short:?}");
+}
+
 #[test]
 fn turn_that_broke_off_is_none() {
     let holder = TestHolder::start();
--- a/crates/standins/src/crowd/messages.rs
+++ b/crates/standins/src/crowd/messages.rs
@@ -34,7 +34,7 @@
     /// Adds a header.
     #[must_use]
     pub fn header(mut self, name: &str, value: &str) -> Self {
-        self.head.push_str(&format!("{name}: {value}\r\n"));
+        self.head.extend([name, ": ", value, "\r\n"]);
         self
     }
 
