Bound the memory and connections of ibisdaled by the account of ibisdale-vm

What callers saw: crowds of clients with unfinished bodies took the daemon to some hundred MB, as much as they sent; on a VM with less it ends, and all callers lose it. Cause: read_limited bounds one body, not their sum, and each connection was accepted, on the addresses for callers, operators and other daemons alike. Change: the daemon has the account and limits of ibisdale-clients, with the settings memory_mb (default 512) and max_descriptors (default 4096, at most the limit of the process). Bodies are read into memory that the account grants, messages of other daemons are counted while they arrive and until their reply, responses until they are taken. A refusal says overloaded, not run and when to come back, or body_timeout after a pause of 10 s, and is sent at once; the rest of the request is then discarded so that the client reads it. Metrics show what is held, refused and closed.

--- a/crates/clients/src/account.rs
+++ b/crates/clients/src/account.rs
@@ -118,7 +118,7 @@
     pub fn hold_body(&self, size: usize) -> Result<HeldBody, BodyRefusal> {
         let held = HeldBody::begin(self, 0, size)?;
         held.count(size, size)?;
-        self.lock().memory.complete_body(held.key(), size);
+        held.finish(size);
         Ok(held)
     }
 
@@ -194,6 +194,11 @@
         Some(Bytes::from(bytes))
     }
 
+    /// Marks a body without a buffer of its own as complete.
+    pub(crate) fn finish_body(&self, key: BodyKey, size: usize) {
+        self.lock().memory.complete_body(key, size);
+    }
+
     pub(crate) fn remove_body(&self, key: BodyKey) {
         let mut state = self.lock();
         state.memory.remove_body(key);
--- a/crates/clients/src/body.rs
+++ b/crates/clients/src/body.rs
@@ -100,8 +100,9 @@
         Ok(held)
     }
 
-    pub(crate) fn key(&self) -> BodyKey {
-        self.key
+    /// Marks a body that another part of the process buffers as complete, with `size` bytes.
+    pub(crate) fn finish(&self, size: usize) {
+        self.account.finish_body(self.key, size);
     }
 
     /// Waits until the body has lost its memory.
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -7,9 +7,11 @@
 
 mod account;
 mod body;
+mod counted;
 mod delivery;
 mod limiter;
 mod limits;
+mod linger;
 mod memory;
 mod progress;
 mod table;
@@ -17,9 +19,11 @@
 
 pub use account::{ClientAccount, HeldBytes};
 pub use body::{BodyRefusal, HeldBody, read_body};
+pub use counted::CountedBody;
 pub use delivery::{DeliveredBody, ResponseEvicted};
 pub use limiter::{ConnectionCloser, ConnectionLimiter, OpenConnection, RequestProgress};
 pub use limits::ClientLimits;
+pub use linger::{DISCARD_MAX_BYTES, DISCARD_TIMEOUT, close_after, discard_rest, is_closed_after};
 pub use memory::{ClientMemory, ClientMemoryUse, MemoryShortage};
 pub use table::{ConnectionKey, ConnectionTable, ConnectionsBusy};
 pub use yielding::{BodyKey, ResponseKey, TransferKey};
--- a/crates/clients/src/limits.rs
+++ b/crates/clients/src/limits.rs
@@ -19,6 +19,11 @@
 /// The connections for requests divided by this are those of a listener for other VMs.
 const PEER_DIVISOR: usize = 2;
 
+/// Share of the memory of a daemon for itself: settings, programs and connections to upstreams.
+const DAEMON_MEMORY_SHARE: f64 = 0.25;
+/// Least memory of a daemon for itself, in megabytes.
+const DAEMON_MEMORY_MIN_MB: f64 = 24.0;
+
 /// What clients may make a process hold.
 ///
 /// ```
@@ -53,6 +58,14 @@
         }
     }
 
+    /// Shares the resources of a daemon that has `memory_mb` megabytes, of which it needs a quarter
+    /// for itself, at least 24 MB, and `descriptors`.
+    #[must_use]
+    pub fn share_of_daemon(memory_mb: f64, descriptors: f64) -> Self {
+        let own_mb = (memory_mb * DAEMON_MEMORY_SHARE).max(DAEMON_MEMORY_MIN_MB);
+        Self::share(memory_mb, memory_mb - own_mb, descriptors)
+    }
+
     /// Sets the memory for bodies and responses, in bytes.
     #[must_use]
     pub fn memory(mut self, bytes: usize) -> Self {
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -99,6 +99,8 @@
     HeadTooLarge = "head_too_large", 431;
     /// The request body is too large.
     BodyTooLarge = "body_too_large", 413;
+    /// The request body did not arrive in time.
+    BodyTimeout = "body_timeout", 408;
     /// The settings were rejected because validation reported findings.
     InvalidSettings = "invalid_settings", 422;
     /// The workspace exceeds its rate limit.
--- a/crates/daemon/src/callers/dispatch.rs
+++ b/crates/daemon/src/callers/dispatch.rs
@@ -6,16 +6,18 @@
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, Response, Uri};
 use hyper::body::Incoming;
+use ibisdale_clients::{HeldBody, close_after};
 use ibisdale_core::{ProgramId, RefusalCode, RequestId, RequestRefusal};
 use ibisdale_entry::{
     CallerRoute, StepHeaders, check_head, parse_caller_route, refusal_answer, step_headers,
 };
 use ibisdale_fleet::proto::ForwardRequest;
-use ibisdale_net::{BoxBody, NetError, read_limited};
+use ibisdale_net::BoxBody;
 
 use super::access::{CallerIdentity, authenticate};
 use super::forwarding::{forward_request, forwarded_parts};
 use super::{addresses, call, chat, programs};
+use crate::clients::is_unread;
 use crate::context::DaemonContext;
 use crate::credit::RateSubject;
 use crate::observe::RequestWatch;
@@ -33,6 +35,9 @@
     pub(crate) route: CallerRoute,
     pub(crate) step: StepHeaders,
     pub(crate) body: Bytes,
+    /// Memory of the body in the account of the process; none for a
+    /// request that another daemon forwarded, which counts on its connection.
+    pub(crate) held: Option<Arc<[HeldBody; 1]>>,
     pub(crate) caller: CallerIdentity,
     pub(crate) traceparent: Option<String>,
 }
@@ -45,8 +50,14 @@
     let id = RequestId::generate(&mut rand::rng());
     let traceparent = read_traceparent(request.headers());
     let mut watch = RequestWatch::start(&context, "entry", id, traceparent.as_deref());
-    let result = serve(&context, id, request, &mut watch).await;
-    answer_watched(id, result, watch)
+    let (parts, mut body) = request.into_parts();
+    let result = serve(&context, id, parts, &mut body, &mut watch).await;
+    let response = answer_watched(id, result, watch);
+    if is_unread(&body) {
+        close_after(response)
+    } else {
+        response
+    }
 }
 
 fn answer_watched(
@@ -69,17 +80,17 @@
 async fn serve(
     context: &Arc<DaemonContext>,
     id: RequestId,
-    request: Request<Incoming>,
+    parts: Parts,
+    body: &mut Incoming,
     watch: &mut RequestWatch,
 ) -> Result<Response<BoxBody>, RequestRefusal> {
-    let (parts, body) = request.into_parts();
     check_head(&parts)?;
     let route = parse_caller_route(&parts.method, &parts.uri)?;
     watch.set_route(route.as_str());
     match route {
         CallerRoute::Addresses(query) => Ok(addresses::list_addresses(context, id, &query)),
         CallerRoute::OpenCall(path) => {
-            let body = read_body(body).await?;
+            let (body, _held) = read_body(context, body).await?;
             call::run_open_call(context, id, &path, body).await
         }
         route => {
@@ -87,8 +98,9 @@
             let settings = context.settings();
             let caller = authenticate(&settings, &parts.headers)?;
             take_credit(context, &route, &caller).await?;
-            let body = read_body(body).await?;
+            let (body, held) = read_body(context, body).await?;
             let mut request = build_request(id, route, &parts.headers, body, caller)?;
+            request.held = Some(Arc::new([held]));
             request.traceparent = watch.traceparent();
             serve_known(context, request, &parts).await
         }
@@ -122,14 +134,13 @@
         .await
 }
 
-async fn read_body(body: Incoming) -> Result<Bytes, RequestRefusal> {
-    read_limited(body, BODY_MAX_BYTES).await.map_err(|error| {
-        let code = match error {
-            NetError::TooLarge { .. } => RefusalCode::BodyTooLarge,
-            _ => RefusalCode::BadRequest,
-        };
-        RequestRefusal::new(code, error.to_string())
-    })
+async fn read_body(
+    context: &DaemonContext,
+    body: &mut Incoming,
+) -> Result<(Bytes, HeldBody), RequestRefusal> {
+    let clients = &context.clients;
+    let read = clients.read_body(&context.metrics, body, BODY_MAX_BYTES);
+    read.await
 }
 
 fn build_request(
@@ -149,6 +160,7 @@
         route,
         step,
         body,
+        held: None,
         caller,
         traceparent,
     })
--- a/crates/daemon/src/callers/forwarding.rs
+++ b/crates/daemon/src/callers/forwarding.rs
@@ -32,6 +32,7 @@
     owner: SlotOwner,
 ) -> Result<Response<BoxBody>, RequestRefusal> {
     context.metrics.count_forwarded_request();
+    let _held = request.held.clone();
     let forward = render_request(request, parts, context.settings().revision());
     let exchange = async { context.links.forward(owner.fleet_address, forward).await };
     let expire = async {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use ibisdale_clients::ClientLimits;
 use ibisdale_core::{DaemonName, SlotId, TimeStamp};
 use ibisdale_fleet::FleetLinks;
 use ibisdale_net::TrafficExecutor;
@@ -14,6 +15,7 @@
 use ibisdale_telemetry::{MetricRegistry, SpanSender, record_event};
 use ibisdale_upstreams::{PoolOptions, UpstreamCredential, UpstreamPool};
 
+use crate::clients::DaemonClients;
 use crate::control::{ControlHandle, UpstreamVm};
 use crate::credit::CreditHandle;
 use crate::drain::DrainSwitch;
@@ -137,6 +139,7 @@
     pub(crate) spans: SpanSender,
     pub(crate) drain: DrainSwitch,
     pub(crate) address_keep: Duration,
+    pub(crate) clients: DaemonClients,
 }
 
 impl DaemonContext {
@@ -164,6 +167,7 @@
             spans: SpanSender::disabled(),
             drain: DrainSwitch::new(),
             address_keep: Duration::ZERO,
+            clients: DaemonClients::new(ClientLimits::UNLIMITED),
         }
     }
 
@@ -179,6 +183,12 @@
         self
     }
 
+    /// Sets what clients may make the process hold.
+    pub(crate) fn clients(mut self, limits: ClientLimits) -> Self {
+        self.clients = DaemonClients::new(limits);
+        self
+    }
+
     /// Shares the finished context.
     pub(crate) fn share(self) -> Arc<Self> {
         Arc::new(self)
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod callers;
 mod cleanup;
+mod clients;
 mod clock;
 mod context;
 mod control;
--- a/crates/daemon/src/listeners.rs
+++ b/crates/daemon/src/listeners.rs
@@ -102,7 +102,7 @@
     let server = serve_http(
         listener,
         TrafficExecutor::clone(&context.executor),
-        ServeOptions::new(),
+        ServeOptions::new().limiter(context.clients.entry.clone()),
         signal,
         move |request, _peer| serve_caller(Arc::clone(&shared), request),
     );
@@ -121,7 +121,7 @@
     let server = serve_http(
         listener,
         TrafficExecutor::clone(&context.executor),
-        ServeOptions::new(),
+        ServeOptions::new().limiter(context.clients.operator.clone()),
         signal,
         move |request, _peer| serve_operator(Arc::clone(&shared), access.clone(), request),
     );
@@ -142,7 +142,8 @@
         None => handlers,
     };
     let traffic = context.links.get_traffic().clone();
-    let server = serve_fleet(listener, executor, signal, handlers, traffic);
+    let limiter = context.clients.fleet.clone();
+    let server = serve_fleet(listener, executor, limiter, signal, handlers, traffic);
     context.executor.spawn(server).detach();
     guard
 }
--- a/crates/daemon/src/operators/dispatch.rs
+++ b/crates/daemon/src/operators/dispatch.rs
@@ -3,19 +3,22 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use http::request::Parts;
 use http::{HeaderMap, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use ibisdale_clients::close_after;
 use ibisdale_core::admin::{DrainReply, ProgramsReply};
 use ibisdale_core::{ProgramId, RefusalCode, RequestId, RequestRefusal};
 use ibisdale_entry::{
     AnswerHead, OperatorRoute, bearer_key, check_head, json_answer, parse_operator_route,
     refusal_answer, text_answer,
 };
-use ibisdale_net::{BoxBody, NetError, read_limited};
+use ibisdale_net::BoxBody;
 use ibisdale_settings::KeyHash;
 
 use super::render::{render_program, render_status};
 use super::settings;
+use crate::clients::is_unread;
 use crate::context::DaemonContext;
 
 /// Largest settings text that is taken, in bytes.
@@ -36,18 +39,21 @@
     request: Request<Incoming>,
 ) -> Response<BoxBody> {
     let id = RequestId::generate(&mut rand::rng());
-    match serve(&context, &access, id, request).await {
+    let (parts, mut body) = request.into_parts();
+    let response = match serve(&context, &access, id, &parts, &mut body).await {
         Ok(response) => response,
         Err(refusal) => refusal_answer(id, &refusal),
+    };
+    if is_unread(&body) {
+        close_after(response)
+    } else {
+        response
     }
 }
 
-fn authenticate(
-    access: &OperatorAccess,
-    request: &Request<Incoming>,
-) -> Result<(), RequestRefusal> {
+fn authenticate(access: &OperatorAccess, headers: &HeaderMap) -> Result<(), RequestRefusal> {
     let unknown = |message: &str| RequestRefusal::new(RefusalCode::UnknownKey, message);
-    let key = bearer_key(request.headers())?.ok_or_else(|| unknown("no key was given"))?;
+    let key = bearer_key(headers)?.ok_or_else(|| unknown("no key was given"))?;
     if KeyHash::of(&key) == access.key_hash {
         return Ok(());
     }
@@ -58,19 +64,20 @@
     context: &Arc<DaemonContext>,
     access: &OperatorAccess,
     id: RequestId,
-    request: Request<Incoming>,
+    parts: &Parts,
+    body: &mut Incoming,
 ) -> Result<Response<BoxBody>, RequestRefusal> {
-    let route = parse_operator_route(request.method(), request.uri())?;
+    let route = parse_operator_route(&parts.method, &parts.uri)?;
     if route == OperatorRoute::Metrics {
         let sent = context.links.get_traffic().take();
         context
             .metrics
             .count_fleet_messages(FLEET_LINKS, sent.messages, sent.bytes);
+        context.clients.update_metrics(&context.metrics);
         return Ok(text_answer(AnswerHead::new(id), context.metrics.render()));
     }
-    authenticate(access, &request)?;
-    let (parts, body) = request.into_parts();
-    check_head(&parts)?;
+    authenticate(access, &parts.headers)?;
+    check_head(parts)?;
     match route {
         OperatorRoute::Programs => Ok(list_programs(context, id).await),
         OperatorRoute::Program(program) => read_program(context, id, program).await,
@@ -78,18 +85,14 @@
         OperatorRoute::Status => Ok(json_answer(AnswerHead::new(id), &render_status(context))),
         OperatorRoute::Drain => Ok(start_drain(context, id)),
         route => {
-            let body = read_limited(body, SETTINGS_MAX_BYTES)
-                .await
-                .map_err(|error| body_refusal(&error))?;
+            let clients = &context.clients;
+            let read = clients.read_body(&context.metrics, body, SETTINGS_MAX_BYTES);
+            let (body, _held) = read.await?;
             Ok(serve_settings(context, id, route, &parts.headers, &body).await)
         }
     }
 }
 
-fn body_refusal(error: &NetError) -> RequestRefusal {
-    RequestRefusal::new(RefusalCode::BodyTooLarge, error.to_string())
-}
-
 async fn serve_settings(
     context: &DaemonContext,
     id: RequestId,
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -15,6 +15,7 @@
 use rand::rngs::SmallRng;
 use snafu::ResultExt;
 
+use crate::clients::client_limits;
 use crate::clock::unix_now;
 use crate::context::{ContextParts, DaemonContext, DaemonIdentity};
 use crate::control::{ControlOptions, ControlThread};
@@ -78,6 +79,7 @@
         let context = DaemonContext::new(identity(&settings, addresses), parts, executor)
             .spans(sender.unwrap_or_default())
             .address_keep(options.address_keep)
+            .clients(client_limits(&settings))
             .share();
         start_credit(credit, &context);
         let access = OperatorAccess {
--- a/crates/fleet/src/service.rs
+++ b/crates/fleet/src/service.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 
 use futures_lite::{Stream, StreamExt};
+use ibisdale_clients::ConnectionLimiter;
 use ibisdale_net::{LinkCounters, ShutdownSignal, TrafficExecutor, serve_grpc};
 use smol::Async;
 use tonic::{Request, Response, Status};
@@ -110,6 +111,7 @@
 pub async fn serve_fleet(
     listener: Async<TcpListener>,
     executor: TrafficExecutor,
+    limiter: ConnectionLimiter,
     shutdown: ShutdownSignal,
     handlers: FleetHandlers,
     traffic: LinkCounters,
@@ -117,5 +119,5 @@
     let server = FleetServer::new(FleetService { handlers })
         .max_decoding_message_size(MESSAGE_MAX_BYTES)
         .max_encoding_message_size(MESSAGE_MAX_BYTES);
-    serve_grpc(listener, executor, shutdown, server, traffic).await;
+    serve_grpc(listener, executor, limiter, shutdown, server, traffic).await;
 }
--- a/crates/ibisdaled/tests/support/mod.rs
+++ b/crates/ibisdaled/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! A fleet of daemon processes on stand-ins.
 
+#![allow(dead_code, reason = "no test uses all of it")]
+
 #[path = "../../../daemon/tests/support/bed.rs"]
 mod bed;
 
@@ -7,16 +9,19 @@
 use std::process::{Child, Command};
 use std::sync::atomic::{AtomicU8, Ordering};
 
-pub(crate) use bed::{Answer, Caller, KERMESSE_KEY, TestBed, wait_until};
-use bed::{OPERATOR_KEY, apply_request, settings_text, vm};
+#[allow(unused_imports, reason = "no test uses all of it")]
+pub(crate) use bed::{Answer, Caller, KERMESSE_KEY, OPERATOR_KEY, TestBed, wait_until};
+use bed::{apply_request, settings_text, vm};
 use http::{Method, StatusCode};
 use ibisdale_settings::KeyHash;
+use ibisdale_standins::{DescriptorWatch, ProcessUsage};
 use rustix::process::{Pid, Signal, kill_process};
 
 /// A daemon process.
 pub(crate) struct DaemonProcess {
     pub(crate) entry: SocketAddr,
-    operator: SocketAddr,
+    pub(crate) fleet: SocketAddr,
+    pub(crate) operator: SocketAddr,
     child: Child,
 }
 
@@ -64,7 +69,7 @@
 }
 
 impl DaemonProcess {
-    fn start(bed: &TestBed, plan: &DaemonPlan) -> Self {
+    fn start(bed: &TestBed, plan: &DaemonPlan, limits: &str) -> Self {
         let ip = own_ip();
         let address = |port| SocketAddr::from((ip, port));
         let [entry, fleet, operator] = [address(7_101), address(7_201), address(7_301)];
@@ -81,7 +86,7 @@
         let text = format!(
             "[/daemon]\nname = {}\nfailure_domain = {}\nregion = west\n\
              entry_address = {entry}\nfleet_address = {fleet}\noperator_address = {operator}\n\
-             operator_key_hash = {}\ntraffic_threads = 2\n{data}\
+             operator_key_hash = {}\ntraffic_threads = 2\n{limits}{data}\
              [/platform]\nkey_value_endpoints = {}\nvm_list_address = {}\n\
              [/log]\nlog_level = info\nlog_file = {}\n",
             plan.name,
@@ -100,11 +105,22 @@
             .spawn();
         Self {
             entry,
+            fleet,
             operator,
             child: command.expect("the daemon starts"),
         }
     }
 
+    /// Returns what the process uses.
+    pub(crate) fn usage(&self) -> ProcessUsage {
+        ProcessUsage::new(self.child.id())
+    }
+
+    /// Starts to count the open descriptors of the process.
+    pub(crate) fn watch_descriptors(&self) -> DescriptorWatch {
+        DescriptorWatch::start(self.usage())
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = i32::try_from(self.child.id())
             .ok()
@@ -166,10 +182,15 @@
     /// Starts three daemons in two failure domains and applies the test
     /// settings, with two copies of histories.
     pub(crate) fn start() -> Self {
+        Self::start_with("")
+    }
+
+    /// Starts the daemons with further lines of their section in their files.
+    pub(crate) fn start_with(limits: &str) -> Self {
         let bed = TestBed::start();
         let daemons: Vec<_> = PLANS
             .iter()
-            .map(|plan| DaemonProcess::start(&bed, plan))
+            .map(|plan| DaemonProcess::start(&bed, plan, limits))
             .collect();
         let fleet = Self { bed, daemons };
         for daemon in &fleet.daemons {
--- a/crates/net/src/error.rs
+++ b/crates/net/src/error.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::time::Duration;
 
+use ibisdale_clients::{BodyRefusal, ResponseEvicted};
 use snafu::Snafu;
 
 /// Error of a listener, a connection or a message body.
@@ -65,6 +66,12 @@
         /// The timeout.
         timeout: Duration,
     },
+    /// The body of a request is not read to its end; the request has not run.
+    #[snafu(display("{refusal}"))]
+    Refused {
+        /// The reason.
+        refusal: BodyRefusal,
+    },
     /// The sender or the receiving body was dropped before the body was complete.
     #[snafu(display("the body was abandoned by its producer"))]
     Abandoned,
@@ -80,3 +87,15 @@
         )
     }
 }
+
+impl From<ResponseEvicted> for NetError {
+    fn from(_: ResponseEvicted) -> Self {
+        Self::Abandoned
+    }
+}
+
+impl From<BodyRefusal> for NetError {
+    fn from(refusal: BodyRefusal) -> Self {
+        Self::Refused { refusal }
+    }
+}
--- a/crates/net/src/grpc.rs
+++ b/crates/net/src/grpc.rs
@@ -5,15 +5,20 @@
 use std::convert::Infallible;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
+use futures_lite::FutureExt;
 use http::uri::{Authority, Scheme};
 use http::{Request, Response, Uri};
+use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http2 as client;
 use hyper::server::conn::http2 as server;
+use ibisdale_clients::{ConnectionLimiter, CountedBody, OpenConnection, RequestProgress};
 use smol::Async;
 use smol_hyper::rt::{FuturesIo, SmolExecutor, SmolTimer};
 use tonic::body::Body as GrpcBody;
@@ -29,6 +34,8 @@
 
 /// Time without received data after which an HTTP/2 ping is sent.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(5);
+/// Maximum size of a request, in bytes; more than the longest message of the fleet.
+const REQUEST_MAX_BYTES: usize = 17 * 1_024 * 1_024;
 /// Maximum time to wait for the reply to a ping before the connection is closed.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -131,6 +138,7 @@
 pub async fn serve_grpc<S>(
     listener: Async<TcpListener>,
     executor: TrafficExecutor,
+    limiter: ConnectionLimiter,
     shutdown: ShutdownSignal,
     service: S,
     traffic: LinkCounters,
@@ -142,11 +150,10 @@
         + 'static,
     S::Future: Send,
 {
-    accept_until_shutdown(&listener, &shutdown, |stream, peer| {
+    accept_until_shutdown(&listener, &shutdown, &limiter, |stream, peer, open| {
         let connection_executor = TrafficExecutor::clone(&executor);
         let task = serve_connection(
-            stream,
-            peer,
+            (stream, peer, open),
             connection_executor,
             shutdown.clone(),
             service.clone(),
@@ -158,8 +165,7 @@
 }
 
 async fn serve_connection<S>(
-    stream: Async<TcpStream>,
-    peer: SocketAddr,
+    (stream, peer, open): (Async<TcpStream>, SocketAddr, OpenConnection),
     executor: TrafficExecutor,
     shutdown: ShutdownSignal,
     service: S,
@@ -173,12 +179,26 @@
     S::Future: Send,
 {
     let stream = CountingStream::new(stream, traffic.clone());
+    let open = Arc::new(open);
+    let service_open = Arc::clone(&open);
     let hyper_service = hyper::service::service_fn(move |request: Request<Incoming>| {
         let mut service = service.clone();
         // Counts the reply: each request has exactly one.
         traffic.count_message();
-        let request = request.map(|body| GrpcBody::new(body.map_err(tonic_status)));
-        async move { service.call(request).await }
+        let progress = service_open.begin_request();
+        let account = service_open.account().clone();
+        async move {
+            let (parts, body) = request.into_parts();
+            let (body, held) = CountedBody::begin(&account, body, REQUEST_MAX_BYTES)?;
+            let body = GrpcBody::new(body.map_err(tonic::Status::from_error));
+            let response = service.call(Request::from_parts(parts, body)).await;
+            let response = response.unwrap_or_else(|never| match never {});
+            drop(held);
+            Ok::<_, NetError>(response.map(|body| GuardedBody {
+                body,
+                _progress: progress,
+            }))
+        }
     });
     let connection = server::Builder::new(SmolExecutor::new(executor))
         .timer(SmolTimer::new())
@@ -186,15 +206,40 @@
         .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
         .serve_connection(FuturesIo::new(stream), hyper_service);
     let connection = std::pin::pin!(connection);
-    let result = serve_until_shutdown(connection, &shutdown, |connection| {
+    let served = serve_until_shutdown(connection, &shutdown, |connection| {
         connection.graceful_shutdown();
-    })
-    .await;
-    if let Err(error) = result {
+    });
+    let closed = async {
+        open.wait_for_close().await;
+        Ok(())
+    };
+    if let Err(error) = served.or(closed).await {
         log::debug!("gRPC connection from {peer} failed: {error}");
     }
 }
 
-fn tonic_status(error: hyper::Error) -> tonic::Status {
-    tonic::Status::from_error(Box::new(error))
+/// Body of a reply, whose connection is busy until it ends.
+struct GuardedBody {
+    body: GrpcBody,
+    _progress: RequestProgress,
+}
+
+impl Body for GuardedBody {
+    type Data = Bytes;
+    type Error = tonic::Status;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, tonic::Status>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
 }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use futures_lite::FutureExt;
@@ -10,6 +11,10 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use ibisdale_clients::{
+    ClientAccount, ClientLimits, ConnectionLimiter, DeliveredBody, OpenConnection, discard_rest,
+    is_closed_after,
+};
 use smol::Async;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
@@ -31,10 +36,11 @@
 /// let options = ibisdale_net::ServeOptions::new().head_max_bytes(8 * 1024);
 /// assert_eq!(options.get_head_max_bytes(), 8 * 1024);
 /// ```
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct ServeOptions {
     head_max_bytes: usize,
     head_timeout: Duration,
+    limiter: ConnectionLimiter,
 }
 
 impl Default for ServeOptions {
@@ -50,9 +56,18 @@
         Self {
             head_max_bytes: HEAD_MAX_BYTES,
             head_timeout: HEAD_TIMEOUT,
+            limiter: unlimited_connections(),
         }
     }
 
+    /// Sets the limit of the connections and the account of what their clients make the process
+    /// hold; by default there is none.
+    #[must_use]
+    pub fn limiter(mut self, limiter: ConnectionLimiter) -> Self {
+        self.limiter = limiter;
+        self
+    }
+
     /// Sets the maximum size of a request's head, in bytes; values below 8192 are raised
     /// to 8192.
     #[must_use]
@@ -90,11 +105,11 @@
     F: Future<Output = Response<BoxBody>> + Send + 'static,
 {
     let handler = Arc::new(handler);
-    accept_until_shutdown(&listener, &shutdown, |stream, peer| {
+    let limiter = options.limiter.clone();
+    accept_until_shutdown(&listener, &shutdown, &limiter, |stream, peer, open| {
         let task = serve_connection(
-            stream,
-            peer,
-            options,
+            (stream, peer, open),
+            options.clone(),
             shutdown.clone(),
             Arc::clone(&handler),
         );
@@ -103,13 +118,22 @@
     .await;
 }
 
-/// Accepts connections until shutdown and passes each to `serve`.
+/// Returns a limiter that closes no connection and counts without a bound.
+fn unlimited_connections() -> ConnectionLimiter {
+    let limits = ClientLimits::UNLIMITED;
+    let account = ClientAccount::new(limits.memory_bytes());
+    ConnectionLimiter::new(limits.connections(), &account)
+}
+
+/// Accepts connections until shutdown and passes each that is admitted to `serve`.
 pub(crate) async fn accept_until_shutdown(
     listener: &Async<TcpListener>,
     shutdown: &ShutdownSignal,
-    serve: impl Fn(Async<TcpStream>, SocketAddr),
+    limiter: &ConnectionLimiter,
+    serve: impl Fn(Async<TcpStream>, SocketAddr, OpenConnection),
 ) {
     loop {
+        limiter.wait_for_room().await;
         let stop = async {
             shutdown.wait().await;
             None
@@ -118,8 +142,10 @@
         match stop.or(accept).await {
             None => return,
             Some(Ok((stream, peer))) => {
-                if stream.get_ref().set_nodelay(true).is_ok() {
-                    serve(stream, peer);
+                if stream.get_ref().set_nodelay(true).is_ok()
+                    && let Some(open) = limiter.admit()
+                {
+                    serve(stream, peer, open);
                 }
             }
             Some(Err(error)) => {
@@ -131,8 +157,7 @@
 }
 
 async fn serve_connection<H, F>(
-    stream: Async<TcpStream>,
-    peer: SocketAddr,
+    (stream, peer, open): (Async<TcpStream>, SocketAddr, OpenConnection),
     options: ServeOptions,
     shutdown: ShutdownSignal,
     handler: Arc<H>,
@@ -140,9 +165,18 @@
     H: Fn(Request<Incoming>, SocketAddr) -> F + Send + Sync + 'static,
     F: Future<Output = Response<BoxBody>> + Send + 'static,
 {
+    let stream = smol::net::TcpStream::from(stream);
+    let rest = stream.clone();
+    let has_unread = AtomicBool::new(false);
+    let (open, unread) = (&open, &has_unread);
     let service = service_fn(move |request| {
+        let progress = open.begin_request();
         let response = handler(request, peer);
-        async move { Ok::<_, NetError>(response.await) }
+        async move {
+            let response = response.await;
+            unread.store(is_closed_after(&response), Ordering::Relaxed);
+            Ok::<_, NetError>(response.map(|body| DeliveredBody::new(body, open, progress)))
+        }
     });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
@@ -150,10 +184,20 @@
         .max_buf_size(options.head_max_bytes)
         .serve_connection(FuturesIo::new(stream), service);
     let connection = std::pin::pin!(connection);
-    let result = serve_until_shutdown(connection, &shutdown, |connection| {
+    let served = serve_until_shutdown(connection, &shutdown, |connection| {
         connection.graceful_shutdown();
-    })
-    .await;
+    });
+    let served = async { Some(served.await) };
+    let closed = async {
+        open.wait_for_close().await;
+        None
+    };
+    let Some(result) = served.or(closed).await else {
+        return;
+    };
+    if has_unread.load(Ordering::Relaxed) && open.begin_linger() {
+        discard_rest(rest).or(open.wait_for_close()).await;
+    }
     if let Err(error) = result {
         log::debug!("connection from {peer} failed: {error}");
     }
--- a/crates/relay/src/gateway/admit.rs
+++ b/crates/relay/src/gateway/admit.rs
@@ -1,6 +1,6 @@
 //! Admission checks that a request passes before it is sent to a replica.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
@@ -9,7 +9,7 @@
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use ibisdale_clients::{BodyRefusal, HeldBody};
+use ibisdale_clients::{BodyRefusal, DISCARD_MAX_BYTES, DISCARD_TIMEOUT, HeldBody};
 use ibisdale_telemetry::record_event;
 use smol::Timer;
 
@@ -27,13 +27,6 @@
 /// `Retry-After` of the response to a request whose program's or workspace's home, the
 /// VM that decides on its budget or rate, can't be reached, in milliseconds.
 pub(crate) const HOME_UNREACHABLE_RETRY_MS: u64 = 150;
-/// Maximum number of bytes of a refused request's body that are read and
-/// discarded; 4 times the default `body_max_bytes` and 16 times the largest that a
-/// deployment sets.
-pub(crate) const DISCARD_MAX_BYTES: usize = 16 * 1_024 * 1_024;
-/// Maximum time for which the body of a refused request is read.
-pub(crate) const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// An error response created by the gateway instead of a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct GatewayError {
--- a/crates/relay/src/gateway/client_connections.rs
+++ b/crates/relay/src/gateway/client_connections.rs
@@ -5,18 +5,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_lite::{AsyncReadExt, FutureExt};
+use futures_lite::FutureExt;
+use http::HeaderValue;
 use http::header::CONNECTION;
-use http::{HeaderValue, Response};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use ibisdale_clients::{ConnectionLimiter, DeliveredBody, OpenConnection};
+use ibisdale_clients::{
+    ConnectionLimiter, DeliveredBody, OpenConnection, discard_rest, is_closed_after,
+};
 use ibisdale_telemetry::record_event;
 use smol::{Async, Timer};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use super::admit::{DISCARD_MAX_BYTES, DISCARD_TIMEOUT};
-use super::body::{ResponseAborted, ResponseBody};
+use super::body::ResponseAborted;
 use super::listen::RequestHandler;
 use super::state::Gateway;
 
@@ -83,7 +84,7 @@
         let unread = Rc::clone(&unread);
         async move {
             let mut response = response.await;
-            unread.set(response.extensions().get::<UnreadBody>().is_some());
+            unread.set(is_closed_after(&response));
             if gateway.state.is_draining.get() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
@@ -125,38 +126,6 @@
     }
 }
 
-/// Marker of a response that is sent before the body of its request is read whole.
-#[derive(Clone, Copy, Debug)]
-struct UnreadBody;
-
-/// Closes the connection after a response to a request whose body is not read to its end.
-pub(crate) fn close_after(mut response: Response<ResponseBody>) -> Response<ResponseBody> {
-    let close = HeaderValue::from_static("close");
-    response.headers_mut().insert(CONNECTION, close);
-    response.extensions_mut().insert(UnreadBody);
-    response
-}
-
-/// Reads and discards what a client still sends after a refusal.
-///
-/// Closing a connection that has unread data resets it, and the client may lose the response.
-async fn discard_rest(mut stream: smol::net::TcpStream) {
-    let read = async {
-        let mut buffer = [0_u8; 4_096];
-        let mut left = DISCARD_MAX_BYTES;
-        while let Ok(size) = stream.read(&mut buffer).await {
-            if size == 0 || size > left {
-                return;
-            }
-            left -= size;
-        }
-    };
-    let timed_out = async {
-        Timer::after(DISCARD_TIMEOUT).await;
-    };
-    read.or(timed_out).await;
-}
-
 /// Logs and counts how many connections the limit of a listener has closed since the last call.
 pub(crate) fn report_closed(gateway: &Gateway, limiter: &ConnectionLimiter) {
     let (idle, new) = limiter.take_closed();
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -10,7 +10,7 @@
 use futures_lite::future::zip;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use ibisdale_clients::ConnectionLimiter;
+use ibisdale_clients::{ConnectionLimiter, close_after};
 use ibisdale_telemetry::record_event;
 use smol::{Async, Timer};
 
@@ -22,7 +22,7 @@
 use super::body::ResponseBody;
 use super::budget::{ReserveOutcome, reserve};
 use super::caller_request::{CallerRequest, header_str, millis};
-use super::client_connections::{accept, close_after, report_closed};
+use super::client_connections::{accept, report_closed};
 use super::directory::{directory_response, readiness_response};
 use super::evacuation::update_evacuation_gauges;
 use super::forward::forward;
--- a/crates/relay/src/gateway/state_transfer.rs
+++ b/crates/relay/src/gateway/state_transfer.rs
@@ -77,13 +77,13 @@
             Ok((stream, peer)) => {
                 // Each transfer ends soon.
                 let open = limiter.admit_when_free().await;
-                let cloned = gateway.clone();
+                let sender = gateway.clone();
                 gateway.spawn(async move {
                     let closed = async {
                         open.wait_for_close().await;
                         Err(io::ErrorKind::ConnectionAborted.into())
                     };
-                    let transfer = with_timeout(send_part(&cloned, &open, stream));
+                    let transfer = with_timeout(send_part(&sender, &open, stream));
                     if let Err(error) = transfer.or(closed).await {
                         log::debug!("failed to send state to {peer}: {error}");
                     }
--- a/crates/settings/src/daemon_file.rs
+++ b/crates/settings/src/daemon_file.rs
@@ -39,6 +39,10 @@
     pub operator_key_hash: KeyHash,
     /// The number of threads that serve traffic.
     pub traffic_threads: usize,
+    /// The memory of the process, in megabytes.
+    pub memory_mb: u64,
+    /// The number of descriptors that the process may open.
+    pub max_descriptors: u64,
     /// The endpoints of the platform's key-value service.
     pub key_value_endpoints: Vec<SocketAddr>,
     /// The address of the platform's VM list service.
@@ -103,6 +107,8 @@
         data_folder: daemon.file_path("data_folder"),
         operator_key_hash: daemon.key_hash("operator_key_hash")?,
         traffic_threads: usize::try_from(daemon.integer("traffic_threads")).ok()?,
+        memory_mb: daemon.integer("memory_mb"),
+        max_descriptors: daemon.integer("max_descriptors"),
         key_value_endpoints: platform.addresses("key_value_endpoints"),
         vm_list_address: platform.address("vm_list_address")?,
         log_file: log.file_path("log_file"),
--- a/crates/settings/src/table/daemon_keys.rs
+++ b/crates/settings/src/table/daemon_keys.rs
@@ -4,6 +4,10 @@
 use crate::tree::SectionKind::{Daemon, Log, Platform, Trace};
 
 const MAX_THREADS: u64 = 1_024;
+/// Least memory of a daemon, in megabytes, and the most that can be set.
+const MEMORY_MB_RANGE: (u64, u64) = (64, 1_048_576);
+/// Least number of descriptors of a daemon, and the most that can be set.
+const DESCRIPTOR_RANGE: (u64, u64) = (128, 1_048_576);
 
 pub(crate) static DAEMON_KEYS: &[KeySpec] = &[
     key(
@@ -78,6 +82,24 @@
     .not_inherited()
     .unit(ValueUnit::Threads)
     .default("2"),
+    key(
+        "memory_mb",
+        &[Daemon],
+        integer(MEMORY_MB_RANGE.0, MEMORY_MB_RANGE.1),
+        "Memory of the process, by which bodies, responses and connections of clients are limited.",
+    )
+    .not_inherited()
+    .unit(ValueUnit::Megabytes)
+    .default("512"),
+    key(
+        "max_descriptors",
+        &[Daemon],
+        integer(DESCRIPTOR_RANGE.0, DESCRIPTOR_RANGE.1),
+        "File descriptors of the process, by which connections are limited; at most its own limit.",
+    )
+    .not_inherited()
+    .unit(ValueUnit::Descriptors)
+    .default("4096"),
     key(
         "key_value_endpoints",
         &[Platform],
--- a/crates/settings/src/table/spec.rs
+++ b/crates/settings/src/table/spec.rs
@@ -65,6 +65,10 @@
     Copies,
     /// `threads`
     Threads,
+    /// `MB`
+    Megabytes,
+    /// `descriptors`
+    Descriptors,
 }
 
 impl ValueUnit {
@@ -81,6 +85,8 @@
             Self::Steps => "steps",
             Self::Copies => "copies",
             Self::Threads => "threads",
+            Self::Megabytes => "MB",
+            Self::Descriptors => "descriptors",
         }
     }
 }
--- a/crates/standins/src/crowd/messages.rs
+++ b/crates/standins/src/crowd/messages.rs
@@ -23,6 +23,14 @@
         }
     }
 
+    /// Creates a PUT request.
+    #[must_use]
+    pub fn put(target: &str) -> Self {
+        Self {
+            head: format!("PUT {target} HTTP/1.1\r\n"),
+        }
+    }
+
     /// Creates a GET request.
     #[must_use]
     pub fn get(target: &str) -> Self {
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -100,6 +100,16 @@
         "Time since the key-value service or a peer last confirmed the settings revision.";
     HISTORY_RECORDS = Counter, "ibisdale_history_records_total", ["outcome"],
         "Attempts to append a history record at a daemon that holds a copy, by outcome.";
+    CLIENT_BYTES = Gauge, "ibisdale_client_bytes", ["kind"],
+        "Bytes held for clients, by kind: `unfinished_bodies`, `complete_bodies`, `responses`.";
+    CLIENT_CONNECTIONS = Gauge, "ibisdale_client_connections", ["address"],
+        "Open connections, by listening address: `entry`, `fleet`, `operator`.";
+    REFUSED_BODIES = Counter, "ibisdale_refused_bodies_total", ["reason"],
+        "Requests refused because memory for their body was short: `full` or `evicted`.";
+    EVICTED_RESPONSES = Counter, "ibisdale_evicted_responses_total", [],
+        "Responses cut off because their clients did not read while memory was short.";
+    CLOSED_CONNECTIONS = Counter, "ibisdale_closed_connections_total", ["kind"],
+        "Connections closed because there were too many: `idle` or `new` ones.";
     SPANS_DROPPED = Counter, "ibisdale_spans_dropped_total", [],
         "Trace spans dropped because their queue was full or the writer had stopped.";
 }
--- a/crates/telemetry/src/registry.rs
+++ b/crates/telemetry/src/registry.rs
@@ -78,6 +78,11 @@
     settings_revision: Gauge,
     settings_age_seconds: Gauge,
     history_records: IntCounterVec,
+    client_bytes: GaugeVec,
+    client_connections: GaugeVec,
+    refused_bodies: IntCounterVec,
+    evicted_responses: IntCounter,
+    closed_connections: IntCounterVec,
     spans_dropped: IntCounter,
 }
 
@@ -128,6 +133,11 @@
             settings_revision: register_gauge(&registry, &metric::SETTINGS_REVISION),
             settings_age_seconds: register_gauge(&registry, &metric::SETTINGS_AGE_SECONDS),
             history_records: register_counter_vec(&registry, &metric::HISTORY_RECORDS),
+            client_bytes: register_gauge_vec(&registry, &metric::CLIENT_BYTES),
+            client_connections: register_gauge_vec(&registry, &metric::CLIENT_CONNECTIONS),
+            refused_bodies: register_counter_vec(&registry, &metric::REFUSED_BODIES),
+            evicted_responses: register_counter(&registry, &metric::EVICTED_RESPONSES),
+            closed_connections: register_counter_vec(&registry, &metric::CLOSED_CONNECTIONS),
             spans_dropped: register_counter(&registry, &metric::SPANS_DROPPED),
             registry,
         }
@@ -146,6 +156,37 @@
         self.requests.with_label_values(&[code]).inc();
     }
 
+    /// Sets the bytes of a kind that are held for clients.
+    #[expect(clippy::cast_precision_loss, reason = "the memory of a process")]
+    pub fn set_client_bytes(&self, kind: &'static str, bytes: usize) {
+        let gauge = self.client_bytes.with_label_values(&[kind]);
+        gauge.set(bytes as f64);
+    }
+
+    /// Sets the open connections of a listening address.
+    #[expect(clippy::cast_precision_loss, reason = "at most the descriptors")]
+    pub fn set_client_connections(&self, address: &'static str, count: usize) {
+        let gauge = self.client_connections.with_label_values(&[address]);
+        gauge.set(count as f64);
+    }
+
+    /// Counts a request that is refused because memory for its body is short.
+    pub fn count_refused_body(&self, reason: &'static str) {
+        self.refused_bodies.with_label_values(&[reason]).inc();
+    }
+
+    /// Sets the number of responses that were cut off since the start.
+    pub fn set_evicted_responses(&self, count: u64) {
+        let before = self.evicted_responses.get();
+        self.evicted_responses.inc_by(count.saturating_sub(before));
+    }
+
+    /// Counts connections that the limit of a listener has closed.
+    pub fn count_closed_connections(&self, kind: &'static str, count: u64) {
+        let counter = self.closed_connections.with_label_values(&[kind]);
+        counter.inc_by(count);
+    }
+
     /// Observes the duration of a request to a route.
     pub fn observe_request_duration(&self, route: &'static str, duration: Duration) {
         let histogram = self.request_seconds.with_label_values(&[route]);
--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -31,6 +31,11 @@
     registry.set_settings_revision(12);
     registry.set_settings_age(time);
     registry.count_history_record("stored");
+    registry.set_client_bytes("responses", 3_000);
+    registry.set_client_connections("entry", 9);
+    registry.count_refused_body("full");
+    registry.set_evicted_responses(2);
+    registry.count_closed_connections("idle", 6);
     registry.add_spans_dropped(4);
 }
 
@@ -60,7 +65,11 @@
         .collect();
     insta::assert_snapshot!(lines.join("\n"), @r#"
     ibisdale_cleanup_backlog 1
+    ibisdale_client_bytes{kind="responses"} 3000
+    ibisdale_client_connections{address="entry"} 9
+    ibisdale_closed_connections_total{kind="idle"} 6
     ibisdale_credit_requests 1.5
+    ibisdale_evicted_responses_total 2
     ibisdale_fleet_bytes_total{message="ping"} 60
     ibisdale_fleet_messages_total{message="ping"} 1
     ibisdale_forwarded_total 1
@@ -69,6 +78,7 @@
     ibisdale_members{status="alive"} 3
     ibisdale_open_streams 0
     ibisdale_programs 2
+    ibisdale_refused_bodies_total{reason="full"} 1
     ibisdale_requests_total{code="ok"} 1
     ibisdale_settings_age_seconds 0.003
     ibisdale_settings_revision 12
