Count the parsed form of JSON bodies in ibisdaled

What callers saw: a legal body of many short values, such as [0,0,0], takes some 15 times its size once it is parsed; 60 of 3.9 MB took the daemon to 3,162,540 kB. Cause: the account counts the text of a body, and its values were parsed whatever memory was free. Change: before a body is parsed, its values are estimated by its separators, and their memory is held until the request ends; without it the request is refused as overloaded, not run.

--- a/crates/daemon/src/callers/dispatch.rs
+++ b/crates/daemon/src/callers/dispatch.rs
@@ -35,9 +35,9 @@
     pub(crate) route: CallerRoute,
     pub(crate) step: StepHeaders,
     pub(crate) body: Bytes,
-    /// Memory of the body in the account of the process; none for a
+    /// Memory of the body and of its parsed form in the account of the process; none for a
     /// request that another daemon forwarded, which counts on its connection.
-    pub(crate) held: Option<Arc<[HeldBody; 1]>>,
+    pub(crate) held: Option<Arc<[HeldBody; 2]>>,
     pub(crate) caller: CallerIdentity,
     pub(crate) traceparent: Option<String>,
 }
@@ -99,8 +99,9 @@
             let caller = authenticate(&settings, &parts.headers)?;
             take_credit(context, &route, &caller).await?;
             let (body, held) = read_body(context, body).await?;
+            let parsed = context.clients.hold_parsed(&context.metrics, &body)?;
             let mut request = build_request(id, route, &parts.headers, body, caller)?;
-            request.held = Some(Arc::new([held]));
+            request.held = Some(Arc::new([held, parsed]));
             request.traceparent = watch.traceparent();
             serve_known(context, request, &parts).await
         }
--- a/crates/daemon/src/clients.rs
+++ b/crates/daemon/src/clients.rs
@@ -12,6 +12,8 @@
 
 /// Time after which memory that is short is usually free again.
 const SHORTAGE_RETRY_DELAY: std::time::Duration = std::time::Duration::from_secs(1);
+/// Memory of a parsed JSON value beside its text, in bytes.
+const PARSED_VALUE_BYTES: usize = 72;
 
 /// Account of the process and the limits of its listeners.
 #[derive(Clone, Debug)]
@@ -49,6 +51,20 @@
         read.map_err(|refusal| refuse_body(metrics, refusal))
     }
 
+    /// Counts what a JSON body takes once it is parsed.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a body whose values lack memory; the request has not run.
+    pub(crate) fn hold_parsed(
+        &self,
+        metrics: &MetricRegistry,
+        body: &[u8],
+    ) -> Result<HeldBody, RequestRefusal> {
+        let held = self.account.hold_body(parsed_bytes(body));
+        held.map_err(|refusal| refuse_body(metrics, refusal))
+    }
+
     /// Updates the metrics of what clients make the process hold.
     pub(crate) fn update_metrics(&self, metrics: &MetricRegistry) {
         let usage = self.account.usage();
@@ -92,6 +108,14 @@
     number as f64
 }
 
+/// Returns the memory of a JSON body's values, each of which follows a separator.
+fn parsed_bytes(body: &[u8]) -> usize {
+    let separators = body
+        .iter()
+        .filter(|byte| matches!(byte, b',' | b'[' | b'{'));
+    body.len() + separators.count() * PARSED_VALUE_BYTES
+}
+
 fn refuse_body(metrics: &MetricRegistry, refusal: BodyRefusal) -> RequestRefusal {
     let code = match refusal {
         BodyRefusal::TooLarge => RefusalCode::BodyTooLarge,
--- a/crates/ibisdaled/tests/client_memory.rs
+++ b/crates/ibisdaled/tests/client_memory.rs
@@ -66,6 +66,17 @@
     });
 }
 
+/// A body of many short values took many times its size once it was parsed.
+#[test]
+fn parsed_bodies_stay_within_the_memory() {
+    check_crowd(|entry, _| {
+        let values = "0,".repeat(BODY_BYTES / 2 - 100);
+        let body = format!(r#"{{"model":"small","messages":[{values}0]}}"#);
+        let request = caller_request("/v1/chat/completions").body(body.as_bytes());
+        CrowdPlan::new(entry, CLIENTS, request).send()
+    });
+}
+
 /// Connections without a complete request took descriptors without a bound.
 #[test]
 fn idle_connections_stay_within_the_descriptors() {
