Let new connections take the place of clients that do not read or that never pause

What callers saw: 150 clients that pipelined small requests on all connections that were allowed kept ordinary callers out for as long as they liked; each new connection was closed. Cause: a connection counted as in use from the head of a request on. While its responses can't be written, hyper does not even start the handler of the next request, so that nothing of it was in the account; and between two pipelined requests a connection is never idle for a second. A stream that waited for its client, without data in the account, was evicted without its connection being closed, so that the listener would have waited for it. Change: the limit of a listener knows since when a connection can't be written and closes, after idle and lingering ones, the one that its client has not read for longest, at least a second. Where all are in use, the one that is open for longest ends after its response. Each response keeps what closes its connection, and a connection whose refusal is not taken for a second is closed where there is no room.

--- a/crates/clients/src/account.rs
+++ b/crates/clients/src/account.rs
@@ -17,10 +17,12 @@
 #[derive(Debug)]
 pub(crate) struct BodyBuffer {
     pub(crate) bytes: Vec<u8>,
+    /// Closes the connection if the refusal can't be sent, where the body has one of its own.
+    pub(crate) closer: Option<ConnectionCloser>,
     pub(crate) _reader: Sender<()>,
 }
 
-/// Rest of a response that its client has not taken yet.
+/// A response on its way to its client, and what waits of it.
 #[derive(Debug)]
 struct ResponseBuffer {
     bytes: Bytes,
@@ -50,7 +52,10 @@
         for key in evicted {
             match key {
                 TransferKey::Body(key) => {
-                    self.bodies.remove(*key);
+                    let buffer = self.bodies.remove(*key);
+                    if let Some(closer) = buffer.and_then(|buffer| buffer.closer) {
+                        closer.mark_refused();
+                    }
                     bodies += 1;
                 }
                 TransferKey::Response(key) => {
@@ -116,7 +121,7 @@
     ///
     /// Returns the refusal if the memory does not suffice.
     pub fn hold_body(&self, size: usize) -> Result<HeldBody, BodyRefusal> {
-        let held = HeldBody::begin(self, 0, size)?;
+        let held = HeldBody::begin(self, 0, size, None)?;
         held.count(size, size)?;
         held.finish(size);
         Ok(held)
@@ -210,24 +215,31 @@
         self.lock().memory.begin_response(now_ms)
     }
 
-    /// Counts data that waits for the client of a response.
-    pub(crate) fn deliver(
-        &self,
-        key: ResponseKey,
-        bytes: Bytes,
-        closer: ConnectionCloser,
-    ) -> Result<(), MemoryShortage> {
+    /// Adds a response that is ready for its client and holds nothing yet.
+    pub(crate) fn begin_delivery(&self, closer: ConnectionCloser) -> ResponseKey {
         let now_ms = self.now_ms();
         let mut state = self.lock();
-        let evicted = state.memory.deliver_response(key, bytes.len(), now_ms)?;
-        state.drop_evicted(&evicted, bytes.len());
-        let size = bytes.len();
+        let key = state.memory.begin_response(now_ms);
+        state.memory.record_taken(key, 0, 0, true, now_ms);
         let buffer = ResponseBuffer {
-            bytes,
-            size,
+            bytes: Bytes::new(),
+            size: 0,
             closer,
         };
         state.responses.insert(key, buffer);
+        key
+    }
+
+    /// Counts data that waits for the client of a response.
+    pub(crate) fn deliver(&self, key: ResponseKey, bytes: Bytes) -> Result<(), MemoryShortage> {
+        let now_ms = self.now_ms();
+        let mut state = self.lock();
+        let evicted = state.memory.deliver_response(key, bytes.len(), now_ms)?;
+        state.drop_evicted(&evicted, bytes.len());
+        if let Some(buffer) = state.responses.get_mut(key) {
+            buffer.size = bytes.len();
+            buffer.bytes = bytes;
+        }
         Ok(())
     }
 
--- a/crates/clients/src/body.rs
+++ b/crates/clients/src/body.rs
@@ -11,6 +11,7 @@
 use smol::channel::{Receiver, bounded};
 
 use crate::account::{BodyBuffer, ClientAccount};
+use crate::limiter::ConnectionCloser;
 use crate::yielding::BodyKey;
 
 /// First capacity of the buffer of a body without an announced length, in bytes; then it grows
@@ -73,7 +74,8 @@
 }
 
 impl HeldBody {
-    /// Starts a body of at most `limit` bytes, of which `announced` are reserved at once.
+    /// Starts a body of at most `limit` bytes, of which `announced` are reserved at once; `closer`
+    /// closes its connection if it is evicted and its refusal can't be sent.
     ///
     /// # Errors
     ///
@@ -82,10 +84,12 @@
         account: &ClientAccount,
         announced: usize,
         limit: usize,
+        closer: Option<ConnectionCloser>,
     ) -> Result<Self, BodyRefusal> {
         let (sender, evicted) = bounded(1);
         let key = account.begin_body(BodyBuffer {
             bytes: Vec::new(),
+            closer,
             _reader: sender,
         });
         let held = Self {
@@ -180,6 +184,7 @@
     account: &ClientAccount,
     body: &mut B,
     limit: usize,
+    closer: Option<ConnectionCloser>,
 ) -> Result<(Bytes, HeldBody), BodyRefusal>
 where
     B: Body<Data = Bytes> + Unpin,
@@ -188,7 +193,7 @@
     if announced > limit {
         return Err(BodyRefusal::TooLarge);
     }
-    let held = HeldBody::begin(account, announced, limit)?;
+    let held = HeldBody::begin(account, announced, limit, closer)?;
     while let Some(frame) = next_frame(body, &held).await? {
         // Trailers are not forwarded.
         if let Ok(data) = frame.into_data() {
--- a/crates/clients/src/counted.rs
+++ b/crates/clients/src/counted.rs
@@ -38,7 +38,7 @@
         body: B,
         limit: usize,
     ) -> Result<(Self, Arc<HeldBody>), BodyRefusal> {
-        let held = Arc::new(HeldBody::begin(account, 0, limit)?);
+        let held = Arc::new(HeldBody::begin(account, 0, limit, None)?);
         let waiting = Arc::clone(&held);
         let counted = Self {
             body,
--- a/crates/clients/src/delivery.rs
+++ b/crates/clients/src/delivery.rs
@@ -8,7 +8,7 @@
 use http_body::{Body, Frame, SizeHint};
 
 use crate::account::ClientAccount;
-use crate::limiter::{ConnectionCloser, OpenConnection, RequestProgress};
+use crate::limiter::{OpenConnection, RequestProgress};
 use crate::yielding::ResponseKey;
 
 /// Largest part of a response that is handed to its connection at a time, in bytes. The connection
@@ -33,7 +33,6 @@
 struct HeldResponse {
     account: ClientAccount,
     key: ResponseKey,
-    closer: ConnectionCloser,
     /// Whether data waits in the account.
     is_waiting: bool,
 }
@@ -42,8 +41,7 @@
     /// Lets data wait in the account; if there is no memory for it, the response is evicted.
     fn deliver(&mut self, data: Bytes) {
         self.is_waiting = true;
-        let closer = self.closer.clone();
-        if self.account.deliver(self.key, data, closer).is_err() {
+        if self.account.deliver(self.key, data).is_err() {
             self.account.remove_response(self.key);
         }
     }
@@ -84,9 +82,8 @@
     pub fn new(body: B, open: &OpenConnection, progress: RequestProgress) -> Self {
         let account = open.account().clone();
         let held = HeldResponse {
-            key: account.begin_response(),
+            key: account.begin_delivery(open.closer()),
             account,
-            closer: open.closer(),
             is_waiting: false,
         };
         let mut delivered = Self {
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -15,6 +15,7 @@
 mod memory;
 mod progress;
 mod table;
+mod watched;
 mod yielding;
 
 pub use account::{ClientAccount, HeldBytes};
@@ -26,4 +27,5 @@
 pub use linger::{DISCARD_MAX_BYTES, DISCARD_TIMEOUT, close_after, discard_rest, is_closed_after};
 pub use memory::{ClientMemory, ClientMemoryUse, MemoryShortage};
 pub use table::{ConnectionKey, ConnectionTable, ConnectionsBusy};
+pub use watched::WatchedStream;
 pub use yielding::{BodyKey, ResponseKey, TransferKey};
--- a/crates/clients/src/limiter.rs
+++ b/crates/clients/src/limiter.rs
@@ -1,13 +1,18 @@
 //! Open connections of a listener, of which a limited number may be open.
 
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
+use futures_lite::FutureExt;
 use slotmap::SecondaryMap;
+use smol::Timer;
 use smol::channel::{Receiver, Sender, bounded};
 
 use crate::account::ClientAccount;
 use crate::table::{ConnectionKey, ConnectionTable};
+use crate::watched::WatchedStream;
 
 #[derive(Debug)]
 struct LimiterState {
@@ -17,14 +22,40 @@
     closed: (u64, u64),
 }
 
+/// Time for which a connection whose request was refused may still be open while there is no room
+/// for another one.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+
 /// Closes a connection from outside of its task.
 #[derive(Clone, Debug)]
-pub struct ConnectionCloser(Sender<()>);
+pub struct ConnectionCloser {
+    switch: Sender<()>,
+    is_refused: Arc<AtomicBool>,
+    is_retiring: Arc<AtomicBool>,
+}
 
 impl ConnectionCloser {
+    fn new(switch: Sender<()>) -> Self {
+        Self {
+            switch,
+            is_refused: Arc::default(),
+            is_retiring: Arc::default(),
+        }
+    }
+
     /// Wakes the task of the connection, which drops it.
     pub fn close(&self) {
-        self.0.close();
+        self.switch.close();
+    }
+
+    /// Records that the request on the connection is refused, so that it ends soon unless its
+    /// client does not read.
+    pub(crate) fn mark_refused(&self) {
+        self.is_refused.store(true, Ordering::Relaxed);
+    }
+
+    fn is_refused(&self) -> bool {
+        self.is_refused.load(Ordering::Relaxed)
     }
 }
 
@@ -67,8 +98,9 @@
         self
     }
 
-    /// Admits a new connection, for which an idle one is closed, or one whose transfer is stalled;
-    /// `None` if all others are in use.
+    /// Admits a new connection, for which an idle one is closed, or one whose client does not read or
+    /// whose transfer is stalled; `None` if all others are in use, of which one then ends after its
+    /// response.
     #[must_use]
     pub fn admit(&self) -> Option<OpenConnection> {
         let now_ms = self.account.now_ms();
@@ -80,6 +112,9 @@
         let mut state = self.lock();
         let Ok((key, closed_key)) = opened else {
             state.closed.1 += 1;
+            if let Some(key) = state.table.retire() {
+                state.retire(key);
+            }
             return None;
         };
         if let Some(closed_key) = closed_key {
@@ -87,7 +122,7 @@
             state.close(closed_key);
         }
         let (switch, receiver) = bounded(1);
-        let closer = ConnectionCloser(switch);
+        let closer = ConnectionCloser::new(switch);
         state.closers.insert(key, closer.clone());
         Some(OpenConnection {
             limiter: self.clone(),
@@ -122,8 +157,18 @@
             if is_within_limit {
                 return;
             }
-            // The sender lives as long as this.
-            let _ = self.released.recv().await;
+            let is_released = async {
+                // The sender lives as long as this.
+                let _ = self.released.recv().await;
+                true
+            };
+            let timed_out = async {
+                Timer::after(REFUSAL_TIME).await;
+                false
+            };
+            if !is_released.or(timed_out).await {
+                self.lock().close_refused();
+            }
         }
     }
 
@@ -156,6 +201,22 @@
             closer.close();
         }
     }
+
+    fn retire(&self, key: ConnectionKey) {
+        if let Some(closer) = self.closers.get(key) {
+            closer.is_retiring.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Closes the connections whose clients do not take their refusals.
+    fn close_refused(&mut self) {
+        self.closers.retain(|_, closer| {
+            if closer.is_refused() {
+                closer.close();
+            }
+            !closer.is_refused()
+        });
+    }
 }
 
 /// A connection that counts as open until this guard is dropped.
@@ -180,12 +241,29 @@
         self.closer.clone()
     }
 
+    /// Returns whether the connection is to end after the response in progress.
+    #[must_use]
+    pub fn is_retiring(&self) -> bool {
+        self.closer.is_retiring.load(Ordering::Relaxed)
+    }
+
     /// Waits until the connection is to be closed for another one.
     pub async fn wait_for_close(&self) {
         // Returns when the channel is closed.
         let _ = self.closed.recv().await;
     }
 
+    /// Wraps the stream of the connection, so that it may be closed for another one while its client
+    /// does not read.
+    #[must_use]
+    pub fn watch<S>(&self, stream: S) -> WatchedStream<S> {
+        let watch = WriteWatch {
+            limiter: self.limiter.clone(),
+            key: self.key,
+        };
+        WatchedStream::new(stream, watch)
+    }
+
     /// Marks the connection as busy until the guard is dropped.
     #[must_use]
     pub fn begin_request(&self) -> RequestProgress {
@@ -217,6 +295,21 @@
     }
 }
 
+/// Tells the limit of a listener whether a connection can be written.
+#[derive(Debug)]
+pub(crate) struct WriteWatch {
+    limiter: ConnectionLimiter,
+    key: ConnectionKey,
+}
+
+impl WriteWatch {
+    pub(crate) fn record(&self, is_blocked: bool) {
+        let now_ms = self.limiter.account.now_ms();
+        let blocked_ms = is_blocked.then_some(now_ms);
+        self.limiter.lock().table.set_blocked(self.key, blocked_ms);
+    }
+}
+
 /// Marks a connection as busy from the head of a request to the end of its response.
 #[derive(Debug)]
 pub struct RequestProgress {
--- a/crates/clients/src/table.rs
+++ b/crates/clients/src/table.rs
@@ -10,6 +10,10 @@
 /// of the response may still be on their way.
 const RESPONSE_TIME_MS: u64 = 1_000;
 
+/// Time for which a connection can't be written, in milliseconds, from which its client counts as
+/// not reading.
+const UNREAD_TIME_MS: u64 = 1_000;
+
 new_key_type! {
     /// Key of a client's connection.
     pub struct ConnectionKey;
@@ -37,19 +41,29 @@
 struct ConnectionEntry {
     state: ConnectionState,
     since_ms: u64,
+    opened_ms: u64,
+    /// Whether it ends after the response in progress.
+    is_retiring: bool,
+    /// Since when the connection can't be written, if so.
+    blocked_ms: Option<u64>,
 }
 
 impl ConnectionEntry {
-    /// Returns whether the connection may be closed for another one, and the rank of its state:
-    /// idle connections come before those that linger, whose clients may lose a refusal.
-    fn close_rank(&self, now_ms: u64) -> Option<u8> {
+    /// Returns the order in which the connection may be closed for another one, if it may: idle
+    /// ones come first, then those that linger, whose clients may lose a refusal, then those whose
+    /// clients do not read.
+    fn close_order(&self, now_ms: u64) -> Option<(u8, u64)> {
+        let idle_ms = now_ms.saturating_sub(self.since_ms);
         match self.state {
-            ConnectionState::New => Some(0),
-            ConnectionState::Idle => {
-                (now_ms.saturating_sub(self.since_ms) >= RESPONSE_TIME_MS).then_some(0)
+            ConnectionState::New => Some((0, self.since_ms)),
+            ConnectionState::Idle if idle_ms >= RESPONSE_TIME_MS => Some((0, self.since_ms)),
+            ConnectionState::Lingering => Some((1, self.since_ms)),
+            ConnectionState::Closing => None,
+            ConnectionState::Idle | ConnectionState::Busy(_) => {
+                let blocked_ms = self.blocked_ms?;
+                let is_unread = now_ms.saturating_sub(blocked_ms) >= UNREAD_TIME_MS;
+                is_unread.then_some((2, blocked_ms))
             }
-            ConnectionState::Lingering => Some(1),
-            ConnectionState::Busy(_) | ConnectionState::Closing => None,
         }
     }
 }
@@ -73,7 +87,7 @@
 
     /// Adds a connection; returns its key and that of the connection that is to be closed for it:
     /// the one that has been without a request for longest, or else the one that has lingered for
-    /// longest. That one counts as open until it is removed.
+    /// longest, or else the one whose client has not read for longest. That one counts as open until it is removed.
     ///
     /// # Errors
     ///
@@ -86,11 +100,11 @@
         if self.entries.len() >= self.max {
             let entries = self.entries.iter();
             let closable = entries.filter_map(|(key, entry)| {
-                let rank = entry.close_rank(now_ms)?;
-                Some((rank, entry.since_ms, key))
+                let order = entry.close_order(now_ms)?;
+                Some((order, key))
             });
-            let first = closable.min_by_key(|(rank, since_ms, _)| (*rank, *since_ms));
-            let (_, _, key) = first.ok_or(ConnectionsBusy)?;
+            let first = closable.min_by_key(|(order, _)| *order);
+            let (_, key) = first.ok_or(ConnectionsBusy)?;
             self.entries[key].state = ConnectionState::Closing;
             closed = Some(key);
         }
@@ -102,9 +116,31 @@
         self.entries.insert(ConnectionEntry {
             state: ConnectionState::New,
             since_ms: now_ms,
+            opened_ms: now_ms,
+            is_retiring: false,
+            blocked_ms: None,
         })
     }
 
+    /// Selects the connection that ends after its response, since all are in use: the one that has
+    /// been open for longest; returns its key, if there is one that does not end already.
+    pub fn retire(&mut self) -> Option<ConnectionKey> {
+        let entries = self.entries.iter_mut();
+        let staying = entries.filter(|(_, entry)| {
+            !entry.is_retiring && matches!(entry.state, ConnectionState::Busy(_))
+        });
+        let (key, entry) = staying.min_by_key(|(_, entry)| entry.opened_ms)?;
+        entry.is_retiring = true;
+        Some(key)
+    }
+
+    /// Records since when a connection can't be written, or that it can be again.
+    pub fn set_blocked(&mut self, key: ConnectionKey, blocked_ms: Option<u64>) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.blocked_ms = blocked_ms;
+        }
+    }
+
     /// Returns whether no more connections are open than are allowed.
     #[must_use]
     pub fn is_within_limit(&self) -> bool {
--- a/crates/clients/tests/connections.rs
+++ b/crates/clients/tests/connections.rs
@@ -69,3 +69,39 @@
     table.remove(idle);
     assert_eq!(table.close_lingering(), []);
 }
+
+/// Guards against clients that keep others out by not reading, and against slow ones that are cut
+/// off while idle connections are open.
+#[test]
+fn connection_that_is_not_read_is_closed_last() {
+    let mut table = ConnectionTable::new(3);
+    let keys = [0, 1, 2].map(|now_ms| table.open(now_ms).unwrap().0);
+    let [unread, idle, busy] = keys;
+    for key in keys {
+        table.begin_request(key);
+    }
+    table.set_blocked(unread, Some(3));
+    table.set_blocked(busy, Some(4));
+    table.set_blocked(busy, None);
+    table.end_request(idle, 4);
+    assert_eq!(table.open(1_000), Err(ConnectionsBusy));
+    let (fresh, closed) = table.open(1_004).unwrap();
+    assert_eq!(closed, Some(idle));
+    table.remove(idle);
+    table.begin_request(fresh);
+    assert_eq!(table.open(1_005).unwrap().1, Some(unread));
+}
+
+/// Guards against clients whose requests follow each other and that keep others out.
+#[test]
+fn connection_that_is_open_for_longest_ends_after_its_response() {
+    let mut table = ConnectionTable::new(2);
+    let (first, _) = table.open(0).unwrap();
+    let (second, _) = table.open(1).unwrap();
+    table.begin_request(second);
+    table.begin_request(first);
+    assert_eq!(table.open(5), Err(ConnectionsBusy));
+    assert_eq!(table.retire(), Some(first));
+    assert_eq!(table.retire(), Some(second));
+    assert_eq!(table.retire(), None);
+}
--- a/crates/daemon/src/callers/dispatch.rs
+++ b/crates/daemon/src/callers/dispatch.rs
@@ -90,7 +90,7 @@
     match route {
         CallerRoute::Addresses(query) => Ok(addresses::list_addresses(context, id, &query)),
         CallerRoute::OpenCall(path) => {
-            let (body, _held) = read_body(context, body).await?;
+            let (body, _held) = read_body(context, (&parts, body)).await?;
             call::run_open_call(context, id, &path, body).await
         }
         route => {
@@ -98,7 +98,7 @@
             let settings = context.settings();
             let caller = authenticate(&settings, &parts.headers)?;
             take_credit(context, &route, &caller).await?;
-            let (body, held) = read_body(context, body).await?;
+            let (body, held) = read_body(context, (&parts, body)).await?;
             let parsed = context.clients.hold_parsed(&context.metrics, &body)?;
             let mut request = build_request(id, route, &parts.headers, body, caller)?;
             request.held = Some(Arc::new([held, parsed]));
@@ -137,10 +137,10 @@
 
 async fn read_body(
     context: &DaemonContext,
-    body: &mut Incoming,
+    request: (&Parts, &mut Incoming),
 ) -> Result<(Bytes, HeldBody), RequestRefusal> {
     let clients = &context.clients;
-    let read = clients.read_body(&context.metrics, body, BODY_MAX_BYTES);
+    let read = clients.read_body(&context.metrics, request, BODY_MAX_BYTES);
     read.await
 }
 
--- a/crates/daemon/src/clients.rs
+++ b/crates/daemon/src/clients.rs
@@ -1,9 +1,11 @@
 //! What clients may make the process hold, and how much they do.
 
 use bytes::Bytes;
+use http::request::Parts;
 use hyper::body::{Body, Incoming};
 use ibisdale_clients::{
-    BodyRefusal, ClientAccount, ClientLimits, ConnectionLimiter, HeldBody, read_body,
+    BodyRefusal, ClientAccount, ClientLimits, ConnectionCloser, ConnectionLimiter, HeldBody,
+    read_body,
 };
 use ibisdale_core::{RefusalCode, RequestRefusal};
 use ibisdale_settings::DaemonSettings;
@@ -44,10 +46,11 @@
     pub(crate) async fn read_body(
         &self,
         metrics: &MetricRegistry,
-        body: &mut Incoming,
+        (parts, body): (&Parts, &mut Incoming),
         limit: usize,
     ) -> Result<(Bytes, HeldBody), RequestRefusal> {
-        let read = read_body(&self.account, body, limit).await;
+        let closer = parts.extensions.get::<ConnectionCloser>().cloned();
+        let read = read_body(&self.account, body, limit, closer).await;
         read.map_err(|refusal| refuse_body(metrics, refusal))
     }
 
--- a/crates/daemon/src/operators/dispatch.rs
+++ b/crates/daemon/src/operators/dispatch.rs
@@ -86,7 +86,7 @@
         OperatorRoute::Drain => Ok(start_drain(context, id)),
         route => {
             let clients = &context.clients;
-            let read = clients.read_body(&context.metrics, body, SETTINGS_MAX_BYTES);
+            let read = clients.read_body(&context.metrics, (parts, body), SETTINGS_MAX_BYTES);
             let (body, _held) = read.await?;
             Ok(serve_settings(context, id, route, &parts.headers, &body).await)
         }
--- a/crates/net/src/grpc.rs
+++ b/crates/net/src/grpc.rs
@@ -204,7 +204,7 @@
         .timer(SmolTimer::new())
         .keep_alive_interval(KEEP_ALIVE_INTERVAL)
         .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
-        .serve_connection(FuturesIo::new(stream), hyper_service);
+        .serve_connection(FuturesIo::new(open.watch(stream)), hyper_service);
     let connection = std::pin::pin!(connection);
     let served = serve_until_shutdown(connection, &shutdown, |connection| {
         connection.graceful_shutdown();
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -12,8 +12,8 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use ibisdale_clients::{
-    ClientAccount, ClientLimits, ConnectionLimiter, DeliveredBody, OpenConnection, discard_rest,
-    is_closed_after,
+    ClientAccount, ClientLimits, ConnectionLimiter, DeliveredBody, OpenConnection, close_after,
+    discard_rest, is_closed_after,
 };
 use smol::Async;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
@@ -169,11 +169,15 @@
     let rest = stream.clone();
     let has_unread = AtomicBool::new(false);
     let (open, unread) = (&open, &has_unread);
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let progress = open.begin_request();
+        request.extensions_mut().insert(open.closer());
         let response = handler(request, peer);
         async move {
-            let response = response.await;
+            let mut response = response.await;
+            if open.is_retiring() {
+                response = close_after(response);
+            }
             unread.store(is_closed_after(&response), Ordering::Relaxed);
             Ok::<_, NetError>(response.map(|body| DeliveredBody::new(body, open, progress)))
         }
@@ -182,7 +186,7 @@
         .timer(SmolTimer::new())
         .header_read_timeout(options.head_timeout)
         .max_buf_size(options.head_max_bytes)
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(open.watch(stream)), service);
     let connection = std::pin::pin!(connection);
     let served = serve_until_shutdown(connection, &shutdown, |connection| {
         connection.graceful_shutdown();
--- a/crates/relay/src/gateway/admit.rs
+++ b/crates/relay/src/gateway/admit.rs
@@ -9,7 +9,9 @@
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use ibisdale_clients::{BodyRefusal, DISCARD_MAX_BYTES, DISCARD_TIMEOUT, HeldBody};
+use ibisdale_clients::{
+    BodyRefusal, ConnectionCloser, DISCARD_MAX_BYTES, DISCARD_TIMEOUT, HeldBody,
+};
 use ibisdale_telemetry::record_event;
 use smol::Timer;
 
@@ -157,12 +159,14 @@
 /// of the process grants.
 pub(crate) async fn read_body(
     gateway: &Gateway,
+    parts: &Parts,
     body: &mut Incoming,
 ) -> Result<(Bytes, HeldBody), GatewayError> {
     let plan = gateway.plan();
     let limit = plan.map_or(0, |plan| plan.get_limits().body_max_bytes);
-    let read = ibisdale_clients::read_body(&gateway.state.clients, body, limit).await;
-    read.map_err(|refusal| refuse_body(gateway, refusal))
+    let closer = parts.extensions.get::<ConnectionCloser>().cloned();
+    let read = ibisdale_clients::read_body(&gateway.state.clients, body, limit, closer);
+    read.await.map_err(|refusal| refuse_body(gateway, refusal))
 }
 
 /// Returns the response to a request whose body is not read to its end. Where memory is short, it
--- a/crates/relay/src/gateway/client_connections.rs
+++ b/crates/relay/src/gateway/client_connections.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use http::HeaderValue;
 use http::header::CONNECTION;
+use http::{HeaderValue, Request};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use ibisdale_clients::{
-    ConnectionLimiter, DeliveredBody, OpenConnection, discard_rest, is_closed_after,
+    ConnectionLimiter, DeliveredBody, OpenConnection, close_after, discard_rest, is_closed_after,
 };
 use ibisdale_telemetry::record_event;
 use smol::{Async, Timer};
@@ -76,14 +77,18 @@
     let open = Rc::new(open);
     let service_open = Rc::clone(&open);
     let unread = Rc::clone(&has_unread);
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let open = Rc::clone(&service_open);
         let progress = open.begin_request();
+        request.extensions_mut().insert(open.closer());
         let response = handler(service_gateway.clone(), request);
         let gateway = service_gateway.clone();
         let unread = Rc::clone(&unread);
         async move {
             let mut response = response.await;
+            if open.is_retiring() {
+                response = close_after(response);
+            }
             unread.set(is_closed_after(&response));
             if gateway.state.is_draining.get() {
                 let close = HeaderValue::from_static("close");
@@ -96,7 +101,7 @@
         .timer(SmolTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
         .max_buf_size(limits.head_max_bytes.max(HEAD_BUFFER_MIN_BYTES))
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(open.watch(stream)), service);
     let mut connection = std::pin::pin!(connection);
     let close = async {
         // Returns when the drain closes the channel.
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -192,7 +192,7 @@
                 };
             }
         };
-        match read_body(&gateway, &mut body).await {
+        match read_body(&gateway, &parts, &mut body).await {
             Ok((body, held)) => {
                 request.set_input(body, held);
                 serve_request(&gateway, request, record).await
--- a/crates/standins/src/crowd/usage.rs
+++ b/crates/standins/src/crowd/usage.rs
@@ -62,13 +62,13 @@
         self.status_number("VmHWM:")
     }
 
-    /// Returns the number of threads.
+    /// Returns the resident memory, in units of 1,024 bytes.
     ///
     /// # Errors
     ///
     /// Fails if the process has ended.
-    pub fn threads(self) -> Result<u64, UsageError> {
-        self.status_number("Threads:")
+    pub fn resident_memory_kb(self) -> Result<u64, UsageError> {
+        self.status_number("VmRSS:")
     }
 
     /// Returns the number of open descriptors.
--- a/crates/turns/src/wire.rs
+++ b/crates/turns/src/wire.rs
@@ -90,7 +90,7 @@
 ) -> io::Result<(M, HeldBody)> {
     let refuse = |refusal: BodyRefusal| io::Error::new(io::ErrorKind::OutOfMemory, refusal);
     let mut left = usize::try_from(length).unwrap_or(usize::MAX);
-    let held = HeldBody::begin(account, 0, left).map_err(refuse)?;
+    let held = HeldBody::begin(account, 0, left, None).map_err(refuse)?;
     let mut part = vec![0; READ_BYTES.min(left)];
     while left > 0 {
         let size = part.len().min(left);
