Render the limits of a daemon on the settings page

Change: the table's text has the limits of the daemon and the changed ones of an entry VM. Measured: the tests of ibisdale-settings pass.

--- a/crates/settings/src/table/reference.rs
+++ b/crates/settings/src/table/reference.rs
@@ -41,15 +41,35 @@
 | --- | --- | --- |
 | `limits.memory_mb` | `128` | Memory of the process, in MB. |
 | cached turns | `limits.memory_mb` / 12 | Memory for recent turns. |
-| memory for clients | 3/4 of what 16 MB for the process and the cached turns leave, at least 1/8 of `limits.memory_mb` | Bodies of requests and responses that are held until complete. An eighth is reserved for bodies of at most 64 KiB. |
+| memory for clients | 3/4 of what 16 MB for the process and the cached turns leave, at least 1/8 of `limits.memory_mb` | Bodies of requests, and responses until their clients have taken them. An eighth is reserved for bodies of at most 64 KiB. |
 | held responses | 32 MiB, at most what bodies leave free | A response may hold half of it, the next one half of the rest. |
 | `limits.max_fds` | `1024` | File descriptors of the process. |
-| client connections | the lesser of `limits.max_fds` / 2 and 1/4 of what 16 MB and the cached turns leave, at 32 KB each; at least 16 | Connections on which clients send requests; above it, the one without a request for longest is closed, else one whose body has been without data for a second or more, else the new one. |
+| client connections | the lesser of `limits.max_fds` / 2 and 1/4 of what 16 MB and the cached turns leave, at 32 KB each; at least 16 | Connections on which clients send requests; above it, the one without a request for longest is closed, else one that lingers after a refusal, else one whose client has not read, or whose body has been without data, for a second or more, else the new one. |
 | other connections | 1/8 of the client connections, plus 1 | The same for each of the listeners for readiness, directory and metrics. |
+| connections of other VMs | 1/2 of the client connections, plus 1 | On an entry VM, transfers of the configuration and of the replicas; a VM with a disk has as many as the client connections. |
 | pause in a body | 10 s | Longest time without data of a request's body; then it is refused with 408. |
 | discarded after a refusal | 1 s and 16 MiB | What is still read of a refused request before its connection is closed. |
 ";
 
+/// Limits of a daemon that follow from keys of its file.
+const DAEMON_LIMITS: &str = "
+## Limits of a daemon
+
+`memory_mb` and `max_descriptors` of `/daemon` limit what clients may make `ibisdaled` hold, on all its
+addresses:
+
+| limit | default | meaning |
+| --- | --- | --- |
+| memory of the daemon itself | 1/4 of `memory_mb`, at least 24 MB | Settings, programs and connections to upstreams. |
+| memory for clients | 3/4 of the rest, 288 MB | Bodies of requests, their parsed form, messages of other daemons, and responses until their clients have taken them. An eighth is reserved for bodies of at most 64 KiB. |
+| connections of callers | the lesser of half of the descriptors and 1/4 of the rest of the memory at 32 KB each; 2,048, or 512 where the process may open 1,024 | Above it, connections are closed as on an entry VM. |
+| connections of daemons | 1/2 of those of callers, plus 1 | Idle ones are closed for new ones and opened again when they are needed. |
+| connections of operators | 1/8 of those of callers, plus 1 | The same. |
+
+A body above 7/8 of the memory for clients is refused as `overloaded` each time; at the default that is
+252 MB, while a caller's body has at most 4 MB and settings have at most 64 MB.
+";
+
 /// Renders the reference page of all settings as Markdown.
 #[must_use]
 pub fn render_reference() -> String {
@@ -58,6 +78,7 @@
     page.push_str(DAEMON_INTRODUCTION);
     write_table(&mut page, key_specs(SettingsSchema::Daemon));
     page.push_str(VM_LIMITS);
+    page.push_str(DAEMON_LIMITS);
     page
 }
 
