End a counted body after it has lost its memory

Cause: a message of another daemon that lost its memory polled its finished future again if its reader went on, which panics and ends a traffic thread. Found by reading; no run showed it. Change: the future is dropped when it has ended, and the body ends after its error. Measured: evicted_body_fails_once_and_ends and complete_body_counts_until_its_guard_is_dropped pass; the first polls once more after the error, which the code before could not answer.

--- a/crates/clients/src/counted.rs
+++ b/crates/clients/src/counted.rs
@@ -17,7 +17,8 @@
     body: B,
     held: Arc<HeldBody>,
     size: usize,
-    eviction: Pin<Box<dyn Future<Output = BodyRefusal> + Send + Sync>>,
+    /// Ends when the body has lost its memory; `None` once it has failed for that.
+    eviction: Option<Pin<Box<dyn Future<Output = BodyRefusal> + Send + Sync>>>,
 }
 
 impl<B> fmt::Debug for CountedBody<B> {
@@ -44,7 +45,7 @@
             body,
             held: Arc::clone(&held),
             size: 0,
-            eviction: Box::pin(async move { waiting.wait_for_eviction().await }),
+            eviction: Some(Box::pin(async move { waiting.wait_for_eviction().await })),
         };
         Ok((counted, held))
     }
@@ -63,7 +64,11 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         let this = self.get_mut();
-        if let Poll::Ready(refusal) = this.eviction.as_mut().poll(context) {
+        let Some(eviction) = &mut this.eviction else {
+            return Poll::Ready(None);
+        };
+        if let Poll::Ready(refusal) = eviction.as_mut().poll(context) {
+            this.eviction = None;
             return Poll::Ready(Some(Err(refusal.into())));
         }
         let frame = ready!(Pin::new(&mut this.body).poll_frame(context));
