Keep 20 MB instead of 16 for a VM's process itself

What callers would see: a crowd of unfinished bodies takes a VM a little beyond its memory, which ends the process. Change: 20 MB. At 110 MB, 13 bodies of 4 MB still fit (53.0 MB for large bodies); at 88 MB there are 474 connections instead of 505.

--- a/crates/settings/src/table/reference.rs
+++ b/crates/settings/src/table/reference.rs
@@ -41,10 +41,10 @@
 | --- | --- | --- |
 | `limits.memory_mb` | `128` | Memory of the process, in MB. |
 | cached turns | `limits.memory_mb` / 12 | Memory for recent turns. |
-| memory for clients | 3/4 of what 16 MB for the process and the cached turns leave, at least 1/8 of `limits.memory_mb` | Bodies of requests, and responses until their clients have taken them. An eighth is reserved for bodies of at most 64 KiB. |
+| memory for clients | 3/4 of what 20 MB for the process and the cached turns leave, at least 1/8 of `limits.memory_mb` | Bodies of requests, and responses until their clients have taken them. An eighth is reserved for bodies of at most 64 KiB. |
 | held responses | 32 MiB, at most what bodies leave free | A response may hold half of it, the next one half of the rest. |
 | `limits.max_fds` | `1024` | File descriptors of the process. |
-| client connections | the lesser of `limits.max_fds` / 2 and 1/4 of what 16 MB and the cached turns leave, at 32 KB each; at least 16 | Connections on which clients send requests; above it, the one without a request for longest is closed, else one that lingers after a refusal, else one whose client has not read, or whose body has been without data, for a second or more, else the new one. |
+| client connections | the lesser of `limits.max_fds` / 2 and 1/4 of what 20 MB and the cached turns leave, at 32 KB each; at least 16 | Connections on which clients send requests; above it, the one without a request for longest is closed, else one that lingers after a refusal, else one whose client has not read, or whose body has been without data, for a second or more, else the new one. |
 | other connections | 1/8 of the client connections, plus 1 | The same for each of the listeners for readiness, directory and metrics. |
 | connections of other VMs | 1/2 of the client connections, plus 1 | On an entry VM, transfers of the configuration and of the replicas; a VM with a disk has as many as the client connections. |
 | pause in a body | 10 s | Longest time without data of a request's body; then it is refused with 408. |
