Collect chunked bodies in parts of one size

What callers would see: a crowd of chunked bodies takes a VM a little beyond its memory, which ends the process. Cause: a buffer without a known length grew by half its size; what it left behind was too small for the next size, so that the heap held gaps beside what the account counts. Change: such a body is collected in parts of 16 KiB, which any other body can use again, and joined when it is complete, for which its memory is counted twice for a moment.

--- a/crates/clients/src/account.rs
+++ b/crates/clients/src/account.rs
@@ -16,10 +16,49 @@
 /// Buffer of an unfinished body; the reader's channel is closed when it is dropped.
 #[derive(Debug)]
 pub(crate) struct BodyBuffer {
-    pub(crate) bytes: Vec<u8>,
+    /// Parts of the body. They don't grow, since buffers that do leave gaps in the heap.
+    segments: Vec<Vec<u8>>,
     /// Closes the connection if the refusal can't be sent, where the body has one of its own.
-    pub(crate) closer: Option<ConnectionCloser>,
-    pub(crate) _reader: Sender<()>,
+    closer: Option<ConnectionCloser>,
+    _reader: Sender<()>,
+}
+
+impl BodyBuffer {
+    pub(crate) fn new(reader: Sender<()>, closer: Option<ConnectionCloser>) -> Self {
+        Self {
+            segments: Vec::new(),
+            closer,
+            _reader: reader,
+        }
+    }
+
+    fn length(&self) -> usize {
+        self.segments.iter().map(Vec::len).sum()
+    }
+
+    fn capacity(&self) -> usize {
+        self.segments.iter().map(Vec::capacity).sum()
+    }
+
+    /// Appends data, for which the capacity suffices; only the last two segments have room.
+    fn append(&mut self, mut data: &[u8]) {
+        let first = self.segments.len().saturating_sub(2);
+        for segment in &mut self.segments[first..] {
+            let size = data.len().min(segment.capacity() - segment.len());
+            segment.extend_from_slice(&data[..size]);
+            data = &data[size..];
+        }
+    }
+
+    /// Joins the segments into a buffer of the exact size.
+    fn join(mut self) -> Vec<u8> {
+        if self.segments.len() > 1 {
+            return self.segments.concat();
+        }
+        let mut bytes = self.segments.pop().unwrap_or_default();
+        bytes.shrink_to_fit();
+        bytes
+    }
 }
 
 /// A response on its way to its client, and what waits of it.
@@ -154,7 +193,7 @@
     pub(crate) fn body_size(&self, key: BodyKey) -> Option<(usize, usize)> {
         let state = self.lock();
         let buffer = state.bodies.get(key)?;
-        Some((buffer.bytes.len(), buffer.bytes.capacity()))
+        Some((buffer.length(), buffer.capacity()))
     }
 
     /// Sets the capacity of a body's buffer.
@@ -164,8 +203,8 @@
         let evicted = state.memory.grow_body(key, size, now_ms)?;
         state.drop_evicted(&evicted, size);
         if let Some(buffer) = state.bodies.get_mut(key) {
-            let additional = size - buffer.bytes.len();
-            buffer.bytes.reserve_exact(additional);
+            let additional = size.saturating_sub(buffer.capacity());
+            buffer.segments.push(Vec::with_capacity(additional));
         }
         Ok(())
     }
@@ -186,17 +225,31 @@
 
     pub(crate) fn append(&self, key: BodyKey, data: &[u8]) {
         if let Some(buffer) = self.lock().bodies.get_mut(key) {
-            buffer.bytes.extend_from_slice(data);
+            buffer.append(data);
         }
     }
 
     /// Takes a complete body, which stays counted until it is removed; `None` if it was evicted.
-    pub(crate) fn complete_body(&self, key: BodyKey) -> Option<Bytes> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body has several parts and there is no memory to join them.
+    pub(crate) fn complete_body(&self, key: BodyKey) -> Result<Option<Bytes>, MemoryShortage> {
+        let now_ms = self.now_ms();
         let mut state = self.lock();
-        let mut bytes = state.bodies.remove(key)?.bytes;
-        bytes.shrink_to_fit();
-        state.memory.complete_body(key, bytes.capacity());
-        Some(Bytes::from(bytes))
+        let Some(buffer) = state.bodies.get(key) else {
+            return Ok(None);
+        };
+        if buffer.segments.len() > 1 {
+            let size = buffer.capacity() + buffer.length();
+            let evicted = state.memory.grow_body(key, size, now_ms)?;
+            state.drop_evicted(&evicted, size);
+        }
+        let bytes = state.bodies.remove(key).map(BodyBuffer::join);
+        Ok(bytes.map(|bytes| {
+            state.memory.complete_body(key, bytes.capacity());
+            Bytes::from(bytes)
+        }))
     }
 
     /// Marks a body without a buffer of its own as complete.
--- a/crates/clients/src/body.rs
+++ b/crates/clients/src/body.rs
@@ -14,9 +14,10 @@
 use crate::limiter::ConnectionCloser;
 use crate::yielding::BodyKey;
 
-/// First capacity of the buffer of a body without an announced length, in bytes; then it grows
-/// by half its size.
+/// First part of the buffer of a body without an announced length, in bytes.
 const FIRST_BUFFER_BYTES: usize = 4 * 1_024;
+/// Each further part, in bytes.
+const SEGMENT_BYTES: usize = 16 * 1_024;
 /// Maximum time without data of a request's body; the whole body may take longer while memory
 /// is free.
 const BODY_PAUSE_MAX: Duration = Duration::from_secs(10);
@@ -87,11 +88,7 @@
         closer: Option<ConnectionCloser>,
     ) -> Result<Self, BodyRefusal> {
         let (sender, evicted) = bounded(1);
-        let key = account.begin_body(BodyBuffer {
-            bytes: Vec::new(),
-            closer,
-            _reader: sender,
-        });
+        let key = account.begin_body(BodyBuffer::new(sender, closer));
         let held = Self {
             account: account.clone(),
             key,
@@ -130,7 +127,11 @@
         self.account.record_data(self.key, data.len());
         let needed = length + data.len();
         if needed > capacity {
-            let grown = (capacity + capacity / 2).max(FIRST_BUFFER_BYTES);
+            let grown = if capacity == 0 {
+                FIRST_BUFFER_BYTES
+            } else {
+                capacity + SEGMENT_BYTES
+            };
             self.grow(grown.min(self.limit).max(needed))?;
         }
         self.account.append(self.key, data);
@@ -155,9 +156,10 @@
     ///
     /// # Errors
     ///
-    /// Returns the refusal if the body has lost its memory.
+    /// Returns the refusal if the body has lost its memory, or lacks it to be joined.
     pub fn complete(&self) -> Result<Bytes, BodyRefusal> {
         let bytes = self.account.complete_body(self.key);
+        let bytes = bytes.map_err(|_| BodyRefusal::Full)?;
         bytes.ok_or(BodyRefusal::Evicted)
     }
 
