--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -133,12 +133,14 @@
     serve: impl Fn(Async<TcpStream>, SocketAddr, OpenConnection),
 ) {
     loop {
-        limiter.wait_for_room().await;
         let stop = async {
             shutdown.wait().await;
             None
         };
-        let accept = async { Some(listener.accept().await) };
+        let accept = async {
+            limiter.wait_for_room().await;
+            Some(listener.accept().await)
+        };
         match stop.or(accept).await {
             None => return,
             Some(Ok((stream, peer))) => {
--- a/crates/relay/src/gateway/client_connections.rs
+++ b/crates/relay/src/gateway/client_connections.rs
@@ -35,13 +35,16 @@
     handler: RequestHandler,
 ) {
     loop {
-        limiter.wait_for_room().await;
         let stop = async {
             // Returns when the drain closes the channel.
             let _ = gateway.state.shutdown_signal.recv().await;
             None
         };
-        match stop.or(async { Some(listener.accept().await) }).await {
+        let accepted = async {
+            limiter.wait_for_room().await;
+            Some(listener.accept().await)
+        };
+        match stop.or(accepted).await {
             None => return,
             Some(Ok((stream, peer))) => {
                 if stream.get_ref().set_nodelay(true).is_ok()
