--- a/review/standins-2/src/budget.rs
+++ b/review/standins-2/src/budget.rs
@@ -1,4 +1,7 @@
-//! The processes of all entry VMs are killed twice while programs use up their budgets.
+//! Programs use up their budgets while the processes of entry VMs are killed.
+//!
+//! Case `budget`: all are killed, two times. Case `stale`: one stands still, and the others are killed
+//! meanwhile.
 
 use std::io;
 use std::net::SocketAddr;
@@ -9,13 +12,16 @@
 use crate::Verdict;
 use crate::client::{Client, new_attempt};
 use crate::deployment::{Deployment, TURN_FIELDS, route};
+use crate::fleet::Fleet;
 use crate::http::chunk;
 use crate::record::Record;
 use crate::replica::Work;
 
+/// Entry VMs of the two cases.
 const VMS: u8 = 3;
+const STALE_VMS: u8 = 6;
 const REPLICAS: u8 = 2;
-const PROGRAMS: usize = 12;
+const PROGRAMS: usize = 24;
 /// Budget of a program, in tokens.
 const BUDGET: u64 = 1_000;
 /// The most of one turn, in tokens; each turn generates that many.
@@ -25,6 +31,15 @@
 /// Turns of each program before the first kill, and between the kills.
 const TURNS_BEFORE: u32 = 4;
 const TURNS_BETWEEN: u32 = 1;
+/// Turns after the last disruption; more than any budget allows.
+const TURNS_AFTER: u32 = 12;
+/// The same of the case `stale`: turns before and while the first VM stands still.
+const STALE_TURNS_BEFORE: u32 = 1;
+const STALE_TURNS_BETWEEN: u32 = 8;
+/// Time for which the first VM stands still.
+const FREEZE_TIME: Duration = Duration::from_millis(4_500);
+/// Part of it after which the others know of it.
+const SILENT_TIME: Duration = Duration::from_millis(2_000);
 const DOWN_TIME: Duration = Duration::from_secs(1);
 const CALM_TIME: Duration = Duration::from_secs(4);
 /// Time for which a turn that is refused with 503 or cut is sent again.
@@ -37,6 +52,66 @@
 }
 
 pub fn run(deployment: &Deployment, is_troubled: bool) -> io::Result<Verdict> {
+    let (fleet, mut programs) = start(deployment, VMS)?;
+    let record = &deployment.record;
+    let fronts = fronts(&fleet);
+    for turns in [TURNS_BEFORE, TURNS_BETWEEN] {
+        programs = run_turns(programs, &fronts, record, turns);
+        if is_troubled {
+            fleet.kill(0..fleet.count(), DOWN_TIME);
+            thread::sleep(DOWN_TIME);
+            await_return(&fleet)?;
+        }
+    }
+    programs = run_turns(programs, &fronts, record, TURNS_AFTER);
+    Ok(judge(&programs, record))
+}
+
+/// The first VM stands still while the programs go on at the others, which are then killed.
+pub fn run_stale(deployment: &Deployment, is_troubled: bool) -> io::Result<Verdict> {
+    let (fleet, mut programs) = start(deployment, STALE_VMS)?;
+    let record = &deployment.record;
+    let fronts = fronts(&fleet);
+    programs = run_turns(programs, &fronts, record, STALE_TURNS_BEFORE);
+    // Other causes of a double spending would show without one of the two disruptions.
+    let only = std::env::var("ONLY").unwrap_or_default();
+    let (freezes, kills) = (is_troubled && only != "kill", is_troubled && only != "freeze");
+    if freezes {
+        fleet.signal(0, "STOP")?;
+    }
+    let began = Instant::now();
+    thread::sleep(SILENT_TIME);
+    programs = run_turns(programs, &fronts[1..], record, STALE_TURNS_BETWEEN);
+    thread::sleep(FREEZE_TIME.saturating_sub(began.elapsed()));
+    if kills {
+        fleet.kill(1..fleet.count(), DOWN_TIME);
+    }
+    if freezes {
+        fleet.signal(0, "CONT")?;
+        let frozen_ms = began.elapsed().as_millis();
+        record.say(&format!("the first VM stood still for {frozen_ms} ms"));
+    }
+    thread::sleep(DOWN_TIME);
+    await_return(&fleet)?;
+    thread::sleep(CALM_TIME);
+    programs = run_turns(programs, &fronts, record, TURNS_AFTER);
+    Ok(judge(&programs, record))
+}
+
+fn fronts(fleet: &Fleet) -> Vec<SocketAddr> {
+    (0..fleet.count()).map(|vm| fleet.front(vm)).collect()
+}
+
+fn await_return(fleet: &Fleet) -> io::Result<()> {
+    if fleet.wait_ready(Duration::from_secs(15)) {
+        Ok(())
+    } else {
+        Err(io::Error::other("the entry VMs do not come back"))
+    }
+}
+
+/// Starts the deployment, and creates the programs.
+fn start(deployment: &Deployment, vms: u8) -> io::Result<(Fleet, Vec<Program>)> {
     let record = &deployment.record;
     let work: Work = {
         let record = record.clone();
@@ -63,29 +138,19 @@
     }
     let plan = route("route-plan", "agent-llm", "streaming", 6_000, TURN_FIELDS);
     deployment.configure(&plan, 10_000, 10_000);
-    let fleet = deployment.start_fleet(VMS)?;
+    let fleet = deployment.start_fleet(vms)?;
     thread::sleep(CALM_TIME);
-    let fronts: Vec<SocketAddr> = (0..fleet.count()).map(|vm| fleet.front(vm)).collect();
-    let mut programs: Vec<Program> = (0..PROGRAMS)
-        .map(|index| Program {
-            id: format!("{:x}", 0x003f_a81c + index * 7_919),
-            tokens: 0,
-            is_spent: false,
-        })
-        .collect();
-    for turns in [TURNS_BEFORE, TURNS_BETWEEN] {
-        programs = run_turns(programs, &fronts, record, turns);
-        if is_troubled {
-            fleet.kill_all(DOWN_TIME);
-            thread::sleep(DOWN_TIME);
-            if !fleet.wait_ready(Duration::from_secs(15)) {
-                return Err(io::Error::other("the entry VMs do not come back"));
-            }
-        }
-    }
-    programs = run_turns(programs, &fronts, record, 12);
+    let programs = (0..PROGRAMS).map(|index| Program {
+        id: format!("{:x}", 0x003f_a81c + index * 7_919),
+        tokens: 0,
+        is_spent: false,
+    });
+    Ok((fleet, programs.collect()))
+}
+
+fn judge(programs: &[Program], record: &Record) -> Verdict {
     let limit = BUDGET + TURN_TOKENS;
-    for program in &programs {
+    for program in programs {
         let (id, tokens) = (&program.id, program.tokens);
         let end = if program.is_spent { "ended with 402" } else { "not ended" };
         record.line(&format!("program {id}: {tokens} tokens, {limit} are allowed; {end}"));
@@ -96,8 +161,7 @@
         "{over} of {PROGRAMS} programs got more than the budget of {BUDGET} tokens and the most \
          of one turn, {TURN_TOKENS}; the most that one got are {most}"
     ));
-    let is_broken = over > 0;
-    Ok(if is_broken { Verdict::Broken } else { Verdict::Held })
+    if over > 0 { Verdict::Broken } else { Verdict::Held }
 }
 
 /// Runs up to `turns` turns of each program, one after the other.
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -147,37 +148,43 @@
         false
     }
 
-    /// Kills all processes at the same moment; they are started again after `down`.
-    pub fn kill_all(&self, down: Duration) {
+    /// Kills processes at the same moment; they are started again after `down`.
+    pub fn kill(&self, chosen: Range<usize>, down: Duration) {
         let mut vms = self.lock();
-        for vm in vms.iter_mut() {
+        for vm in &mut vms[chosen.clone()] {
             if let Some(child) = &mut vm.child {
                 let _ = child.kill();
             }
         }
-        for vm in vms.iter_mut() {
+        for vm in &mut vms[chosen.clone()] {
             if let Some(mut child) = vm.child.take() {
                 let _ = child.wait();
             }
             vm.start_at = Some(Instant::now() + down);
         }
-        self.record.say("all processes of the entry VMs are killed (SIGKILL)");
+        let (killed, all) = (chosen.len(), vms.len());
+        self.record.say(&format!("the processes of {killed} of {all} entry VMs are killed"));
     }
 
-    /// Sends SIGTERM to the process of a VM; it is killed after the grace period, and started again.
-    pub fn terminate(&self, vm: usize) -> io::Result<()> {
-        let mut vms = self.lock();
-        let vm = &mut vms[vm];
+    /// Sends a signal to the process of a VM.
+    pub fn signal(&self, vm: usize, signal: &str) -> io::Result<()> {
+        let vms = self.lock();
+        let vm = &vms[vm];
         let Some(child) = &vm.child else {
             return Err(io::Error::other("the process does not run"));
         };
-        vm.terminated_at = Some(Instant::now());
-        let kill = format!("kill -TERM {}", child.id());
+        let kill = format!("kill -{signal} {}", child.id());
         Command::new("/bin/sh").args(["-c", &kill]).status()?;
-        self.record.say(&format!("{} gets SIGTERM", vm.name));
+        self.record.say(&format!("{} gets SIG{signal}", vm.name));
         Ok(())
     }
 
+    /// Sends SIGTERM to the process of a VM; it is killed after the grace period, and started again.
+    pub fn terminate(&self, vm: usize) -> io::Result<()> {
+        self.lock()[vm].terminated_at = Some(Instant::now());
+        self.signal(vm, "TERM")
+    }
+
     /// Ends all processes for good.
     pub fn stop(&self) {
         self.is_stopping.store(true, Ordering::Relaxed);
--- a/review/standins-2/src/lost.rs
+++ b/review/standins-2/src/lost.rs
@@ -19,7 +19,7 @@
 const VMS: u8 = 3;
 const REPLICAS: u8 = 3;
 const CLIENTS: usize = 60;
-const WORK_TIME: Duration = Duration::from_millis(50);
+const WORK_TIME: Duration = Duration::from_millis(25);
 /// Shortest and longest pause of a client within the head of a request, in milliseconds;
 /// `header_timeout_ms` allows 3,000.
 const HEAD_PAUSE_MS: (u64, u64) = (150, 350);
@@ -29,7 +29,9 @@
 const TTL_FACTOR: u32 = 3;
 const CALM_TIME: Duration = Duration::from_secs(4);
 /// Time from SIGTERM at one VM to SIGTERM at the next.
-const GAP: Duration = Duration::from_secs(7);
+const GAP: Duration = Duration::from_millis(6_500);
+/// Number of times that each VM is stopped and started again.
+const ROUNDS: usize = 3;
 /// Time between the look-ups at the directory and SIGTERM.
 const LOOK_UP_TIME: Duration = Duration::from_millis(30);
 
@@ -75,7 +77,8 @@
         unconnected: AtomicU64::new(0),
         is_over: AtomicBool::new(false),
     });
-    for vm in 0..fleet.count() {
+    for step in 0..ROUNDS * fleet.count() {
+        let vm = step % fleet.count();
         // A crowd of new clients looks the addresses up, and sends for as long as these hold.
         let clients: Vec<_> = (0..CLIENTS)
             .map(|index| {
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -41,6 +41,7 @@
         "budget" => budget::run,
         "lost" => lost::run,
         "quota" => quota::run,
+        "stale" => budget::run_stale,
         _ => {
             eprintln!("no such case: {case}");
             return ExitCode::from(2);
--- a/review/standins-2/src/quota.rs
+++ b/review/standins-2/src/quota.rs
@@ -75,7 +75,7 @@
         .collect();
     thread::sleep(PRESS_TIME);
     if is_troubled {
-        fleet.kill_all(DOWN_TIME);
+        fleet.kill(0..fleet.count(), DOWN_TIME);
     }
     thread::sleep(AFTER_TIME);
     is_over.store(true, Ordering::Relaxed);
