--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -7,4 +7,4 @@
     echo "build the deploy file and run review/build-2.sh first"
     exit 2
 }
-exec "$driver" stale review/10/record.txt
+exec "$driver" budget review/10/record.txt
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -7,4 +7,4 @@
     echo "build the deploy file and run review/build-2.sh first"
     exit 2
 }
-exec "$driver" lost review/9/record.txt
+exec "$driver" stale review/9/record.txt
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -13,6 +13,7 @@
 mod order;
 mod quota;
 mod record;
+mod refused;
 mod replica;
 mod store;
 
@@ -41,6 +42,7 @@
         "budget" => budget::run,
         "lost" => lost::run,
         "quota" => quota::run,
+        "refused" => refused::run,
         "stale" => budget::run_stale,
         _ => {
             eprintln!("no such case: {case}");
