--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -150,5 +150,6 @@
 }
 
 fn find(data: &[u8], pattern: &[u8]) -> Option<usize> {
-    data.windows(pattern.len()).position(|window| window == pattern)
+    data.windows(pattern.len())
+        .position(|window| window == pattern)
 }
--- a/review/standins-2/src/order.rs
+++ b/review/standins-2/src/order.rs
@@ -1,8 +1,8 @@
 //! A faulty replica spoils a digit in an event; the events before it in the same packet get lost.
 
 use std::io;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -50,7 +50,10 @@
 ) -> io::Result<()> {
     let attempt = request.header("x-ibisdale-attempt-id");
     let after: u64 = request.header("last-event-id").parse().unwrap_or(0);
-    record.line(&format!("{} runs {attempt} after event {after}", replica.id));
+    record.line(&format!(
+        "{} runs {attempt} after event {after}",
+        replica.id
+    ));
     let is_spoiled = after == 0 && fault.spoils_next(replica);
     let headers = replica.answer_headers(request);
     connection.send(
@@ -131,7 +134,11 @@
          complete with an event missing or twice; none is allowed"
     ));
     let is_broken = missing > 0;
-    Ok(if is_broken { Verdict::Broken } else { Verdict::Held })
+    Ok(if is_broken {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -170,6 +177,8 @@
         record.line(&format!("{attempt} gets a whole stream"));
         return StreamOutcome::Whole;
     }
-    record.line(&format!("{attempt} gets a stream that ends as complete with the events {ids:?}"));
+    record.line(&format!(
+        "{attempt} gets a stream that ends as complete with the events {ids:?}"
+    ));
     StreamOutcome::Missing
 }
