--- a/review/standins-2/src/budget.rs
+++ b/review/standins-2/src/budget.rs
@@ -225,7 +225,7 @@
              X-Ibisdale-Prompt-Prefix: 5c1e07a2:250\r\n",
             program.id
         );
-        let mut client = Client::new(fronts[front % fronts.len()], Duration::from_secs(6));
+        let mut client = Client::new(fronts[front % fronts.len()], Duration::from_secs(6), record);
         front += 1;
         let answer = client.call(&attempt, ("POST", "/route-plan/1"), &headers, "prompt");
         let Ok(answer) = answer else {
--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -7,6 +7,7 @@
 
 use crate::deployment::{HOST, KEY};
 use crate::http::{Connection, Message};
+use crate::record::Record;
 
 static NEXT_ATTEMPT: AtomicU64 = AtomicU64::new(1);
 
@@ -24,15 +25,17 @@
     /// Number of requests that were sent on the connection.
     pub sent: u32,
     timeout: Duration,
+    record: Record,
 }
 
 impl Client {
-    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+    pub fn new(address: SocketAddr, timeout: Duration, record: &Record) -> Self {
         Self {
             address,
             connection: None,
             sent: 0,
             timeout,
+            record: record.clone(),
         }
     }
 
@@ -65,6 +68,10 @@
              X-Ibisdale-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {KEY}\r\n\
              {headers}{length}\r\n{body}"
         );
+        let address = self.address;
+        self.record.line(&format!(
+            "{attempt} is sent to {address}: {method} {target}"
+        ));
         connection.send(request.as_bytes())?;
         let answer = connection.read_message()?;
         if answer.is_complete && !answer.header("connection").eq_ignore_ascii_case("close") {
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -17,9 +17,15 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
 
 use deployment::Deployment;
 
+/// Time after which a case that has not ended is given up.
+const CASE_TIME_MAX: Duration = Duration::from_secs(112);
+
 /// Result of a case that ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -46,6 +52,14 @@
         }
     };
     let result = Deployment::create(&PathBuf::from(record)).and_then(|deployment| {
+        let deployment = Arc::new(deployment);
+        let watched = Arc::clone(&deployment);
+        thread::spawn(move || {
+            thread::sleep(CASE_TIME_MAX);
+            println!("the case couldn't run: it has not ended in time");
+            watched.close();
+            std::process::exit(2);
+        });
         let verdict = run(&deployment, is_troubled);
         deployment.close();
         verdict
--- a/review/standins-2/src/order.rs
+++ b/review/standins-2/src/order.rs
@@ -107,7 +107,7 @@
     let clients: Vec<_> = (0..fleet.count() * CLIENTS_PER_VM)
         .map(|index| {
             let address = fleet.front(index % fleet.count());
-            let mut client = Client::new(address, Duration::from_secs(6));
+            let mut client = Client::new(address, Duration::from_secs(6), record);
             let (record, is_over) = (record.clone(), Arc::clone(&is_over));
             let counts = Arc::clone(&counts);
             thread::spawn(move || {
--- a/review/standins-2/src/refused.rs
+++ b/review/standins-2/src/refused.rs
@@ -86,7 +86,7 @@
     let clients: Vec<_> = (0..fleet.count() * CLIENTS_PER_VM)
         .map(|index| {
             let address = fleet.front(index % fleet.count());
-            let mut client = Client::new(address, Duration::from_secs(3));
+            let mut client = Client::new(address, Duration::from_secs(3), record);
             let (record, seen) = (record.clone(), Arc::clone(&seen));
             let is_over = Arc::clone(&is_over);
             thread::spawn(move || {
