--- a/review/standins-2/src/refused.rs
+++ b/review/standins-2/src/refused.rs
@@ -17,7 +17,7 @@
 const REPLICAS: u8 = 7;
 /// Replica that fails requests: one of seven.
 const FAULTY: &str = "i-order-app-6";
-/// It fails so many of five requests.
+/// It fails the last so many of five requests, so never more than this share.
 const FAILED_OF_FIVE: u64 = 2;
 const CLIENTS_PER_VM: usize = 4;
 const WORK_TIME: Duration = Duration::from_millis(60);
@@ -59,7 +59,7 @@
             thread::sleep(WORK_TIME);
             let fails = replica.id == FAULTY
                 && is_failing.load(Ordering::Relaxed)
-                && number.fetch_add(1, Ordering::Relaxed) % 5 < FAILED_OF_FIVE;
+                && number.fetch_add(1, Ordering::Relaxed) % 5 >= 5 - FAILED_OF_FIVE;
             let headers = replica.answer_headers(request);
             let answer = if fails {
                 record.line(&format!("{} answers {attempt} with 503", replica.id));
