Never pass on a replica's failure as a promise that the request has not run

Cause: every answer of a replica without the header that states that it did not run the request was passed on with its status, also 408, 429, 503 and, to turns, 402, which are promises to callers.

Change: such an answer is a failed attempt after which the request may have run. What may be repeated is sent elsewhere; everything else ends with 502 without the replica's seal.

--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -57,7 +57,7 @@
 pub use replica_speed::{SpeedReport, SpeedSpan, SpeedTable, StepChange, truncate_start};
 pub use replicas::{AttemptOutcome, ReplicaInfo, ReplicaKey, ReplicaLoad, ReplicaTable};
 pub use replies::RecentDecisions;
-pub use retry::{AttemptFailure, RetryDecision, RetryInput, decide_retry};
+pub use retry::{AttemptFailure, RetryDecision, RetryInput, decide_retry, promises_not_run};
 pub use rotation::{PeerRotation, ROUND_MS, rounds_per_pass};
 pub use suspects::{
     CRASHES_MAX, CrashHistory, RETENTION_MS, RequestFingerprint, RequestIdentity, RequestStanding,
--- a/crates/relay/src/decide/retry.rs
+++ b/crates/relay/src/decide/retry.rs
@@ -59,6 +59,15 @@
 /// what the first end cuts is not its cause.
 const CRASHES_BEFORE_RETRY_MAX: u8 = 1;
 
+/// Returns whether a response with this status promises its caller that the request has not run
+/// and never will; a replica that means this says so in a header of its own.
+///
+/// 402 is such a promise for requests with a token budget only, `has_budget`.
+#[must_use]
+pub fn promises_not_run(status: u16, has_budget: bool) -> bool {
+    matches!(status, 408 | 421 | 429 | 503) || (status == 402 && has_budget)
+}
+
 /// Decides whether and where a request is retried after a failed attempt.
 #[must_use]
 pub fn decide_retry(failure: AttemptFailure, input: &RetryInput) -> RetryDecision {
--- a/crates/relay/src/gateway/forward.rs
+++ b/crates/relay/src/gateway/forward.rs
@@ -27,7 +27,7 @@
 use super::suspects::{record_served, standing};
 use crate::decide::{
     AttemptFailure, AttemptOutcome, PlacementChoice, PlacementInput, ReplicaKey, RetryDecision,
-    choose_replicas, decide_retry,
+    choose_replicas, decide_retry, promises_not_run,
 };
 use crate::http1::{ExchangeError, ResponseHead};
 use crate::plan::ExecutionSemantics;
@@ -317,6 +317,13 @@
     if head.is_keep_alive {
         gateway.state.pool.put(replica, connection, &head.headers);
     }
+    if promises_not_run(head.status, request.budget.is_some()) {
+        let error = format!(
+            "the replica returned status {} without stating that it did not run the request",
+            head.status
+        );
+        return Err(FailedAttempt::may_have_run(error));
+    }
     let mut response = Response::new(ResponseBody::whole(body));
     *response.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
     *response.headers_mut() = response_headers(&head.headers);
--- a/crates/relay/tests/gateway/responses.rs
+++ b/crates/relay/tests/gateway/responses.rs
@@ -193,6 +193,42 @@
     assert_eq!(header(&response, "t-seal"), Some("s"));
 }
 
+/// A replica's own failure was passed on with a status that tells callers that the request has not
+/// run, and they sent bookings again (review 6).
+#[rstest]
+#[case::timeout("408", "/act/")]
+#[case::rate("429", "/act/")]
+#[case::overload("503", "/act/")]
+#[case::repeatable("429", "/read/")]
+#[case::stream("503", "/stream/")]
+#[case::budget("402", "/stream/")]
+fn failure_of_a_replica_does_not_promise_that_the_request_has_not_run(
+    #[case] failure: &'static str,
+    #[case] path: &str,
+) {
+    let replica = ScriptedReplica::start(move |_, _| {
+        let head = "t-attempt: a1\r\nt-seal: s\r\nRetry-After: 0.1\r\nContent-Length: 3";
+        let response = format!("HTTP/1.1 {failure} Busy\r\n{head}\r\n\r\nbad");
+        (response.into_bytes(), true)
+    });
+    let gateway = TestGateway::start(&[&replica]);
+    let program = "t-program: p\r\nt-budget: 100\r\nt-usage: 5,9\r\nContent-Length: 0\r\n";
+    let response = gateway.call(&request("POST", &format!("{path}x"), program));
+    assert_eq!(status(&response), "502", "{response}");
+    assert_eq!(header(&response, "t-seal"), None);
+    assert_eq!(header(&response, "retry-after"), None);
+    assert!(!replica.requests().is_empty());
+}
+
+#[test]
+fn status_of_a_replica_that_is_no_promise_is_passed_on() {
+    let payment = b"HTTP/1.1 402 Pay\r\nt-attempt: a1\r\nt-seal: s\r\nContent-Length: 3\r\n\r\npay";
+    let replica = ScriptedReplica::start(|_, _| (payment.to_vec(), true));
+    let gateway = TestGateway::start(&[&replica]);
+    let response = gateway.call(&request("POST", "/act/x", "Content-Length: 0\r\n"));
+    assert_eq!((status(&response), body(&response)), ("402", "pay"));
+}
+
 fn events(range: std::ops::RangeInclusive<u64>) -> String {
     range.fold(String::new(), |text, id| {
         text + &format!("id: {id}\ndata: e{id}\n\n")
