Do not pass on events whose id is no number

With one byte of an id spoiled so that it is no number, a caller gets the spoiled event and then the sound one: e1, e2, e3, e3, e4.

Cause: such an event was taken for one without an id, which may come at any time; the next id then did not follow the last one, and the stream was resumed before the spoiled event.

Change: an id field that is no number fails the attempt, as a wrong id does. An id at the end of its range no longer overflows.

--- a/crates/relay/src/gateway/events.rs
+++ b/crates/relay/src/gateway/events.rs
@@ -8,8 +8,10 @@
 /// A complete event as received, including the blank line that ends it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamEvent {
-    /// Value of the `id` field, if it is a number.
+    /// Value of the `id` field; `None` if there is none or it is no number.
     pub id: Option<u64>,
+    /// Whether there is an `id` field that is no number.
+    pub has_invalid_id: bool,
     /// Bytes of the event as received.
     pub raw: Bytes,
 }
@@ -64,8 +66,11 @@
         let end = self.find_end()?;
         self.scanned = 0;
         let raw = self.buffer.split_to(end).freeze();
+        let value = find_id(&raw);
+        let id = value.and_then(parse_number);
         Some(StreamEvent {
-            id: event_id(&raw),
+            id,
+            has_invalid_id: value.is_some() && id.is_none(),
             raw,
         })
     }
@@ -86,8 +91,11 @@
     }
 }
 
-fn event_id(event: &[u8]) -> Option<u64> {
+fn find_id(event: &[u8]) -> Option<&[u8]> {
     let mut lines = event.split(|byte| *byte == b'\n');
-    let line = lines.find_map(|line| line.strip_prefix(b"id:"))?;
-    std::str::from_utf8(line).ok()?.trim().parse().ok()
+    lines.find_map(|line| line.strip_prefix(b"id:"))
+}
+
+fn parse_number(value: &[u8]) -> Option<u64> {
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/crates/relay/src/gateway/stream.rs
+++ b/crates/relay/src/gateway/stream.rs
@@ -14,7 +14,7 @@
 use super::budget::BudgetReservation;
 use super::caller_request::{CallerRequest, response_headers};
 use super::crashes::examine_failure;
-use super::events::EventSplitter;
+use super::events::{EventSplitter, StreamEvent};
 use super::failed_attempt::FailedAttempt;
 use super::forward::{record_failure, select_replica};
 use super::in_flight::ReplicaRequestGuard;
@@ -267,20 +267,14 @@
         let mut data = BytesMut::new();
         let mut count = 0;
         while let Some(event) = self.splitter.next_event() {
-            if let Some(id) = event.id {
-                let is_next = self.last_event.is_none_or(|last| id == last + 1);
-                if !is_next {
-                    let error = ExchangeError::InvalidResponse {
-                        reason: "an event is missing or comes twice",
-                    };
-                    if count == 0 {
-                        return Err(error);
-                    }
-                    self.pending_error = Some(error);
-                    break;
+            if let Err(error) = self.check_id(&event) {
+                if count == 0 {
+                    return Err(error);
                 }
-                self.last_event = Some(id);
+                self.pending_error = Some(error);
+                break;
             }
+            self.last_event = event.id.or(self.last_event);
             if let Some(output) = &mut self.output {
                 output.push_event(&event.raw);
             }
@@ -291,6 +285,22 @@
         Ok((count > 0).then(|| (data.freeze(), count)))
     }
 
+    /// Checks that an event follows the last one; events without an id may come at any time.
+    fn check_id(&self, event: &StreamEvent) -> Result<(), ExchangeError> {
+        let is_next = |id: u64| {
+            let expected = self.last_event.map(|last| last.checked_add(1));
+            expected.is_none_or(|expected| expected == Some(id))
+        };
+        let reason = if event.has_invalid_id {
+            "the id of an event is no number"
+        } else if event.id.is_some_and(|id| !is_next(id)) {
+            "an event is missing or comes twice"
+        } else {
+            return Ok(());
+        };
+        Err(ExchangeError::InvalidResponse { reason })
+    }
+
     /// Records the outcome of the attempt and returns its connection to the pool if the
     /// response was complete and the connection is kept alive, or else closes it.
     fn release_source(&mut self, outcome: AttemptOutcome) {
--- a/crates/relay/tests/gateway/responses.rs
+++ b/crates/relay/tests/gateway/responses.rs
@@ -275,6 +275,7 @@
 #[case::wrong_id("id: 4\ndata: e3\n\n")]
 #[case::repeated_id("id: 2\ndata: e2\n\n")]
 #[case::broken_chunk("id: 3\nda\r\nx\r\n")]
+#[case::no_number("id: 3x\ndata: e3\n\n")]
 #[case::events_after_it("id: 5\ndata: e5\n\nid: 3\ndata: e3\n\n")]
 fn sound_events_before_a_spoiled_one_are_passed_on(#[case] spoiled: &'static str) {
     let replica = ScriptedReplica::start(move |number, request| {
