Look for a later home in the store after two VMs were lost together

Cause: another home had granted meanwhile and had stored a record; it and its witness restarted, and the VM that woke went on from its old account: it replaced its witness, or took the role over, without a look at the store. The next process of a witness also answered for the earlier one.

Change: a home that may have missed a role (two other VMs lost together since it last knew who holds it) replaces the record first, at a takeover and when it replaces its witness. Losses are kept in LossTable in decide/budget, with the VM's own absence. A witness accepts for its own process only, and replies name the process.

--- a/crates/relay/src/decide/budget/ledger.rs
+++ b/crates/relay/src/decide/budget/ledger.rs
@@ -6,6 +6,7 @@
 
 use super::account::ProgramAccount;
 use super::ceiling::{CeilingClaim, StoredCeiling};
+use super::losses::LossFacts;
 use super::share::{AccountCopy, BudgetShare, ProgramKey, VmProcess};
 use super::takeover::TakeoverFinding;
 use crate::decide::members::VmKey;
@@ -125,20 +126,22 @@
     }
 
     /// Accepts the copy of a home as its witness; returns `false` if this VM knows a later
-    /// epoch or a preferred home of the same epoch.
+    /// epoch or a preferred home of the same epoch, or if the witness is another process.
     ///
     /// The shares are merged in both cases.
     pub fn accept(&mut self, program: ProgramKey, copy: &AccountCopy, now_ms: u64) -> bool {
         let account = self.programs.entry(program).or_default();
         let rival = account.role.filter(|role| role.epoch == account.epoch);
-        let is_accepted = match (copy.role, rival) {
-            (Some(role), Some(rival)) if copy.epoch == account.epoch => {
-                let weight = |vm| rendezvous_weight(program, vm);
-                role.home == rival.home || weight(role.home.vm) > weight(rival.home.vm)
-            }
-            (Some(_), _) => copy.epoch > account.epoch,
-            (None, _) => false,
-        };
+        let is_witness = copy.role.is_some_and(|role| role.witness == Some(self.own));
+        let is_accepted = is_witness
+            && match (copy.role, rival) {
+                (Some(role), Some(rival)) if copy.epoch == account.epoch => {
+                    let weight = |vm| rendezvous_weight(program, vm);
+                    role.home == rival.home || weight(role.home.vm) > weight(rival.home.vm)
+                }
+                (Some(_), _) => copy.epoch > account.epoch,
+                (None, _) => false,
+            };
         if is_accepted {
             // Yields to the preferred home of the same epoch.
             account.role = None;
@@ -289,7 +292,16 @@
 
     /// Makes `witness` the witness of the program, in a new epoch if it replaces another one;
     /// returns `false` if a record has to be stored first or this VM is no longer home.
-    pub fn set_witness(&mut self, program: ProgramKey, witness: VmProcess, now_ms: u64) -> bool {
+    ///
+    /// After `losses` that may have taken a later home and its witness, only the store shows
+    /// whether there was one, since the former witness is not asked.
+    pub fn set_witness(
+        &mut self,
+        program: ProgramKey,
+        witness: VmProcess,
+        losses: &LossFacts<'_>,
+        now_ms: u64,
+    ) -> bool {
         let own = self.own;
         let Some(account) = self.programs.get_mut(&program) else {
             return false;
@@ -302,8 +314,9 @@
             // A record that another home may replace must not allow it to ask the former
             // witness only.
             let is_recorded = account.is_recorded();
+            let has_lost_role = losses.may_have_lost_role(own, account.role_since_ms);
             account.begin_epoch(own, now_ms);
-            account.needs_record = is_recorded;
+            account.needs_record |= is_recorded || has_lost_role;
         }
         if let Some(role) = account.role.as_mut() {
             role.witness = Some(witness);
--- a/crates/relay/src/decide/budget/losses.rs
+++ b/crates/relay/src/decide/budget/losses.rs
@@ -1,8 +1,17 @@
-//! Losses of VMs, and whether one took both VMs that knew a program's account.
+//! Losses of VMs, and which of them may have taken knowledge of programs with them.
 
+use super::share::VmProcess;
 use crate::decide::members::VmKey;
 
-/// Death, restart or silence of a VM, which may lose what it knows.
+/// Time within which restarts of VMs count as one event, in milliseconds; longer than the silence
+/// after which a failure is detected.
+const RESTARTS_WINDOW_MS: u64 = 5_000;
+
+/// Time by which a loss may be dated too early, in milliseconds; a gossip round.
+pub(super) const LOSS_SLACK_MS: u64 = 500;
+
+/// Death, restart or silence of a VM, which may lose what it knows, or a time in which this VM was
+/// absent and learned nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct VmLoss {
     /// The VM.
@@ -43,3 +52,135 @@
         pair.all(|vm| is_lost_then(*vm))
     })
 }
+
+/// Losses, as input of a decision.
+#[derive(Clone, Copy, Debug)]
+pub struct LossFacts<'a> {
+    /// Recent losses.
+    pub losses: &'a [VmLoss],
+    /// Time within which losses count as one, in milliseconds.
+    pub window_ms: u64,
+}
+
+impl LossFacts<'_> {
+    /// Returns whether a home and its witness may have been lost together of whose role the
+    /// members of an earlier one, known to `own` since `since_ms`, did not learn.
+    ///
+    /// Such a role begins with a record in the store, since its home had no reply of the earlier
+    /// one. It takes two other VMs; those that are not lost together leave copies on others.
+    #[must_use]
+    pub fn may_have_lost_role(&self, own: VmProcess, since_ms: u64) -> bool {
+        let is_own = |loss: &VmLoss| (loss.vm, loss.incarnation) == (own.vm, own.incarnation);
+        let is_later = |loss: &VmLoss| loss.at_ms.saturating_add(LOSS_SLACK_MS) >= since_ms;
+        let later = || {
+            let losses = self.losses.iter();
+            losses.filter(|loss| is_later(loss) && !is_own(loss))
+        };
+        later().any(|first| {
+            let mut others = later().filter(|loss| loss.vm != first.vm);
+            others.any(|other| other.at_ms.abs_diff(first.at_ms) <= self.window_ms)
+        })
+    }
+}
+
+/// Recent losses of VMs as this VM has found them.
+#[derive(Clone, Debug)]
+pub struct LossTable {
+    own: VmProcess,
+    is_first_start: bool,
+    losses: Vec<VmLoss>,
+    /// VMs that have restarted recently, with the time at which this was noticed.
+    restarts: Vec<(VmKey, u64)>,
+}
+
+impl LossTable {
+    /// Creates the table of a process; unless all VMs have started for the first time, the counts
+    /// of its VM's previous process are lost.
+    #[must_use]
+    pub fn new(own: VmProcess, is_first_start: bool) -> Self {
+        let previous = VmLoss {
+            vm: own.vm,
+            incarnation: 0,
+            at_ms: 0,
+        };
+        Self {
+            own,
+            is_first_start,
+            losses: if is_first_start {
+                Vec::new()
+            } else {
+                vec![previous]
+            },
+            restarts: Vec::new(),
+        }
+    }
+
+    /// Records a loss.
+    pub fn record(&mut self, loss: VmLoss) {
+        self.losses.push(loss);
+    }
+
+    /// Records that a VM has restarted, which loses the counts of its process `earlier`; returns
+    /// whether most of all `vm_count` VMs have done so, and with them all copies of some counts.
+    pub fn record_restart(
+        &mut self,
+        vm: VmKey,
+        earlier: u64,
+        vm_count: usize,
+        now_ms: u64,
+    ) -> bool {
+        // A VM that was silent before is known as lost since then.
+        let is_known = |loss: &VmLoss| (loss.vm, loss.incarnation) == (vm, earlier);
+        if !self.losses.iter().any(is_known) {
+            self.record(VmLoss {
+                vm,
+                incarnation: earlier,
+                at_ms: now_ms,
+            });
+        }
+        self.restarts.retain(|(known, at_ms)| {
+            *known != vm && now_ms.saturating_sub(*at_ms) < RESTARTS_WINDOW_MS
+        });
+        self.restarts.push((vm, now_ms));
+        // The counts of a few VMs are known to others; those of three quarters are not.
+        self.restarts.len() * 4 >= vm_count * 3
+    }
+
+    /// Records that a VM is heard whose process started at `incarnation`.
+    ///
+    /// A VM that was only silent has kept its counts. One that started within `window_ms` of this
+    /// process, both for another time, has lost them at the same moment.
+    pub fn record_start(&mut self, vm: VmKey, incarnation: u64, window_ms: u64) {
+        self.losses
+            .retain(|loss| loss.vm != vm || loss.incarnation != incarnation);
+        let is_recorded = self.losses.iter().any(|loss| loss.vm == vm);
+        let is_together = incarnation.abs_diff(self.own.incarnation) < window_ms;
+        if !self.is_first_start && !is_recorded && is_together {
+            self.record(VmLoss {
+                vm,
+                incarnation: 0,
+                at_ms: 0,
+            });
+        }
+    }
+
+    /// Records that this VM stood still or was cut off from all others until now: others have
+    /// acted without it, and it has learned nothing of that.
+    pub fn record_absence(&mut self, now_ms: u64) {
+        let own = self.own;
+        self.losses
+            .retain(|loss| (loss.vm, loss.incarnation) != (own.vm, own.incarnation));
+        self.record(VmLoss {
+            vm: own.vm,
+            incarnation: own.incarnation,
+            at_ms: now_ms,
+        });
+    }
+
+    /// Removes losses that no program can remember, and returns the others.
+    pub fn recent(&mut self, retention_ms: u64, now_ms: u64) -> Vec<VmLoss> {
+        self.losses
+            .retain(|loss| now_ms.saturating_sub(loss.at_ms) < retention_ms);
+        self.losses.clone()
+    }
+}
--- a/crates/relay/src/decide/budget/mod.rs
+++ b/crates/relay/src/decide/budget/mod.rs
@@ -28,6 +28,6 @@
 pub use ceiling::{CeilingClaim, ClaimOutcome, ClaimStatus, StoredCeiling};
 pub use ceiling_reads::{CeilingRead, CeilingReads};
 pub use ledger::{BudgetLedger, BudgetVerdict};
-pub use losses::{VmLoss, may_have_lost_pair};
+pub use losses::{LossFacts, LossTable, VmLoss, may_have_lost_pair};
 pub use share::{AccountCopy, BudgetShare, HomeRole, ProgramKey, VmProcess};
 pub use takeover::{AccountReply, TakeoverFinding, TakeoverInput, assess_takeover};
--- a/crates/relay/src/decide/budget/takeover.rs
+++ b/crates/relay/src/decide/budget/takeover.rs
@@ -1,12 +1,9 @@
 //! What a VM knows of a program when it takes over the role of its home.
 
-use super::losses::{VmLoss, may_have_lost_pair};
+use super::losses::{LOSS_SLACK_MS, LossFacts, VmLoss, may_have_lost_pair};
 use super::share::{AccountCopy, VmProcess};
 use crate::decide::members::VmKey;
 
-/// Time by which a loss may be dated too early, in milliseconds; a gossip round.
-const LOSS_SLACK_MS: u64 = 500;
-
 /// What a VM knows of an account; `None` if it knows nothing.
 #[derive(Clone, Debug)]
 pub struct AccountReply {
@@ -19,6 +16,8 @@
 /// What a VM has learned before it takes over the role of a program's home.
 #[derive(Clone, Copy)]
 pub struct TakeoverInput<'a> {
+    /// The process that takes over.
+    pub own: VmProcess,
     /// The replies of the VMs that were asked and the copy of the VM itself.
     pub replies: &'a [AccountReply],
     /// All VMs known, those of recent losses included, the most preferred home first.
@@ -44,7 +43,7 @@
 pub struct TakeoverFinding {
     /// Tokens may have been delivered that nobody knows.
     pub may_miss_tokens: bool,
-    /// Another VM may still act as home, or may have stored a record that is not known.
+    /// Another VM may act or have acted as home and have stored a record that is not known.
     pub needs_record: bool,
 }
 
@@ -71,10 +70,16 @@
         .collect();
     let has_lost_pair = may_have_lost_pair(input.ranked, &losses, input.is_down, input.window_ms);
     let has_lost_all = latest.is_none() && input.has_lost_counts;
+    let facts = LossFacts {
+        losses: input.losses,
+        window_ms: input.window_ms,
+    };
+    let has_lost_role = latest.is_some() && facts.may_have_lost_role(input.own, known_since_ms);
     let may_miss_tokens = !has_home_replied && (has_lost_pair || has_lost_all);
     TakeoverFinding {
         may_miss_tokens,
         needs_record: (may_miss_tokens && !input.knows_records)
+            || has_lost_role
             || may_have_other_home(input, latest.map(|(_, copy)| copy)),
     }
 }
--- a/crates/relay/src/gateway/budget_copies.rs
+++ b/crates/relay/src/gateway/budget_copies.rs
@@ -142,7 +142,11 @@
                 budgets.borrow_mut().yield_role(program, now_ms)
             });
             drop(replies);
-            let message = PeerMessage::RoleYielded { call_id, account };
+            let message = PeerMessage::RoleYielded {
+                call_id,
+                incarnation: gateway.state.options.facts.incarnation,
+                account,
+            };
             spawn_send(gateway, message, sender);
         }
         PeerMessage::Replicate {
@@ -154,6 +158,7 @@
             let account = budgets.borrow().copy(program, now_ms);
             let message = PeerMessage::Replicated {
                 call_id,
+                incarnation: gateway.state.options.facts.incarnation,
                 is_accepted,
                 account: account.unwrap_or_default(),
             };
--- a/crates/relay/src/gateway/budget_home.rs
+++ b/crates/relay/src/gateway/budget_home.rs
@@ -11,8 +11,8 @@
 use super::rpc::{call_peer, join_all};
 use super::state::Gateway;
 use crate::decide::{
-    AccountReply, BudgetShare, BudgetVerdict, ClaimOutcome, MemberFacts, ProgramKey, TakeoverInput,
-    VmKey, VmLoss, VmProcess, assess_takeover,
+    AccountReply, BudgetShare, BudgetVerdict, ClaimOutcome, LossFacts, MemberFacts, MemberTable,
+    ProgramKey, TakeoverInput, VmKey, VmLoss, VmProcess, assess_takeover,
 };
 
 /// Maximum number of attempts to decide on a call, each with a takeover, a stored ceiling or
@@ -167,10 +167,15 @@
     let mut unanswered = Vec::new();
     let mut members = gateway.state.members.borrow_mut();
     for (peer, result) in peers.iter().zip(results) {
-        if let Some(PeerMessage::RoleYielded { account, .. }) = result {
+        if let Some(PeerMessage::RoleYielded {
+            incarnation,
+            account,
+            ..
+        }) = result
+        {
             let process = VmProcess {
                 vm: peer.key(),
-                incarnation: peer.incarnation,
+                incarnation,
             };
             replies.push(AccountReply { process, account });
         } else {
@@ -243,8 +248,10 @@
             incarnation: 0,
             at_ms: now_ms,
         }));
+        losses.extend(unknown_restarts(&members, &replies[..answered], now_ms));
         let known: Vec<_> = losses.iter().map(|loss| loss.vm).chain([own.vm]).collect();
         assess_takeover(&TakeoverInput {
+            own,
             replies: &replies,
             ranked: &members.ranked_keys(program, &known),
             losses: &losses,
@@ -252,8 +259,11 @@
                 vm != own.vm && (unanswered.contains(&vm) || !members.is_live(vm, now_ms))
             },
             has_ended: &|process| {
+                let mut processes = replies.iter().map(|reply| reply.process);
                 members.has_ended(process.vm, process.incarnation)
-                    || (process.vm == own.vm && process.incarnation < own.incarnation)
+                    || processes.any(|reply| {
+                        process.vm == reply.vm && process.incarnation < reply.incarnation
+                    })
             },
             window_ms: gateway.loss_window_ms(),
             now_ms,
@@ -284,6 +294,23 @@
     TakeoverOutcome::Done
 }
 
+/// Returns the losses of VMs that replied and are not known to have restarted.
+fn unknown_restarts(
+    members: &MemberTable,
+    replies: &[AccountReply],
+    now_ms: u64,
+) -> impl Iterator<Item = VmLoss> {
+    replies.iter().filter_map(move |reply| {
+        let known = members.incarnation(reply.process.vm);
+        let earlier = known.filter(|known| *known < reply.process.incarnation)?;
+        Some(VmLoss {
+            vm: reply.process.vm,
+            incarnation: earlier,
+            at_ms: now_ms,
+        })
+    })
+}
+
 /// Returns the VMs that may know a program.
 ///
 /// Returns none if this VM is the regular home and has been since the first start of all VMs or
@@ -330,8 +357,7 @@
             vm: peer.facts.key(),
             incarnation: peer.facts.incarnation,
         };
-        let now_ms = gateway.now_ms();
-        if !budgets.borrow_mut().set_witness(program, witness, now_ms) {
+        if !set_witness(gateway, program, witness) {
             return WitnessReply::Superseded;
         }
         if witness.vm == server && server != gateway.state.options.facts.key() {
@@ -348,7 +374,17 @@
     }
 }
 
-/// Sends the account to its witness; returns `None` if it does not reply.
+fn set_witness(gateway: &Gateway, program: ProgramKey, witness: VmProcess) -> bool {
+    let losses = gateway.recent_losses();
+    let facts = LossFacts {
+        losses: &losses,
+        window_ms: gateway.loss_window_ms(),
+    };
+    let mut budgets = gateway.state.budgets.borrow_mut();
+    budgets.set_witness(program, witness, &facts, gateway.now_ms())
+}
+
+/// Sends the account to its witness; returns `None` if it does not reply or has restarted.
 async fn replicate(
     gateway: &Gateway,
     program: ProgramKey,
@@ -365,6 +401,10 @@
     };
     let reply = call_peer(gateway, witness.peer_address(), build_message).await;
     let now_ms = gateway.now_ms();
+    let reply = reply.filter(|reply| {
+        matches!(reply, PeerMessage::Replicated { incarnation, .. }
+            if *incarnation == witness.incarnation)
+    });
     let Some(PeerMessage::Replicated {
         is_accepted,
         account,
--- a/crates/relay/src/gateway/count_losses.rs
+++ b/crates/relay/src/gateway/count_losses.rs
@@ -29,7 +29,7 @@
 impl Gateway {
     /// Records that a VM is silent; its process may still run.
     pub(crate) fn record_vm_silence(&self, loss: VmLoss) {
-        self.add_loss(loss);
+        self.state.losses.borrow_mut().record(loss);
         self.record_uncovered_loss();
     }
 
@@ -37,67 +37,40 @@
     pub(crate) fn record_vm_restart(&self, vm: VmKey, earlier: u64) {
         let now_ms = self.now_ms();
         let vm_count = self.state.members.borrow().count(now_ms).0 + 1;
-        // A VM that was silent before is known as lost since then.
-        let is_known = {
-            let lost_vms = self.state.lost_vms.borrow();
-            let mut losses = lost_vms.iter();
-            losses.any(|loss| (loss.vm, loss.incarnation) == (vm, earlier))
-        };
-        if !is_known {
-            self.add_loss(VmLoss {
-                vm,
-                incarnation: earlier,
-                at_ms: now_ms,
-            });
-        }
-        let mut restarts = self.state.restarts.borrow_mut();
-        restarts.retain(|(known, at_ms)| {
-            *known != vm && now_ms.saturating_sub(*at_ms) < LOSS_WINDOW_MS
-        });
-        restarts.push((vm, now_ms));
-        // The counts of a few VMs are known to others; those of three quarters are not.
-        if restarts.len() * 4 >= vm_count * 3 {
+        let mut losses = self.state.losses.borrow_mut();
+        if losses.record_restart(vm, earlier, vm_count, now_ms) {
             self.state.counts_lost_at.set(Some(wall_ms()));
         }
         self.record_uncovered_loss();
     }
 
     /// Records that a VM is heard whose process started at `incarnation`.
-    ///
-    /// A VM that was only silent has kept its counts. One that started together with this
-    /// process, both for another time, has lost them at the same moment.
     pub(crate) fn record_vm_start(&self, vm: VmKey, incarnation: u64) {
-        let mut lost_vms = self.state.lost_vms.borrow_mut();
-        lost_vms.retain(|loss| loss.vm != vm || loss.incarnation != incarnation);
-        let is_recorded = lost_vms.iter().any(|loss| loss.vm == vm);
-        drop(lost_vms);
-        let own = self.state.options.facts.incarnation;
-        let is_together = incarnation.abs_diff(own) < self.loss_window_ms();
-        if !self.state.options.is_first_start && !is_recorded && is_together {
-            self.add_loss(VmLoss {
-                vm,
-                incarnation: 0,
-                at_ms: 0,
-            });
-        }
+        let window_ms = self.loss_window_ms();
+        let mut losses = self.state.losses.borrow_mut();
+        losses.record_start(vm, incarnation, window_ms);
     }
 
-    fn add_loss(&self, loss: VmLoss) {
+    /// Records that this VM was absent if it hears a process again after it had heard none of
+    /// those that it knows.
+    pub(crate) fn record_own_absence(&self, vm: VmKey, incarnation: u64) {
         let now_ms = self.now_ms();
-        let retention_ms = self.program_retention_ms();
-        let mut lost_vms = self.state.lost_vms.borrow_mut();
-        lost_vms.retain(|known| now_ms.saturating_sub(known.at_ms) < retention_ms);
-        lost_vms.push(loss);
+        let was_absent = {
+            let members = self.state.members.borrow();
+            let (known, silent) = members.count(now_ms);
+            known == silent && members.incarnation(vm) == Some(incarnation)
+        };
+        if was_absent {
+            self.state.losses.borrow_mut().record_absence(now_ms);
+            self.record_uncovered_loss();
+        }
     }
 
     /// Returns the losses of VMs that programs may remember.
     pub(crate) fn recent_losses(&self) -> Vec<VmLoss> {
-        let now_ms = self.now_ms();
         let retention_ms = self.program_retention_ms();
-        let lost_vms = self.state.lost_vms.borrow();
-        let losses = lost_vms.iter();
-        let recent = losses.filter(|loss| now_ms.saturating_sub(loss.at_ms) < retention_ms);
-        recent.copied().collect()
+        let mut losses = self.state.losses.borrow_mut();
+        losses.recent(retention_ms, self.now_ms())
     }
 
     /// Returns the time within which losses of VMs count as one: until a loss is detected and
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -135,6 +135,8 @@
     /// Reply to `RequestRole`: what the VM knew; `None` if it knows nothing of the program.
     RoleYielded {
         call_id: u64,
+        /// Start time of the process that replies, which the sender may not know yet.
+        incarnation: u64,
         account: Option<AccountCopy>,
     },
     /// Sends an account to the witness of its home before a call is granted.
@@ -146,6 +148,8 @@
     /// Reply to `Replicate`: whether the receiver accepts the sender as home, and what it knows.
     Replicated {
         call_id: u64,
+        /// Start time of the process that replies, which the sender may not know yet.
+        incarnation: u64,
         is_accepted: bool,
         account: AccountCopy,
     },
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -352,6 +352,7 @@
     let (peer, incarnation) = (facts.key(), facts.incarnation);
     let name = lossy_string(&facts.name);
     let is_serving = facts.is_serving;
+    gateway.record_own_absence(peer, incarnation);
     let earlier = gateway.state.members.borrow().incarnation(peer);
     let is_new = gateway
         .state
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -30,9 +30,9 @@
 use super::state_transfer;
 use crate::decide::{
     AccountCopy, AnswerRecord, BudgetLedger, CeilingClaim, CeilingReads, ClaimOutcome, ColdTable,
-    ColdTolerance, GrantLedger, GrantOutcome, LimitTable, MemberFacts, MemberTable, OriginTable,
-    ProgramKey, QuotaLedger, QuotaTolerance, RateRefusal, RecentDecisions, ReplicaInfo,
-    ReplicaTable, RunLedger, StreamOrigin, SuspectTable, VersionHistory, VmKey, VmLoss, hash_bytes,
+    ColdTolerance, GrantLedger, GrantOutcome, LimitTable, LossTable, MemberFacts, MemberTable,
+    OriginTable, ProgramKey, QuotaLedger, QuotaTolerance, RateRefusal, RecentDecisions,
+    ReplicaInfo, ReplicaTable, RunLedger, StreamOrigin, SuspectTable, VersionHistory, hash_bytes,
 };
 use crate::plan::DeploymentPlan;
 
@@ -132,9 +132,7 @@
     pub(crate) members: RefCell<MemberTable>,
     /// Whether the registered VMs have been read.
     pub(crate) has_registrations: Cell<bool>,
-    pub(crate) lost_vms: RefCell<Vec<VmLoss>>,
-    /// VMs that have restarted recently, with the time at which this was noticed.
-    pub(crate) restarts: RefCell<Vec<(VmKey, u64)>>,
+    pub(crate) losses: RefCell<LossTable>,
     pub(crate) counts_lost_at: Cell<Option<u64>>,
     pub(crate) ceiling_reads: RefCell<CeilingReads>,
     pub(crate) quota: RefCell<QuotaLedger>,
@@ -197,17 +195,10 @@
         let quota = QuotaLedger::new(options.quota_tolerance, options.is_first_start);
         let is_first_start = options.is_first_start;
         let mut ceiling_reads = CeilingReads::default();
-        let lost_vms = if options.is_first_start {
-            Vec::new()
-        } else {
-            // The counts of this VM's previous process are lost.
+        if !is_first_start {
             ceiling_reads.record_loss(0);
-            vec![VmLoss {
-                vm: options.facts.key(),
-                incarnation: 0,
-                at_ms: 0,
-            }]
-        };
+        }
+        let losses = LossTable::new(budgets.process(), is_first_start);
         // Peers must not take calls of this process for those of the previous one.
         let first_call_id = options.facts.incarnation << CALL_ID_BITS;
         let metrics = GatewayMetrics::new();
@@ -250,8 +241,7 @@
             origin_waiters: RefCell::default(),
             members: RefCell::default(),
             has_registrations: Cell::new(false),
-            lost_vms: RefCell::new(lost_vms),
-            restarts: RefCell::default(),
+            losses: RefCell::new(losses),
             counts_lost_at: Cell::new(is_first_start.then_some(0)),
             ceiling_reads: RefCell::new(ceiling_reads),
             quota: RefCell::new(quota),
--- a/crates/relay/tests/gateway/budgets.rs
+++ b/crates/relay/tests/gateway/budgets.rs
@@ -28,12 +28,15 @@
 /// Programs of which each is to stop where its budget does not hold one more call.
 struct ProgramLoad {
     tokens: [u64; PROGRAMS],
+    /// Tokens that each call may spend at most.
+    reserved: u64,
 }
 
 impl ProgramLoad {
     fn new() -> Self {
         Self {
             tokens: [0; PROGRAMS],
+            reserved: RESERVED,
         }
     }
 
@@ -64,7 +67,8 @@
         let request = format!(
             "POST /stream/x HTTP/1.1\r\nHost: host.test\r\nt-attempt: a1\r\nt-deadline: 5000\r\n\
              Authorization: Bearer secret\r\nConnection: close\r\nContent-Length: 0\r\n\
-             t-program: program-{program}\r\nt-budget: {BUDGET}\r\nt-usage: 5,{RESERVED}\r\n\r\n"
+             t-program: program-{program}\r\nt-budget: {BUDGET}\r\nt-usage: 5,{}\r\n\r\n",
+            self.reserved
         );
         for _ in 0..20 {
             let response = vm.call(&request);
@@ -181,3 +185,36 @@
     thread::sleep(DETECTION);
     assert_eq!(load.spend_rest(&fleet[2]), whole_budgets());
 }
+
+/// A home that stood still granted from its old counts when the VMs that had granted meanwhile
+/// restarted as it woke (review 9).
+#[test]
+fn home_that_stood_still_learns_of_grants_from_the_store() {
+    let replica = replica();
+    let store = StoreStandIn::default();
+    let mut fleet = start_fleet_with(&[&replica], 4, &store);
+    let mut load = ProgramLoad {
+        reserved: SPENT,
+        ..ProgramLoad::new()
+    };
+    load.send(&fleet[1], 1);
+    let seed = fleet[0].peer_address;
+    fleet[0].freeze(Duration::from_millis(5_500));
+    thread::sleep(DETECTION);
+    load.send(&fleet[1], 10);
+    for number in 1..4 {
+        let name = fleet[number].peer_address.to_string();
+        fleet.remove(number).kill();
+        let options = TestGatewayOptions {
+            seed: Some(seed),
+            store: store.clone(),
+            restart: Some((name, 10_000)),
+            ..TestGatewayOptions::default()
+        };
+        fleet.insert(number, TestGateway::start_with(&[&replica], options));
+    }
+    fleet[1].wait_for_vms(4);
+    let tokens = load.spend_rest(&fleet[1]);
+    let is_within = |tokens: &u64| *tokens <= BUDGET + SPENT;
+    assert!(tokens.iter().all(is_within), "{tokens:?}");
+}
--- a/crates/relay/tests/takeover.rs
+++ b/crates/relay/tests/takeover.rs
@@ -1,8 +1,8 @@
 //! Tests who may act as a program's home, and what a new home knows.
 
 use ibisdale_relay::decide::{
-    AccountCopy, AccountReply, BudgetLedger, HomeRole, TakeoverFinding, TakeoverInput, VmLoss,
-    VmProcess, assess_takeover, may_have_lost_pair,
+    AccountCopy, AccountReply, BudgetLedger, HomeRole, LossFacts, TakeoverFinding, TakeoverInput,
+    VmLoss, VmProcess, assess_takeover, may_have_lost_pair,
 };
 use rstest::rstest;
 
@@ -10,6 +10,10 @@
 const BUDGET: u64 = 1_000;
 const WINDOW_MS: u64 = 2_000;
 const NOW_MS: u64 = 100_000;
+const NO_LOSSES: LossFacts<'_> = LossFacts {
+    losses: &[],
+    window_ms: WINDOW_MS,
+};
 const COMPLETE: TakeoverFinding = TakeoverFinding {
     may_miss_tokens: false,
     needs_record: false,
@@ -51,6 +55,7 @@
 /// VMs rank by their number; those of `down` are silent.
 fn assess(replies: &[AccountReply], losses: &[VmLoss], down: &[u64]) -> TakeoverFinding {
     assess_takeover(&TakeoverInput {
+        own: process(5),
         replies,
         ranked: &[1, 2, 3, 4, 5],
         losses,
@@ -117,6 +122,30 @@
             "the role is from after the loss",
             assess(&[reply(2, Some(copy(9)))], &both_lost, &[]),
         ),
+        (
+            "two others were lost since the role is known",
+            assess(
+                &[reply(1, None), reply(2, Some(copy(9_000)))],
+                &[loss(3, 95_000), loss(4, 95_500)],
+                &[],
+            ),
+        ),
+        (
+            "one other was lost since the role is known",
+            assess(
+                &[reply(1, None), reply(2, Some(copy(9_000)))],
+                &[loss(3, 95_000)],
+                &[],
+            ),
+        ),
+        (
+            "this VM was absent while the first two served",
+            assess(
+                &[reply(1, None), reply(2, None)],
+                &[loss(1, 99_000), loss(2, 99_000), loss(5, 99_500)],
+                &[],
+            ),
+        ),
         (
             "no VM replies",
             assess(&[], &[1, 2, 3, 4].map(|vm| loss(vm, NOW_MS)), &[1, 2, 3, 4]),
@@ -137,7 +166,7 @@
 fn witness_refuses_the_home_of_an_earlier_epoch() {
     let mut home = BudgetLedger::new(1, 1);
     home.take_over(PROGRAM, BUDGET, COMPLETE, 1);
-    home.set_witness(PROGRAM, process(2), 1);
+    home.set_witness(PROGRAM, process(2), &NO_LOSSES, 1);
     let mut witness = BudgetLedger::new(2, 1);
     assert!(witness.accept(PROGRAM, &home.copy(PROGRAM, 1).unwrap(), 1));
     witness.take_over(PROGRAM, BUDGET, COMPLETE, 2);
@@ -164,6 +193,7 @@
     let mut ledgers = [1, 2].map(|vm| {
         let mut ledger = BudgetLedger::new(vm, 1);
         ledger.take_over(PROGRAM, BUDGET, COMPLETE, 1);
+        ledger.set_witness(PROGRAM, process(3 - vm), &NO_LOSSES, 1);
         ledger
     });
     let copies = ledgers
@@ -177,3 +207,37 @@
     let homes = ledgers.each_ref().map(|ledger| ledger.is_home(PROGRAM));
     assert_ne!(homes[0], homes[1]);
 }
+
+/// A home whose witness and another VM were lost can't know whether they had a later role.
+#[rstest]
+#[case::witness_alone(&[loss(2, 50)], true)]
+#[case::witness_and_another(&[loss(2, 50), loss(3, 60)], false)]
+#[case::one_after_the_other(&[loss(2, 50), loss(3, 50 + 2 * WINDOW_MS)], true)]
+#[case::own_absence(&[loss(1, 50), loss(2, 50)], true)]
+fn home_replaces_its_witness_without_a_record(#[case] losses: &[VmLoss], #[case] is_allowed: bool) {
+    let mut home = BudgetLedger::new(1, 1);
+    home.take_over(PROGRAM, BUDGET, COMPLETE, 1);
+    home.set_witness(PROGRAM, process(2), &NO_LOSSES, 1);
+    let facts = LossFacts {
+        losses,
+        window_ms: WINDOW_MS,
+    };
+    assert_eq!(
+        home.set_witness(PROGRAM, process(4), &facts, 100),
+        is_allowed
+    );
+}
+
+/// A message to a witness that has restarted must not be answered by its next process.
+#[test]
+fn process_accepts_only_as_the_witness_that_is_meant() {
+    let mut home = BudgetLedger::new(1, 1);
+    home.take_over(PROGRAM, BUDGET, COMPLETE, 1);
+    home.set_witness(PROGRAM, process(2), &NO_LOSSES, 1);
+    let copy = home.copy(PROGRAM, 1).unwrap();
+    let accepted = [1, 2].map(|incarnation| {
+        let mut witness = BudgetLedger::new(2, incarnation);
+        witness.accept(PROGRAM, &copy, 1)
+    });
+    assert_eq!(accepted, [true, false]);
+}
