Decide on calls of programs in steps that need no network

Change: HomeDecision in decide/budget takes one step after another and is told the result of each; the gateway carries the steps out. The same for missing_copies. No decision was meant to change: a decision is no longer resumed where a cancelled call had begun a write, since the lock of the program already orders decisions.

--- a/crates/relay/src/decide/budget/ledger.rs
+++ b/crates/relay/src/decide/budget/ledger.rs
@@ -166,6 +166,10 @@
         Some(copy)
     }
 
+    pub(super) fn account(&self, program: ProgramKey) -> Option<&ProgramAccount> {
+        self.programs.get(&program)
+    }
+
     /// Returns the tokens that are spent or reserved, as known to this VM.
     #[must_use]
     pub fn total(&self, program: ProgramKey) -> u64 {
--- a/crates/relay/src/decide/budget/losses.rs
+++ b/crates/relay/src/decide/budget/losses.rs
@@ -60,6 +60,8 @@
     pub losses: &'a [VmLoss],
     /// Time within which losses count as one, in milliseconds.
     pub window_ms: u64,
+    /// Whether most VMs have lost their counts recently.
+    pub has_lost_counts: bool,
 }
 
 impl LossFacts<'_> {
--- a/crates/relay/src/decide/budget/mod.rs
+++ b/crates/relay/src/decide/budget/mod.rs
@@ -20,6 +20,7 @@
 mod account;
 mod ceiling;
 mod ceiling_reads;
+mod home;
 mod ledger;
 mod losses;
 mod share;
@@ -27,6 +28,7 @@
 
 pub use ceiling::{CeilingClaim, ClaimOutcome, ClaimStatus, StoredCeiling};
 pub use ceiling_reads::{CeilingRead, CeilingReads};
+pub use home::{HomeDecision, HomeStep, HomeView, TakeoverRecord, WitnessReply, missing_copies};
 pub use ledger::{BudgetLedger, BudgetVerdict};
 pub use losses::{LossFacts, LossTable, VmLoss, may_have_lost_pair};
 pub use share::{AccountCopy, BudgetShare, HomeRole, ProgramKey, VmProcess};
--- a/crates/relay/src/decide/budget/takeover.rs
+++ b/crates/relay/src/decide/budget/takeover.rs
@@ -73,6 +73,7 @@
     let facts = LossFacts {
         losses: input.losses,
         window_ms: input.window_ms,
+        has_lost_counts: input.has_lost_counts,
     };
     let has_lost_role = latest.is_some() && facts.may_have_lost_role(input.own, known_since_ms);
     let may_miss_tokens = !has_home_replied && (has_lost_pair || has_lost_all);
--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -30,9 +30,9 @@
 
 pub use budget::{
     AccountCopy, AccountReply, BudgetLedger, BudgetShare, BudgetVerdict, CeilingClaim, CeilingRead,
-    CeilingReads, ClaimOutcome, ClaimStatus, HomeRole, LossFacts, LossTable, ProgramKey,
-    StoredCeiling, TakeoverFinding, TakeoverInput, VmLoss, VmProcess, assess_takeover,
-    may_have_lost_pair,
+    CeilingReads, ClaimOutcome, ClaimStatus, HomeDecision, HomeRole, HomeStep, HomeView, LossFacts,
+    LossTable, ProgramKey, StoredCeiling, TakeoverFinding, TakeoverInput, TakeoverRecord, VmLoss,
+    VmProcess, WitnessReply, assess_takeover, may_have_lost_pair, missing_copies,
 };
 pub use cold::{COLD_GRANT_MAX_AGE_MS, ColdReport, ColdRule, ColdTable, ColdTolerance};
 pub use evacuation::{DomainSelection, EvacuationChange, EvacuationReport, EvacuationTable};
--- a/crates/relay/src/gateway/budget_copies.rs
+++ b/crates/relay/src/gateway/budget_copies.rs
@@ -9,7 +9,7 @@
 use super::peer_link::{send, spawn_send};
 use super::rpc::{call_peer, join_all};
 use super::state::Gateway;
-use crate::decide::{AccountCopy, BudgetShare, MemberFacts, ProgramKey, VmProcess};
+use crate::decide::{AccountCopy, BudgetShare, MemberFacts, ProgramKey, missing_copies};
 
 /// Maximum number of programs in one handover message, which keeps the message within
 /// one packet.
@@ -41,43 +41,16 @@
     let programs: Vec<_> = gateway.state.budgets.borrow().member_programs().collect();
     let mut copies = ProgramCopies::new();
     for program in programs {
-        let targets = missing_copies(gateway, program);
+        let targets = {
+            let budgets = gateway.state.budgets.borrow();
+            let members = gateway.state.members.borrow();
+            missing_copies(&budgets, &members, program, COPIES, gateway.now_ms())
+        };
         add_copies(gateway, program, targets.into_iter(), &mut copies);
     }
     send_copies(gateway, copies).await;
 }
 
-/// Returns the VMs that rank first for a program and are no members of its latest role, if this
-/// VM is to send them copies.
-fn missing_copies(gateway: &Gateway, program: ProgramKey) -> Vec<MemberFacts> {
-    let now_ms = gateway.now_ms();
-    let budgets = gateway.state.budgets.borrow();
-    let members = gateway.state.members.borrow();
-    let copy = budgets.copy(program, now_ms);
-    let Some(role) = copy.and_then(|copy| copy.role) else {
-        return Vec::new();
-    };
-    let own = budgets.process();
-    // The witness stands in for a home that is gone.
-    let is_home_live = members.is_live(role.home.vm, now_ms)
-        && members.incarnation(role.home.vm) == Some(role.home.incarnation);
-    if role.home != own && is_home_live {
-        return Vec::new();
-    }
-    let first = members.first_homes(own.vm, program, now_ms);
-    let first = first.into_iter().take(COPIES);
-    let others = first.filter_map(|home| home.facts);
-    others
-        .filter(|facts| {
-            let process = VmProcess {
-                vm: facts.key(),
-                incarnation: facts.incarnation,
-            };
-            role.home != process && role.witness != Some(process)
-        })
-        .collect()
-}
-
 fn add_copies(
     gateway: &Gateway,
     program: ProgramKey,
--- a/crates/relay/src/gateway/ceilings.rs
+++ b/crates/relay/src/gateway/ceilings.rs
@@ -16,7 +16,7 @@
 use super::message::PeerMessage;
 use super::rpc::call_peer;
 use super::state::Gateway;
-use crate::decide::{CeilingClaim, ClaimOutcome, ProgramKey, hash_bytes};
+use crate::decide::{CeilingClaim, ClaimOutcome, hash_bytes};
 
 /// Time for which ceilings are collected before they are written; short compared with the
 /// time to a call's first token.
@@ -57,18 +57,8 @@
     }
 }
 
-/// Stores a ceiling.
-///
-/// Other calls of the program wait for the write through `ceiling_writes`.
-pub(crate) async fn store_ceiling(
-    gateway: &Gateway,
-    program: ProgramKey,
-    ceiling: u64,
-) -> ClaimOutcome {
-    let (end_sender, end_receiver) = bounded::<()>(1);
-    let claim = gateway.state.budgets.borrow().claim(program, ceiling);
-    let writes = &gateway.state.ceiling_writes;
-    writes.borrow_mut().insert(program, end_receiver);
+/// Stores the ceiling of a program, by the writer if it can.
+pub(crate) async fn store_ceiling(gateway: &Gateway, claim: CeilingClaim) -> ClaimOutcome {
     let outcome = match request_write(gateway, claim).await {
         None | Some(ClaimOutcome::Failed) => store_in_batch(gateway, claim).await,
         Some(outcome) => outcome,
@@ -79,16 +69,11 @@
     };
     record_event!(
         CeilingStored,
-        program = format!("{program:x}"),
-        ceiling = ceiling,
+        program = format!("{:x}", claim.program),
+        ceiling = claim.ceiling,
         stored = outcome == ClaimOutcome::Stored,
         conflict = conflict.map_or(String::new(), |ceiling| ceiling.to_string()),
     );
-    if outcome == ClaimOutcome::Stored {
-        gateway.state.budgets.borrow_mut().record_claim(claim);
-    }
-    writes.borrow_mut().remove(&program);
-    drop(end_sender);
     outcome
 }
 
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -150,8 +150,6 @@
     pub(crate) role_replies: RefCell<RecentDecisions<Option<AccountCopy>>>,
     /// Whether VMs have joined, restarted or died since copies of accounts were sent last.
     pub(crate) are_copies_due: Cell<bool>,
-    /// Ceilings that are being stored; each channel is closed when the write ends.
-    pub(crate) ceiling_writes: RefCell<HashMap<ProgramKey, Receiver<()>>>,
     pub(crate) ceiling_batch: RefCell<CeilingBatch>,
     pub(crate) pool: ConnectionPool,
     pub(crate) clients: ClientAccount,
@@ -256,7 +254,6 @@
             program_locks: RefCell::default(),
             role_replies: RefCell::default(),
             are_copies_due: Cell::default(),
-            ceiling_writes: RefCell::default(),
             ceiling_batch: RefCell::default(),
             pool: ConnectionPool::default(),
             clients,
--- a/crates/relay/tests/takeover.rs
+++ b/crates/relay/tests/takeover.rs
@@ -13,6 +13,7 @@
 const NO_LOSSES: LossFacts<'_> = LossFacts {
     losses: &[],
     window_ms: WINDOW_MS,
+    has_lost_counts: false,
 };
 const COMPLETE: TakeoverFinding = TakeoverFinding {
     may_miss_tokens: false,
@@ -220,7 +221,7 @@
     home.set_witness(PROGRAM, process(2), &NO_LOSSES, 1);
     let facts = LossFacts {
         losses,
-        window_ms: WINDOW_MS,
+        ..NO_LOSSES
     };
     assert_eq!(
         home.set_witness(PROGRAM, process(4), &facts, 100),
