Refuse statuses outside of the protocol

Cause: any status below 200 counted as interim, and none was checked.

Change: a status that is not from 100 to 599 is an invalid response; the request may have run.

Evidence: cases status_zero_before_a_response (200 before) and status_above_599 (700 before) of invalid_response_returns_502_without_retry failed before and pass now; status_zero and status_zero_without_body passed before too.

--- a/crates/relay/src/http1/head.rs
+++ b/crates/relay/src/http1/head.rs
@@ -1,5 +1,7 @@
 //! Parsing of response heads and serialization of requests.
 
+use std::ops::RangeInclusive;
+
 use bytes::{Buf, Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 
@@ -11,6 +13,9 @@
 /// Maximum number of header fields in a response.
 const HEAD_MAX_HEADERS: usize = 64;
 
+/// Status codes of the protocol.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// A parsed response head.
 #[derive(Clone, Debug)]
 pub struct ResponseHead {
@@ -39,6 +44,9 @@
         Err(_) => return Err(ExchangeError::InvalidResponse { reason: "head" }),
     };
     let status = response.code.unwrap_or_default();
+    if !STATUSES.contains(&status) {
+        return Err(ExchangeError::InvalidResponse { reason: "status" });
+    }
     let is_http11 = response.version == Some(1);
     let mut headers = HeaderMap::with_capacity(response.headers.len());
     for field in response.headers.iter() {
--- a/crates/relay/tests/gateway/responses.rs
+++ b/crates/relay/tests/gateway/responses.rs
@@ -150,6 +150,18 @@
     b"HTTP/1.1 200 OK\r\nt-attempt: a1\r\nt-seal: s\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nhi"
 )]
 #[case::closed(b"")]
+#[case::status_zero(
+    b"HTTP/1.1 000 None\r\nt-attempt: a1\r\nt-seal: s\r\nContent-Length: 2\r\n\r\nhi"
+)]
+#[case::status_zero_without_body(
+    b"HTTP/1.1 000 None\r\nt-attempt: a1\r\nt-seal: s\r\nContent-Length: 0\r\n\r\n"
+)]
+#[case::status_zero_before_a_response(
+    b"HTTP/1.1 000 None\r\nt-attempt: a1\r\nt-seal: s\r\n\r\nHTTP/1.1 200 OK\r\nt-attempt: a1\r\nt-seal: s\r\n\r\nhi"
+)]
+#[case::status_above_599(
+    b"HTTP/1.1 700 None\r\nt-attempt: a1\r\nt-seal: s\r\nContent-Length: 2\r\n\r\nhi"
+)]
 fn invalid_response_returns_502_without_retry(#[case] bytes: &'static [u8]) {
     let replica = ScriptedReplica::start(move |_, _| (bytes.to_vec(), false));
     let gateway = TestGateway::start(&[&replica]);
