Refuse requests that become complete after a stopping VM accepts no more connections

Cause: a connection without a whole head when the VM stops accepting is neither closed nor counted; what came on it was passed on up to the exit.

Change: from then on a request is refused with 503, before it is passed on, also where its body ends only then. Connections are accepted for 37% instead of half of the waiting time.

--- a/crates/relay/src/gateway/admit.rs
+++ b/crates/relay/src/gateway/admit.rs
@@ -83,6 +83,7 @@
     parts: &Parts,
     started: Instant,
 ) -> Result<CallerRequest, GatewayError> {
+    refuse_while_stopping(gateway)?;
     let Some(plan) = gateway.plan() else {
         return Err(GatewayError::unavailable("no configuration yet"));
     };
@@ -143,6 +144,15 @@
     Ok(request)
 }
 
+/// Refuses a request that would be cut by the end of the process.
+fn refuse_while_stopping(gateway: &Gateway) -> Result<(), GatewayError> {
+    if gateway.state.is_stopping.get() {
+        Err(GatewayError::unavailable("the VM is stopping"))
+    } else {
+        Ok(())
+    }
+}
+
 /// Refuses a request whose route or key is not in the plan, the configuration in force.
 ///
 /// A configuration that may be outdated does not prove that the route or key does not
@@ -166,7 +176,11 @@
     let limit = plan.map_or(0, |plan| plan.get_limits().body_max_bytes);
     let closer = parts.extensions.get::<ConnectionCloser>().cloned();
     let read = ibisdale_clients::read_body(&gateway.state.clients, body, limit, closer);
-    read.await.map_err(|refusal| refuse_body(gateway, refusal))
+    let body = read
+        .await
+        .map_err(|refusal| refuse_body(gateway, refusal))?;
+    refuse_while_stopping(gateway)?;
+    Ok(body)
 }
 
 /// Returns the response to a request whose body is not read to its end. Where memory is short, it
--- a/crates/relay/src/gateway/drain.rs
+++ b/crates/relay/src/gateway/drain.rs
@@ -16,6 +16,9 @@
 /// Part of the grace period after which requests in flight are no longer waited for,
 /// in percent.
 const GRACE_USED_PERCENT: u32 = 92;
+/// Part of that time after which no request is taken, so that those taken before can end, in
+/// percent.
+const ACCEPT_PERCENT: u32 = 37;
 /// Interval at which the requests in flight are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -35,10 +38,11 @@
     peer_link::announce(gateway).await;
     let wait_limit = grace * GRACE_USED_PERCENT / 100;
     let ttl_wait = Duration::from_secs(gateway.state.options.directory.ttl_s * TTL_FACTOR);
-    let accept_time = ttl_wait.min(wait_limit / 2);
+    let accept_time = ttl_wait.min(wait_limit * ACCEPT_PERCENT / 100);
     while started.elapsed() < accept_time {
         Timer::after(POLL_INTERVAL).await;
     }
+    gateway.state.is_stopping.set(true);
     // Closes idle connections at once, busy ones after their responses.
     gateway.state.shutdown_sender.borrow_mut().take();
     Timer::after(POLL_INTERVAL).await;
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -163,6 +163,8 @@
     pub(crate) turns: TurnClient,
     pub(crate) in_flight: Cell<u32>,
     pub(crate) is_draining: Cell<bool>,
+    /// Whether requests are no longer passed on, since the process ends soon.
+    pub(crate) is_stopping: Cell<bool>,
     pub(crate) shutdown_signal: Receiver<()>,
     pub(crate) shutdown_sender: RefCell<Option<Sender<()>>>,
 }
@@ -265,6 +267,7 @@
             turns,
             in_flight: Cell::new(0),
             is_draining: Cell::new(false),
+            is_stopping: Cell::new(false),
             shutdown_signal,
             shutdown_sender: RefCell::new(Some(shutdown_sender)),
         };
