--- /dev/null
+++ b/review/standins-3/replica.rs
@@ -0,0 +1,113 @@
+//! Stand-in of a replica: a plain service, or a model server that streams events.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crate::http::{Connection, Head};
+use crate::record::{Recorder, Run};
+
+/// What a replica is and how it works.
+#[derive(Clone)]
+pub struct ReplicaOptions {
+    pub id: String,
+    pub service: String,
+    pub address: SocketAddr,
+    /// Time of the work of a plain request, or until the first event of a stream.
+    pub work: Duration,
+    /// Time between events.
+    pub pause: Duration,
+    /// Tokens of each event; 0 for a plain service.
+    pub tokens_per_event: u64,
+}
+
+/// Starts a replica that serves until the process ends.
+pub fn start(options: ReplicaOptions, recorder: Recorder) -> io::Result<()> {
+    let listener = TcpListener::bind(options.address)?;
+    let options = Arc::new(options);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (options, recorder) = (Arc::clone(&options), recorder.clone());
+            thread::spawn(move || {
+                let _ = serve(&options, &recorder, Connection::new(stream));
+            });
+        }
+    });
+    Ok(())
+}
+
+fn serve(
+    options: &ReplicaOptions,
+    recorder: &Recorder,
+    mut connection: Connection,
+) -> io::Result<()> {
+    while let Some(head) = connection.head()? {
+        connection.body(&head, |_| {})?;
+        let attempt = head.get("x-ibisdale-attempt-id").to_owned();
+        let target = head.get("x-ibisdale-target-instance");
+        let common = format!(
+            "X-Ibisdale-Attempt-Id: {attempt}\r\nX-Ibisdale-Instance-Id: {}\r\nKeep-Alive: timeout=10\r\nX-Ibisdale-Server-Load: 1,0,96\r\n",
+            options.id
+        );
+        if !target.is_empty() && target != options.id {
+            let text =
+                format!("HTTP/1.1 421 Misdirected Request\r\n{common}Content-Length: 0\r\n\r\n");
+            connection.send(text.as_bytes())?;
+            continue;
+        }
+        if head.target().starts_with("/health") {
+            let text = format!("HTTP/1.1 200 OK\r\n{common}Content-Length: 0\r\n\r\n");
+            connection.send(text.as_bytes())?;
+            continue;
+        }
+        let run = Run {
+            at: recorder.now(),
+            attempt: attempt.clone(),
+            program: head.get("x-ibisdale-program-id").to_owned(),
+            tenant: head.get("x-ibisdale-tenant").to_owned(),
+            replica: options.id.clone(),
+            service: options.service.clone(),
+            last_event: head.get("last-event-id").parse().ok(),
+        };
+        recorder.add_run(run);
+        thread::sleep(options.work);
+        let seal = format!(
+            "X-Ibisdale-Response-Seal: seal.{}.{attempt}\r\n",
+            options.id
+        );
+        if options.tokens_per_event == 0 {
+            let body = format!("{{\"done\":\"{attempt}\"}}");
+            let text = format!(
+                "HTTP/1.1 200 OK\r\n{common}{seal}Content-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            connection.send(text.as_bytes())?;
+        } else {
+            let text = format!(
+                "HTTP/1.1 200 OK\r\n{common}{seal}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            );
+            connection.send(text.as_bytes())?;
+            stream(options, &head, &mut connection)?;
+        }
+    }
+    Ok(())
+}
+
+/// Sends the events after the last one that the request names.
+fn stream(options: &ReplicaOptions, head: &Head, connection: &mut Connection) -> io::Result<()> {
+    let usage = head.get("x-ibisdale-token-usage").split(',').nth(1);
+    let most: u64 = usage.and_then(|text| text.trim().parse().ok()).unwrap_or(0);
+    let first = head
+        .get("last-event-id")
+        .parse::<u64>()
+        .map_or(1, |last| last + 1);
+    for id in first..=(most / options.tokens_per_event) {
+        let event = format!("id: {id}\ndata: piece {id}\n\n");
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        connection.send(chunk.as_bytes())?;
+        thread::sleep(options.pause);
+    }
+    connection.send(b"0\r\n\r\n")
+}
