--- a/review/standins-3/budget.rs
+++ b/review/standins-3/budget.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, Vm};
 use crate::http::{self, Answer};
 use crate::record::{Recorder, Sent};
 
@@ -30,11 +30,7 @@
         .write("op/config", &configuration(1, whole));
     deployment.start_vms(4)?;
     let recorder = deployment.recorder.clone();
-    let entries: Vec<SocketAddr> = deployment
-        .vms
-        .iter()
-        .map(crate::deployment::Vm::entry)
-        .collect();
+    let entries: Vec<SocketAddr> = deployment.vms.iter().map(Vm::entry).collect();
     let mut tokens = vec![0; PROGRAMS as usize];
     for program in 0..PROGRAMS {
         for turn in 0..2 {
@@ -83,6 +79,69 @@
     Ok(is_broken)
 }
 
+/// A program that was stopped comes back within `retention_s` of its route; in between, a version
+/// lacks the route for a moment.
+pub fn run_return(deployment: &mut Deployment, has_trouble: bool) -> crate::Verdict {
+    deployment.add_replica(100, "model-a", 5, 1, TOKENS[0].1)?;
+    deployment.add_replica(101, "model-a", 5, 1, TOKENS[0].1)?;
+    let whole = "\"service\":\"model-a\"";
+    deployment
+        .store
+        .write("op/config", &configuration(1, whole));
+    deployment.start_vms(4)?;
+    let recorder = deployment.recorder.clone();
+    let entries: Vec<SocketAddr> = deployment.vms.iter().map(Vm::entry).collect();
+    let mut tokens = vec![0; PROGRAMS as usize];
+    for program in 0..PROGRAMS {
+        tokens[program as usize] = run_until_refused(&recorder, &entries, program, 0);
+    }
+    recorder.note(format!(
+        "the programs have got {tokens:?} tokens and are told that their budget is spent"
+    ));
+    thread::sleep(Duration::from_millis(38_000));
+    if has_trouble {
+        let version = configuration(2, whole)
+            .replace("/talk/", "/other/")
+            .replace("\"retention_s\":60", "\"retention_s\":0");
+        deployment.store.write("op/config", &version);
+        recorder.note("the operator writes version 2, which removes the programs' route");
+    }
+    thread::sleep(Duration::from_millis(3_000));
+    if has_trouble {
+        deployment
+            .store
+            .write("op/config", &configuration(3, whole));
+        recorder.note("the operator writes version 3, which adds the route again");
+    }
+    thread::sleep(Duration::from_millis(3_000));
+    recorder.note("the programs come back");
+    let mut is_broken = false;
+    for program in 0..PROGRAMS {
+        let more = run_until_refused(&recorder, &entries, program, 1_000);
+        let all = tokens[program as usize] + more;
+        let is_over = all > BUDGET + TURN_MAX;
+        is_broken |= is_over;
+        recorder.note(format!(
+            "program {program}: {more} more tokens, {all} in all; its budget is {BUDGET} and one turn has {TURN_MAX} at most{}",
+            if is_over { ": over its budget" } else { "" },
+        ));
+    }
+    Ok(is_broken)
+}
+
+/// Runs the turns of a program until it gets 402; returns the tokens handed to its client.
+fn run_until_refused(recorder: &Recorder, entries: &[SocketAddr], program: u64, first: u64) -> u64 {
+    let mut tokens = 0;
+    for turn in first..first + TURNS_MAX {
+        let (status, got) = run_turn(recorder, entries, program, turn);
+        tokens += got;
+        if status == 402 {
+            break;
+        }
+    }
+    tokens
+}
+
 fn configuration(version: u64, target: &str) -> String {
     let services: Vec<String> = TOKENS
         .iter()
--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -3,6 +3,7 @@
 use std::fs::{self, File};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::thread;
@@ -10,12 +11,31 @@
 
 use crate::http;
 use crate::record::Recorder;
-use crate::replica::{self, ReplicaOptions};
+use crate::replica::{self, ReplicaExit, ReplicaOptions};
 use crate::store::Store;
 
 const ENTRY_PORT: u16 = 8368;
 const DIRECTORY_PORT: u16 = 8360;
 
+/// `prctl`: signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
+/// Lets this process end with the one that started it.
+fn end_with_parent() -> io::Result<()> {
+    // SAFETY: this call of `prctl` reads its arguments only.
+    let result = unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) };
+    if result == 0 {
+        Ok(())
+    } else {
+        Err(io::Error::last_os_error())
+    }
+}
+
 /// The project's process of one entry VM.
 pub struct Vm {
     pub name: String,
@@ -74,7 +94,7 @@
         Ipv4Addr::new(127, self.block.0, self.block.1, last)
     }
 
-    /// Starts a replica and writes its entry, which its heartbeats would leave unchanged.
+    /// Starts a replica of the software version `v1` and writes its entry.
     pub fn add_replica(
         &self,
         last: u8,
@@ -83,9 +103,24 @@
         pause_ms: u64,
         tokens: u64,
     ) -> io::Result<()> {
+        let times = (work_ms, pause_ms);
+        self.add_replica_of("v1", last, service, times, tokens)?;
+        Ok(())
+    }
+
+    /// Starts a replica and writes its entry, which its heartbeats would leave unchanged.
+    pub fn add_replica_of(
+        &self,
+        version: &str,
+        last: u8,
+        service: &str,
+        (work_ms, pause_ms): (u64, u64),
+        tokens: u64,
+    ) -> io::Result<ReplicaExit> {
         let options = ReplicaOptions {
             id: format!("i-{last}"),
             service: service.to_owned(),
+            version: version.to_owned(),
             address: SocketAddr::from((self.address(last), 9000)),
             work: Duration::from_millis(work_ms),
             pause: Duration::from_millis(pause_ms),
@@ -96,13 +131,13 @@
             .duration_since(std::time::UNIX_EPOCH)
             .map_or(0, |since| since.as_millis());
         let entry = format!(
-            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":96,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1,\"born\":{born}}}",
+            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"{version}\",\"slots\":96,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1,\"born\":{born}}}",
             options.address
         );
         let id = options.id.clone();
-        replica::start(options, self.recorder.clone())?;
+        let exit = replica::start(options, self.recorder.clone())?;
         self.store.write(&format!("servers/{id}"), &entry);
-        Ok(())
+        Ok(exit)
     }
 
     /// Starts `count` entry VMs for the first time and waits until they are ready.
@@ -229,14 +264,16 @@
         let path = self.folder.join(format!("{name}.toml"));
         fs::write(&path, settings)?;
         let log = File::create(self.folder.join(format!("{name}-{}.log", vm.starts)))?;
-        let child = Command::new("target/release/ibisdale-vm")
+        let mut command = Command::new("target/release/ibisdale-vm");
+        command
             .args(["--metrics-port", "9464"])
             .env("IBISDALE_BOOT", &path)
             .stdin(Stdio::null())
             .stderr(log.try_clone()?)
-            .stdout(log)
-            .spawn()?;
-        vm.child = Some(child);
+            .stdout(log);
+        // SAFETY: the function only calls `prctl`, which may be called after a fork.
+        unsafe { command.pre_exec(end_with_parent) };
+        vm.child = Some(command.spawn()?);
         vm.starts += 1;
         Ok(())
     }
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod json;
 mod lost;
+mod order;
 mod quota;
 mod record;
 mod replica;
@@ -18,10 +19,15 @@
 use std::io;
 use std::path::Path;
 use std::process::ExitCode;
+use std::thread;
+use std::time::Duration;
 
 use deployment::Deployment;
 use record::Recorder;
 
+/// Longest time of a case.
+const CASE_TIME_MAX: Duration = Duration::from_secs(118);
+
 /// Whether a rule was broken.
 type Verdict = io::Result<bool>;
 
@@ -32,11 +38,18 @@
         return ExitCode::from(2);
     };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    thread::spawn(|| {
+        thread::sleep(CASE_TIME_MAX);
+        eprintln!("the case takes too long");
+        std::process::exit(2);
+    });
     let recorder = Recorder::new();
     let run: fn(&mut Deployment, bool) -> Verdict = match case.as_str() {
         "budget-split" => budget::run_split,
+        "budget-return" => budget::run_return,
         "quota-readded" => quota::run_readded,
         "quota-restart" => quota::run_restart,
+        "order-timeout" => order::run_timeout,
         "lost-takeup" => lost::run_take_up,
         _ => {
             eprintln!("no such case: {case}");
--- a/review/standins-3/replica.rs
+++ b/review/standins-3/replica.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
 pub struct ReplicaOptions {
     pub id: String,
     pub service: String,
+    /// Version of its software.
+    pub version: String,
     pub address: SocketAddr,
     /// Time of the work of a plain request, or until the first event of a stream.
     pub work: Duration,
@@ -23,27 +26,52 @@
     pub tokens_per_event: u64,
 }
 
-/// Starts a replica that serves until the process ends.
-pub fn start(options: ReplicaOptions, recorder: Recorder) -> io::Result<()> {
+/// Lets a replica exit; clones are for the same replica.
+#[derive(Clone, Default)]
+pub struct ReplicaExit(Arc<AtomicBool>);
+
+impl ReplicaExit {
+    /// Ends the replica: its streams break off, and it answers nothing more.
+    pub fn exit(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    fn has_exited(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Starts a replica that serves until it is told to exit or the process ends.
+pub fn start(options: ReplicaOptions, recorder: Recorder) -> io::Result<ReplicaExit> {
     let listener = TcpListener::bind(options.address)?;
     let options = Arc::new(options);
+    let exit = ReplicaExit::default();
+    let returned = exit.clone();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if exit.has_exited() {
+                return;
+            }
             let (options, recorder) = (Arc::clone(&options), recorder.clone());
+            let exit = exit.clone();
             thread::spawn(move || {
-                let _ = serve(&options, &recorder, Connection::new(stream));
+                let _ = serve(&options, &recorder, &exit, Connection::new(stream));
             });
         }
     });
-    Ok(())
+    Ok(returned)
 }
 
 fn serve(
     options: &ReplicaOptions,
     recorder: &Recorder,
+    exit: &ReplicaExit,
     mut connection: Connection,
 ) -> io::Result<()> {
     while let Some(head) = connection.head()? {
+        if exit.has_exited() {
+            return Ok(());
+        }
         connection.body(&head, |_| {})?;
         let attempt = head.get("x-ibisdale-attempt-id").to_owned();
         let target = head.get("x-ibisdale-target-instance");
@@ -89,14 +117,19 @@
                 "HTTP/1.1 200 OK\r\n{common}{seal}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
             );
             connection.send(text.as_bytes())?;
-            stream(options, &head, &mut connection)?;
+            stream(options, exit, &head, &mut connection)?;
         }
     }
     Ok(())
 }
 
 /// Sends the events after the last one that the request names.
-fn stream(options: &ReplicaOptions, head: &Head, connection: &mut Connection) -> io::Result<()> {
+fn stream(
+    options: &ReplicaOptions,
+    exit: &ReplicaExit,
+    head: &Head,
+    connection: &mut Connection,
+) -> io::Result<()> {
     let usage = head.get("x-ibisdale-token-usage").split(',').nth(1);
     let most: u64 = usage.and_then(|text| text.trim().parse().ok()).unwrap_or(0);
     let first = head
@@ -104,10 +137,13 @@
         .parse::<u64>()
         .map_or(1, |last| last + 1);
     for id in first..=(most / options.tokens_per_event) {
-        let event = format!("id: {id}\ndata: piece {id}\n\n");
+        let event = format!("id: {id}\ndata: piece {id} of {}\n\n", options.version);
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
         connection.send(chunk.as_bytes())?;
         thread::sleep(options.pause);
+        if exit.has_exited() {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
     }
     connection.send(b"0\r\n\r\n")
 }
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -83,6 +83,15 @@
         revision
     }
 
+    /// Removes a key, as the entry of a replica that leaves.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.lock();
+        state.revision += 1;
+        let revision = state.revision;
+        state.remove(key, revision);
+        self.state.1.notify_all();
+    }
+
     /// Lets the store answer every call with 503, or serve again.
     pub fn set_down(&self, is_down: bool) {
         self.lock().is_down = is_down;
