--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -20,9 +20,11 @@
 /// `prctl`: signal that a process gets when its parent ends.
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: u64 = 9;
+const SIGTERM: i32 = 15;
 
 unsafe extern "C" {
     fn prctl(option: i32, ...) -> i32;
+    fn kill(process: i32, signal: i32) -> i32;
 }
 
 /// Lets this process end with the one that started it.
@@ -55,6 +57,8 @@
     pub store: Store,
     pub vms: Vec<Vm>,
     pub recorder: Recorder,
+    /// Processes that got SIGTERM.
+    stopped: Vec<Child>,
     block: (u8, u8),
     folder: PathBuf,
 }
@@ -83,6 +87,7 @@
                 store,
                 vms: Vec::new(),
                 recorder,
+                stopped: Vec::new(),
                 block,
                 folder,
             });
@@ -104,7 +109,7 @@
         tokens: u64,
     ) -> io::Result<()> {
         let times = (work_ms, pause_ms);
-        self.add_replica_of("v1", last, service, times, tokens)?;
+        self.add_replica_of("v1", last, service, times, tokens, 0)?;
         Ok(())
     }
 
@@ -116,6 +121,7 @@
         service: &str,
         (work_ms, pause_ms): (u64, u64),
         tokens: u64,
+        answer_bytes: usize,
     ) -> io::Result<ReplicaExit> {
         let options = ReplicaOptions {
             id: format!("i-{last}"),
@@ -125,6 +131,7 @@
             work: Duration::from_millis(work_ms),
             pause: Duration::from_millis(pause_ms),
             tokens_per_event: tokens,
+            answer_bytes,
         };
         let zone = ["east-a", "east-b"][usize::from(last % 2)];
         let born = std::time::SystemTime::now()
@@ -292,6 +299,15 @@
         }
     }
 
+    /// Sends SIGTERM to the process of a VM, which then ends by itself.
+    pub fn stop_vm(&mut self, index: usize) {
+        if let Some(child) = self.vms[index].child.take() {
+            // SAFETY: `kill` reads its arguments only; the process has not been waited for.
+            unsafe { kill(child.id() as i32, SIGTERM) };
+            self.stopped.push(child);
+        }
+    }
+
     /// Returns the VMs whose processes ended by themselves.
     pub fn ended_vms(&mut self) -> Vec<String> {
         let ended = self.vms.iter_mut().filter_map(|vm| {
@@ -333,6 +349,10 @@
 impl Drop for Deployment {
     fn drop(&mut self) {
         self.kill_vms(0..self.vms.len());
+        for child in &mut self.stopped {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
         if std::env::var("KEEP_LOGS").is_err() {
             let _ = fs::remove_dir_all(&self.folder);
         }
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -14,6 +14,7 @@
 mod quota;
 mod record;
 mod replica;
+mod shutdown;
 mod store;
 
 use std::io;
@@ -50,6 +51,7 @@
         "quota-readded" => quota::run_readded,
         "quota-restart" => quota::run_restart,
         "order-timeout" => order::run_timeout,
+        "lost-shutdown" => shutdown::run_slow_reader,
         "lost-takeup" => lost::run_take_up,
         _ => {
             eprintln!("no such case: {case}");
--- a/review/standins-3/order.rs
+++ b/review/standins-3/order.rs
@@ -19,8 +19,8 @@
 pub fn run_timeout(deployment: &mut Deployment, has_trouble: bool) -> crate::Verdict {
     let times = (50, PAUSE_MS);
     let old = [
-        deployment.add_replica_of("v1", 100, "model", times, 2)?,
-        deployment.add_replica_of("v1", 101, "model", times, 2)?,
+        deployment.add_replica_of("v1", 100, "model", times, 2, 0)?,
+        deployment.add_replica_of("v1", 101, "model", times, 2, 0)?,
     ];
     deployment
         .store
@@ -37,8 +37,8 @@
         "{STREAMS} clients begin a stream each, at replicas of v1"
     ));
     thread::sleep(Duration::from_millis(400));
-    deployment.add_replica_of("v2", 102, "model", times, 2)?;
-    deployment.add_replica_of("v2", 103, "model", times, 2)?;
+    deployment.add_replica_of("v2", 102, "model", times, 2, 0)?;
+    deployment.add_replica_of("v2", 103, "model", times, 2, 0)?;
     recorder.note("two replicas of v2 register");
     thread::sleep(Duration::from_millis(400));
     deployment.store.remove("servers/i-100");
--- a/review/standins-3/replica.rs
+++ b/review/standins-3/replica.rs
@@ -24,6 +24,8 @@
     pub pause: Duration,
     /// Tokens of each event; 0 for a plain service.
     pub tokens_per_event: u64,
+    /// Length of the answer of a plain service; 0 for a short one.
+    pub answer_bytes: usize,
 }
 
 /// Lets a replica exit; clones are for the same replica.
@@ -106,7 +108,9 @@
             options.id
         );
         if options.tokens_per_event == 0 {
-            let body = format!("{{\"done\":\"{attempt}\"}}");
+            let mut body = format!("{{\"done\":\"{attempt}\"}}");
+            let padding = options.answer_bytes.saturating_sub(body.len());
+            body.push_str(&" ".repeat(padding));
             let text = format!(
                 "HTTP/1.1 200 OK\r\n{common}{seal}Content-Length: {}\r\n\r\n{body}",
                 body.len()
