--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -5,4 +5,4 @@
 for program in target/release/ibisdale-vm target/review-3/review-3; do
     [ -x "$program" ] || { echo "$program is missing"; exit 2; }
 done
-exec target/review-3/review-3 lost-takeup review/13
+exec target/review-3/review-3 budget-split review/13
