Remember streams and programs for the times under which they began

Cause: how long origins of streams, listed versions, and accounts and losses of programs are remembered followed from the version in force. A time that it shortens ended the memory of what had begun under the version before.

Change: SpanHistory keeps the times of replaced versions until all that may have begun under them has ended, and VMs report them to each other.

--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod member_facts;
 mod members;
+mod memory_spans;
 mod momentary_factor;
 mod origins;
 mod outage;
@@ -46,6 +47,7 @@
 };
 pub use member_facts::{MemberFacts, NewProcess, VmKey};
 pub use members::{HOMES_MAX, HomeCandidate, MemberTable, RankedPeer};
+pub use memory_spans::{SpanHistory, SpanReport};
 pub use momentary_factor::read_momentary_factor;
 pub use origins::{AttemptKey, OriginRefusal, OriginTable, decide_origin};
 pub use outage::{AnswerRecord, ServiceOutage, may_be_cut_off};
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -126,6 +126,7 @@
         Timer::after(EXPIRY_INTERVAL).await;
         gateway.state.pool.close_expired();
         let now_ms = gateway.now_ms();
+        gateway.state.spans.borrow_mut().expire(now_ms);
         let program_retention_ms = gateway.program_retention_ms();
         gateway
             .state
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -8,7 +8,8 @@
     AccountCopy, AdmissionCounters, AttemptKey, BudgetShare, BudgetVerdict, CeilingClaim,
     ClaimOutcome, ColdReport, EvacuationReport, GrantOutcome, InFlightCount, LimitReport,
     MemberFacts, ProgramKey, ProgramStage, RateRefusal, RequestFingerprint, RunDecision, RunQuery,
-    SpeedReport, StartKey, StreamOrigin, SuspectReport, VmKey, WindowReport, WorkspaceKey,
+    SpanReport, SpeedReport, StartKey, StreamOrigin, SuspectReport, VmKey, WindowReport,
+    WorkspaceKey,
 };
 
 /// A limited replica that could take a request, with what the sender knows of its limits.
@@ -79,6 +80,8 @@
         evacuations: EvacuationReport,
         /// What the VM has measured of the speed of replicas.
         speeds: Vec<SpeedReport>,
+        /// Times of replaced versions of the configuration that still count.
+        spans: Vec<SpanReport>,
     },
     /// Known VMs and recent request counts, sent to a VM that was unknown, silent or
     /// restarted.
--- a/crates/relay/src/gateway/peer_link.rs
+++ b/crates/relay/src/gateway/peer_link.rs
@@ -74,6 +74,7 @@
         suspects: recent_suspects(gateway),
         evacuations: evacuation_report(gateway),
         speeds: recent_speeds(gateway),
+        spans: gateway.state.spans.borrow().reports(now_ms),
     };
     let Some(data) = encode(&message) else {
         return;
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -166,11 +166,14 @@
             suspects,
             evacuations,
             speeds,
+            spans,
         } => {
             merge_evacuations(gateway, evacuations);
             merge_limits(gateway, &limits);
             merge_suspects(gateway, &suspects, "peer");
             merge_speeds(gateway, &speeds);
+            let now_ms = gateway.now_ms();
+            gateway.state.spans.borrow_mut().merge(&spans, now_ms);
             record_peer_feed(gateway, feed_age_ms, answers_ms);
             record_peer_in_flight(gateway, facts.key(), in_flight);
             record_peer_store_lost(gateway, facts.key(), is_store_lost);
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -32,7 +32,8 @@
     AccountCopy, AnswerRecord, BudgetLedger, CeilingClaim, CeilingReads, ClaimOutcome, ColdTable,
     ColdTolerance, GrantLedger, GrantOutcome, LimitTable, LossTable, MemberFacts, MemberTable,
     OriginTable, ProgramKey, QuotaLedger, QuotaTolerance, RateRefusal, RecentDecisions,
-    ReplicaInfo, ReplicaTable, RunLedger, StreamOrigin, SuspectTable, VersionHistory, hash_bytes,
+    ReplicaInfo, ReplicaTable, RunLedger, SpanHistory, StreamOrigin, SuspectTable, VersionHistory,
+    hash_bytes,
 };
 use crate::plan::DeploymentPlan;
 
@@ -106,6 +107,8 @@
     pub(crate) started: Instant,
     pub(crate) plan: RefCell<Rc<DeploymentPlan>>,
     pub(crate) has_plan: Cell<bool>,
+    /// Times for which streams and programs are remembered.
+    pub(crate) spans: RefCell<SpanHistory>,
     /// Revision of the key-value store at which the configuration was written.
     pub(crate) plan_revision: Cell<u64>,
     /// When the key-value service last confirmed the configuration to this VM.
@@ -219,6 +222,7 @@
             started: Instant::now(),
             plan: RefCell::default(),
             has_plan: Cell::new(false),
+            spans: RefCell::default(),
             plan_revision: Cell::new(0),
             feed_confirmed_at: Cell::new(None),
             peer_feed_confirmed_at: Cell::new(None),
@@ -308,6 +312,10 @@
             }
             return;
         }
+        let mut spans = self.state.spans.borrow_mut();
+        spans.replace(plan.get_memory_spans(), self.now_ms());
+        let remembered = spans.effective(self.now_ms());
+        drop(spans);
         record_event!(
             PlanInForce,
             version = version,
@@ -315,6 +323,8 @@
             source = source,
             routes = plan.get_routes().len(),
             workspaces = plan.get_workspaces().len(),
+            resume_ms = remembered.resume_ms,
+            retention_ms = remembered.retention_ms,
         );
         for workspace in plan.get_workspaces() {
             record_event!(
@@ -465,14 +475,16 @@
 
     /// Returns how long after its first event a stream may still be taken up.
     pub(crate) fn resume_window_ms(&self) -> u64 {
-        self.state.plan.borrow().get_resume_window_ms()
+        let spans = self.state.spans.borrow();
+        spans.effective(self.now_ms()).resume_ms
     }
 
     /// Returns how long programs are remembered after their last call.
     ///
     /// After this time, counts lost with a dead VM no longer matter.
     pub(crate) fn program_retention_ms(&self) -> u64 {
-        self.state.plan.borrow().get_retention_ms() + RETENTION_SLACK_MS
+        let spans = self.state.spans.borrow();
+        spans.effective(self.now_ms()).retention_ms + RETENTION_SLACK_MS
     }
 }
 
--- a/crates/relay/src/plan/table.rs
+++ b/crates/relay/src/plan/table.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::limits::TrafficLimits;
+use super::memory_spans::MemorySpans;
 use super::route::{ExecutionSemantics, RouteRule};
 use super::service::ServiceSpec;
 use super::workspace::WorkspaceSpec;
@@ -114,6 +115,18 @@
         2 * resumable.map(|route| route.timeout_ms).max().unwrap_or(0)
     }
 
+    /// Returns the times for which streams and programs that began under this version are
+    /// remembered.
+    #[must_use]
+    pub fn get_memory_spans(&self) -> MemorySpans {
+        let requests = self.routes.iter().map(|route| route.timeout_ms);
+        MemorySpans {
+            resume_ms: self.get_resume_window_ms(),
+            retention_ms: self.get_retention_ms(),
+            request_ms: requests.max().unwrap_or_default(),
+        }
+    }
+
     /// Returns all workspaces.
     #[must_use]
     pub fn get_workspaces(&self) -> &[WorkspaceSpec] {
--- a/crates/relay/tests/gateway/fleet_support.rs
+++ b/crates/relay/tests/gateway/fleet_support.rs
@@ -1,14 +1,17 @@
 //! Several gateways that share a store, and are killed, frozen and restarted.
 
 use std::collections::HashMap;
+use std::ops::ControlFlow;
 use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::Duration;
 
 use bytes::Bytes;
 use ibisdale_relay::decide::{
-    CeilingClaim, ClaimOutcome, ClaimStatus, ProgramKey, StoredCeiling, StreamOrigin,
+    CeilingClaim, ClaimOutcome, ClaimStatus, ProgramKey, ReplicaInfo, StoredCeiling, StreamOrigin,
 };
-use ibisdale_relay::gateway::{ReadOrigins, StoreCeilings};
+use ibisdale_relay::gateway::{Gateway, ReadOrigins, StoreCeilings};
+use ibisdale_relay::plan::DeploymentPlan;
 use smol::Timer;
 
 use crate::support::{ScriptedReplica, TestGateway, TestGatewayOptions};
@@ -16,16 +19,37 @@
 /// Duration of a simulated write of ceilings.
 const WRITE_DELAY: Duration = Duration::from_millis(20);
 
-/// What a test does to the process of a gateway.
-#[derive(Clone, Copy, Debug)]
+/// What a test does to the process of a gateway, or lets it learn.
+#[derive(Clone, Debug)]
 pub(crate) enum VmCommand {
     /// Lets its thread stand still for a time.
     Freeze(Duration),
     /// Passes on evacuated domains and their revision as the feed does.
     Evacuate(&'static [&'static str], u64),
+    /// Passes on a configuration.
+    Apply(Box<DeploymentPlan>),
+    /// Passes on a version of the list of replicas.
+    List(Vec<ReplicaInfo>, u64),
     Kill,
 }
 
+/// Carries out a command on the gateway's thread; breaks if the gateway ends at once.
+pub(crate) fn carry_out(gateway: &Gateway, command: VmCommand) -> ControlFlow<()> {
+    match command {
+        VmCommand::Freeze(time) => thread::sleep(time),
+        VmCommand::Evacuate(domains, revision) => {
+            let domains = domains
+                .iter()
+                .map(|domain| Bytes::from_static(domain.as_bytes()));
+            gateway.set_evacuated_domains(domains.collect(), revision);
+        }
+        VmCommand::Apply(plan) => gateway.apply_plan(*plan, 2, "test"),
+        VmCommand::List(replicas, version) => gateway.set_replicas(replicas, version),
+        VmCommand::Kill => return ControlFlow::Break(()),
+    }
+    ControlFlow::Continue(())
+}
+
 /// A store that keeps the ceilings of programs; clones share them.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StoreStandIn {
--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod holder_support;
 mod limits;
 mod misplaced;
+mod replaced_plans;
 mod responses;
 mod routes;
 mod support;
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -24,7 +24,7 @@
 use smol::channel::{Receiver, Sender, bounded};
 use smol::{Async, LocalExecutor};
 
-use crate::fleet_support::{StoreStandIn, VmCommand};
+use crate::fleet_support::{StoreStandIn, VmCommand, carry_out};
 use crate::holder_support::holder_info;
 
 /// Timeout for reading a response.
@@ -102,7 +102,8 @@
     }
 }
 
-fn plan() -> DeploymentPlan {
+/// Returns the configuration that gateways start with.
+pub(crate) fn plan() -> DeploymentPlan {
     let routes = vec![
         route("/read/", ExecutionSemantics::Repeatable, 2),
         route("/act/", ExecutionSemantics::Once, 3),
@@ -188,6 +189,21 @@
         self
     }
 
+    /// Returns the entry of the replica in a list, where it is number `index`.
+    pub(crate) fn info(&self, index: usize) -> ReplicaInfo {
+        ReplicaInfo {
+            id: Bytes::from(format!("replica-{index}")),
+            started_ms: 1,
+            service: Bytes::from_static(self.service.as_bytes()),
+            address: self.address,
+            domain: Bytes::from_static(self.domain.as_bytes()),
+            software_version: Bytes::from_static(self.software_version.as_bytes()),
+            slots: 4,
+            is_draining: false,
+            cold_left_ms: 0,
+        }
+    }
+
     /// Returns all requests received so far.
     pub(crate) fn requests(&self) -> Vec<String> {
         self.requests.lock().unwrap().clone()
@@ -281,21 +297,8 @@
     }
 
     pub(crate) fn start_with(replicas: &[&ScriptedReplica], options: TestGatewayOptions) -> Self {
-        let replica_infos: Vec<ReplicaInfo> = replicas
-            .iter()
-            .enumerate()
-            .map(|(index, replica)| ReplicaInfo {
-                id: Bytes::from(format!("replica-{index}")),
-                started_ms: 1,
-                service: Bytes::from_static(replica.service.as_bytes()),
-                address: replica.address,
-                domain: Bytes::from_static(replica.domain.as_bytes()),
-                software_version: Bytes::from_static(replica.software_version.as_bytes()),
-                slots: 4,
-                is_draining: false,
-                cold_left_ms: 0,
-            })
-            .collect();
+        let infos = replicas.iter().enumerate();
+        let replica_infos = infos.map(|(index, replica)| replica.info(index)).collect();
         let (commands, received) = bounded(1);
         let (entry, directory) = (free_address(), free_address());
         let peer_address = free_address();
@@ -367,16 +370,20 @@
         self.commands.take();
     }
 
+    /// Sends a command to the gateway's thread.
+    pub(crate) fn command(&self, command: VmCommand) {
+        let commands = self.commands.as_ref().unwrap();
+        commands.send_blocking(command).unwrap();
+    }
+
     /// Lets the gateway's thread stand still for a time.
     pub(crate) fn freeze(&self, time: Duration) {
-        let commands = self.commands.as_ref().unwrap();
-        commands.send_blocking(VmCommand::Freeze(time)).unwrap();
+        self.command(VmCommand::Freeze(time));
     }
 
     /// Ends the gateway at once, without draining it.
     pub(crate) fn kill(self) {
-        let commands = self.commands.as_ref().unwrap();
-        commands.send_blocking(VmCommand::Kill).unwrap();
+        self.command(VmCommand::Kill);
     }
 }
 
@@ -496,15 +503,8 @@
     started.send(()).unwrap();
     // Returns an error when the test drops the sender to stop the gateway.
     while let Ok(command) = commands.recv().await {
-        match command {
-            VmCommand::Freeze(time) => thread::sleep(time),
-            VmCommand::Evacuate(domains, revision) => {
-                let domains = domains
-                    .iter()
-                    .map(|domain| Bytes::from_static(domain.as_bytes()));
-                gateway.set_evacuated_domains(domains.collect(), revision);
-            }
-            VmCommand::Kill => return,
+        if carry_out(&gateway, command).is_break() {
+            return;
         }
     }
     drain(&gateway, Duration::from_secs(5)).await;
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -221,7 +221,7 @@
         ["count"], "Log lines were dropped because the output could not keep up.";
 
     PlanInForce = 2101, Info, "plan_in_force",
-        ["version", "revision", "source", "routes", "workspaces"], "A version of the configuration took effect.";
+        ["version", "revision", "source", "routes", "workspaces", "resume_ms", "retention_ms"], "A version of the configuration took effect.";
     PlanIgnored = 2102, Info, "plan_ignored",
         ["version", "in_force", "source"], "A version of the configuration older than the one in force was ignored.";
     PlanUnreadable = 2103, Error, "plan_unreadable",
