Search for a home of a program until no VM is left to ask

Cause: a call was refused after two VMs had not answered, or one where those before it were passed over, though its client had seconds left. VMs that are killed count as live for 1.5 s.

Change: HomeSearch names the next VM until none is left that has not been asked; while the store answers, rounds follow each other for half of the call's time. Witnesses that do not answer do not use up a decision either.

--- a/crates/relay/src/decide/budget/home.rs
+++ b/crates/relay/src/decide/budget/home.rs
@@ -16,7 +16,7 @@
 use crate::decide::members::RankedPeer;
 
 /// Maximum number of attempts to decide on a call, each with a takeover, a stored ceiling or
-/// another witness.
+/// another witness; one in which a VM turns out not to answer is not the last.
 const ATTEMPTS_MAX: u32 = 6;
 
 /// What a home has to do next.
@@ -221,6 +221,8 @@
         let reply = reply.filter(|reply| reply.incarnation == witness.incarnation);
         let Some(reply) = reply else {
             view.members.record_unanswered(witness.key(), view.now_ms);
+            // Ends, since VMs that did not answer are not asked again for a time.
+            self.attempts = 0;
             return self.ask_next_witness(view);
         };
         let (program, total) = (self.program, *total);
--- a/crates/relay/src/decide/members.rs
+++ b/crates/relay/src/decide/members.rs
@@ -406,6 +406,18 @@
             .collect()
     }
 
+    /// Returns the live VMs that did not fail to answer recently, in the order of
+    /// [`Self::ranked_homes`].
+    #[must_use]
+    pub fn ranked_answering(&self, own: VmKey, key: u64, now_ms: u64) -> Vec<Option<MemberFacts>> {
+        let mut ranked = self.ranked_homes(own, key, now_ms);
+        ranked.retain(|home| {
+            let state = home.as_ref().map(|facts| &self.members[&facts.key()]);
+            state.is_none_or(|state| state.unanswered_until_ms <= now_ms)
+        });
+        ranked
+    }
+
     /// Returns the first [`HOMES_MAX`] homes of `key`.
     #[must_use]
     pub fn first_homes(&self, own: VmKey, key: u64, now_ms: u64) -> Vec<HomeCandidate> {
--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -32,10 +32,10 @@
 
 pub use budget::{
     AccountCopy, AccountReply, BudgetLedger, BudgetShare, BudgetVerdict, CeilingClaim, CeilingRead,
-    CeilingReads, ClaimOutcome, ClaimStatus, HomeDecision, HomeRole, HomeStep, HomeView, LossFacts,
-    LossTable, PEER_REPORT_TIMEOUT_MS, ProgramKey, StoredCeiling, TakeoverFinding, TakeoverInput,
-    TakeoverRecord, VmLoss, VmProcess, WitnessReply, assess_takeover, has_lost_partner,
-    may_have_lost_pair, missing_copies,
+    CeilingReads, ClaimOutcome, ClaimStatus, HomeDecision, HomeRole, HomeSearch, HomeStep,
+    HomeView, LossFacts, LossTable, PEER_REPORT_TIMEOUT_MS, ProgramKey, SearchTarget,
+    StoredCeiling, TakeoverFinding, TakeoverInput, TakeoverRecord, VmLoss, VmProcess, WitnessReply,
+    assess_takeover, has_lost_partner, may_have_lost_pair, missing_copies,
 };
 pub use cold::{COLD_GRANT_MAX_AGE_MS, ColdReport, ColdRule, ColdTable, ColdTolerance};
 pub use evacuation::{DomainSelection, EvacuationChange, EvacuationReport, EvacuationTable};
--- a/crates/relay/src/gateway/budget.rs
+++ b/crates/relay/src/gateway/budget.rs
@@ -1,20 +1,25 @@
 //! Token budgets of programs: requests to a program's home VM, which grants its calls.
 
 use std::cell::Cell;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ibisdale_telemetry::record_event;
+use smol::Timer;
 
 use super::budget_home::decide_as_home;
 use super::caller_request::BudgetRequest;
 use super::message::PeerMessage;
 use super::rpc::{call_peer, call_peer_for};
 use super::state::Gateway;
-use crate::decide::{BudgetShare, BudgetVerdict, MemberFacts, ProgramKey};
+use crate::decide::{
+    BudgetShare, BudgetVerdict, HomeSearch, MemberFacts, ProgramKey, SearchTarget,
+};
 
-/// Maximum number of VMs, in order of preference as home, that are asked for a reservation
-/// before the call is refused.
-const RESERVE_ATTEMPTS_MAX: usize = 2;
+/// Part of a call's time in which a VM is searched that decides on it, in percent; the rest is left
+/// for the caller's next attempt.
+const SEARCH_TIME_PERCENT: u32 = 50;
+/// Pause before VMs are asked again that answered and could not decide.
+const SEARCH_PAUSE: Duration = Duration::from_millis(100);
 /// Time for which a home that has confirmed the call may decide; it may have to replace a
 /// witness that does not reply and to store a ceiling.
 const DECISION_TIME: Duration = Duration::from_millis(600);
@@ -28,7 +33,7 @@
     Granted { is_first: bool },
     /// The budget has too few tokens left; `total` are spent or reserved.
     Spent { total: u64 },
-    /// No home replied or could decide (see [`decide_as_home`]).
+    /// No VM replied that could decide (see [`decide_as_home`]).
     Unknown,
 }
 
@@ -84,12 +89,13 @@
     }
 }
 
-/// Asks the program's home to grant a call.
+/// Asks the program's home to grant a call that has `time_left`.
 ///
 /// Returns the reservation only if it is granted; otherwise it has been released.
 pub(crate) async fn reserve(
     gateway: &Gateway,
     request: BudgetRequest,
+    time_left: Duration,
 ) -> (ReserveOutcome, Option<BudgetReservation>) {
     let now_ms = gateway.now_ms();
     let share = {
@@ -102,16 +108,62 @@
         share,
         spent: Cell::new(0),
     };
-    let homes = {
-        let members = gateway.state.members.borrow();
-        let own = gateway.state.options.facts.key();
-        members.homes_to_ask(own, request.program, now_ms)
-    };
-    for home in homes.into_iter().take(RESERVE_ATTEMPTS_MAX) {
-        let verdict = match &home.facts {
-            None => decide_as_home(gateway, &request, share).await,
-            Some(facts) => request_grant(gateway, &request, share, facts).await,
+    let verdict = search_verdict(
+        gateway,
+        request,
+        share,
+        time_left * SEARCH_TIME_PERCENT / 100,
+    )
+    .await;
+    match verdict {
+        Some(BudgetVerdict::Granted { is_first }) => {
+            (ReserveOutcome::Granted { is_first }, Some(reservation))
+        }
+        Some(BudgetVerdict::Spent { total }) => (ReserveOutcome::Spent { total }, None),
+        Some(BudgetVerdict::NeedsCeiling { .. }) | None => (ReserveOutcome::Unknown, None),
+    }
+}
+
+/// Asks VMs to decide on a call until one does, for at most `time`; `None` if none can.
+///
+/// While the store is away, a VM that can't decide without it will not within that time either.
+async fn search_verdict(
+    gateway: &Gateway,
+    request: BudgetRequest,
+    share: BudgetShare,
+    time: Duration,
+) -> Option<BudgetVerdict> {
+    let started = Instant::now();
+    loop {
+        let verdict = search_once(gateway, request, share, started, time).await;
+        let is_over = started.elapsed() + SEARCH_PAUSE >= time;
+        if verdict.is_some() || is_over || gateway.is_store_unavailable() {
+            return verdict;
+        }
+        Timer::after(SEARCH_PAUSE).await;
+    }
+}
+
+/// Asks each VM that answers once, the preferred home first.
+async fn search_once(
+    gateway: &Gateway,
+    request: BudgetRequest,
+    share: BudgetShare,
+    started: Instant,
+    time: Duration,
+) -> Option<BudgetVerdict> {
+    let own = gateway.state.options.facts.key();
+    let mut search = HomeSearch::default();
+    while started.elapsed() < time {
+        let target = {
+            let members = gateway.state.members.borrow();
+            search.next_target(&members, own, request.program, gateway.now_ms())?
         };
+        let reply = match &target {
+            SearchTarget::Own => Some(decide_as_home(gateway, &request, share).await),
+            SearchTarget::Peer(facts) => request_grant(gateway, &request, share, facts).await,
+        };
+        let verdict = reply.flatten();
         record_event!(
             BudgetDecided,
             program = format!("{:x}", request.program),
@@ -120,27 +172,27 @@
             verdict = format!("{verdict:?}"),
             total = gateway.state.budgets.borrow().total(request.program),
         );
-        match verdict {
-            Some(BudgetVerdict::Granted { is_first }) => {
-                return (ReserveOutcome::Granted { is_first }, Some(reservation));
-            }
-            Some(BudgetVerdict::Spent { total }) => {
-                return (ReserveOutcome::Spent { total }, None);
-            }
-            Some(BudgetVerdict::NeedsCeiling { .. }) | None => {}
+        if matches!(
+            verdict,
+            Some(BudgetVerdict::Granted { .. } | BudgetVerdict::Spent { .. })
+        ) {
+            return verdict;
+        }
+        if reply.is_some() {
+            search.record_undecided();
         }
     }
-    (ReserveOutcome::Unknown, None)
+    None
 }
 
-/// Requests a grant from another VM; returns `None` if it does not reply, can't decide or
-/// knows less than this VM.
+/// Requests a grant from another VM; returns `None` if it does not reply, and no verdict if it
+/// can't decide or knows less than this VM.
 async fn request_grant(
     gateway: &Gateway,
     request: &BudgetRequest,
     share: BudgetShare,
     home: &MemberFacts,
-) -> Option<BudgetVerdict> {
+) -> Option<Option<BudgetVerdict>> {
     let program = request.program;
     let known = {
         let budgets = gateway.state.budgets.borrow();
@@ -165,5 +217,5 @@
     };
     let mut budgets = gateway.state.budgets.borrow_mut();
     let is_latest = budgets.merge_copy(program, &account, now_ms);
-    verdict.filter(|_| is_latest)
+    Some(verdict.filter(|_| is_latest))
 }
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -219,7 +219,10 @@
     let mut stage = ProgramStage::UnderWay;
     let reserved = async {
         match request.budget {
-            Some(budget_request) => Some((budget_request, reserve(gateway, budget_request).await)),
+            Some(budget_request) => Some((budget_request, {
+                let time_left = request.time_left();
+                reserve(gateway, budget_request, time_left).await
+            })),
             None => None,
         }
     };
--- a/crates/relay/tests/budget_play/world.rs
+++ b/crates/relay/tests/budget_play/world.rs
@@ -67,6 +67,9 @@
     /// Tokens that were reserved for calls that ended with their VM, or that the client gave up.
     pub(crate) lost: u64,
     pub(crate) is_told_spent: bool,
+    /// Tokens that were delivered, lost or reserved for a call that had not ended when the client
+    /// was told that the budget is spent.
+    pub(crate) used_when_told: u64,
     /// Client attempt that is under way.
     pub(crate) attempt: u64,
 }
@@ -125,6 +128,7 @@
                 delivered: 0,
                 lost: 0,
                 is_told_spent: false,
+                used_when_told: 0,
                 attempt: 0,
             });
             let begin_ms = world.random.random_range(4_000..8_000);
