Count tokens of events as those of the service that sends them

Cause: tokens_per_event took the number of the first service of the route, from the configuration in force, which may also have lost the service since the request was admitted.

Evidence: both tests below reach it with one VM and no loss.

Change: the number is that of the service chosen for the request, in the version that admitted it or the one in force, the greater where they differ.

--- a/crates/relay/src/gateway/admit.rs
+++ b/crates/relay/src/gateway/admit.rs
@@ -124,14 +124,7 @@
         return Err(GatewayError::too_large());
     }
     let workspace_name = workspace.map(|workspace| &workspace.name);
-    let mut request = build_request(
-        parts,
-        header_names,
-        route,
-        plan.get_version(),
-        workspace_name,
-        started,
-    );
+    let mut request = build_request(parts, header_names, route, &plan, workspace_name, started);
     if route.kind.is_stream() {
         let priority = workspace
             .and_then(|workspace| workspace.priority)
--- a/crates/relay/src/gateway/caller_request.rs
+++ b/crates/relay/src/gateway/caller_request.rs
@@ -1,6 +1,7 @@
 //! Callers' requests, built from their heads for forwarding.
 
 use std::cell::OnceCell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -15,7 +16,7 @@
 use super::boot_time::BootTime;
 use super::header_names::HeaderNames;
 use crate::decide::{ProgramKey, RequestIdentity, hash_bytes};
-use crate::plan::RouteRule;
+use crate::plan::{DeploymentPlan, RouteRule};
 
 /// Headers that are not forwarded: hop-by-hop headers, `Content-Length` and `Expect`.
 const NOT_FORWARDED_HEADERS: [HeaderName; 7] = [
@@ -67,7 +68,8 @@
     pub(crate) attempt_id: String,
     pub(crate) program_id: String,
     pub(crate) route: RouteRule,
-    pub(crate) plan_version: u64,
+    /// Version of the configuration that the request was admitted under.
+    pub(crate) plan: Rc<DeploymentPlan>,
     pub(crate) workspace: Option<Bytes>,
     pub(crate) method: Method,
     pub(crate) target: String,
@@ -159,7 +161,7 @@
     parts: &Parts,
     header_names: &HeaderNames,
     route: &RouteRule,
-    plan_version: u64,
+    plan: &Rc<DeploymentPlan>,
     workspace: Option<&Bytes>,
     started: Instant,
 ) -> CallerRequest {
@@ -176,7 +178,7 @@
     CallerRequest {
         attempt_id: header_str(headers, &header_names.attempt).to_owned(),
         route: route.clone(),
-        plan_version,
+        plan: Rc::clone(plan),
         workspace: workspace.cloned(),
         method: parts.method.clone(),
         target: target.to_owned(),
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -392,7 +392,7 @@
             replica = replica,
             sends = sends,
             granted_by = granted_by,
-            plan = request.map_or(0, |request| request.plan_version),
+            plan = request.map_or(0, |request| request.plan.get_version()),
             feed_age_ms = feed_age_ms,
             admitted_by = admission.source,
             home = admission.home,
--- a/crates/relay/src/gateway/stream.rs
+++ b/crates/relay/src/gateway/stream.rs
@@ -77,7 +77,7 @@
             return Err(failed);
         }
         let tokens_per_event = if has_budget {
-            tokens_per_event(gateway, request)
+            tokens_per_event(gateway, request, &retry.service)
         } else {
             0
         };
@@ -397,12 +397,16 @@
     }
 }
 
-/// Returns the number of tokens to count for each event; 1 where none is configured.
-fn tokens_per_event(gateway: &Gateway, request: &CallerRequest) -> u64 {
-    let Some(plan) = gateway.plan() else {
-        return 1;
-    };
-    let mut services = request.route.services.iter();
-    let engine = services.find_map(|share| plan.find_service(&share.service)?.engine);
-    engine.map_or(1, |engine| engine.tokens_per_event.max(1))
+/// Returns the number of tokens to count for each event of a service's replicas; 1 where none is
+/// configured.
+///
+/// The version in force may lack the service, since the request was admitted under an earlier one;
+/// where they differ, the replica's events hold no more tokens than the greater number.
+fn tokens_per_event(gateway: &Gateway, request: &CallerRequest, service: &[u8]) -> u64 {
+    let plans = [Some(Rc::clone(&request.plan)), gateway.plan()];
+    let plans = plans.into_iter().flatten();
+    let engines = plans.filter_map(|plan| plan.find_service(service)?.engine);
+    engines
+        .map(|engine| engine.tokens_per_event)
+        .fold(1, u64::max)
 }
--- a/crates/relay/tests/gateway/replaced_plans.rs
+++ b/crates/relay/tests/gateway/replaced_plans.rs
@@ -3,10 +3,13 @@
 use std::thread;
 use std::time::Duration;
 
-use ibisdale_relay::plan::{DeploymentPlan, ExecutionSemantics, RouteRule};
+use bytes::Bytes;
+use ibisdale_relay::plan::{
+    DeploymentPlan, EngineSpec, ExecutionSemantics, RouteRule, ServiceSpec, WeightedService,
+};
 
 use crate::fleet_support::{StoreStandIn, VmCommand, start_fleet_with};
-use crate::support::{ScriptedReplica, header, plan};
+use crate::support::{ScriptedReplica, TestGateway, header, plan};
 
 /// Time after which streams and programs of a version with the shortest times are forgotten;
 /// includes an interval between removals of what has expired.
@@ -112,3 +115,100 @@
     assert!(response.starts_with("HTTP/1.1 503"), "{response}");
     assert_eq!(at_v2, 0);
 }
+
+/// Tokens that a program may get, and those that each of its calls may get at most.
+const BUDGET: u64 = 30;
+const RESERVED: u64 = 9;
+/// Number of tokens in an event of the replicas of `large`; a call has two events.
+const LARGE_TOKENS: u64 = 4;
+
+/// Returns version `number`, in which the streams go to `services`, all of them to the last one.
+fn split_plan(number: u64, services: &[&'static str]) -> Box<DeploymentPlan> {
+    let first = plan();
+    let engine = |tokens_per_event| {
+        Some(EngineSpec {
+            slots: 4,
+            kv_capacity_tokens: 100_000,
+            tokens_per_event,
+        })
+    };
+    let specs = services.iter().map(|name| ServiceSpec {
+        name: Bytes::from_static(name.as_bytes()),
+        engine: engine(if *name == "large" { LARGE_TOKENS } else { 1 }),
+        ..first.get_services()[0].clone()
+    });
+    let weighted = services.iter().map(|name| WeightedService {
+        service: Bytes::from_static(name.as_bytes()),
+        weight: u32::from(Some(name) == services.last()),
+    });
+    let route = RouteRule {
+        services: weighted.collect(),
+        ..first.get_routes()[2].clone()
+    };
+    let workspaces = Some(first.get_workspaces().to_vec());
+    let limits = first.get_limits();
+    Box::new(DeploymentPlan::new(
+        number,
+        limits,
+        vec![route],
+        specs.collect(),
+        workspaces,
+    ))
+}
+
+/// A replica of `large`, which takes `pause` for each answer of two events.
+fn large_replica(pause: Duration) -> ScriptedReplica {
+    let script = move |_: usize, request: &str| {
+        thread::sleep(pause);
+        let attempt = header(request, "t-attempt").unwrap_or_default();
+        let events = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n";
+        let response = format!(
+            "HTTP/1.1 200 OK\r\nt-attempt: {attempt}\r\nt-seal: s\r\n\
+             Content-Length: {}\r\n\r\n{events}",
+            events.len()
+        );
+        (response.into_bytes(), true)
+    };
+    let mut replica = ScriptedReplica::start(script);
+    replica.service = "large";
+    replica
+}
+
+/// Returns the tokens that a program gets until it is told that its budget is spent.
+fn spend_budget(gateway: &TestGateway) -> u64 {
+    let headers = format!("t-program: p\r\nt-budget: {BUDGET}\r\nt-usage: 5,{RESERVED}\r\n");
+    let responses =
+        (0..BUDGET).map(|number| gateway.call(&stream(&format!("b{number}"), &headers)));
+    let calls = responses.take_while(|response| !response.starts_with("HTTP/1.1 402"));
+    calls.count() as u64 * 2 * LARGE_TOKENS
+}
+
+/// Guards against budgets that are exceeded since events are counted as those of another service
+/// of the route (review 13).
+#[test]
+fn tokens_are_counted_as_those_of_the_service_that_sends_them() {
+    let replica = large_replica(Duration::ZERO);
+    let gateway = TestGateway::start(&[&replica]);
+    gateway.command(VmCommand::Apply(split_plan(2, &["small", "large"])));
+    assert!(spend_budget(&gateway) <= BUDGET + RESERVED);
+}
+
+/// Guards against events that count as one token since their service has been removed meanwhile.
+#[test]
+fn tokens_of_a_removed_service_are_counted_as_before() {
+    let replica = large_replica(Duration::from_millis(600));
+    let gateway = TestGateway::start(&[&replica]);
+    gateway.command(VmCommand::Apply(split_plan(2, &["large"])));
+    let headers = format!("t-program: p\r\nt-budget: {BUDGET}\r\nt-usage: 5,{RESERVED}\r\n");
+    thread::scope(|scope| {
+        for number in 0..3 {
+            let request = stream(&format!("a{number}"), &headers);
+            let gateway = &gateway;
+            scope.spawn(move || gateway.call(&request));
+        }
+        thread::sleep(Duration::from_millis(300));
+        gateway.command(VmCommand::Apply(split_plan(3, &["small"])));
+    });
+    gateway.command(VmCommand::Apply(split_plan(4, &["large"])));
+    assert_eq!(spend_budget(&gateway), 0);
+}
