Pass on no block of a stream that has no id

Cause: a block without an id was taken for an event that may come at any time. An error that is written into a body of status 200 ends with a blank line, so it was passed on.

Change: a block without an id that is no comment ends the attempt; the events before it are passed on.

--- a/crates/relay/src/gateway/events.rs
+++ b/crates/relay/src/gateway/events.rs
@@ -16,6 +16,16 @@
     pub raw: Bytes,
 }
 
+impl StreamEvent {
+    /// Returns whether the block holds nothing but comments, as servers send to keep a connection
+    /// open.
+    #[must_use]
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.raw.split(|byte| *byte == b'\n');
+        lines.all(|line| matches!(line, [] | b"\r" | [b':', ..]))
+    }
+}
+
 /// Buffers received bytes and returns complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
--- a/crates/relay/src/gateway/stream.rs
+++ b/crates/relay/src/gateway/stream.rs
@@ -285,7 +285,10 @@
         Ok((count > 0).then(|| (data.freeze(), count)))
     }
 
-    /// Checks that an event follows the last one; events without an id may come at any time.
+    /// Checks that an event follows the last one.
+    ///
+    /// A block without an id that is no comment is no event of the stream, but for example an
+    /// error that the replica, or a proxy before it, has written into the body.
     fn check_id(&self, event: &StreamEvent) -> Result<(), ExchangeError> {
         let is_next = |id: u64| {
             let expected = self.last_event.map(|last| last.checked_add(1));
@@ -295,6 +298,8 @@
             "the id of an event is no number"
         } else if event.id.is_some_and(|id| !is_next(id)) {
             "an event is missing or comes twice"
+        } else if event.id.is_none() && !event.is_comment() {
+            "an event has no id"
         } else {
             return Ok(());
         };
