Take a stream that ends with its connection before any event as broken off

What callers saw, in another operator's report: a 200 with an empty body, framed as whole, after a replica had stopped within its answer's head.

Cause: a stream with neither a length nor chunks ends with its connection. One of no event, from a replica that stopped right after its head, was passed on as a whole stream, or ended one that had broken off as if it were complete.

Evidence: head_that_breaks_off_is_no_success, with the real process and a head that breaks off at every byte. In the middle of a head nothing was passed on. stream_without_a_length, resumable_stream_without_a_length and head_without_a_body fail before and pass now.

Change: such a stream counts as broken off.

--- a/crates/relay/src/gateway/stream.rs
+++ b/crates/relay/src/gateway/stream.rs
@@ -40,6 +40,14 @@
     pace: EventPace,
 }
 
+impl ReplicaStream {
+    /// Returns whether the end of the connection, which ends the body, came before any event: a
+    /// replica that stops right after its head ends an answer in the same way.
+    fn may_have_broken_off(&self) -> bool {
+        self.head.decoder == BodyDecoder::UntilClose && !self.has_progress
+    }
+}
+
 /// An event stream that is relayed to a caller.
 pub(crate) struct EventRelay {
     gateway: Gateway,
@@ -237,7 +245,9 @@
                     source.pace.record_read(started_us, ended_us);
                     self.splitter.push(&data);
                 }
-                None if self.splitter.has_partial() => return Err(ExchangeError::Truncated),
+                None if self.splitter.has_partial() || source.may_have_broken_off() => {
+                    return Err(ExchangeError::Truncated);
+                }
                 None => {
                     self.release_source(AttemptOutcome::Answered);
                     record_served(&self.gateway, &self.request, &self.retry.replica_id);
