Keep the counts of a workspace that a version of the configuration lacks

Cause: set_rates removed the counts of missing workspaces, and with them the counters of the process, which other VMs take for old ones when they start anew.

Change: a missing workspace keeps counts, counters and rate.

--- a/crates/relay/src/decide/quota/ledger.rs
+++ b/crates/relay/src/decide/quota/ledger.rs
@@ -41,6 +41,8 @@
 /// assumed to have used its limit before the start, and reports on workspaces without a
 /// known rate are kept. Assumed usage has left the window one window after the period.
 const STARTUP_PERIOD_MS: u64 = 2_000;
+/// Maximum number of workspaces whose counts are kept though the version in force lacks them.
+const WITHDRAWN_MAX: usize = 4_000;
 /// Window that is used if the deployment doesn't configure one, in milliseconds.
 const DEFAULT_WINDOW_MS: u64 = 5_000;
 
@@ -104,8 +106,10 @@
         self.vm_count > 0
     }
 
-    /// Sets the rate in requests per second and the burst of each workspace; removes all
-    /// other workspaces.
+    /// Sets the rate in requests per second and the burst of each workspace.
+    ///
+    /// Workspaces that are missing keep their counts and their rate: the next version may have them
+    /// again within a window, and VMs that do not know this one yet still admit their requests.
     pub fn set_rates(
         &mut self,
         rates: impl Iterator<Item = (WorkspaceKey, f64, f64)>,
@@ -118,6 +122,7 @@
             let known = old.remove(&workspace);
             let is_new = known.is_none();
             let mut quota = known.unwrap_or_default();
+            quota.withdrawn_ms = None;
             #[expect(clippy::cast_precision_loss, reason = "a few seconds")]
             let limit = rate_per_s * window_ms as f64 / 1_000.0 + burst;
             let tolerated_excess = self.tolerance.slack + self.tolerance.excess * limit;
@@ -142,6 +147,18 @@
             }
             self.quotas.insert(workspace, quota);
         }
+        self.withdraw(old, now_ms);
+    }
+
+    /// Keeps the counts of workspaces that a version lacks, those that were withdrawn last.
+    fn withdraw(&mut self, missing: HashMap<WorkspaceKey, WorkspaceQuota>, now_ms: u64) {
+        let mut missing: Vec<_> = missing.into_iter().collect();
+        for (_, quota) in &mut missing {
+            quota.withdrawn_ms.get_or_insert(now_ms);
+        }
+        missing.sort_by_key(|(_, quota)| std::cmp::Reverse(quota.withdrawn_ms));
+        missing.truncate(WITHDRAWN_MAX);
+        self.quotas.extend(missing);
     }
 
     /// Sets the number of VMs that share the rates and how many of them are silent.
--- a/crates/relay/src/decide/quota/workspace.rs
+++ b/crates/relay/src/decide/quota/workspace.rs
@@ -119,6 +119,8 @@
     /// Programs that this VM has started since its start.
     pub(super) programs_started: u64,
     pub(super) last_admitted_ms: u64,
+    /// When a version first lacked the workspace; `None` if the version in force has it.
+    pub(super) withdrawn_ms: Option<u64>,
     /// Usage before the start of the process is assumed, not known.
     pub(super) is_assumed: bool,
     /// Counters of the other VMs, by VM and incarnation.
