Ask homes of rates and limits until no VM is left that answers

What callers saw: after six of seven VMs were killed at once, requests below their workspace's rate got 429 for as long as the dead VMs counted as live.

Change: a VM that does not answer is passed over in the next question, so that each VM that answers is reached in turn, this one among them, until the request's deadline. Homes beyond the third have the share of the third.

--- a/crates/relay/src/decide/members.rs
+++ b/crates/relay/src/decide/members.rs
@@ -411,10 +411,7 @@
     #[must_use]
     pub fn ranked_answering(&self, own: VmKey, key: u64, now_ms: u64) -> Vec<Option<MemberFacts>> {
         let mut ranked = self.ranked_homes(own, key, now_ms);
-        ranked.retain(|home| {
-            let state = home.as_ref().map(|facts| &self.members[&facts.key()]);
-            state.is_none_or(|state| state.unanswered_until_ms <= now_ms)
-        });
+        ranked.retain(|home| self.is_answering(home.as_ref(), now_ms));
         ranked
     }
 
@@ -441,21 +438,23 @@
             .collect()
     }
 
-    /// Returns the homes of `key` that are asked in turn: the first ones without those that
-    /// recently did not answer, or the first alone if none of them answered.
+    /// Returns the homes of `key` that are asked in turn: the first [`HOMES_MAX`] of the VMs that did
+    /// not fail to answer recently. This VM is one of the last if no other answers.
     #[must_use]
     pub fn homes_to_ask(&self, own: VmKey, key: u64, now_ms: u64) -> Vec<HomeCandidate> {
-        let mut homes = self.first_homes(own, key, now_ms);
-        let answers = |home: &HomeCandidate| {
-            let state = home.facts.as_ref().map(|facts| &self.members[&facts.key()]);
-            state.is_none_or(|state| state.unanswered_until_ms <= now_ms)
-        };
-        if homes.iter().any(answers) {
-            homes.retain(answers);
-        } else {
-            homes.truncate(1);
-        }
-        homes
+        let homes = self.ranked_homes(own, key, now_ms).into_iter().enumerate();
+        let answering = homes.filter(|(_, home)| self.is_answering(home.as_ref(), now_ms));
+        let candidates = answering.map(|(rank, facts)| HomeCandidate {
+            rank: rank.min(HOMES_MAX - 1),
+            facts,
+        });
+        candidates.take(HOMES_MAX).collect()
+    }
+
+    /// Returns whether a home did not fail to answer recently; `None` stands for this VM.
+    fn is_answering(&self, home: Option<&MemberFacts>, now_ms: u64) -> bool {
+        let state = home.map(|facts| &self.members[&facts.key()]);
+        state.is_none_or(|state| state.unanswered_until_ms <= now_ms)
     }
 
     /// Records that a VM did not answer as home.
--- a/crates/relay/src/gateway/admit.rs
+++ b/crates/relay/src/gateway/admit.rs
@@ -19,7 +19,7 @@
 use super::caller_request::{CallerRequest, bearer_key, build_request, header_str};
 use super::message::PeerMessage;
 use super::peer_link::spawn_report;
-use super::rpc::call_peer;
+use super::rpc::{call_peer, first_home};
 use super::state::{Gateway, lossy_string};
 use crate::decide::{HomeCandidate, ProgramStage, RateRefusal, WorkspaceKey, hash_bytes};
 
@@ -257,15 +257,12 @@
             home: String::new(),
         });
     }
-    let homes = {
-        let own_key = gateway.state.options.facts.key();
-        let members = gateway.state.members.borrow();
-        members.homes_to_ask(own_key, workspace_key, now_ms)
-    };
     let mut refusal = RateRefusal::silent_home(HOME_UNREACHABLE_RETRY_MS);
     let mut home_name = String::new();
     let mut refused_by = "none";
-    for home in homes {
+    while !request.time_left().is_zero()
+        && let Some(home) = first_home(gateway, workspace_key)
+    {
         let source = if home.rank == 0 { "home" } else { "standby" };
         home_name = home
             .facts
--- a/crates/relay/src/gateway/limits.rs
+++ b/crates/relay/src/gateway/limits.rs
@@ -10,7 +10,7 @@
 use super::cold::{effective_limit, is_cold};
 use super::message::{CandidateReport, GrantRequest, PeerMessage};
 use super::peer_link::{peer_addresses, send, spawn_send};
-use super::rpc::call_peer;
+use super::rpc::{call_peer, first_home};
 use super::state::{Gateway, lossy_string};
 use crate::decide::{
     ColdReport, GrantCandidate, GrantOutcome, GrantQuery, GrantShare, HOMES_MAX, HomeCandidate,
@@ -188,20 +188,14 @@
         candidates: candidates.iter().map(|(_, report)| *report).collect(),
         is_refusal_final,
     };
-    let mut homes = {
-        let own_key = gateway.state.options.facts.key();
-        let members = gateway.state.members.borrow();
-        members.homes_to_ask(own_key, grant_request.service, now_ms)
-    };
-    if !is_refusal_final {
-        homes.truncate(1);
-    }
     let mut refusal = GrantRefusal {
         by: "none",
         home: String::new(),
         after_ms: UNDECIDED_RETRY_MS,
     };
-    for home in homes {
+    while !request.time_left().is_zero()
+        && let Some(home) = first_home(gateway, grant_request.service)
+    {
         refusal.by = home_role(&home);
         let facts = home.facts.as_ref();
         refusal.home = facts.map_or_else(String::new, |facts| lossy_string(&facts.name));
@@ -212,6 +206,8 @@
         }
         record_decision(gateway, request, (service, cause), outcome, &refusal);
         match outcome {
+            // Another replica has room without a grant.
+            None if !is_refusal_final => break,
             None => {}
             Some(GrantOutcome::Granted(start)) => {
                 let mut granted = candidates.iter();
--- a/crates/relay/src/gateway/rpc.rs
+++ b/crates/relay/src/gateway/rpc.rs
@@ -10,6 +10,7 @@
 use super::message::PeerMessage;
 use super::peer_link::send;
 use super::state::Gateway;
+use crate::decide::HomeCandidate;
 
 /// Time after which an unanswered message is sent again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(40);
@@ -77,6 +78,17 @@
     }
 }
 
+/// Returns the home of `key` to ask first.
+///
+/// One that does not answer is passed over the next time, so that asking again reaches each VM in
+/// turn, this one among them.
+pub(crate) fn first_home(gateway: &Gateway, key: u64) -> Option<HomeCandidate> {
+    let own = gateway.state.options.facts.key();
+    let members = gateway.state.members.borrow();
+    let homes = members.homes_to_ask(own, key, gateway.now_ms());
+    homes.into_iter().next()
+}
+
 /// Unregisters a pending call when dropped.
 struct PendingCall<'a> {
     gateway: &'a Gateway,
--- a/crates/relay/tests/gateway/fleet.rs
+++ b/crates/relay/tests/gateway/fleet.rs
@@ -1,6 +1,18 @@
 //! Exchange of state and budget counts between two gateways.
 
-use crate::support::{ScriptedReplica, header, start_pair};
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ibisdale_relay::plan::{DeploymentPlan, WorkspaceSpec};
+
+use crate::fleet_support::{StoreStandIn, VmCommand, start_fleet_with};
+use crate::support::{ScriptedReplica, header, plan, start_pair};
+
+/// Number of workspaces, whose homes differ.
+const WORKSPACES: usize = 8;
+/// Time in which VMs apply a configuration.
+const APPLY_TIME: Duration = Duration::from_millis(500);
 
 fn stream_request(headers: &str) -> String {
     format!(
@@ -88,3 +100,50 @@
         .filter(|ceilings| !ceilings.is_empty());
     assert_eq!(writers.count(), 1, "{ceilings_by_vm:?}");
 }
+
+/// Returns a configuration with workspaces whose rates are too low for a VM to admit requests
+/// without a home.
+fn plan_with_low_rates() -> Box<DeploymentPlan> {
+    let first = plan();
+    let workspaces = (0..WORKSPACES).map(|number| WorkspaceSpec {
+        name: Bytes::from(format!("workspace-{number}")),
+        keys: vec![Bytes::from(format!("key-{number}"))],
+        priority: None,
+        rate_per_s: 2.0,
+        burst: 10.0,
+    });
+    Box::new(DeploymentPlan::new(
+        2,
+        first.get_limits(),
+        first.get_routes().to_vec(),
+        first.get_services().to_vec(),
+        Some(workspaces.collect()),
+    ))
+}
+
+/// Guards against requests below their rate that are refused with time left, since the first three
+/// homes are gone and not yet known to be silent.
+#[test]
+fn requests_are_admitted_at_the_only_vm_that_survives() {
+    let replica = replica();
+    let mut fleet = start_fleet_with(&[&replica], 7, &StoreStandIn::default());
+    for vm in &fleet {
+        vm.command(VmCommand::Apply(plan_with_low_rates()));
+    }
+    thread::sleep(APPLY_TIME);
+    let survivor = fleet.pop().unwrap();
+    for vm in fleet {
+        vm.kill();
+    }
+    let statuses = thread::scope(|scope| {
+        let calls = (0..WORKSPACES).map(|number| {
+            let request = stream_request("").replace("secret", &format!("key-{number}"));
+            let survivor = &survivor;
+            scope.spawn(move || survivor.call(&request)["HTTP/1.1 ".len()..][..3].to_owned())
+        });
+        let calls: Vec<_> = calls.collect();
+        let statuses = calls.into_iter().map(|call| call.join().unwrap());
+        statuses.collect::<Vec<_>>()
+    });
+    assert_eq!(statuses, ["200"; WORKSPACES]);
+}
