Count no attempt that reached no replica against the limit of attempts

What callers saw: 503 with time left where five replicas in turn could not be reached, for example killed ones that are still listed, though others served.

Cause: a fixed number of attempts stood for "until no replica is left": the limit of five bounds the work that a request causes, and counted attempts that caused none.

Change: attempts that did not reach a replica count no longer; each replica is excluded for the request, so they end with the list or the deadline.

--- a/crates/relay/src/decide/retry.rs
+++ b/crates/relay/src/decide/retry.rs
@@ -42,7 +42,7 @@
     pub replicas_used: u32,
     /// Whether any replica may have executed the request.
     pub may_have_run: bool,
-    /// Number of attempts so far, including those that did not reach a replica.
+    /// Number of attempts so far that reached a replica.
     pub sends: u32,
     /// Time until the deadline, in milliseconds.
     pub remaining_ms: u64,
@@ -50,7 +50,8 @@
     pub crashes: u8,
 }
 
-/// Maximum number of attempts per request; limits the work that a request can cause.
+/// Maximum number of attempts per request that reach a replica; limits the work that a request can
+/// cause. Those that reach none end when no replica is left.
 const MAX_SENDS: u32 = 5;
 /// Minimum time until the deadline for a retry, in milliseconds; a later one is
 /// unlikely to succeed in time.
--- a/crates/relay/src/gateway/attempt.rs
+++ b/crates/relay/src/gateway/attempt.rs
@@ -54,6 +54,8 @@
 pub(crate) struct RetryState {
     /// Attempts so far, including those that did not reach a replica.
     pub(crate) sends: u32,
+    /// Attempts that did not reach a replica.
+    pub(crate) unreached: u32,
     /// Replicas that may have run the request and have not ended, which count towards the
     /// route's limit.
     pub(crate) ran_at: Vec<ReplicaKey>,
@@ -150,7 +152,7 @@
             max_replicas: request.route.attempts,
             replicas_used: self.replicas_used(),
             may_have_run: self.may_have_run,
-            sends: self.sends,
+            sends: self.sends.saturating_sub(self.unreached),
             remaining_ms: millis(request.time_left()),
             crashes,
         }
--- a/crates/relay/src/gateway/forward.rs
+++ b/crates/relay/src/gateway/forward.rs
@@ -153,7 +153,8 @@
 ) -> RetryDecision {
     retry.permit = None;
     match failed.failure {
-        AttemptFailure::NotReached | AttemptFailure::NotRun => {}
+        AttemptFailure::NotReached => retry.unreached += 1,
+        AttemptFailure::NotRun => {}
         AttemptFailure::MayHaveRun => retry.record_run(replica),
         AttemptFailure::ReplicaEnded | AttemptFailure::ReplicaGone => retry.record_end(replica),
     }
--- a/crates/relay/tests/gateway/attempts.rs
+++ b/crates/relay/tests/gateway/attempts.rs
@@ -1,4 +1,4 @@
-//! Number of replicas that run a stream on a route that allows one.
+//! Number of replicas that a request is sent to.
 
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, TcpListener};
@@ -6,7 +6,7 @@
 
 use rstest::rstest;
 
-use crate::support::{ScriptedReplica, TestGateway, header};
+use crate::support::{ScriptedReplica, TestGateway, free_address, header};
 
 /// Number of streams that are begun, at replicas chosen at random.
 const STREAMS: usize = 20;
@@ -122,3 +122,25 @@
         assert!(response.contains("id: 4"), "{response}");
     }
 }
+
+/// Number of replicas that can't be reached.
+const GONE_REPLICAS: usize = 40;
+
+/// Guards against requests that are refused with time left after a fixed number of replicas that
+/// are gone and still listed.
+#[test]
+fn request_is_served_by_the_only_replica_that_can_be_reached() {
+    let gone = (0..GONE_REPLICAS).map(|_| ScriptedReplica::at(free_address().into()));
+    let mut replicas: Vec<_> = gone.collect();
+    replicas.push(ScriptedReplica::start(|_, _| {
+        let response =
+            "HTTP/1.1 200 OK\r\nt-attempt: a1\r\nt-seal: s\r\nContent-Length: 2\r\n\r\nok";
+        (response.into(), true)
+    }));
+    let gateway = TestGateway::start(&replicas.iter().collect::<Vec<_>>());
+    let response = gateway.call(
+        "POST /act/x HTTP/1.1\r\nHost: host.test\r\nt-attempt: a1\r\nt-deadline: 5000\r\n\
+         Authorization: Bearer secret\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+    );
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+}
