Record for how long streams and programs count, for VMs that all start again

Cause: the times of replaced versions were known to running VMs only.

Change: the readers keep an item of the store equal to the times that count; it is read with the registrations, and its times count from the start of the VM.

--- a/crates/relay/src/gateway/mod.rs
+++ b/crates/relay/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod in_flight;
 mod limits;
 mod listen;
+mod memory_spans;
 mod message;
 mod metrics;
 mod origin_record;
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -37,10 +37,6 @@
 };
 use crate::plan::DeploymentPlan;
 
-/// Time beyond the configured retention for which programs are remembered, in
-/// milliseconds; covers calls in transit.
-const RETENTION_SLACK_MS: u64 = 5_000;
-
 /// Number of bits of a call's identifier that count the calls of a process.
 const CALL_ID_BITS: u32 = 20;
 
@@ -472,20 +468,6 @@
             && !self.state.is_draining.get()
             && !self.state.replicas.borrow().is_empty()
     }
-
-    /// Returns how long after its first event a stream may still be taken up.
-    pub(crate) fn resume_window_ms(&self) -> u64 {
-        let spans = self.state.spans.borrow();
-        spans.effective(self.now_ms()).resume_ms
-    }
-
-    /// Returns how long programs are remembered after their last call.
-    ///
-    /// After this time, counts lost with a dead VM no longer matter.
-    pub(crate) fn program_retention_ms(&self) -> u64 {
-        let spans = self.state.spans.borrow();
-        spans.effective(self.now_ms()).retention_ms + RETENTION_SLACK_MS
-    }
 }
 
 /// Decodes bytes for logging; invalid UTF-8 is replaced.
