Wait in a drain for responses that clients read slowly

Cause: a drain waits for requests in flight, and one with a whole answer no longer is once the answer has been read from the replica.

Change: a drain waits as well for connections whose responses have not been sent to their end, up to the same part of the grace.

--- a/crates/clients/src/limiter.rs
+++ b/crates/clients/src/limiter.rs
@@ -178,6 +178,12 @@
         self.lock().table.count()
     }
 
+    /// Returns the number of connections whose responses have not been sent to their end.
+    #[must_use]
+    pub fn unsent_count(&self) -> usize {
+        self.lock().table.unsent_count()
+    }
+
     /// Returns the number of connections that may be open.
     #[must_use]
     pub fn max(&self) -> usize {
--- a/crates/clients/src/table.rs
+++ b/crates/clients/src/table.rs
@@ -203,6 +203,16 @@
         self.entries.remove(key);
     }
 
+    /// Returns the number of connections whose responses have not been sent to their end.
+    #[must_use]
+    pub fn unsent_count(&self) -> usize {
+        let entries = self.entries.values();
+        let unsent = entries.filter(|entry| {
+            matches!(entry.state, ConnectionState::Busy(_)) || entry.blocked_ms.is_some()
+        });
+        unsent.count()
+    }
+
     /// Returns the number of open connections, including those that are about to be closed.
     #[must_use]
     pub fn count(&self) -> usize {
--- a/crates/relay/src/gateway/drain.rs
+++ b/crates/relay/src/gateway/drain.rs
@@ -22,8 +22,8 @@
 /// Interval at which the requests in flight are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Removes this VM from the directory, waits for the requests in flight and hands over the
-/// accounts of programs that it knows.
+/// Removes this VM from the directory, waits for the requests in flight and for their responses to
+/// be sent, and hands over the accounts of programs that it knows.
 ///
 /// Returns before `grace` has passed, since the process would be killed then.
 pub async fn drain(gateway: &Gateway, grace: Duration) {
@@ -46,7 +46,7 @@
     // Closes idle connections at once, busy ones after their responses.
     gateway.state.shutdown_sender.borrow_mut().take();
     Timer::after(POLL_INTERVAL).await;
-    while gateway.state.in_flight.get() > 0 && started.elapsed() < wait_limit {
+    while is_serving(gateway) && started.elapsed() < wait_limit {
         Timer::after(POLL_INTERVAL).await;
     }
     budget_copies::hand_over(gateway).await;
@@ -60,3 +60,11 @@
         drain_ms = millis(started.elapsed()),
     );
 }
+
+/// Returns whether a request is in flight, or a response is still being sent to a client that reads
+/// it slowly.
+fn is_serving(gateway: &Gateway) -> bool {
+    let connections = gateway.state.connections.borrow();
+    let unsent = connections.iter().any(|limiter| limiter.unsent_count() > 0);
+    gateway.state.in_flight.get() > 0 || unsent
+}
