Remember programs before there is a configuration, and rank homes without copies

The times that count began at 0 until a VM had a configuration, where the minimum of 30 s counted before: copies of accounts that a VM got before its first version would be forgotten after 5 s. SpanHistory starts with the times of an empty configuration now; programs_are_remembered_before_there_is_a_configuration.

The search for a home copied the facts of all live VMs for each question; it takes the first by weight, and the lists of homes copy three.

--- a/crates/relay/src/decide/budget/search.rs
+++ b/crates/relay/src/decide/budget/search.rs
@@ -40,13 +40,8 @@
         if self.undecided >= UNDECIDED_MAX {
             return None;
         }
-        let ranked = members.ranked_answering(own, program, now_ms);
-        let key = |home: &Option<MemberFacts>| home.as_ref().map_or(own, MemberFacts::key);
-        let mut unasked = ranked
-            .into_iter()
-            .filter(|home| !self.asked.contains(&key(home)));
-        let next = unasked.next()?;
-        self.asked.push(key(&next));
+        let next = members.next_home(own, program, &self.asked, now_ms)?;
+        self.asked.push(next.as_ref().map_or(own, MemberFacts::key));
         Some(next.map_or(SearchTarget::Own, SearchTarget::Peer))
     }
 
--- a/crates/relay/src/decide/members.rs
+++ b/crates/relay/src/decide/members.rs
@@ -394,44 +394,45 @@
     /// the first is the home of `key`. `None` stands for this VM.
     #[must_use]
     pub fn ranked_homes(&self, own: VmKey, key: u64, now_ms: u64) -> Vec<Option<MemberFacts>> {
-        let mut ranked: Vec<_> = self
-            .live(now_ms)
-            .map(|facts| (rendezvous_weight(key, facts.key()), Some(facts)))
-            .collect();
-        ranked.push((rendezvous_weight(key, own), None));
-        ranked.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        let ranked = self.rank_live(own, key, now_ms).into_iter();
+        ranked.map(Option::<&MemberFacts>::cloned).collect()
+    }
+
+    fn rank_live(&self, own: VmKey, key: u64, now_ms: u64) -> Vec<Option<&MemberFacts>> {
+        let others = self.live(now_ms).map(Some);
+        let mut ranked: Vec<_> = others.chain([None]).collect();
+        ranked.sort_by_cached_key(|facts| {
+            let vm = facts.map_or(own, MemberFacts::key);
+            std::cmp::Reverse(rendezvous_weight(key, vm))
+        });
         ranked
-            .into_iter()
-            .map(|(_, facts)| facts.cloned())
-            .collect()
     }
 
-    /// Returns the live VMs that did not fail to answer recently, in the order of
-    /// [`Self::ranked_homes`].
+    /// Returns the home of `key` among the VMs that did not fail to answer recently and are not in
+    /// `asked`. The inner `None` stands for this VM.
     #[must_use]
-    pub fn ranked_answering(&self, own: VmKey, key: u64, now_ms: u64) -> Vec<Option<MemberFacts>> {
-        let mut ranked = self.ranked_homes(own, key, now_ms);
-        ranked.retain(|home| self.is_answering(home.as_ref(), now_ms));
-        ranked
+    pub fn next_home(
+        &self,
+        own: VmKey,
+        key: u64,
+        asked: &[VmKey],
+        now_ms: u64,
+    ) -> Option<Option<MemberFacts>> {
+        let vm = |facts: Option<&MemberFacts>| facts.map_or(own, MemberFacts::key);
+        let candidates = self.live(now_ms).map(Some).chain([None]);
+        let unasked = candidates
+            .filter(|facts| !asked.contains(&vm(*facts)) && self.is_answering(*facts, now_ms));
+        let next = unasked.max_by_key(|facts| rendezvous_weight(key, vm(*facts)))?;
+        Some(next.cloned())
     }
 
     /// Returns the first [`HOMES_MAX`] homes of `key`.
     #[must_use]
     pub fn first_homes(&self, own: VmKey, key: u64, now_ms: u64) -> Vec<HomeCandidate> {
-        let others = self.live(now_ms).map(Some);
-        let mut ranked: Vec<_> = others
-            .chain([None])
-            .map(|facts| {
-                (
-                    rendezvous_weight(key, facts.map_or(own, MemberFacts::key)),
-                    facts,
-                )
-            })
-            .collect();
-        ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
-        let first = ranked.into_iter().take(HOMES_MAX).enumerate();
+        let ranked = self.rank_live(own, key, now_ms).into_iter().enumerate();
+        let first = ranked.take(HOMES_MAX);
         first
-            .map(|(rank, (_, facts))| HomeCandidate {
+            .map(|(rank, facts)| HomeCandidate {
                 rank,
                 facts: facts.cloned(),
             })
@@ -439,14 +440,14 @@
     }
 
     /// Returns the homes of `key` that are asked in turn: the first [`HOMES_MAX`] of the VMs that did
-    /// not fail to answer recently. This VM is one of the last if no other answers.
+    /// not fail to answer recently, this one among them.
     #[must_use]
     pub fn homes_to_ask(&self, own: VmKey, key: u64, now_ms: u64) -> Vec<HomeCandidate> {
-        let homes = self.ranked_homes(own, key, now_ms).into_iter().enumerate();
-        let answering = homes.filter(|(_, home)| self.is_answering(home.as_ref(), now_ms));
+        let ranked = self.rank_live(own, key, now_ms).into_iter().enumerate();
+        let answering = ranked.filter(|(_, facts)| self.is_answering(*facts, now_ms));
         let candidates = answering.map(|(rank, facts)| HomeCandidate {
             rank: rank.min(HOMES_MAX - 1),
-            facts,
+            facts: facts.cloned(),
         });
         candidates.take(HOMES_MAX).collect()
     }
--- a/crates/relay/src/decide/memory_spans.rs
+++ b/crates/relay/src/decide/memory_spans.rs
@@ -84,6 +84,15 @@
 }
 
 impl SpanHistory {
+    /// Creates a history with the times that count without a version.
+    #[must_use]
+    pub fn new(spans: MemorySpans) -> Self {
+        Self {
+            in_force: spans,
+            replaced: Vec::new(),
+        }
+    }
+
     /// Records that a version with `spans` is in force from now on.
     pub fn replace(&mut self, spans: MemorySpans, now_ms: u64) {
         let before = std::mem::replace(&mut self.in_force, spans);
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -218,7 +218,9 @@
             started: Instant::now(),
             plan: RefCell::default(),
             has_plan: Cell::new(false),
-            spans: RefCell::default(),
+            spans: RefCell::new(SpanHistory::new(
+                DeploymentPlan::default().get_memory_spans(),
+            )),
             plan_revision: Cell::new(0),
             feed_confirmed_at: Cell::new(None),
             peer_feed_confirmed_at: Cell::new(None),
--- a/crates/relay/tests/memory_spans.rs
+++ b/crates/relay/tests/memory_spans.rs
@@ -1,7 +1,7 @@
 //! Times for which streams and programs are remembered across versions of the configuration.
 
 use ibisdale_relay::decide::{SpanHistory, SpanReport};
-use ibisdale_relay::plan::MemorySpans;
+use ibisdale_relay::plan::{DeploymentPlan, MemorySpans};
 
 const LONG: MemorySpans = MemorySpans {
     resume_ms: 12_000,
@@ -141,3 +141,13 @@
     };
     assert_eq!(history.reports(10_100), [expected]);
 }
+
+/// A VM that gets copies of accounts before it has a configuration must not forget them at once.
+#[test]
+fn programs_are_remembered_before_there_is_a_configuration() {
+    let without_plan = DeploymentPlan::default().get_memory_spans();
+    let mut history = SpanHistory::new(without_plan);
+    assert_eq!(history.effective(1).retention_ms, 30_000);
+    history.replace(LONG, 1_000);
+    assert_eq!(history.effective(1_000), LONG);
+}
