--- a/crates/relay/tests/gateway/replaced_plans.rs
+++ b/crates/relay/tests/gateway/replaced_plans.rs
@@ -214,3 +214,29 @@
     gateway.command(VmCommand::Apply(split_plan(4, &["large"])));
     assert_eq!(spend_budget(&gateway), 0);
 }
+
+/// Longer than programs are remembered without a route, shorter than the retention of the routes.
+const LONG_PAUSE: Duration = Duration::from_secs(38);
+
+/// Returns version `number`, which keeps no program for longer than the minimum.
+fn plan_without_retention(number: u64) -> Box<DeploymentPlan> {
+    next_plan(number, |routes| {
+        for route in routes {
+            route.retention_ms = 0;
+        }
+    })
+}
+
+/// Guards against programs that get their budget once more after their route was away for a
+/// version (review 12).
+#[test]
+fn program_keeps_its_account_after_its_retention_was_away() {
+    let replica = large_replica(Duration::ZERO);
+    let gateway = TestGateway::start(&[&replica]);
+    gateway.command(VmCommand::Apply(split_plan(2, &["large"])));
+    assert!(spend_budget(&gateway) > 0);
+    gateway.command(VmCommand::Apply(plan_without_retention(3)));
+    thread::sleep(LONG_PAUSE);
+    gateway.command(VmCommand::Apply(split_plan(4, &["large"])));
+    assert_eq!(spend_budget(&gateway), 0);
+}
