Name the replies of VMs that are asked to decide on a call

Decided, Undecided and Unanswered in place of nested options, and the end of the search in place of its start and length. The log of a decision tells them apart. No change of behaviour.

--- a/crates/relay/src/gateway/budget.rs
+++ b/crates/relay/src/gateway/budget.rs
@@ -37,6 +37,24 @@
     Unknown,
 }
 
+/// Reply of a VM that was asked to decide on a call.
+#[derive(Clone, Copy, Debug)]
+enum HomeReply {
+    Decided(BudgetVerdict),
+    /// It could not decide (see [`decide_as_home`]).
+    Undecided,
+    Unanswered,
+}
+
+impl HomeReply {
+    fn new(verdict: Option<BudgetVerdict>) -> Self {
+        match verdict {
+            None | Some(BudgetVerdict::NeedsCeiling { .. }) => Self::Undecided,
+            Some(verdict) => Self::Decided(verdict),
+        }
+    }
+}
+
 /// Tokens reserved for a running call.
 ///
 /// Dropping it ends the reservation and sends the tokens spent to the program's home.
@@ -108,14 +126,8 @@
         share,
         spent: Cell::new(0),
     };
-    let verdict = search_verdict(
-        gateway,
-        request,
-        share,
-        time_left * SEARCH_TIME_PERCENT / 100,
-    )
-    .await;
-    match verdict {
+    let until = Instant::now() + time_left * SEARCH_TIME_PERCENT / 100;
+    match search_verdict(gateway, request, share, until).await {
         Some(BudgetVerdict::Granted { is_first }) => {
             (ReserveOutcome::Granted { is_first }, Some(reservation))
         }
@@ -124,19 +136,18 @@
     }
 }
 
-/// Asks VMs to decide on a call until one does, for at most `time`; `None` if none can.
+/// Asks VMs to decide on a call until one does; `None` if none can before `until`.
 ///
 /// While the store is away, a VM that can't decide without it will not within that time either.
 async fn search_verdict(
     gateway: &Gateway,
     request: BudgetRequest,
     share: BudgetShare,
-    time: Duration,
+    until: Instant,
 ) -> Option<BudgetVerdict> {
-    let started = Instant::now();
     loop {
-        let verdict = search_once(gateway, request, share, started, time).await;
-        let is_over = started.elapsed() + SEARCH_PAUSE >= time;
+        let verdict = search_once(gateway, request, share, until).await;
+        let is_over = Instant::now() + SEARCH_PAUSE >= until;
         if verdict.is_some() || is_over || gateway.is_store_unavailable() {
             return verdict;
         }
@@ -149,50 +160,43 @@
     gateway: &Gateway,
     request: BudgetRequest,
     share: BudgetShare,
-    started: Instant,
-    time: Duration,
+    until: Instant,
 ) -> Option<BudgetVerdict> {
     let own = gateway.state.options.facts.key();
     let mut search = HomeSearch::default();
-    while started.elapsed() < time {
+    while Instant::now() < until {
         let target = {
             let members = gateway.state.members.borrow();
             search.next_target(&members, own, request.program, gateway.now_ms())?
         };
         let reply = match &target {
-            SearchTarget::Own => Some(decide_as_home(gateway, &request, share).await),
+            SearchTarget::Own => HomeReply::new(decide_as_home(gateway, &request, share).await),
             SearchTarget::Peer(facts) => request_grant(gateway, &request, share, facts).await,
         };
-        let verdict = reply.flatten();
         record_event!(
             BudgetDecided,
             program = format!("{:x}", request.program),
             budget = request.budget,
             tokens = request.tokens,
-            verdict = format!("{verdict:?}"),
+            verdict = format!("{reply:?}"),
             total = gateway.state.budgets.borrow().total(request.program),
         );
-        if matches!(
-            verdict,
-            Some(BudgetVerdict::Granted { .. } | BudgetVerdict::Spent { .. })
-        ) {
-            return verdict;
-        }
-        if reply.is_some() {
-            search.record_undecided();
+        match reply {
+            HomeReply::Decided(verdict) => return Some(verdict),
+            HomeReply::Undecided => search.record_undecided(),
+            HomeReply::Unanswered => {}
         }
     }
     None
 }
 
-/// Requests a grant from another VM; returns `None` if it does not reply, and no verdict if it
-/// can't decide or knows less than this VM.
+/// Requests a grant from another VM; one that knows less than this VM counts as undecided.
 async fn request_grant(
     gateway: &Gateway,
     request: &BudgetRequest,
     share: BudgetShare,
     home: &MemberFacts,
-) -> Option<Option<BudgetVerdict>> {
+) -> HomeReply {
     let program = request.program;
     let known = {
         let budgets = gateway.state.budgets.borrow();
@@ -213,9 +217,9 @@
     else {
         let mut members = gateway.state.members.borrow_mut();
         members.record_unanswered(home.key(), now_ms);
-        return None;
+        return HomeReply::Unanswered;
     };
     let mut budgets = gateway.state.budgets.borrow_mut();
     let is_latest = budgets.merge_copy(program, &account, now_ms);
-    Some(verdict.filter(|_| is_latest))
+    HomeReply::new(verdict.filter(|_| is_latest))
 }
