Say which memories take their times from SpanHistory

Cause: the head of decide/memory_spans.rs claimed every memory that outlives a version; kept turns and the rates of workspaces have rules of their own. Two other comments were vague.

Change: three comments, no code.

--- a/crates/relay/src/decide/memory_spans.rs
+++ b/crates/relay/src/decide/memory_spans.rs
@@ -3,7 +3,8 @@
 //! A stream or a program may have begun under a version of the configuration that has been
 //! replaced since, and its callers come back within the times of that version. So a time that a
 //! new version shortens still counts until all that began under the version before it has ended.
-//! Every memory that outlives a version takes its time from here. Load: changes of the
+//! Origins of streams, listed software versions, accounts of programs and losses of VMs take their
+//! times from here; kept turns and the rates of workspaces have their own. Load: changes of the
 //! configuration, of which a VM may miss some that others have applied.
 
 use serde::{Deserialize, Serialize};
--- a/crates/relay/src/gateway/stream.rs
+++ b/crates/relay/src/gateway/stream.rs
@@ -416,7 +416,7 @@
 /// configured.
 ///
 /// The version in force may lack the service, since the request was admitted under an earlier one;
-/// where they differ, the replica's events hold no more tokens than the greater number.
+/// where they differ, the greater number counts, so that no budget is exceeded.
 fn tokens_per_event(gateway: &Gateway, request: &CallerRequest, service: &[u8]) -> u64 {
     let plans = [Some(Rc::clone(&request.plan)), gateway.plan()];
     let plans = plans.into_iter().flatten();
--- a/crates/relay/src/plan/memory_spans.rs
+++ b/crates/relay/src/plan/memory_spans.rs
@@ -1,4 +1,4 @@
-//! Times for which state from before a request may still matter.
+//! Times for which a version of the configuration needs streams and programs to be remembered.
 
 use serde::{Deserialize, Serialize};
 
