Leave VMs out that were absent when a lost account is looked for

Cause: a VM that stands still or is cut off learns nothing of the account that two others keep meanwhile. Once these are killed, it replies to a new home that it knows nothing, and the new home took that for the reply of a VM that ranked among the first two and was there. A VM's own absence counted as a loss of its own counts, though it has kept them.

Change: RoleYielded tells how long ago the VM last returned from an absence. A VM that was absent, this one included, is left out like one that had not joined yet, so that the pair behind it is looked at.

--- a/crates/relay/src/decide/budget/losses.rs
+++ b/crates/relay/src/decide/budget/losses.rs
@@ -26,13 +26,24 @@
     pub at_ms: u64,
 }
 
+impl VmLoss {
+    /// Returns the process that was lost or absent.
+    #[must_use]
+    pub fn process(&self) -> VmProcess {
+        VmProcess {
+            vm: self.vm,
+            incarnation: self.incarnation,
+        }
+    }
+}
+
 /// Returns whether both VMs that rank first for a program may have been lost before other
 /// VMs got copies of what they knew.
 ///
 /// `ranked` holds all VMs, the most preferred home first. Losses that are up to `window_ms`
 /// apart count as one. A VM for which `is_down` is true has not come back since its last
 /// loss, so the VMs after it ranked first from then on; the same holds before a time since which
-/// `has_joined` is true.
+/// `has_joined` is true, as it is for a VM that was absent.
 #[must_use]
 pub fn may_have_lost_pair(
     ranked: &[VmKey],
@@ -57,8 +68,12 @@
         let since_ms = first.at_ms.saturating_sub(window_ms);
         let was_absent =
             |vm: VmKey| was_down(vm) || (!is_lost_then(vm) && has_joined(vm, since_ms));
-        let mut pair = ranked.iter().filter(|vm| !was_absent(**vm)).take(2);
-        pair.all(|vm| is_lost_then(*vm))
+        let mut pair = ranked
+            .iter()
+            .filter(|vm| !was_absent(**vm))
+            .take(2)
+            .peekable();
+        pair.peek().is_some() && pair.all(|vm| is_lost_then(*vm))
     })
 }
 
@@ -81,7 +96,7 @@
     /// one. It takes two other VMs; those that are not lost together leave copies on others.
     #[must_use]
     pub fn may_have_lost_role(&self, own: VmProcess, since_ms: u64) -> bool {
-        let is_own = |loss: &VmLoss| (loss.vm, loss.incarnation) == (own.vm, own.incarnation);
+        let is_own = |loss: &VmLoss| loss.process() == own;
         let is_later = |loss: &VmLoss| loss.at_ms.saturating_add(LOSS_SLACK_MS) >= since_ms;
         let later = || {
             let losses = self.losses.iter();
@@ -221,8 +236,7 @@
     /// acted without it, and it has learned nothing of that.
     pub fn record_absence(&mut self, now_ms: u64) {
         let own = self.own;
-        self.losses
-            .retain(|loss| (loss.vm, loss.incarnation) != (own.vm, own.incarnation));
+        self.losses.retain(|loss| loss.process() != own);
         self.record(VmLoss {
             vm: own.vm,
             incarnation: own.incarnation,
@@ -230,6 +244,15 @@
         });
     }
 
+    /// Returns the time since this VM last returned from an absence, in milliseconds; `None` if it
+    /// was not absent.
+    #[must_use]
+    pub fn absence_age_ms(&self, now_ms: u64) -> Option<u64> {
+        let mut losses = self.losses.iter();
+        let absence = losses.find(|loss| loss.process() == self.own)?;
+        Some(now_ms.saturating_sub(absence.at_ms))
+    }
+
     /// Removes losses that no program can remember, and returns the others.
     pub fn recent(&mut self, retention_ms: u64, now_ms: u64) -> Vec<VmLoss> {
         self.losses
--- a/crates/relay/src/decide/budget/peers.rs
+++ b/crates/relay/src/decide/budget/peers.rs
@@ -36,6 +36,7 @@
     AccountReply {
         process: view.ledger.process(),
         account: view.ledger.copy(program, view.now_ms),
+        absence_age_ms: own_absence(view).map(|loss| view.now_ms.saturating_sub(loss.at_ms)),
     }
 }
 
@@ -48,6 +49,12 @@
         || role.is_some_and(|role| role.record() == owner || copy.record == owner)
 }
 
+/// Returns the last absence of this VM, if there was one.
+fn own_absence<'a>(view: &'a HomeView<'_>) -> Option<&'a VmLoss> {
+    let mut losses = view.losses.losses.iter();
+    losses.find(|loss| loss.process() == view.ledger.process())
+}
+
 /// Judges what a new home may not know, from the replies, its own last among them.
 pub(super) fn find_missing(
     view: &HomeView<'_>,
@@ -84,7 +91,9 @@
             at_ms: now_ms,
         })
     });
+    // A VM that was absent has kept what it knew.
     let known = view.losses.losses.iter().copied();
+    let known = known.filter(|loss| loss.process() != own);
     let found: Vec<_> = silent.chain(unanswering).chain(restarted).collect();
     // Each was lost at any time since it was heard last.
     let earliest = found.iter().filter_map(|loss| {
@@ -101,7 +110,13 @@
         is_down: &|vm| vm != own.vm && (unanswered.contains(&vm) || !members.is_live(vm, now_ms)),
         has_joined: &|vm, since_ms| {
             let wall_ms = own.incarnation.saturating_add(since_ms);
-            members.has_joined_since(vm, since_ms, wall_ms)
+            // An absence may have ended before this VM started.
+            let recent_ms = now_ms.saturating_sub(since_ms) + view.losses.window_ms;
+            let has_returned = |reply: &AccountReply| {
+                let absence_age_ms = reply.absence_age_ms.filter(|_| reply.process.vm == vm);
+                absence_age_ms.is_some_and(|age_ms| age_ms <= recent_ms)
+            };
+            members.has_joined_since(vm, since_ms, wall_ms) || replies.iter().any(has_returned)
         },
         has_ended: &|process| {
             let mut processes = replies.iter().map(|reply| reply.process);
--- a/crates/relay/src/decide/budget/takeover.rs
+++ b/crates/relay/src/decide/budget/takeover.rs
@@ -11,6 +11,8 @@
     pub process: VmProcess,
     /// Its copy of the account.
     pub account: Option<AccountCopy>,
+    /// Time since it last returned from an absence, in milliseconds; `None` if it was not absent.
+    pub absence_age_ms: Option<u64>,
 }
 
 /// What a VM has learned before it takes over the role of a program's home.
@@ -26,7 +28,8 @@
     pub losses: &'a [VmLoss],
     /// Whether a VM is silent or did not reply.
     pub is_down: &'a dyn Fn(VmKey) -> bool,
-    /// Whether the process of a VM has started since a time, in milliseconds.
+    /// Whether the process of a VM has started, or returned from an absence, since a time, in
+    /// milliseconds.
     pub has_joined: &'a dyn Fn(VmKey, u64) -> bool,
     /// Whether a process is known to have ended.
     pub has_ended: &'a dyn Fn(VmProcess) -> bool,
--- a/crates/relay/src/gateway/budget_copies.rs
+++ b/crates/relay/src/gateway/budget_copies.rs
@@ -128,6 +128,7 @@
                 call_id,
                 incarnation: gateway.state.options.facts.incarnation,
                 account,
+                absence_age_ms: gateway.state.losses.borrow().absence_age_ms(now_ms),
             };
             spawn_send(gateway, message, sender);
         }
--- a/crates/relay/src/gateway/budget_home.rs
+++ b/crates/relay/src/gateway/budget_home.rs
@@ -160,6 +160,7 @@
         if let Some(PeerMessage::RoleYielded {
             incarnation,
             account,
+            absence_age_ms,
             ..
         }) = result
         {
@@ -167,7 +168,11 @@
                 vm: peer.key(),
                 incarnation,
             };
-            replies.push(AccountReply { process, account });
+            replies.push(AccountReply {
+                process,
+                account,
+                absence_age_ms,
+            });
         } else {
             unanswered.push(peer.key());
         }
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -141,6 +141,8 @@
         /// Start time of the process that replies, which the sender may not know yet.
         incarnation: u64,
         account: Option<AccountCopy>,
+        /// Time since the VM last returned from an absence, in milliseconds.
+        absence_age_ms: Option<u64>,
     },
     /// Sends an account to the witness of its home before a call is granted.
     Replicate {
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -121,12 +121,13 @@
         return;
     }
     let (known_count, silent_count) = gateway.state.members.borrow().count(now_ms);
-    let last_heard_ms = now_ms.saturating_sub(gateway.state.members.borrow().silent_after_ms());
     for facts in silent_vms {
+        let vm = facts.key();
+        let last_heard_ms = gateway.state.members.borrow().last_heard_ms(vm);
         gateway.record_vm_silence(VmLoss {
-            vm: facts.key(),
+            vm,
             incarnation: facts.incarnation,
-            at_ms: last_heard_ms,
+            at_ms: last_heard_ms.unwrap_or(now_ms),
         });
         gateway.state.runs.borrow_mut().end_all(facts.key());
         record_event!(
--- a/crates/relay/tests/budget_play/main.rs
+++ b/crates/relay/tests/budget_play/main.rs
@@ -114,6 +114,9 @@
 #[case::witness_replaced_while_it_ran(3_709, 5)]
 #[case::record_of_another_home_of_the_same_epoch(1_280, 5)]
 #[case::loss_dated_when_it_was_noticed(2_370, 7)]
+#[case::absent_vm_knows_nothing(102_146, 5)]
+#[case::absent_vm_knows_nothing_of_seven(214_071, 7)]
+#[case::loss_noticed_after_an_absence(205_519, 3)]
 fn plays_that_failed_hold(#[case] seed: u64, #[case] vms: usize) {
     let mut random = Pcg64Mcg::seed_from_u64(seed);
     let troubles = draw_troubles(&mut random, vms);
--- a/crates/relay/tests/budget_play/vm.rs
+++ b/crates/relay/tests/budget_play/vm.rs
@@ -30,7 +30,7 @@
     Reserve(ProgramKey, u64, BudgetShare, AccountCopy),
     Reserved(Option<BudgetVerdict>, AccountCopy),
     RequestRole(ProgramKey),
-    RoleYielded(u64, Option<AccountCopy>),
+    RoleYielded(AccountReply),
     Replicate(ProgramKey, AccountCopy),
     Replicated(WitnessReply),
 }
@@ -229,12 +229,11 @@
     pub(crate) fn start_round(&mut self, world_ms: u64) -> RoundWork {
         let now_ms = self.now_ms(world_ms);
         self.members.expire(now_ms);
-        let silent_after_ms = self.members.silent_after_ms();
         for facts in self.members.take_newly_silent(now_ms) {
             self.losses.record(VmLoss {
                 vm: facts.key(),
                 incarnation: facts.incarnation,
-                at_ms: now_ms.saturating_sub(silent_after_ms),
+                at_ms: self.members.last_heard_ms(facts.key()).unwrap_or(now_ms),
             });
             self.reads.record_loss(now_ms);
             self.are_copies_due = true;
@@ -284,7 +283,11 @@
             }
             Message::RequestRole(program) => {
                 let account = self.ledger.yield_role(program, now_ms);
-                Some(Message::RoleYielded(self.facts.incarnation, account))
+                Some(Message::RoleYielded(AccountReply {
+                    process: self.ledger.process(),
+                    account,
+                    absence_age_ms: self.losses.absence_age_ms(now_ms),
+                }))
             }
             Message::Replicate(program, copy) => {
                 let is_accepted = self.ledger.accept(program, &copy, now_ms);
--- a/crates/relay/tests/budget_play/world.rs
+++ b/crates/relay/tests/budget_play/world.rs
@@ -4,8 +4,7 @@
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 
 use ibisdale_relay::decide::{
-    AccountReply, CeilingClaim, ClaimOutcome, HomeDecision, MemberFacts, ProgramKey, ROUND_MS,
-    StoredCeiling, VmProcess,
+    CeilingClaim, ClaimOutcome, HomeDecision, MemberFacts, ProgramKey, ROUND_MS, StoredCeiling,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -394,7 +393,6 @@
 
     pub(crate) fn deliver(&mut self, from: usize, to: usize, exchange: CallId, message: Message) {
         let world_ms = self.now_ms;
-        let sender = facts(from, 0).key();
         let Some(process) = self.vms[to].process.as_mut() else {
             return;
         };
@@ -408,16 +406,7 @@
                 self.decide(to, (program, budget), share, requester);
             }
             Message::Reserved(verdict, account) => self.reserved(to, exchange, verdict, &account),
-            Message::RoleYielded(incarnation, account) => {
-                let reply = AccountReply {
-                    process: VmProcess {
-                        vm: sender,
-                        incarnation,
-                    },
-                    account,
-                };
-                self.role_yielded(to, exchange, reply);
-            }
+            Message::RoleYielded(reply) => self.role_yielded(to, exchange, reply),
             Message::Replicated(reply) => {
                 if let Some(program) = self.waiting_program(to, exchange) {
                     self.step(to, program, exchange, |decision, view| {
--- a/crates/relay/tests/takeover.rs
+++ b/crates/relay/tests/takeover.rs
@@ -50,6 +50,7 @@
     AccountReply {
         process: process(vm),
         account,
+        absence_age_ms: None,
     }
 }
 
