Take a record for known only if nobody else granted calls under it

Cause: a VM that had claimed a record took itself for one that knows all calls granted under it. A home that took the role over from it goes on under the same record, up to its ceiling, without storing one of its own. When that home and its witness were killed, the VM that had claimed the record went on from its old counts.

Change: a VM remembers to whom it told a record when it was asked for the role, until it knows all calls under it again: as a witness that accepts, or as a home that misses nothing. The reply to a home that takes over names the records that are known and to whom they were told. A record is known if some VM knows it and all those that were told of it have replied. Other copies no longer carry the list of claims.

--- a/crates/relay/src/decide/budget/account.rs
+++ b/crates/relay/src/decide/budget/account.rs
@@ -31,6 +31,9 @@
     pub(super) needs_record: bool,
     /// Identifiers of this VM's latest claims.
     pub(super) claimed: Vec<u64>,
+    /// Records that other processes were told of when they asked for the role, with the process; it
+    /// may have granted calls under them.
+    pub(super) passed_on: Vec<(u64, VmProcess)>,
     pub(super) updated_ms: u64,
 }
 
@@ -143,10 +146,38 @@
             ceiling: self.ceiling,
             record: self.record,
             needs_record: self.needs_record,
-            claimed: self.claimed.clone(),
+            ..AccountCopy::default()
         }
     }
 
+    /// Returns the copy for a home that takes over, with the records that `own`, this VM, knows: those
+    /// that it has claimed, and those of the latest role if it is a member.
+    pub(super) fn copy_with_records(&self, own: VmProcess, now_ms: u64) -> AccountCopy {
+        let role = self.role.filter(|role| role.has_member(own));
+        let members = role
+            .into_iter()
+            .flat_map(|role| [role.record(), self.record]);
+        AccountCopy {
+            known_records: self.claimed.iter().copied().chain(members).collect(),
+            passed_on: self.passed_on.clone(),
+            ..self.copy(now_ms)
+        }
+    }
+
+    /// Records that `requester` may grant calls under the present record.
+    pub(super) fn pass_on(&mut self, requester: VmProcess) {
+        let passed = (self.record, requester);
+        if self.record != 0 && !self.passed_on.contains(&passed) {
+            self.passed_on.push(passed);
+        }
+    }
+
+    /// Records that all calls are known that were granted under the present record.
+    pub(super) fn know_record(&mut self) {
+        let record = self.record;
+        self.passed_on.retain(|(passed, _)| *passed != record);
+    }
+
     /// Returns whether `process` acts as home.
     pub(super) fn is_home(&self, process: VmProcess) -> bool {
         self.role
--- a/crates/relay/src/decide/budget/home.rs
+++ b/crates/relay/src/decide/budget/home.rs
@@ -7,7 +7,8 @@
 use super::ceiling::{CeilingClaim, ClaimOutcome, StoredCeiling};
 use super::ledger::BudgetVerdict;
 use super::peers::{
-    ASKED_VMS, find_missing, knows_record, own_reply, peers_to_ask, rank_witnesses, without_asked,
+    ASKED_VMS, find_missing, is_record_known, own_reply, peers_to_ask, rank_witnesses,
+    without_asked,
 };
 use super::share::{AccountCopy, BudgetShare, HomeRole, ProgramKey, VmProcess};
 use super::takeover::{AccountReply, TakeoverFinding};
@@ -155,12 +156,11 @@
         }
         match std::mem::replace(&mut self.pending, PendingStep::None) {
             PendingStep::Rival(stored) => {
-                let own = own_reply(view, self.program);
-                let is_known = replies.iter().chain([&own]).any(|reply| {
-                    let account = reply.account.as_ref();
-                    account.is_some_and(|copy| knows_record(reply.process, copy, stored))
-                });
-                self.merge_replies(view, &replies);
+                let mut all_replies = replies;
+                all_replies.push(own_reply(view, self.program));
+                let is_known = is_record_known(&all_replies, stored.owner);
+                all_replies.pop();
+                self.merge_replies(view, &all_replies);
                 if is_known {
                     view.ledger.record_known(self.program, stored);
                 } else {
--- a/crates/relay/src/decide/budget/ledger.rs
+++ b/crates/relay/src/decide/budget/ledger.rs
@@ -151,6 +151,7 @@
         account.updated_ms = now_ms;
         if is_accepted {
             account.merge_copy(copy, now_ms);
+            account.know_record();
         } else {
             for share in &copy.shares {
                 account.merge(*share);
@@ -159,15 +160,31 @@
         is_accepted
     }
 
-    /// Ends the epoch of a program for another VM that takes over the role of its home, and
+    /// Ends the epoch of a program for `requester`, which takes over the role of its home, and
     /// returns what this VM knew; `None` if it knows nothing.
-    pub fn yield_role(&mut self, program: ProgramKey, now_ms: u64) -> Option<AccountCopy> {
+    pub fn yield_role(
+        &mut self,
+        program: ProgramKey,
+        requester: VmProcess,
+        now_ms: u64,
+    ) -> Option<AccountCopy> {
         let account = self.programs.get_mut(&program)?;
-        let copy = account.copy(now_ms);
+        let copy = account.copy_with_records(self.own, now_ms);
         account.epoch = account.epoch.saturating_add(1);
+        account.pass_on(requester);
         Some(copy)
     }
 
+    /// Returns what this VM knows of a program that it takes over.
+    pub(super) fn copy_with_records(
+        &self,
+        program: ProgramKey,
+        now_ms: u64,
+    ) -> Option<AccountCopy> {
+        let account = self.programs.get(&program)?;
+        Some(account.copy_with_records(self.own, now_ms))
+    }
+
     pub(super) fn account(&self, program: ProgramKey) -> Option<&ProgramAccount> {
         self.programs.get(&program)
     }
@@ -296,6 +313,8 @@
             let known = stored.filter(|_| !finding.needs_record);
             account.record = known.map_or(0, |stored| stored.owner);
             account.previous_record = 0;
+        } else {
+            account.know_record();
         }
         account.needs_record = finding.needs_record;
     }
--- a/crates/relay/src/decide/budget/peers.rs
+++ b/crates/relay/src/decide/budget/peers.rs
@@ -1,10 +1,9 @@
 //! Which VMs may know a program, and what their replies leave open.
 
 use super::account::ProgramAccount;
-use super::ceiling::StoredCeiling;
 use super::ledger::BudgetLedger;
 use super::losses::VmLoss;
-use super::share::{AccountCopy, ProgramKey, VmProcess};
+use super::share::{ProgramKey, VmProcess};
 use super::takeover::{AccountReply, TakeoverFinding, TakeoverInput, assess_takeover};
 use super::view::HomeView;
 use crate::decide::member_facts::{MemberFacts, VmKey};
@@ -35,18 +34,18 @@
 pub(super) fn own_reply(view: &HomeView<'_>, program: ProgramKey) -> AccountReply {
     AccountReply {
         process: view.ledger.process(),
-        account: view.ledger.copy(program, view.now_ms),
+        account: view.ledger.copy_with_records(program, view.now_ms),
         absence_age_ms: own_absence(view).map(|loss| view.now_ms.saturating_sub(loss.at_ms)),
     }
 }
 
-/// Returns whether the process knows all that was granted under a record: it has claimed it, or was
-/// a member of the role that stored it or of a later one.
-pub(super) fn knows_record(process: VmProcess, copy: &AccountCopy, stored: StoredCeiling) -> bool {
-    let owner = stored.owner;
-    let role = copy.role.filter(|role| role.has_member(process));
-    copy.claimed.contains(&owner)
-        || role.is_some_and(|role| role.record() == owner || copy.record == owner)
+/// Returns whether the processes that replied know together all that was granted under a record.
+pub(super) fn is_record_known(replies: &[AccountReply], record: u64) -> bool {
+    let copies = || replies.iter().filter_map(|reply| reply.account.as_ref());
+    let has_replied = |process: VmProcess| replies.iter().any(|reply| reply.process == process);
+    let mut passed_on = copies().flat_map(|copy| &copy.passed_on);
+    copies().any(|copy| copy.known_records.contains(&record))
+        && passed_on.all(|(passed, process)| *passed != record || has_replied(*process))
 }
 
 /// Returns the last absence of this VM, if there was one.
--- a/crates/relay/src/decide/budget/share.rs
+++ b/crates/relay/src/decide/budget/share.rs
@@ -114,9 +114,14 @@
     pub record: u64,
     /// Whether the home has to store a record of its epoch before it grants a call.
     pub needs_record: bool,
-    /// Identifiers of the records that the process itself has claimed lately, whether they were
-    /// stored or not; it knows all that was granted under them.
-    pub claimed: Vec<u64>,
+    /// Identifiers of records, stored or not, under which the process knows all that was granted,
+    /// but for calls that the processes of `passed_on` granted.
+    ///
+    /// Part of the reply to a home that takes over only, as is `passed_on`.
+    pub known_records: Vec<u64>,
+    /// Records that other processes were told of when they asked for the role, with the process; it
+    /// may have granted calls under them.
+    pub passed_on: Vec<(u64, VmProcess)>,
 }
 
 impl AccountCopy {
--- a/crates/relay/src/gateway/budget_copies.rs
+++ b/crates/relay/src/gateway/budget_copies.rs
@@ -118,10 +118,14 @@
             budgets.borrow_mut().merge_share(program, share, now_ms);
             spawn_send(gateway, PeerMessage::Settled { call_id }, sender);
         }
-        PeerMessage::RequestRole { call_id, program } => {
+        PeerMessage::RequestRole {
+            call_id,
+            program,
+            requester,
+        } => {
             let mut replies = gateway.state.role_replies.borrow_mut();
             let account = replies.decide_once(sender, call_id, now_ms, || {
-                budgets.borrow_mut().yield_role(program, now_ms)
+                budgets.borrow_mut().yield_role(program, requester, now_ms)
             });
             drop(replies);
             let message = PeerMessage::RoleYielded {
--- a/crates/relay/src/gateway/budget_home.rs
+++ b/crates/relay/src/gateway/budget_home.rs
@@ -148,9 +148,14 @@
     program: ProgramKey,
     peers: &[MemberFacts],
 ) -> (Vec<AccountReply>, Vec<VmKey>) {
+    let requester = gateway.state.budgets.borrow().process();
     let calls = peers.iter().map(|peer| {
         call_peer(gateway, peer.peer_address(), move |call_id| {
-            PeerMessage::RequestRole { call_id, program }
+            PeerMessage::RequestRole {
+                call_id,
+                program,
+                requester,
+            }
         })
     });
     let results = join_all(calls).await;
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -8,7 +8,7 @@
     AccountCopy, AdmissionCounters, AttemptKey, BudgetShare, BudgetVerdict, CeilingClaim,
     ClaimOutcome, ColdReport, EvacuationReport, GrantOutcome, InFlightCount, LimitReport,
     MemberFacts, ProgramKey, ProgramStage, RateRefusal, RequestFingerprint, RunDecision, RunQuery,
-    SpanReport, SpeedReport, StartKey, StreamOrigin, SuspectReport, VmKey, WindowReport,
+    SpanReport, SpeedReport, StartKey, StreamOrigin, SuspectReport, VmKey, VmProcess, WindowReport,
     WorkspaceKey,
 };
 
@@ -134,7 +134,11 @@
     /// Reply to `Settle`.
     Settled { call_id: u64 },
     /// Requests the role of a program's home; the receiver ends the epoch that it knows.
-    RequestRole { call_id: u64, program: ProgramKey },
+    RequestRole {
+        call_id: u64,
+        program: ProgramKey,
+        requester: VmProcess,
+    },
     /// Reply to `RequestRole`: what the VM knew; `None` if it knows nothing of the program.
     RoleYielded {
         call_id: u64,
--- a/crates/relay/tests/budget_play/decisions.rs
+++ b/crates/relay/tests/budget_play/decisions.rs
@@ -152,9 +152,11 @@
                     return self.end_asking(vm, program, exchange);
                 }
                 task.asked.sort_unstable();
-                for key in task.asked.clone() {
+                let asked = task.asked.clone();
+                let own = process.ledger.process();
+                for key in asked {
                     let to = self.number(key);
-                    self.send(vm, to, exchange, Message::RequestRole(program));
+                    self.send(vm, to, exchange, Message::RequestRole(program, own));
                 }
             }
             HomeStep::AwaitRecords => {
--- a/crates/relay/tests/budget_play/vm.rs
+++ b/crates/relay/tests/budget_play/vm.rs
@@ -29,7 +29,7 @@
     Settle(ProgramKey, BudgetShare),
     Reserve(ProgramKey, u64, BudgetShare, AccountCopy),
     Reserved(Option<BudgetVerdict>, AccountCopy),
-    RequestRole(ProgramKey),
+    RequestRole(ProgramKey, VmProcess),
     RoleYielded(AccountReply),
     Replicate(ProgramKey, AccountCopy),
     Replicated(WitnessReply),
@@ -281,8 +281,8 @@
                 self.ledger.merge_share(program, share, now_ms);
                 None
             }
-            Message::RequestRole(program) => {
-                let account = self.ledger.yield_role(program, now_ms);
+            Message::RequestRole(program, requester) => {
+                let account = self.ledger.yield_role(program, requester, now_ms);
                 Some(Message::RoleYielded(AccountReply {
                     process: self.ledger.process(),
                     account,
--- a/crates/relay/tests/takeover.rs
+++ b/crates/relay/tests/takeover.rs
@@ -197,7 +197,7 @@
 fn home_that_yields_its_role_takes_over_again() {
     let mut home = BudgetLedger::new(1, 1);
     home.take_over(PROGRAM, BUDGET, COMPLETE, 1);
-    let epoch = home.yield_role(PROGRAM, 2).unwrap().epoch;
+    let epoch = home.yield_role(PROGRAM, process(2), 2).unwrap().epoch;
     assert!(!home.is_home(PROGRAM));
     home.take_over(PROGRAM, BUDGET, COMPLETE, 3);
     assert_eq!(home.copy(PROGRAM, 3).unwrap().epoch, epoch + 2);
