Count all of an unknown record as spent beside what was granted meanwhile

Callers saw: a program got 1,210 tokens of a budget of 1,000 and a call of 110 (budget_play with five VMs).

Cause: a home that was cut off from all others stored a record and granted calls under it. After it was killed, a VM that had never heard of the program granted the part of the budget that needs no record.

Change: an account keeps the tokens that had been delivered when its home last stored a record, or when the first home took over that knew of no other. Only these can be part of what is granted under a record that is not known; what was granted since is counted beside it.

--- a/crates/relay/src/decide/budget/account.rs
+++ b/crates/relay/src/decide/budget/account.rs
@@ -21,6 +21,9 @@
     pub(super) ceiling: u64,
     /// Identifier of the latest stored record known; 0 if none is known.
     pub(super) record: u64,
+    /// Tokens that had been delivered when a home stored that record, or when one took over that
+    /// knew of no other home.
+    pub(super) recorded_tokens: u64,
     /// Identifier of the records of the home before this one, which may have stored one
     /// that is not known.
     pub(super) previous_record: u64,
@@ -120,10 +123,12 @@
             self.role_since_ms = now_ms.saturating_sub(copy.role_age_ms);
             self.ceiling = copy.ceiling;
             self.record = copy.record;
+            self.recorded_tokens = copy.recorded_tokens;
             self.needs_record = copy.needs_record;
         } else if copy.ceiling > self.ceiling && self.has_same_home(copy) {
             self.ceiling = copy.ceiling;
             self.record = copy.record;
+            self.recorded_tokens = copy.recorded_tokens;
         }
     }
 
@@ -145,6 +150,7 @@
             may_miss_call: self.may_miss_call,
             ceiling: self.ceiling,
             record: self.record,
+            recorded_tokens: self.recorded_tokens,
             needs_record: self.needs_record,
             ..AccountCopy::default()
         }
@@ -204,11 +210,10 @@
     }
 
     /// Assumes that all tokens under a record of a home whose grants are not known were
-    /// delivered, `free` tokens at least.
-    pub(super) fn assume_spent(&mut self, stored: Option<StoredCeiling>, free: u64) {
+    /// delivered, `free` tokens at least; `counted` of those that are known are part of them.
+    pub(super) fn assume_spent(&mut self, stored: Option<StoredCeiling>, free: u64, counted: u64) {
         let bound = stored.map_or(free, |stored| stored.ceiling.max(free));
-        // All deliveries that are known were granted before the other home's counts were lost.
-        let unknown = bound.saturating_sub(self.delivered());
+        let unknown = bound.saturating_sub(counted);
         self.assumed_spent = self.assumed_spent.max(unknown);
         self.may_miss_call = true;
         if let Some(stored) = stored {
--- a/crates/relay/src/decide/budget/ledger.rs
+++ b/crates/relay/src/decide/budget/ledger.rs
@@ -241,6 +241,7 @@
         if is_current {
             account.ceiling = account.ceiling.max(claim.ceiling);
             account.record = claim.owner;
+            account.recorded_tokens = account.delivered();
             account.needs_record = false;
         }
     }
@@ -273,7 +274,9 @@
     /// spent.
     pub fn adopt_record(&mut self, program: ProgramKey, budget: u64, stored: StoredCeiling) {
         if let Some(account) = self.programs.get_mut(&program) {
-            account.assume_spent(Some(stored), free_tokens(budget));
+            // The other home has not counted what was granted here meanwhile.
+            let counted = account.recorded_tokens.min(account.delivered());
+            account.assume_spent(Some(stored), free_tokens(budget), counted);
         }
     }
 
@@ -305,9 +308,14 @@
         if account.is_home(self.own) {
             return;
         }
+        if account.role.is_none() {
+            account.recorded_tokens = account.delivered();
+        }
         account.begin_epoch(self.own, now_ms);
         if finding.may_miss_tokens {
-            account.assume_spent(stored, free_tokens(budget));
+            // All deliveries that are known were granted before the other home's counts were lost.
+            let counted = account.delivered();
+            account.assume_spent(stored, free_tokens(budget), counted);
             // Only a record that counts as spent may be replaced; a higher one may be stored since
             // it was read.
             let known = stored.filter(|_| !finding.needs_record);
--- a/crates/relay/src/decide/budget/share.rs
+++ b/crates/relay/src/decide/budget/share.rs
@@ -112,6 +112,9 @@
     pub ceiling: u64,
     /// Identifier of the latest stored record known; 0 if none is known.
     pub record: u64,
+    /// Tokens that had been delivered when a home stored that record, or when one took over that
+    /// knew of no other home.
+    pub recorded_tokens: u64,
     /// Whether the home has to store a record of its epoch before it grants a call.
     pub needs_record: bool,
     /// Identifiers of records, stored or not, under which the process knows all that was granted,
--- a/crates/relay/tests/budget_play/main.rs
+++ b/crates/relay/tests/budget_play/main.rs
@@ -117,6 +117,7 @@
 #[case::absent_vm_knows_nothing(102_146, 5)]
 #[case::absent_vm_knows_nothing_of_seven(214_071, 7)]
 #[case::loss_noticed_after_an_absence(205_519, 3)]
+#[case::two_homes_grant_without_knowing_of_each_other(207_823, 5)]
 #[case::later_home_grants_under_the_same_record(218_778, 5)]
 #[case::later_home_grants_after_a_restart(202_649, 5)]
 #[case::later_home_grants_without_the_store(215_141, 5)]
