--- a/crates/relay/src/decide/budget/mod.rs
+++ b/crates/relay/src/decide/budget/mod.rs
@@ -21,6 +21,12 @@
 //!   none. All of it counts as spent. Beyond the bound one call may have been granted, which the
 //!   rule allows once; such an account grants nothing more without a record.
 //!
+//! - **A record is known by those that it was passed on to as well.** A home that takes over goes on
+//!   under the record of the one before it. So the VM that stored the record knows what was granted
+//!   under it only together with all VMs that it told of it.
+//! - **A VM that was absent knows nothing of that time.** It has kept what it knew, but two others may
+//!   have kept the account without it.
+//!
 //! A member whose partner is gone finds another one at once, so that it takes the loss of two VMs
 //! within a moment to lose an account, and the loss of one costs no program what it has left.
 
