--- a/crates/relay/src/decide/budget/account.rs
+++ b/crates/relay/src/decide/budget/account.rs
@@ -34,8 +34,8 @@
     pub(super) needs_record: bool,
     /// Identifiers of this VM's latest claims.
     pub(super) claimed: Vec<u64>,
-    /// Records that other processes were told of when they asked for the role, with the process; it
-    /// may have granted calls under them.
+    /// Identifiers of the records that were part of replies to processes that asked for the role, with
+    /// the process, which may have granted calls under them.
     pub(super) passed_on: Vec<(u64, VmProcess)>,
     pub(super) updated_ms: u64,
 }
--- a/crates/relay/src/decide/budget/share.rs
+++ b/crates/relay/src/decide/budget/share.rs
@@ -122,8 +122,8 @@
     ///
     /// Part of the reply to a home that takes over only, as is `passed_on`.
     pub known_records: Vec<u64>,
-    /// Records that other processes were told of when they asked for the role, with the process; it
-    /// may have granted calls under them.
+    /// Identifiers of the records that were part of replies to processes that asked for the role, with
+    /// the process, which may have granted calls under them.
     pub passed_on: Vec<(u64, VmProcess)>,
 }
 
