Log when a newer configuration is heard of, how fetches end and how late tasks run

Cause: the logs could not tell apart a VM that is busy, a peer that does not serve its state, and a VM that hears nothing. Change: events 2132 to 2135, `outdated_ms` in 2101, and two gauges. The configuration in force gets a file of its own. No change of logic.

--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -16,6 +16,7 @@
 mod origins;
 mod outage;
 mod placement;
+mod plan_knowledge;
 mod quota;
 mod readers;
 mod replica_changes;
@@ -52,6 +53,7 @@
 pub use origins::{AttemptKey, OriginRefusal, OriginTable, decide_origin};
 pub use outage::{AnswerRecord, ServiceOutage, may_be_cut_off};
 pub use placement::{PlacementChoice, PlacementInput, choose_replicas};
+pub use plan_knowledge::PlanKnowledge;
 pub use quota::{
     AdmissionCounters, ProgramStage, QuotaLedger, QuotaTolerance, RateRefusal, RefusalCause,
     WindowReport, WorkspaceKey,
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -160,10 +160,8 @@
     let count = connections.iter().map(ConnectionLimiter::count);
     gateway.state.metrics.set_connections(count.sum());
     set_speed_metrics(gateway);
-    let body = gateway
-        .state
-        .metrics
-        .render(in_flight, gateway.feed_age(), version);
+    let outdated = gateway.plan_outdated_for();
+    let body = metrics.render(in_flight, gateway.feed_age(), version, outdated);
     Response::new(ResponseBody::whole(body))
 }
 
--- a/crates/relay/src/gateway/metrics.rs
+++ b/crates/relay/src/gateway/metrics.rs
@@ -12,6 +12,7 @@
 use ibisdale_clients::ClientMemoryUse;
 use ibisdale_turns::ClientMetrics;
 
+use super::plan_metrics::PlanMetrics;
 use crate::decide::{AttemptFailure, SpeedSpan};
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -40,8 +41,7 @@
     oldest_heartbeat_seconds: Gauge,
     silent_vms: Gauge,
     in_flight: Gauge,
-    feed_age_seconds: Gauge,
-    plan_version: Gauge,
+    plan: PlanMetrics,
     pub(crate) turns: ClientMetrics,
 }
 
@@ -292,16 +292,7 @@
                 "ibisdale_gateway_requests_in_flight",
                 "Requests in flight.",
             ),
-            feed_age_seconds: register_gauge(
-                &registry,
-                "ibisdale_gateway_feed_age_seconds",
-                "Time since the key-value service last confirmed the configuration to any VM; -1 if never.",
-            ),
-            plan_version: register_gauge(
-                &registry,
-                "ibisdale_gateway_plan_version",
-                "Version of the configuration in force.",
-            ),
+            plan: PlanMetrics::register(&registry),
             registry,
         }
     }
@@ -425,22 +416,24 @@
         self.silent_vms.set(f64::from(silent_vms));
     }
 
+    pub(crate) fn set_task_delay(&self, delay: Duration) {
+        self.plan.set_task_delay(delay);
+    }
+
     pub(crate) fn count_connection(&self) {
         self.connections.inc();
     }
 
     /// Encodes all metrics in the Prometheus text format.
-    #[expect(clippy::cast_precision_loss, reason = "versions are small")]
     pub(crate) fn render(
         &self,
         in_flight: u32,
         feed_age: Option<Duration>,
         plan_version: u64,
+        outdated: Duration,
     ) -> Bytes {
         self.in_flight.set(f64::from(in_flight));
-        self.feed_age_seconds
-            .set(feed_age.map_or(-1.0, |age| age.as_secs_f64()));
-        self.plan_version.set(plan_version as f64);
+        self.plan.set_version(plan_version, feed_age, outdated);
         match TextEncoder::new().encode_to_string(&self.registry.gather()) {
             Ok(text) => Bytes::from(text),
             Err(error) => {
@@ -480,6 +473,6 @@
     register(registry, HistogramVec::new(options, &["kind"]))
 }
 
-fn register_gauge(registry: &Registry, name: &str, help: &str) -> Gauge {
+pub(super) fn register_gauge(registry: &Registry, name: &str, help: &str) -> Gauge {
     register(registry, Gauge::new(name, help))
 }
--- a/crates/relay/src/gateway/mod.rs
+++ b/crates/relay/src/gateway/mod.rs
@@ -32,6 +32,8 @@
 mod peer_link;
 mod peer_list;
 mod peers;
+mod plan_in_force;
+mod plan_metrics;
 mod pool;
 mod rpc;
 mod runs;
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -1,7 +1,7 @@
 //! Gossip and other messages between VMs over UDP.
 
 use std::net::{SocketAddr, SocketAddrV4};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ibisdale_telemetry::record_event;
 use smol::Timer;
@@ -19,6 +19,7 @@
     peer_addresses, report_to_homes, send, send_state, spawn_send, spawn_send_state,
 };
 use super::peer_list::{handle_peer_list, send_counters, send_peer_list};
+use super::plan_in_force::record_heard_plan;
 use super::runs::{decide_run, end_run};
 use super::speeds::{merge_speeds, update_speeds};
 use super::state::{Gateway, lossy_string};
@@ -33,6 +34,9 @@
 const MESSAGE_MAX_BYTES: usize = 60_000;
 /// Difference of start times up to which VMs count as started together, in milliseconds.
 const SAME_START_MS: u64 = 3_000;
+/// Delay of a gossip round from which on it is logged.
+const TASK_DELAY_MIN: Duration = Duration::from_millis(100);
+
 /// Receives and handles messages until the process ends.
 pub(crate) async fn receive(gateway: Gateway) {
     let mut buffer = vec![0_u8; MESSAGE_MAX_BYTES];
@@ -53,9 +57,24 @@
 /// Sends this VM's state to its peers in rounds until the process ends.
 pub(crate) async fn run_gossip(gateway: Gateway) {
     let mut rotation = PeerRotation::default();
+    let pause = Duration::from_millis(ROUND_MS);
     loop {
         gossip_round(&gateway, &mut rotation).await;
-        Timer::after(Duration::from_millis(ROUND_MS)).await;
+        let paused = Instant::now();
+        Timer::after(pause).await;
+        record_task_delay(&gateway, paused.elapsed().saturating_sub(pause));
+    }
+}
+
+/// Records how long the tasks of this process wait until they run.
+fn record_task_delay(gateway: &Gateway, delay: Duration) {
+    gateway.state.metrics.set_task_delay(delay);
+    if delay >= TASK_DELAY_MIN {
+        record_event!(
+            TasksLate,
+            late_ms = delay.as_millis(),
+            in_flight = gateway.state.in_flight.get()
+        );
     }
 }
 
@@ -391,6 +410,7 @@
         send_suspects(gateway, sender);
     }
     let own_version = gateway.plan().map_or(0, |plan| plan.get_version());
+    record_heard_plan(gateway, plan_version, own_version, sender);
     if plan_version > own_version {
         state_transfer::spawn_fetch(gateway, sender, StatePart::Plan, plan_version);
     }
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -19,7 +19,7 @@
 use super::boot_time::{BootTime, SuspensionWatch};
 use super::caller_request::millis;
 use super::ceilings::CeilingBatch;
-use super::cold::{record_cold_entries, set_cold_rules};
+use super::cold::record_cold_entries;
 use super::directory::DirectoryRule;
 use super::header_names::HeaderNames;
 use super::message::{PeerMessage, RunReply};
@@ -31,9 +31,9 @@
 use crate::decide::{
     AccountCopy, AnswerRecord, BudgetLedger, CeilingClaim, CeilingReads, ClaimOutcome, ColdTable,
     ColdTolerance, GrantLedger, GrantOutcome, LimitTable, LossTable, MemberFacts, MemberTable,
-    OriginTable, ProgramKey, QuotaLedger, QuotaTolerance, RateRefusal, RecentDecisions,
-    ReplicaInfo, ReplicaTable, RunLedger, SpanHistory, StreamOrigin, SuspectTable, VersionHistory,
-    hash_bytes,
+    OriginTable, PlanKnowledge, ProgramKey, QuotaLedger, QuotaTolerance, RateRefusal,
+    RecentDecisions, ReplicaInfo, ReplicaTable, RunLedger, SpanHistory, StreamOrigin, SuspectTable,
+    VersionHistory,
 };
 use crate::plan::DeploymentPlan;
 
@@ -105,6 +105,7 @@
     pub(crate) has_plan: Cell<bool>,
     /// Times for which streams and programs are remembered.
     pub(crate) spans: RefCell<SpanHistory>,
+    pub(crate) plan_knowledge: RefCell<PlanKnowledge>,
     /// Revision of the key-value store at which the configuration was written.
     pub(crate) plan_revision: Cell<u64>,
     /// When the key-value service last confirmed the configuration to this VM.
@@ -221,6 +222,7 @@
             spans: RefCell::new(SpanHistory::new(
                 DeploymentPlan::default().get_memory_spans(),
             )),
+            plan_knowledge: RefCell::default(),
             plan_revision: Cell::new(0),
             feed_confirmed_at: Cell::new(None),
             peer_feed_confirmed_at: Cell::new(None),
@@ -288,73 +290,6 @@
         self.state.executor.spawn(future).detach();
     }
 
-    /// Returns the configuration in force, if there is one.
-    #[must_use]
-    pub fn plan(&self) -> Option<Rc<DeploymentPlan>> {
-        let plan = self.state.plan.borrow();
-        self.state.has_plan.get().then(|| Rc::clone(&plan))
-    }
-
-    /// Applies a configuration if it is newer than the one in force.
-    pub fn apply_plan(&self, plan: DeploymentPlan, revision: u64, source: &str) {
-        let in_force = self.state.plan.borrow().get_version();
-        let version = plan.get_version();
-        if self.state.has_plan.get() && version <= in_force {
-            if version < in_force {
-                record_event!(
-                    PlanIgnored,
-                    version = version,
-                    in_force = in_force,
-                    source = source
-                );
-            }
-            return;
-        }
-        let mut spans = self.state.spans.borrow_mut();
-        spans.replace(plan.get_memory_spans(), self.now_ms());
-        let remembered = spans.effective(self.now_ms());
-        drop(spans);
-        record_event!(
-            PlanInForce,
-            version = version,
-            revision = revision,
-            source = source,
-            routes = plan.get_routes().len(),
-            workspaces = plan.get_workspaces().len(),
-            resume_ms = remembered.resume_ms,
-            retention_ms = remembered.retention_ms,
-        );
-        for workspace in plan.get_workspaces() {
-            record_event!(
-                WorkspaceRate,
-                workspace = lossy_string(&workspace.name),
-                version = version,
-                rate_per_s = workspace.rate_per_s,
-                burst = workspace.burst,
-                keys = workspace.keys.len(),
-            );
-        }
-        if !self.state.quota.borrow().knows_fleet() {
-            self.start_quota_round();
-        }
-        let workspaces = plan.get_workspaces().iter();
-        let rates = workspaces.map(|workspace| {
-            (
-                hash_bytes(&workspace.name),
-                workspace.rate_per_s,
-                workspace.burst,
-            )
-        });
-        self.state
-            .quota
-            .borrow_mut()
-            .set_rates(rates, self.now_ms());
-        set_cold_rules(self, &plan);
-        *self.state.plan.borrow_mut() = Rc::new(plan);
-        self.state.has_plan.set(true);
-        self.state.plan_revision.set(revision);
-    }
-
     /// Sends this VM's state to all other VMs at once.
     pub fn announce(&self) {
         let cloned = self.clone();
@@ -367,13 +302,6 @@
         self.state.replicas.borrow().infos().cloned().collect()
     }
 
-    /// Returns whether the configuration is recent enough to prove that an unknown key or
-    /// route does not exist.
-    pub(crate) fn is_plan_current(&self) -> bool {
-        let limit = self.state.options.feed_max_age;
-        self.feed_age().is_some_and(|age| age <= limit)
-    }
-
     /// Replaces the list of replicas unless the new list is older than the current one.
     pub fn set_replicas(&self, replicas: Vec<ReplicaInfo>, version: u64) {
         if version < self.state.replicas_version.get() {
--- a/crates/relay/src/gateway/state_transfer.rs
+++ b/crates/relay/src/gateway/state_transfer.rs
@@ -7,10 +7,11 @@
 use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddrV4, TcpListener, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use ibisdale_clients::{ConnectionLimiter, HeldBytes, OpenConnection};
+use ibisdale_telemetry::record_event;
 use ibisdale_turns::HolderInfo;
 use rand::seq::IteratorRandom;
 use smol::{Async, Timer};
@@ -144,15 +145,43 @@
         if fetcher.is_reader() && !fetcher.is_store_lost() {
             Timer::after(OWN_FEED_DELAY).await;
         }
-        if part.current_version(&fetcher) < version
-            && let Err(error) = with_timeout(fetch(&fetcher, peer, part)).await
-        {
-            log::info!("failed to fetch state ({part:?}) from {peer}: {error}");
+        if part.current_version(&fetcher) < version {
+            let started = Instant::now();
+            let result = with_timeout(fetch(&fetcher, peer, part)).await;
+            record_fetch(peer, part, version, started, result);
         }
         part.is_fetching(&fetcher).set(false);
     });
 }
 
+fn record_fetch(
+    peer: SocketAddrV4,
+    part: StatePart,
+    version: u64,
+    started: Instant,
+    result: io::Result<usize>,
+) {
+    let elapsed_ms = started.elapsed().as_millis();
+    match result {
+        Ok(size) => record_event!(
+            StateFetched,
+            part = format!("{part:?}"),
+            version = version,
+            from = peer,
+            size = size,
+            elapsed_ms = elapsed_ms
+        ),
+        Err(error) => record_event!(
+            StateNotFetched,
+            part = format!("{part:?}"),
+            version = version,
+            from = peer,
+            elapsed_ms = elapsed_ms,
+            error = error
+        ),
+    }
+}
+
 /// Starts fetching the holders from a live peer.
 pub(crate) fn spawn_fetch_holders(gateway: &Gateway) {
     let peer = {
@@ -165,7 +194,8 @@
     }
 }
 
-async fn fetch(gateway: &Gateway, peer: SocketAddrV4, part: StatePart) -> io::Result<()> {
+/// Fetches a part of the state of a peer; returns its size in bytes.
+async fn fetch(gateway: &Gateway, peer: SocketAddrV4, part: StatePart) -> io::Result<usize> {
     let mut stream = Async::<TcpStream>::connect(peer).await?;
     stream.write_all(&[part.code()]).await?;
     let mut data = Vec::new();
@@ -192,5 +222,5 @@
             }
         }
     }
-    Ok(())
+    Ok(data.len())
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -221,7 +221,8 @@
         ["count"], "Log lines were dropped because the output could not keep up.";
 
     PlanInForce = 2101, Info, "plan_in_force",
-        ["version", "revision", "source", "routes", "workspaces", "resume_ms", "retention_ms"], "A version of the configuration took effect.";
+        ["version", "revision", "source", "routes", "workspaces", "resume_ms", "retention_ms", "outdated_ms"],
+        "A version of the configuration took effect; `outdated_ms` is the time for which the VM has known that the one before was outdated.";
     PlanIgnored = 2102, Info, "plan_ignored",
         ["version", "in_force", "source"], "A version of the configuration older than the one in force was ignored.";
     PlanUnreadable = 2103, Error, "plan_unreadable",
@@ -301,6 +302,15 @@
     StoreServed = 2131, Info, "store_served",
         ["prefix", "lost_ms"], "The key-value service answers this VM's calls again, or the VM has not called it for some time.";
 
+    PlanHeard = 2132, Info, "plan_heard",
+        ["version", "in_force", "from"], "Another VM has a newer version of the configuration than all that this VM knew of.";
+    StateFetched = 2133, Info, "state_fetched",
+        ["part", "version", "from", "size", "elapsed_ms"], "A part of the state of another VM was fetched from it.";
+    StateNotFetched = 2134, Warn, "state_not_fetched",
+        ["part", "version", "from", "elapsed_ms", "error"], "A part of the state of another VM could not be fetched from it.";
+    TasksLate = 2135, Warn, "tasks_late",
+        ["late_ms", "in_flight"], "The tasks of this process run late: a gossip round began `late_ms` after it was due.";
+
     RequestEnded = 2201, Info, "request_ended",
         ["request", "program", "route", "workspace", "status", "reason", "replica", "sends",
             "granted_by", "plan", "feed_age_ms", "admitted_by", "home", "first_ms", "elapsed_ms"],
