Add a failing test of a VM that is busy while the configuration changes

Measured: given up after 6,041 polls of 2,000 clients' tasks, where a version has to be in force before each has run once.

--- a/crates/relay/tests/gateway/fleet_support.rs
+++ b/crates/relay/tests/gateway/fleet_support.rs
@@ -28,6 +28,8 @@
     Evacuate(&'static [&'static str], u64),
     /// Passes on a configuration.
     Apply(Box<DeploymentPlan>),
+    /// Sends the state of the VM to all others.
+    Announce,
     /// Passes on a version of the list of replicas.
     List(Vec<ReplicaInfo>, u64),
     Kill,
@@ -44,6 +46,7 @@
             gateway.set_evacuated_domains(domains.collect(), revision);
         }
         VmCommand::Apply(plan) => gateway.apply_plan(*plan, 2, "test"),
+        VmCommand::Announce => gateway.announce(),
         VmCommand::List(replicas, version) => gateway.set_replicas(replicas, version),
         VmCommand::Kill => return ControlFlow::Break(()),
     }
--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod budgets;
+mod busy;
 mod client_memory;
 mod crashes;
 mod datagrams;
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -24,6 +24,7 @@
 use smol::channel::{Receiver, Sender, bounded};
 use smol::{Async, LocalExecutor};
 
+use crate::busy::BusyLoad;
 use crate::fleet_support::{StoreStandIn, VmCommand, carry_out};
 use crate::holder_support::holder_info;
 
@@ -289,6 +290,8 @@
     pub(crate) restart: Option<(String, u64)>,
     /// Memory for bodies and responses, in bytes.
     pub(crate) client_memory_bytes: Option<usize>,
+    /// Load of its thread by clients.
+    pub(crate) busy: Option<BusyLoad>,
 }
 
 impl TestGateway {
@@ -481,7 +484,7 @@
             .memory(test_options.client_memory_bytes.unwrap_or(64_000_000)),
     };
     let socket = Async::<UdpSocket>::bind(peer_address).unwrap();
-    let gateway = Gateway::new(options, executor, socket);
+    let gateway = Gateway::new(options, Rc::clone(&executor), socket);
     if !test_options.has_no_plan {
         gateway.apply_plan(plan(), 1, "test");
     }
@@ -500,6 +503,9 @@
         metrics: None,
     };
     gateway.listen(&addresses).unwrap();
+    if let Some(busy) = &test_options.busy {
+        busy.begin(&gateway, &executor);
+    }
     started.send(()).unwrap();
     // Returns an error when the test drops the sender to stop the gateway.
     while let Ok(command) = commands.recv().await {
