Run what keeps a VM in step with the others before its clients

What callers saw: a VM handled requests by a configuration that had been replaced for longer than the bound.

Cause: all tasks of a process shared one queue. To hear of a version, to connect, to ask, to read and to apply it are turns in that queue, each behind all ready tasks of clients, so that nothing bounded the time that a busy VM takes.

Change: two lanes on the thread. Why it works: a control task now waits for one poll of a client's task, however many clients there are.

--- a/crates/relay/src/gateway/client_connections.rs
+++ b/crates/relay/src/gateway/client_connections.rs
@@ -51,7 +51,7 @@
                     && let Some(open) = limiter.admit()
                 {
                     let cloned = gateway.clone();
-                    gateway.spawn(serve(cloned, open, stream, peer, handler));
+                    gateway.spawn_client(serve(cloned, open, stream, peer, handler));
                 }
             }
             Some(Err(error)) => {
--- a/crates/relay/src/gateway/mod.rs
+++ b/crates/relay/src/gateway/mod.rs
@@ -42,6 +42,7 @@
 mod state_transfer;
 mod stream;
 mod suspects;
+mod task_lanes;
 mod turns;
 
 pub use body::{ResponseAborted, ResponseBody};
@@ -52,3 +53,4 @@
 pub use header_names::HeaderNames;
 pub use listen::ListenAddresses;
 pub use state::{DurableStore, Gateway, GatewayOptions, ReadOrigins, StoreCeilings, StoreFuture};
+pub use task_lanes::TaskLanes;
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -12,9 +12,9 @@
 use ibisdale_clients::{ClientAccount, ClientLimits, ConnectionLimiter};
 use ibisdale_telemetry::record_event;
 use ibisdale_turns::{ClientOptions, HolderInfo, HolderLinks, HolderTable, TurnClient};
+use smol::Async;
 use smol::channel::{Receiver, Sender, bounded};
 use smol::lock::Mutex;
-use smol::{Async, LocalExecutor};
 
 use super::boot_time::{BootTime, SuspensionWatch};
 use super::caller_request::millis;
@@ -28,6 +28,7 @@
 use super::peer_link;
 use super::pool::ConnectionPool;
 use super::state_transfer;
+use super::task_lanes::TaskLanes;
 use crate::decide::{
     AccountCopy, AnswerRecord, BudgetLedger, CeilingClaim, CeilingReads, ClaimOutcome, ColdTable,
     ColdTolerance, GrantLedger, GrantOutcome, LimitTable, LossTable, MemberFacts, MemberTable,
@@ -98,7 +99,7 @@
 
 pub(crate) struct GatewayState {
     pub(crate) options: GatewayOptions,
-    pub(crate) executor: Rc<LocalExecutor<'static>>,
+    pub(crate) lanes: Rc<TaskLanes>,
     pub(crate) socket: Async<UdpSocket>,
     pub(crate) started: Instant,
     pub(crate) plan: RefCell<Rc<DeploymentPlan>>,
@@ -184,11 +185,7 @@
 impl Gateway {
     /// Creates a gateway that exchanges messages with its peers over `socket`.
     #[must_use]
-    pub fn new(
-        options: GatewayOptions,
-        executor: Rc<LocalExecutor<'static>>,
-        socket: Async<UdpSocket>,
-    ) -> Self {
+    pub fn new(options: GatewayOptions, lanes: Rc<TaskLanes>, socket: Async<UdpSocket>) -> Self {
         let (shutdown_sender, shutdown_signal) = bounded(1);
         let budgets = BudgetLedger::new(options.facts.key(), options.facts.incarnation);
         let quota = QuotaLedger::new(options.quota_tolerance, options.is_first_start);
@@ -209,12 +206,12 @@
         let clients = ClientAccount::new(options.client_limits.memory_bytes());
         let turns = TurnClient::new(
             turn_options,
-            HolderLinks::new(&executor),
+            HolderLinks::new(lanes.control()),
             metrics.turns.clone(),
         );
         let state = GatewayState {
             options,
-            executor,
+            lanes,
             socket,
             started: Instant::now(),
             plan: RefCell::default(),
@@ -286,8 +283,14 @@
         millis(self.state.started.elapsed()) + 1
     }
 
+    /// Spawns a control task.
     pub(crate) fn spawn(&self, future: impl Future<Output = ()> + 'static) {
-        self.state.executor.spawn(future).detach();
+        self.state.lanes.spawn(future).detach();
+    }
+
+    /// Spawns a task of a client's connection.
+    pub(crate) fn spawn_client(&self, future: impl Future<Output = ()> + 'static) {
+        self.state.lanes.spawn_client(future).detach();
     }
 
     /// Sends this VM's state to all other VMs at once.
--- a/crates/relay/tests/gateway/busy.rs
+++ b/crates/relay/tests/gateway/busy.rs
@@ -1,15 +1,13 @@
 //! A VM whose thread is busy with the connections of its clients.
 
-use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use futures_lite::future::yield_now;
-use ibisdale_relay::gateway::Gateway;
+use ibisdale_relay::gateway::{Gateway, TaskLanes};
 use ibisdale_relay::plan::DeploymentPlan;
-use smol::LocalExecutor;
 
 use crate::fleet_support::VmCommand;
 use crate::support::{POLL_INTERVAL, ScriptedReplica, TestGateway, TestGatewayOptions, plan};
@@ -31,10 +29,10 @@
 
 impl BusyLoad {
     /// Occupies the thread of a gateway.
-    pub(crate) fn begin(&self, gateway: &Gateway, executor: &Rc<LocalExecutor<'static>>) {
+    pub(crate) fn begin(&self, gateway: &Gateway, lanes: &TaskLanes) {
         for _ in 0..TASKS {
             let (load, gateway) = (self.clone(), gateway.clone());
-            executor.spawn(load.keep_busy(gateway)).detach();
+            lanes.spawn_client(load.keep_busy(gateway)).detach();
         }
     }
 
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -15,14 +15,14 @@
 use ibisdale_relay::decide::{ColdTolerance, MemberFacts, QuotaTolerance, ReplicaInfo};
 use ibisdale_relay::gateway::{
     DirectoryQuery, DirectoryRule, DurableStore, Gateway, GatewayOptions, HeaderNames,
-    ListenAddresses, drain,
+    ListenAddresses, TaskLanes, drain,
 };
 use ibisdale_relay::plan::{
     DeploymentPlan, ExecutionSemantics, RouteRule, ServiceSpec, TrafficLimits, WeightedService,
     WorkspaceSpec,
 };
+use smol::Async;
 use smol::channel::{Receiver, Sender, bounded};
-use smol::{Async, LocalExecutor};
 
 use crate::busy::BusyLoad;
 use crate::fleet_support::{StoreStandIn, VmCommand, carry_out};
@@ -308,17 +308,17 @@
         let (started, started_receiver) = std::sync::mpsc::channel();
         let store = options.store.clone();
         let thread = thread::spawn(move || {
-            let executor = Rc::new(LocalExecutor::new());
+            let lanes = Rc::new(TaskLanes::default());
             let addresses = (entry, directory, peer_address);
             let run = run(
-                Rc::clone(&executor),
+                Rc::clone(&lanes),
                 replica_infos,
                 addresses,
                 options,
                 received,
                 started,
             );
-            smol::block_on(executor.run(run));
+            smol::block_on(lanes.run(run));
         });
         started_receiver.recv().unwrap();
         Self {
@@ -435,7 +435,7 @@
 }
 
 async fn run(
-    executor: Rc<LocalExecutor<'static>>,
+    lanes: Rc<TaskLanes>,
     replicas: Vec<ReplicaInfo>,
     (entry, directory, peer_address): (SocketAddrV4, SocketAddrV4, SocketAddrV4),
     test_options: TestGatewayOptions,
@@ -484,7 +484,7 @@
             .memory(test_options.client_memory_bytes.unwrap_or(64_000_000)),
     };
     let socket = Async::<UdpSocket>::bind(peer_address).unwrap();
-    let gateway = Gateway::new(options, Rc::clone(&executor), socket);
+    let gateway = Gateway::new(options, Rc::clone(&lanes), socket);
     if !test_options.has_no_plan {
         gateway.apply_plan(plan(), 1, "test");
     }
@@ -504,7 +504,7 @@
     };
     gateway.listen(&addresses).unwrap();
     if let Some(busy) = &test_options.busy {
-        busy.begin(&gateway, &executor);
+        busy.begin(&gateway, &lanes);
     }
     started.send(()).unwrap();
     // Returns an error when the test drops the sender to stop the gateway.
