Fetch a version from other VMs while the first one does not serve it

What callers saw: a VM handled requests by a configuration that had been replaced for longer than the bound.

Cause: a VM fetched from the one whose state it heard first, and asked nobody else for the 1 s that the fetch may take; two or three in a row exceed the bound. Those that have a version served all others at once: with 300 VMs each of the transfers gets a 300th of the link, and all of them exceed their time together. A transfer also counted as a response to a client, and was refused while clients held the memory.

Evidence: the first test of tests/gateway/silent_source.rs failed before (503, "no configuration yet", when the announcer's connection had timed out, though another VM had the configuration).

Change: the VMs that name a newer version are kept (decide/state_sources); another one is asked beside one that has not answered for 150 ms, four at most, those first that were tried least. A VM serves 8 transfers at the same time, the others in turn, so that the first are done early and serve the rest. Transfers between VMs no longer count as clients' memory; 8 of them bound it. The list of replicas and the holders are fetched in the same way. Why it works: a VM that serves nobody costs 150 ms, and those that have a version grow with each that gets it.

--- a/crates/relay/src/decide/mod.rs
+++ b/crates/relay/src/decide/mod.rs
@@ -26,6 +26,7 @@
 mod retry;
 mod rotation;
 mod sliding_window;
+mod state_sources;
 mod suspects;
 mod versions;
 
@@ -67,6 +68,7 @@
 pub use replies::RecentDecisions;
 pub use retry::{AttemptFailure, RetryDecision, RetryInput, decide_retry, promises_not_run};
 pub use rotation::{PeerRotation, ROUND_MS, rounds_per_pass};
+pub use state_sources::SourceQueue;
 pub use suspects::{
     CRASHES_MAX, CrashHistory, RETENTION_MS, RequestFingerprint, RequestIdentity, RequestStanding,
     RunDecision, RunLedger, RunQuery, SuspectChange, SuspectReport, SuspectTable,
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -412,9 +412,9 @@
     let own_version = gateway.plan().map_or(0, |plan| plan.get_version());
     record_heard_plan(gateway, plan_version, own_version, sender);
     if plan_version > own_version {
-        state_transfer::spawn_fetch(gateway, sender, StatePart::Plan, plan_version);
+        state_transfer::offer_source(gateway, sender, StatePart::Plan, plan_version);
     }
     if replicas_version > gateway.state.replicas_version.get() {
-        state_transfer::spawn_fetch(gateway, sender, StatePart::Replicas, replicas_version);
+        state_transfer::offer_source(gateway, sender, StatePart::Replicas, replicas_version);
     }
 }
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -27,7 +27,7 @@
 use super::origin_record::OriginWaiter;
 use super::peer_link;
 use super::pool::ConnectionPool;
-use super::state_transfer;
+use super::state_transfer::{self, PartFetches};
 use super::task_lanes::TaskLanes;
 use crate::decide::{
     AccountCopy, AnswerRecord, BudgetLedger, CeilingClaim, CeilingReads, ClaimOutcome, ColdTable,
@@ -157,9 +157,7 @@
     pub(crate) connections: RefCell<Vec<ConnectionLimiter>>,
     pub(crate) pending_peer_calls: RefCell<HashMap<u64, Sender<PeerMessage>>>,
     pub(crate) next_call_id: Cell<u64>,
-    pub(crate) is_fetching_plan: Cell<bool>,
-    pub(crate) is_fetching_replicas: Cell<bool>,
-    pub(crate) is_fetching_holders: Cell<bool>,
+    pub(crate) fetched: PartFetches,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) turns: TurnClient,
     pub(crate) in_flight: Cell<u32>,
@@ -261,9 +259,7 @@
             connections: RefCell::default(),
             pending_peer_calls: RefCell::default(),
             next_call_id: Cell::new(first_call_id),
-            is_fetching_plan: Cell::new(false),
-            is_fetching_replicas: Cell::new(false),
-            is_fetching_holders: Cell::new(false),
+            fetched: PartFetches::default(),
             metrics,
             turns,
             in_flight: Cell::new(0),
--- a/crates/relay/src/gateway/state_transfer.rs
+++ b/crates/relay/src/gateway/state_transfer.rs
@@ -4,20 +4,23 @@
 //! versions from them. A VM whose calls the service refuses, or that starts during an
 //! outage of the service, gets the current state in the same way.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::{SocketAddrV4, TcpListener, TcpStream};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
-use ibisdale_clients::{ConnectionLimiter, HeldBytes, OpenConnection};
+use ibisdale_clients::{ConnectionLimiter, OpenConnection};
 use ibisdale_telemetry::record_event;
 use ibisdale_turns::HolderInfo;
 use rand::seq::IteratorRandom;
-use smol::{Async, Timer};
+use smol::channel::{Sender, bounded};
+use smol::lock::Semaphore;
+use smol::{Async, Task, Timer};
 
 use super::state::Gateway;
-use crate::decide::{MemberFacts, ReplicaInfo};
+use crate::decide::{MemberFacts, ReplicaInfo, SourceQueue};
 use crate::plan::DeploymentPlan;
 
 /// Maximum duration of a transfer.
@@ -27,6 +30,15 @@
 /// Time for which a VM that watches the service itself waits for a change from there
 /// before it fetches the change from a peer.
 const OWN_FEED_DELAY: Duration = Duration::from_millis(150);
+/// Maximum number of transfers that share the link at the same time. The first VMs get a version early
+/// and serve it to the others, while a fair share for all would let each of them exceed the time limit.
+const TRANSFERS_MAX: usize = 8;
+/// Time after which another source is asked beside one that has not answered.
+const NEXT_SOURCE_DELAY: Duration = Duration::from_millis(150);
+/// Maximum number of sources that are asked at the same time.
+const FETCHES_MAX: usize = 4;
+/// Maximum number of times that one source is asked for the same version.
+const SOURCE_TRIES_MAX: u32 = 3;
 /// Delay before accepting again after a failure.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -53,38 +65,54 @@
             Self::Plan => gateway.plan().map_or(0, |plan| plan.get_version()),
             Self::Replicas => gateway.state.replicas_version.get(),
             // Fetched only where no holder is known.
-            Self::Holders => 0,
+            Self::Holders => u64::from(!gateway.holders().is_empty()),
         }
     }
 
-    fn is_fetching(self, gateway: &Gateway) -> &Cell<bool> {
+    fn fetch_state(self, gateway: &Gateway) -> &FetchState {
         match self {
-            Self::Plan => &gateway.state.is_fetching_plan,
-            Self::Replicas => &gateway.state.is_fetching_replicas,
-            Self::Holders => &gateway.state.is_fetching_holders,
+            Self::Plan => &gateway.state.fetched.plan,
+            Self::Replicas => &gateway.state.fetched.replicas,
+            Self::Holders => &gateway.state.fetched.holders,
         }
     }
 }
 
+/// Fetch of one part.
+#[derive(Debug, Default)]
+pub(crate) struct FetchState {
+    sources: RefCell<SourceQueue>,
+    is_running: Cell<bool>,
+}
+
+/// Fetches of all parts.
+#[derive(Debug, Default)]
+pub(crate) struct PartFetches {
+    plan: FetchState,
+    replicas: FetchState,
+    holders: FetchState,
+}
+
 /// Serves the current state to VMs that request it.
 pub(crate) async fn serve(
     gateway: Gateway,
     limiter: ConnectionLimiter,
     listener: Async<TcpListener>,
 ) {
+    let slots = Rc::new(Semaphore::new(TRANSFERS_MAX));
     loop {
         limiter.wait_for_room().await;
         match listener.accept().await {
             Ok((stream, peer)) => {
                 // Each transfer ends soon.
                 let open = limiter.admit_when_free().await;
-                let sender = gateway.clone();
+                let (sender, slots) = (gateway.clone(), Rc::clone(&slots));
                 gateway.spawn(async move {
                     let closed = async {
                         open.wait_for_close().await;
                         Err(io::ErrorKind::ConnectionAborted.into())
                     };
-                    let transfer = with_timeout(send_part(&sender, &open, stream));
+                    let transfer = with_timeout(send_part(&sender, &open, &slots, stream));
                     if let Err(error) = transfer.or(closed).await {
                         log::debug!("failed to send state to {peer}: {error}");
                     }
@@ -101,11 +129,13 @@
 async fn send_part(
     gateway: &Gateway,
     open: &OpenConnection,
+    slots: &Semaphore,
     mut stream: Async<TcpStream>,
 ) -> io::Result<()> {
     let mut code = [0_u8];
     stream.read_exact(&mut code).await?;
     let _progress = open.begin_request();
+    let _slot = slots.acquire().await;
     let data = if code[0] == StatePart::Replicas.code() {
         let version = gateway.state.replicas_version.get();
         postcard::to_stdvec(&(version, gateway.replica_infos()))
@@ -117,12 +147,7 @@
         };
         postcard::to_stdvec(&(gateway.state.plan_revision.get(), plan.as_ref()))
     };
-    let data = data.map_err(io::Error::other)?;
-    let mut held = HeldBytes::new(&gateway.state.clients);
-    if !held.resize(data.len()) {
-        return Err(io::ErrorKind::OutOfMemory.into());
-    }
-    stream.write_all(&data).await
+    stream.write_all(&data.map_err(io::Error::other)?).await
 }
 
 async fn with_timeout<T>(transfer: impl Future<Output = io::Result<T>>) -> io::Result<T> {
@@ -133,11 +158,14 @@
     transfer.or(timed_out).await
 }
 
-/// Starts fetching a newer version from a peer unless a fetch is already running.
+/// Records that a peer has a newer version of a part, and starts to fetch it unless that is under
+/// way.
 ///
 /// A VM that watches the service first waits for the version to arrive from there.
-pub(crate) fn spawn_fetch(gateway: &Gateway, peer: SocketAddrV4, part: StatePart, version: u64) {
-    if part.is_fetching(gateway).replace(true) {
+pub(crate) fn offer_source(gateway: &Gateway, peer: SocketAddrV4, part: StatePart, version: u64) {
+    let fetch = part.fetch_state(gateway);
+    fetch.sources.borrow_mut().offer(peer, version);
+    if fetch.is_running.replace(true) {
         return;
     }
     let fetcher = gateway.clone();
@@ -145,15 +173,68 @@
         if fetcher.is_reader() && !fetcher.is_store_lost() {
             Timer::after(OWN_FEED_DELAY).await;
         }
-        if part.current_version(&fetcher) < version {
-            let started = Instant::now();
-            let result = with_timeout(fetch(&fetcher, peer, part)).await;
-            record_fetch(peer, part, version, started, result);
-        }
-        part.is_fetching(&fetcher).set(false);
+        fetch_newest(&fetcher, part).await;
+        let fetch = part.fetch_state(&fetcher);
+        // A source that was asked too often is asked again when it next names its version.
+        fetch.sources.take();
+        fetch.is_running.set(false);
     });
 }
 
+/// Fetches a part from the peers that have a newer version of it until the newest is in force, or
+/// none of them is left to ask.
+///
+/// Asks another peer beside one that has not served it within [`NEXT_SOURCE_DELAY`].
+async fn fetch_newest(gateway: &Gateway, part: StatePart) {
+    let (sender, ended) = bounded(FETCHES_MAX);
+    // Those under way are cancelled when the version is in force.
+    let mut tasks = Vec::new();
+    let mut running = 0;
+    loop {
+        let in_force = part.current_version(gateway);
+        let sources = &part.fetch_state(gateway).sources;
+        if !sources.borrow().has_newer(in_force) {
+            return;
+        }
+        let next = if running < FETCHES_MAX {
+            sources.borrow_mut().take(in_force, SOURCE_TRIES_MAX)
+        } else {
+            None
+        };
+        if let Some((peer, version)) = next {
+            running += 1;
+            tasks.push(spawn_fetch(gateway, part, (peer, version), sender.clone()));
+        } else if running == 0 {
+            return;
+        }
+        let is_ended = async { ended.recv().await.is_ok() };
+        let is_due = async {
+            Timer::after(NEXT_SOURCE_DELAY).await;
+            false
+        };
+        if is_ended.or(is_due).await {
+            running -= 1;
+        }
+    }
+}
+
+/// Starts to fetch a part from a peer; `ended` gets a message at the end.
+fn spawn_fetch(
+    gateway: &Gateway,
+    part: StatePart,
+    (peer, version): (SocketAddrV4, u64),
+    ended: Sender<()>,
+) -> Task<()> {
+    let cloned = gateway.clone();
+    gateway.state.lanes.spawn(async move {
+        let started = Instant::now();
+        let result = with_timeout(fetch(&cloned, peer, part)).await;
+        record_fetch(peer, part, version, started, result);
+        // Fails if the version has arrived meanwhile.
+        let _ = ended.send(()).await;
+    })
+}
+
 fn record_fetch(
     peer: SocketAddrV4,
     part: StatePart,
@@ -190,7 +271,7 @@
         live.map(MemberFacts::peer_address).choose(&mut rand::rng())
     };
     if let Some(peer) = peer {
-        spawn_fetch(gateway, peer, StatePart::Holders, 1);
+        offer_source(gateway, peer, StatePart::Holders, 1);
     }
 }
 
--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod replaced_plans;
 mod responses;
 mod routes;
+mod silent_source;
 mod support;
 mod turns;
 mod unframed;
