Prove nothing by a configuration that is known to be outdated

What callers saw: a VM handled requests by a configuration that had been replaced for longer than the bound, or refused keys and routes of the new one with 401 and 404.

Cause: the age of the configuration was the time since the store had last answered any VM. A VM that heard of a newer version took the contact of the VM that had it as a proof of its own, older one; so did each VM that it told. With contact it answered 404 and 401, and it served by the old version for as long as it took.

Evidence: two tests of tests/gateway/silent_source.rs failed before: 404 and 401 of a VM that had heard of a newer version.

Change (decide/plan_knowledge): a VM knows as of when its version was the newest. A report of another VM confirms it only if that VM has no newer version in force, and states its own age (`plan_age_ms`). 401 and 404 need an age of at most `config_apply_ms` and no newer version heard of. When other VMs have had a newer version for half of `config_apply_ms`, all requests are refused with 503 and the VM counts as not ready, until it has it or no VM names it for 5 s. Why it works: what a version proves is bounded by when it was the newest, whatever keeps a VM from the next one.

Measured: the tests pass, as do those of versions and replaced plans.

--- a/crates/relay/src/gateway/admit.rs
+++ b/crates/relay/src/gateway/admit.rs
@@ -87,6 +87,9 @@
     let Some(plan) = gateway.plan() else {
         return Err(GatewayError::unavailable("no configuration yet"));
     };
+    if gateway.is_plan_outdated() {
+        return Err(GatewayError::unavailable("the configuration is outdated"));
+    }
     let header_names = &gateway.state.options.header_names;
     let host = match parts.headers.get(HOST) {
         Some(host) => host.as_bytes(),
--- a/crates/relay/src/gateway/feed_contact.rs
+++ b/crates/relay/src/gateway/feed_contact.rs
@@ -84,6 +84,8 @@
     pub fn confirm_feed(&self) {
         let now = BootTime::now();
         self.state.feed_confirmed_at.set(Some(now));
+        let mut knowledge = self.state.plan_knowledge.borrow_mut();
+        knowledge.record_confirmed(now.since_boot());
         record_answer(self, now);
     }
 
--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -373,9 +373,9 @@
         metrics.count_request(status, reason, kind, elapsed);
         let (replica, sends, granted_by) = self.attempts.borrow().clone();
         let admission = self.admission.borrow();
-        let feed_age_ms = self
+        let plan_age_ms = self
             .gateway
-            .feed_age()
+            .plan_age()
             .map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
         record_event!(
             RequestEnded,
@@ -391,7 +391,7 @@
             sends = sends,
             granted_by = granted_by,
             plan = request.map_or(0, |request| request.plan.get_version()),
-            feed_age_ms = feed_age_ms,
+            plan_age_ms = plan_age_ms,
             admitted_by = admission.source,
             home = admission.home,
             first_ms = self.first_ms.get(),
--- a/crates/relay/src/gateway/memory_spans.rs
+++ b/crates/relay/src/gateway/memory_spans.rs
@@ -1,6 +1,7 @@
 //! Times for which this VM remembers streams and programs.
 
 use super::state::Gateway;
+use crate::decide::SpanReport;
 use crate::plan::MemorySpans;
 
 /// Time beyond the configured retention for which programs are remembered, in
@@ -36,3 +37,9 @@
         spans.effective(self.now_ms()).retention_ms + RETENTION_SLACK_MS
     }
 }
+
+/// Adds the times that count at another VM.
+pub(crate) fn merge_spans(gateway: &Gateway, reports: &[SpanReport]) {
+    let now_ms = gateway.now_ms();
+    gateway.state.spans.borrow_mut().merge(reports, now_ms);
+}
--- a/crates/relay/src/gateway/message.rs
+++ b/crates/relay/src/gateway/message.rs
@@ -57,10 +57,11 @@
         facts: MemberFacts,
         /// Version of the configuration in force; 0 if there is none.
         plan_version: u64,
+        /// Time since that version was known to be the newest, in milliseconds.
+        plan_age_ms: Option<u64>,
         /// Version of the list of replicas; 0 if there is none.
         replicas_version: u64,
-        /// Time since the key-value service last confirmed the configuration to any VM, in
-        /// milliseconds.
+        /// Time since the key-value service last answered any VM, in milliseconds.
         feed_age_ms: Option<u64>,
         /// Time for which that service has answered the VMs without a gap, in milliseconds.
         answers_ms: Option<u64>,
--- a/crates/relay/src/gateway/peer_link.rs
+++ b/crates/relay/src/gateway/peer_link.rs
@@ -59,6 +59,7 @@
     let message = PeerMessage::State {
         facts: gateway.own_facts(),
         plan_version,
+        plan_age_ms: gateway.plan_age().map(millis),
         replicas_version: gateway.state.replicas_version.get(),
         feed_age_ms: gateway.feed_age().map(millis),
         answers_ms: answered_for(gateway).map(millis),
--- a/crates/relay/src/gateway/peers.rs
+++ b/crates/relay/src/gateway/peers.rs
@@ -13,6 +13,7 @@
 use super::evacuation::merge_evacuations;
 use super::feed_contact::record_peer_feed;
 use super::limits::{grant_as_home, merge_limits, send_limits};
+use super::memory_spans::merge_spans;
 use super::message::{GrantRequest, PeerMessage};
 use super::origins::record_origin;
 use super::peer_link::{
@@ -175,6 +176,7 @@
         PeerMessage::State {
             facts,
             plan_version,
+            plan_age_ms,
             replicas_version,
             feed_age_ms,
             answers_ms,
@@ -192,15 +194,14 @@
             merge_limits(gateway, &limits);
             merge_suspects(gateway, &suspects, "peer");
             merge_speeds(gateway, &speeds);
-            let now_ms = gateway.now_ms();
-            gateway.state.spans.borrow_mut().merge(&spans, now_ms);
+            merge_spans(gateway, &spans);
             record_peer_feed(gateway, feed_age_ms, answers_ms);
             record_peer_in_flight(gateway, facts.key(), in_flight);
             record_peer_store_lost(gateway, facts.key(), is_store_lost);
             let losses = &gateway.state.losses;
             losses.borrow_mut().merge_counts_lost_at(counts_lost_at);
-            let versions = (plan_version, replicas_version);
-            handle_state(gateway, facts, versions, &quota, sender);
+            let plan = (plan_version, plan_age_ms);
+            handle_state(gateway, facts, plan, replicas_version, &quota, sender);
         }
         PeerMessage::Left { vm, incarnation } => handle_leave(gateway, vm, incarnation),
         PeerMessage::Counters {
@@ -370,7 +371,8 @@
 fn handle_state(
     gateway: &Gateway,
     facts: MemberFacts,
-    (plan_version, replicas_version): (u64, u64),
+    (plan_version, plan_age_ms): (u64, Option<u64>),
+    replicas_version: u64,
     quota: &[AdmissionCounters],
     sender: SocketAddrV4,
 ) {
@@ -409,8 +411,8 @@
         send_cold(gateway, sender);
         send_suspects(gateway, sender);
     }
+    record_heard_plan(gateway, (plan_version, plan_age_ms), sender);
     let own_version = gateway.plan().map_or(0, |plan| plan.get_version());
-    record_heard_plan(gateway, plan_version, own_version, sender);
     if plan_version > own_version {
         state_transfer::offer_source(gateway, sender, StatePart::Plan, plan_version);
     }
--- a/crates/relay/src/gateway/plan_in_force.rs
+++ b/crates/relay/src/gateway/plan_in_force.rs
@@ -96,21 +96,40 @@
     /// Returns whether the configuration is recent enough to prove that an unknown key or
     /// route does not exist.
     pub(crate) fn is_plan_current(&self) -> bool {
-        let limit = self.state.options.feed_max_age;
-        self.feed_age().is_some_and(|age| age <= limit)
+        let max_age = self.state.options.plan_max_age;
+        let now = BootTime::now().since_boot();
+        self.state.plan_knowledge.borrow().is_current(max_age, now)
+    }
+
+    /// Returns whether requests must not be served, since other VMs have had a newer configuration
+    /// for too long.
+    pub(crate) fn is_plan_outdated(&self) -> bool {
+        let max_time = self.state.options.plan_outdated_max;
+        let now = BootTime::now().since_boot();
+        let knowledge = self.state.plan_knowledge.borrow();
+        knowledge.is_outdated(max_time, now)
+    }
+
+    /// Returns the time since the configuration in force was known to be the newest.
+    pub(crate) fn plan_age(&self) -> Option<Duration> {
+        let confirmed_at = self.state.plan_knowledge.borrow().confirmed_at();
+        confirmed_at.map(|at| BootTime::now().since_boot().saturating_sub(at))
     }
 }
 
-/// Records the version of the configuration that another VM has in force.
+/// Records the version of the configuration that another VM has in force, and the time since it was
+/// known there to be the newest.
 pub(crate) fn record_heard_plan(
     gateway: &Gateway,
-    version: u64,
-    in_force: u64,
+    (version, age_ms): (u64, Option<u64>),
     sender: SocketAddrV4,
 ) {
-    let now = BootTime::now().since_boot();
+    let now = BootTime::now();
+    let confirmed_at = age_ms.map(|age_ms| now.before(Duration::from_millis(age_ms)));
+    let confirmed_at = confirmed_at.map(BootTime::since_boot);
+    let in_force = gateway.plan().map_or(0, |plan| plan.get_version());
     let mut knowledge = gateway.state.plan_knowledge.borrow_mut();
-    if knowledge.record_heard(version, now) {
+    if knowledge.record_report(version, confirmed_at, now.since_boot()) {
         record_event!(
             PlanHeard,
             version = version,
--- a/crates/relay/src/gateway/state.rs
+++ b/crates/relay/src/gateway/state.rs
@@ -82,9 +82,12 @@
     pub seeds: Vec<SocketAddrV4>,
     /// Whether the whole system starts for the first time, so that no counts can be lost.
     pub is_first_start: bool,
-    /// Maximum time since the configuration was last confirmed for which it still proves
+    /// Maximum time since the configuration was known to be the newest for which it still proves
     /// that a key or a route does not exist.
-    pub feed_max_age: Duration,
+    pub plan_max_age: Duration,
+    /// Maximum time for which requests are served by a configuration of which other VMs are known
+    /// to have a newer version.
+    pub plan_outdated_max: Duration,
     /// Amount by which workspaces' rates may be exceeded.
     pub quota_tolerance: QuotaTolerance,
     /// Excess over the rate of cold replicas that the operators allow.
@@ -393,6 +396,7 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         self.state.has_plan.get()
+            && !self.is_plan_outdated()
             && self.state.quota.borrow().knows_fleet()
             && !self.state.is_draining.get()
             && !self.state.replicas.borrow().is_empty()
--- a/crates/relay/tests/gateway/busy.rs
+++ b/crates/relay/tests/gateway/busy.rs
@@ -59,7 +59,7 @@
 }
 
 /// Returns the configuration that follows the first one.
-fn next_plan() -> DeploymentPlan {
+pub(crate) fn next_plan() -> DeploymentPlan {
     let first = plan();
     let routes = first.get_routes().to_vec();
     let workspaces = first.get_workspaces().to_vec();
--- a/crates/relay/tests/gateway/silent_source.rs
+++ b/crates/relay/tests/gateway/silent_source.rs
@@ -3,8 +3,13 @@
 use std::io::Read;
 use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
 use std::thread;
+use std::time::Duration;
 
-use crate::support::{ScriptedReplica, TestGateway, TestGatewayOptions, free_address};
+use crate::busy::next_plan;
+use crate::fleet_support::VmCommand;
+use crate::support::{
+    POLL_INTERVAL, ScriptedReplica, TestGateway, TestGatewayOptions, free_address,
+};
 
 /// Maximum size of a datagram, in bytes.
 const DATAGRAM_MAX_BYTES: usize = 65_536;
@@ -55,6 +60,17 @@
         });
     }
 
+    /// Sends a datagram again and again until the test ends.
+    fn repeat(&self, datagram: Vec<u8>, receiver: SocketAddrV4) {
+        let socket = self.socket.try_clone().unwrap();
+        thread::spawn(move || {
+            loop {
+                socket.send_to(&datagram, receiver).unwrap();
+                thread::sleep(POLL_INTERVAL);
+            }
+        });
+    }
+
     /// Returns the next connection on which the configuration is requested.
     fn accept_plan_request(&self) -> TcpStream {
         loop {
@@ -104,3 +120,55 @@
     let response = second.call(&request("/none/"));
     insta::assert_snapshot!(summarize(&response), @"HTTP/1.1 404 Not Found: no such route");
 }
+
+/// Returns what a VM answers before and after it has heard of a newer configuration that nobody
+/// serves.
+fn answers_around_a_newer_plan(options: TestGatewayOptions) -> String {
+    let replica = ScriptedReplica::start(|_, _| (Vec::new(), false));
+    let source = SilentSource::bind();
+    let seeded = TestGatewayOptions {
+        seed: Some(source.address),
+        ..TestGatewayOptions::default()
+    };
+    let first = TestGateway::start_with(&[&replica], seeded);
+    first.command(VmCommand::Apply(Box::new(next_plan())));
+    first.command(VmCommand::Announce);
+    let mut newest = Vec::new();
+    // The first ones may have been sent before.
+    for _ in 0..4 {
+        newest = source.receive_from(first.peer_address);
+    }
+    first.kill();
+    let second = TestGateway::start_with(&[&replica], options);
+    let before = second.call(&request("/none/"));
+    source.repeat(newest, second.peer_address);
+    let _unanswered = source.accept_plan_request();
+    let after = ["/none/", "/read/"].map(|path| second.call(&request(path)));
+    [&before, &after[0], &after[1]]
+        .map(|response| summarize(response))
+        .join("\n")
+}
+
+#[test]
+fn vm_that_can_not_get_a_newer_configuration_does_not_prove_by_the_one_before() {
+    let answers = answers_around_a_newer_plan(TestGatewayOptions::default());
+    insta::assert_snapshot!(answers, @"
+    HTTP/1.1 404 Not Found: no such route
+    HTTP/1.1 503 Service Unavailable: the configuration may be outdated
+    HTTP/1.1 503 Service Unavailable: the configuration may be outdated
+    ");
+}
+
+#[test]
+fn vm_that_can_not_get_a_newer_configuration_in_time_serves_nothing_by_the_one_before() {
+    let options = TestGatewayOptions {
+        plan_outdated_max: Some(Duration::ZERO),
+        ..TestGatewayOptions::default()
+    };
+    let answers = answers_around_a_newer_plan(options);
+    insta::assert_snapshot!(answers, @"
+    HTTP/1.1 404 Not Found: no such route
+    HTTP/1.1 503 Service Unavailable: the configuration is outdated
+    HTTP/1.1 503 Service Unavailable: the configuration is outdated
+    ");
+}
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -290,6 +290,8 @@
     pub(crate) restart: Option<(String, u64)>,
     /// Memory for bodies and responses, in bytes.
     pub(crate) client_memory_bytes: Option<usize>,
+    /// Time for which requests are served by an outdated configuration.
+    pub(crate) plan_outdated_max: Option<Duration>,
     /// Load of its thread by clients.
     pub(crate) busy: Option<BusyLoad>,
 }
@@ -472,7 +474,10 @@
         },
         seeds: test_options.seed.into_iter().collect(),
         is_first_start,
-        feed_max_age: Duration::from_hours(1),
+        plan_max_age: Duration::from_hours(1),
+        plan_outdated_max: test_options
+            .plan_outdated_max
+            .unwrap_or(Duration::from_hours(1)),
         quota_tolerance: QuotaTolerance::default(),
         cold_tolerance: ColdTolerance {
             excess: 1.5,
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -313,7 +313,7 @@
 
     RequestEnded = 2201, Info, "request_ended",
         ["request", "program", "route", "workspace", "status", "reason", "replica", "sends",
-            "granted_by", "plan", "feed_age_ms", "admitted_by", "home", "first_ms", "elapsed_ms"],
+            "granted_by", "plan", "plan_age_ms", "admitted_by", "home", "first_ms", "elapsed_ms"],
         "A request has ended.";
     AttemptFailed = 2202, Info, "attempt_failed",
         ["request", "fingerprint", "replica", "end", "progress", "next", "left_ms", "in_flight", "error"],
