Close a connection for a new one before a request on it is read

Cause: where the notice of the close and a request had arrived in the same turn of the executor, the connection's task looked for a request first. The request was passed on, and its connection dropped at the next step of the same poll.

Change: the notice is looked at first. Why it works: the decision to close is made in another task of the same thread, and only for a connection without a request in progress, so that a request that was not read by then is never read.

--- a/crates/relay/src/gateway/client_connections.rs
+++ b/crates/relay/src/gateway/client_connections.rs
@@ -123,7 +123,8 @@
         open.wait_for_close().await;
         None
     };
-    let Some(result) = result.or(closed).await else {
+    // A connection that is closed for another one must not begin a request, even if one has arrived.
+    let Some(result) = closed.or(result).await else {
         return;
     };
     if has_unread.get() && open.begin_linger() {
--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod budgets;
 mod busy;
 mod client_memory;
+mod closed_idle;
 mod crashes;
 mod datagrams;
 mod directory;
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -290,6 +290,8 @@
     pub(crate) restart: Option<(String, u64)>,
     /// Memory for bodies and responses, in bytes.
     pub(crate) client_memory_bytes: Option<usize>,
+    /// File descriptors of the process.
+    pub(crate) descriptors: Option<f64>,
     /// Time for which requests are served by an outdated configuration.
     pub(crate) plan_outdated_max: Option<Duration>,
     /// Load of its thread by clients.
@@ -436,6 +438,12 @@
     }
 }
 
+fn client_limits(options: &TestGatewayOptions) -> ClientLimits {
+    let descriptors = options.descriptors.unwrap_or(2_000.0);
+    let limits = ClientLimits::share(1_000.0, 1_000.0, descriptors);
+    limits.memory(options.client_memory_bytes.unwrap_or(64_000_000))
+}
+
 async fn run(
     lanes: Rc<TaskLanes>,
     replicas: Vec<ReplicaInfo>,
@@ -446,7 +454,7 @@
 ) {
     let is_first_start = test_options.restart.is_none();
     let first = (peer_address.to_string(), 1);
-    let (name, incarnation) = test_options.restart.unwrap_or(first);
+    let (name, incarnation) = test_options.restart.clone().unwrap_or(first);
     let facts = MemberFacts {
         name: Bytes::from(name),
         incarnation,
@@ -485,8 +493,7 @@
         },
         tolerated_holders: 0,
         turn_cache_bytes: 1_000_000,
-        client_limits: ClientLimits::share(1_000.0, 1_000.0, 2_000.0)
-            .memory(test_options.client_memory_bytes.unwrap_or(64_000_000)),
+        client_limits: client_limits(&test_options),
     };
     let socket = Async::<UdpSocket>::bind(peer_address).unwrap();
     let gateway = Gateway::new(options, Rc::clone(&lanes), socket);
