Accept connections of clients in the lane of clients

Cause: the listeners of clients were control tasks, so that a crowd of new connections went before the requests of those that are open, up to 100 to one. Found by reading the lanes again. Change: they are tasks of the clients' lane, in the order of arrival with the others, as before the lanes. Measured: the tests of busy VMs and of closed connections pass.

--- a/crates/relay/src/gateway/listen.rs
+++ b/crates/relay/src/gateway/listen.rs
@@ -108,7 +108,7 @@
             return Ok(());
         };
         let listener = Async::<TcpListener>::bind(SocketAddr::V4(address))?;
-        self.spawn(accept(self.clone(), limiter, listener, handler));
+        self.spawn_client(accept(self.clone(), limiter, listener, handler));
         Ok(())
     }
 
