--- a/crates/relay/tests/gateway/closed_idle.rs
+++ b/crates/relay/tests/gateway/closed_idle.rs
@@ -7,7 +7,9 @@
 
 use crate::support::{ScriptedReplica, TestGateway, TestGatewayOptions};
 
-/// Number of connections that the descriptors allow.
+/// File descriptors of the process.
+const DESCRIPTORS: f64 = 32.0;
+/// Number of connections that these allow.
 const CONNECTIONS: usize = 16;
 /// Time for which the gateway stands still, and within which requests and connections arrive.
 const PAUSE: Duration = Duration::from_millis(500);
@@ -26,7 +28,7 @@
 fn request_on_an_idle_connection_that_is_closed_for_a_new_one_is_not_passed_on() {
     let replica = ScriptedReplica::start(|_, _| (RESPONSE.into(), true));
     let options = TestGatewayOptions {
-        descriptors: Some(2.0 * CONNECTIONS as f64),
+        descriptors: Some(DESCRIPTORS),
         ..TestGatewayOptions::default()
     };
     let gateway = TestGateway::start_with(&[&replica], options);
