Bound the time that a version takes to reach 300 VMs by asking different sources

Cause: VMs that had heard of the same sources all asked the one that had named its version last, and learned of those that had fetched it since only in their next gossip round. The same source was also asked again while it had not answered.

Change: one of the sources that were tried least is chosen at random, each is asked once at a time, another one after 100 ms, eight at most; a VM that has fetched a version sends its state to eight others at once. Why it works: the VMs that have a version multiply with each that gets it, and each silent one costs 100 ms of one VM.

--- a/crates/relay/src/gateway/state_transfer.rs
+++ b/crates/relay/src/gateway/state_transfer.rs
@@ -19,6 +19,7 @@
 use smol::lock::Semaphore;
 use smol::{Async, Task, Timer};
 
+use super::peer_link::{peer_addresses, send_state};
 use super::state::Gateway;
 use crate::decide::{MemberFacts, ReplicaInfo, SourceQueue};
 use crate::plan::DeploymentPlan;
@@ -34,9 +35,11 @@
 /// and serve it to the others, while a fair share for all would let each of them exceed the time limit.
 const TRANSFERS_MAX: usize = 8;
 /// Time after which another source is asked beside one that has not answered.
-const NEXT_SOURCE_DELAY: Duration = Duration::from_millis(150);
+const NEXT_SOURCE_DELAY: Duration = Duration::from_millis(100);
 /// Maximum number of sources that are asked at the same time.
-const FETCHES_MAX: usize = 4;
+const FETCHES_MAX: usize = 8;
+/// Number of other VMs that a VM tells at once of a version that it has fetched.
+const SPREAD_PEERS: usize = 8;
 /// Maximum number of times that one source is asked for the same version.
 const SOURCE_TRIES_MAX: u32 = 3;
 /// Delay before accepting again after a failure.
@@ -197,7 +200,10 @@
             return;
         }
         let next = if running < FETCHES_MAX {
-            sources.borrow_mut().take(in_force, SOURCE_TRIES_MAX)
+            let random = rand::random();
+            sources
+                .borrow_mut()
+                .take(in_force, SOURCE_TRIES_MAX, random)
         } else {
             None
         };
@@ -207,34 +213,47 @@
         } else if running == 0 {
             return;
         }
-        let is_ended = async { ended.recv().await.is_ok() };
-        let is_due = async {
+        let ended_source = async { ended.recv().await.ok() };
+        let next_is_due = async {
             Timer::after(NEXT_SOURCE_DELAY).await;
-            false
+            None
         };
-        if is_ended.or(is_due).await {
+        if let Some(peer) = ended_source.or(next_is_due).await {
             running -= 1;
+            sources.borrow_mut().end(peer);
         }
     }
 }
 
-/// Starts to fetch a part from a peer; `ended` gets a message at the end.
+/// Starts to fetch a part from a peer; `ended` gets the address of the peer at the end.
 fn spawn_fetch(
     gateway: &Gateway,
     part: StatePart,
     (peer, version): (SocketAddrV4, u64),
-    ended: Sender<()>,
+    ended: Sender<SocketAddrV4>,
 ) -> Task<()> {
     let cloned = gateway.clone();
     gateway.state.lanes.spawn(async move {
         let started = Instant::now();
+        let in_force = part.current_version(&cloned);
         let result = with_timeout(fetch(&cloned, peer, part)).await;
         record_fetch(peer, part, version, started, result);
+        if part.current_version(&cloned) > in_force {
+            spread_version(&cloned);
+        }
         // Fails if the version has arrived meanwhile.
-        let _ = ended.send(()).await;
+        let _ = ended.send(peer).await;
     })
 }
 
+/// Sends this VM's state to some others at once, so that they can fetch from it as well.
+fn spread_version(gateway: &Gateway) {
+    let peers = peer_addresses(gateway).into_iter();
+    let chosen = peers.choose_multiple(&mut rand::rng(), SPREAD_PEERS);
+    let cloned = gateway.clone();
+    gateway.spawn(async move { send_state(&cloned, &chosen).await });
+}
+
 fn record_fetch(
     peer: SocketAddrV4,
     part: StatePart,
