--- a/crates/relay/src/gateway/state_transfer.rs
+++ b/crates/relay/src/gateway/state_transfer.rs
@@ -1,8 +1,9 @@
 //! Transfer of the configuration and the list of replicas between VMs over TCP.
 //!
 //! Only a few VMs, the readers, watch the key-value service; the others fetch new
-//! versions from them. A VM whose calls the service refuses, or that starts during an
-//! outage of the service, gets the current state in the same way.
+//! versions from them and from those that have fetched them before. A VM whose calls the
+//! service refuses, or that starts during an outage of the service, gets the current state
+//! in the same way.
 
 use std::cell::{Cell, RefCell};
 use std::io;
