--- a/crates/relay/src/gateway/task_lanes.rs
+++ b/crates/relay/src/gateway/task_lanes.rs
@@ -17,8 +17,8 @@
 /// Two lanes of tasks on one thread: those that keep the VM in step with the store and the other
 /// VMs, which go first, and those of clients' connections.
 ///
-/// A control task waits for one poll of a client's task and 5 ms at most, however many
-/// clients there are.
+/// Beside other control tasks, a control task waits for one poll of a client's task, and for
+/// sockets and timers 5 ms at most, however many clients there are.
 #[derive(Default)]
 pub struct TaskLanes {
     control: Rc<LocalExecutor<'static>>,
